--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,174 @@
+// Package policy decides, for one co-ordinator, where the parts of a query go, when they go again, and
+// when the query is answered, refused or failed.
+//
+// It is a pure state machine: Handle takes the clock and what happened and returns what to do. This file
+// is its interface; policy.go holds every decision and state.go the records that the decisions read.
+package policy
+
+// Effect says what a repeated part does.
+type Effect uint8
+
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // a repeat is dropped within the class's window
+	Unsafe               // must never run twice
+)
+
+// Class describes one class of query. All times are in seconds.
+type Class struct {
+	Promise    float64 // an answer within this time earns the full worth
+	GiveUp     float64 // how long a client waits in all
+	LateWorth  float64 // share of the worth that a late answer earns
+	Points     float64 // worth of a whole answer
+	Effect     Effect
+	Window     float64 // Keyed: how long repeats are dropped
+	Need       float64 // share of weight that makes a whole answer
+	Floor      float64 // least share of weight for any answer
+	FollowUp   int     // parts of the second step; 0 for none
+	ShortWorth float64 // worth of an answer under Need, times share / need
+}
+
+// Tenant describes one customer.
+type Tenant struct {
+	Quota float64 // queries a second inside its share, over all co-ordinators
+	Share float64
+}
+
+// Config is what an instance is told when it starts. All times are in seconds.
+type Config struct {
+	Seed        uint64
+	Resolution  float64 // least spacing of batches
+	Classes     []Class
+	Tenants     []Tenant
+	Aggregators int // co-ordinators of this tier
+	Ordinal     int
+	Zone        int // index of the instance's own zone, -1 if unknown
+
+	MaxAttempts   int // for each part, 0 for no limit
+	MaxOpen       int // queries and parts held at once, 0 for no limit
+	Cancel        bool
+	Probes        bool
+	SecondCopies  bool
+	RetryAfter    bool
+	MaxRetryAfter float64
+
+	Cells, Reach, Shards int
+	CallParts            int     // parts that one call may carry
+	CallOverhead         float64 // work of a call beside its parts
+
+	AnswerSlack  float64
+	DrainGrace   float64
+	ColdFrom     float64 // share of its capacity that a replica starts with
+	WarmUp       float64
+	FallMultiple float64
+	TipAfter     float64
+
+	ExtraFree, ExtraPerRequest float64 // the budget of further attempts
+	ExtraSpan                  float64 // its window; 0 where no budget is stated
+
+	MustAsk       bool // the list comes only when it is asked for
+	MustAskIn     float64
+	OverShareKeep float64 // share of its worth that a query over its tenant's share keeps
+	ReportNames   []string
+}
+
+// Readiness of a listed replica.
+type Readiness uint8
+
+const (
+	Up Readiness = iota
+	Draining
+	Removed
+)
+
+// Entry is one line of the replica list.
+type Entry struct {
+	Replica uint64
+	Zone    int
+	Cell    int
+	State   Readiness
+	Size    float64
+	Started float64 // clock time of its last start, 0 for long ago
+}
+
+// Outcome of one attempt or probe.
+type Outcome uint8
+
+const (
+	OK Outcome = iota
+	Failed
+	Rejected // proves that it never ran
+	TimedOut
+	Unreachable // proves that it never ran
+	Broken
+	Revoked
+	Moot // proves that it never ran
+)
+
+// Kind of an Event.
+type Kind uint8
+
+const (
+	ListChanged  Kind = iota // List, Full, Stale
+	ListFailed               // a call for the list failed
+	QueryArrived             // Query, Group, Class, Tenant, Due, Work, Count, Retry
+	PartArrived              // Part, Group, Shard, Weight, Work, Class
+	AttemptEnded             // Part, Attempt, Replica, Outcome, Took, Report
+	ProbeEnded               // Replica, Outcome, Took, Report
+	ClientLeft               // Query
+	TimerFired               // Handle
+)
+
+// Event is one thing that happened; Kind says which fields hold.
+type Event struct {
+	Kind    Kind
+	Query   uint64
+	Part    uint64
+	Group   uint64
+	Replica uint64
+	Handle  uint64
+	Class   int
+	Tenant  int // -1 if there is none
+	Shard   int
+	Count   int
+	Attempt int
+	Outcome Outcome
+	Full    bool // ListChanged: the list replaces the one held
+	Stale   bool // ListChanged: read from disk
+	Retry   bool
+	Due     float64
+	Work    float64 // hint, 0 if absent
+	Weight  float64
+	Took    float64
+	List    []Entry
+	Report  []float64
+}
+
+// Verb of an Action.
+type Verb uint8
+
+const (
+	Send   Verb = iota // Part, Replica, TryFor
+	Cancel             // Part, Attempt
+	Answer             // Query, Full
+	Refuse             // Query, After
+	Fail               // Query
+	Probe              // Replica
+	Timer              // After, Handle
+	Watch              // subscribe to the list
+	Log                // Text
+)
+
+// Action is one thing to do; Verb says which fields hold.
+type Action struct {
+	Verb    Verb
+	Full    bool
+	Query   uint64
+	Part    uint64
+	Replica uint64
+	Handle  uint64
+	Attempt int
+	TryFor  float64 // 0: as long as the client waits
+	After   float64
+	Text    string
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,916 @@
+package policy
+
+// This module makes every decision of a co-ordinator. Its interface is api.go; state.go keeps the records.
+// Order: constants, turn, arrival, part count, replica choice, sending, outcomes, time, health, guards,
+// answers. Times are seconds. Settings are what Config says, observation is what this instance saw itself.
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+const (
+	// Latency model (DESIGN).
+	startMean   = 0.2   // of the promise: first mean of a part's latency
+	startSpread = 0.5   // of that mean: first 1/μ
+	cutWorst    = 0.001 // of the samples: the worst that the model leaves out
+	refresh     = 2.0   // s: period of the estimates (DESIGN's start value)
+	memory      = 8.0   // promises: how far back samples count; a mix shift is forgotten by then
+	leastSeen   = 8     // samples: fewer do not replace an estimate
+
+	// Time.
+	tickShare = 0.01 // of the least promise: period of the look at what is open; ends rounding to 1 %
+	dueMargin = 2.0  // ticks before the client's end at which a query is settled
+
+	// Further attempts.
+	tailShare  = 0.95 // quantile of latencies after which a part counts as late: 5 % are
+	lateTimes  = 1.5  // means: a part younger than this is never late, however tight the tail
+	stressMean = 0.35 // of the promise: recent latency above which all is slow, and copies only add to it
+	ownExtra   = 0.10 // copies for each part taken, where no budget is stated: bounds a storm of them
+	ownFree    = 4.0  // copies free of that share, so that a small instance has some
+	ownSpan    = 4.0  // promises: window of that share
+
+	// Health.
+	faultShare  = 0.25 // weight of the newest outcome: two faults in a row show
+	faultLimit  = 0.3  // share of faults from which a replica is suspect
+	paceShare   = 0.2  // weight of the newest latency
+	paceLimit   = 2.5  // times the middle pace of the list: slower is suspect; queueing alone stays under
+	paceLeast   = 4    // samples before a pace is believed
+	silentTimes = 2.0  // tails without any answer from a replica that owes one: silent
+	trialGap    = 0.5  // promises between trials of a suspect
+	trialsOK    = 2    // good trials in a row that end the suspicion
+
+	// Cold replicas.
+	coldSafety = 0.6 // of the inferred budget: peers' traffic is uneven and capacity only inferred
+	coldMemory = 5.0 // tip_after: how far back own sends are counted to infer what a warm one takes
+
+	// Admission.
+	shareSpan  = 2.0 // promises: window of a tenant's rate
+	shareSlack = 1.1 // times its share: short swings are let pass
+	fullOpen   = 0.9 // of max_open: from here a query needs worth to be taken
+	weightSlip = 1e-6
+)
+
+// model is what a class's recent part latencies say.
+type model struct {
+	delta, spread float64 // Δ and 1/μ
+	mean, tail    float64
+	seen          samples
+}
+
+// Policy is one instance.
+type Policy struct {
+	cfg  Config
+	rng  *rand.Rand
+	now  float64
+	turn uint64
+	out  []Action
+
+	replicas map[uint64]*replica
+	list     []*replica // by id
+	cells    [][]*replica
+	queries  map[uint64]*query
+	groups   map[uint64]*query
+	parts    map[uint64]*part
+	open     []*query // in order of arrival
+	fresh    []*query // to be planned at the end of this turn
+	models   []model
+	inFlight int
+	held     int
+
+	requests, extras window
+	sent             window
+	tenants          []window
+	arrivals         window
+	stress           ewma // latency over promise
+	promise          float64
+	tick             float64
+	armed            bool
+	started          bool
+	refreshAt        float64
+	logAt            float64
+}
+
+// New returns an instance that knows only its settings.
+func New(cfg Config) *Policy {
+	p := &Policy{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal))),
+		replicas: map[uint64]*replica{}, cells: make([][]*replica, cfg.Cells),
+		queries: map[uint64]*query{}, groups: map[uint64]*query{}, parts: map[uint64]*part{},
+		models: make([]model, len(cfg.Classes)), tenants: make([]window, len(cfg.Tenants)),
+	}
+	p.promise = math.Inf(1)
+	for i := range cfg.Classes {
+		c, md := &cfg.Classes[i], &p.models[i]
+		p.promise = math.Min(p.promise, c.Promise)
+		md.mean = startMean * c.Promise
+		md.spread = startSpread * md.mean
+		md.delta = md.mean - md.spread
+		md.tail = md.delta + 3*md.spread // the 95 % point of a shifted exponential
+	}
+	p.tick = math.Max(cfg.Resolution, tickShare*p.promise)
+	return p
+}
+
+// Handle takes one turn: what happened at now, in order. The actions hold until the next call.
+func (p *Policy) Handle(now float64, events []Event) []Action {
+	p.now, p.out = now, p.out[:0]
+	p.turn++
+	if !p.started {
+		p.started = true
+		if p.cfg.MustAsk {
+			p.act(Action{Verb: Watch})
+		}
+	}
+	for i := range events {
+		p.take(&events[i])
+	}
+	for _, q := range p.fresh {
+		p.plan(q)
+	}
+	p.fresh = p.fresh[:0]
+	if !p.armed {
+		p.armed = true
+		p.act(Action{Verb: Timer, After: p.tick})
+	}
+	return p.out
+}
+
+func (p *Policy) act(a Action) { p.out = append(p.out, a) }
+
+func (p *Policy) take(ev *Event) {
+	switch ev.Kind {
+	case QueryArrived:
+		p.queryArrived(ev)
+	case PartArrived:
+		p.partArrived(ev)
+	case AttemptEnded:
+		p.attemptEnded(ev)
+	case ClientLeft:
+		if q := p.queries[ev.Query]; q != nil {
+			p.end(q)
+		}
+	case TimerFired:
+		p.armed = false
+		p.look()
+	case ListChanged:
+		p.listChanged(ev)
+	case ListFailed:
+		p.act(Action{Verb: Watch}) // the list that is held stays in force meanwhile
+	}
+}
+
+// Arrival.
+
+func (p *Policy) queryArrived(ev *Event) {
+	q := &query{
+		id: ev.Query, group: ev.Group, class: ev.Class, tenant: ev.Tenant,
+		arrived: p.now, due: ev.Due, retry: ev.Retry, step: 1, held: 1,
+	}
+	p.queries[q.id], p.groups[q.group] = q, q
+	p.open = append(p.open, q)
+	p.fresh = append(p.fresh, q)
+	p.requests.add(p.now)
+	p.arrivals.add(p.now)
+	p.held++
+	if q.tenant >= 0 {
+		p.tenants[q.tenant].add(p.now)
+	}
+}
+
+func (p *Policy) partArrived(ev *Event) {
+	p.requests.add(p.now)
+	q := p.groups[ev.Group]
+	if q == nil || q.over {
+		return
+	}
+	if q.step == 2 && !slices.Contains(p.fresh, q) {
+		p.fresh = append(p.fresh, q)
+	}
+	pt := &part{id: ev.Part, q: q, shard: ev.Shard, weight: ev.Weight, work: ev.Work}
+	q.parts = append(q.parts, pt)
+	p.parts[pt.id] = pt
+	q.held++
+	p.held++
+}
+
+// plan admits a query and asks for as many of its parts as the design says.
+func (p *Policy) plan(q *query) {
+	if q.over || len(q.parts) == 0 {
+		return
+	}
+	c := &p.cfg.Classes[q.class]
+	k := len(q.parts)
+	q.need = k
+	if q.step == 1 {
+		q.need = min(k, max(1, int(math.Ceil(c.Need*float64(k)-weightSlip))))
+		if p.turnedAway(q) {
+			p.giveUp(q)
+			return
+		}
+	}
+	q.chosen = p.partCount(q.class, q.need, k)
+	q.planned = true
+	p.askFor(q, q.chosen)
+}
+
+// askFor sends first attempts until n parts have been asked for. Where fewer than all go, those go first
+// whose holders are healthy and least loaded, heavier ones before lighter: these are the likeliest to make
+// the answer. A part whose holders are all unfit thus is left out whenever the rest suffices.
+func (p *Policy) askFor(q *query, n int) {
+	var wait []*part
+	for _, pt := range q.parts {
+		if pt.sent {
+			n--
+		} else if !pt.dead {
+			wait = append(wait, pt)
+		}
+	}
+	if n < len(wait) {
+		load := make(map[*part]float64, len(wait))
+		for _, pt := range wait {
+			r, rank := p.pick(pt)
+			load[pt] = math.Inf(1)
+			if r != nil {
+				load[pt] = float64(rank)*1e6 + float64(r.calls)
+			}
+		}
+		slices.SortStableFunc(wait, func(a, b *part) int {
+			switch x, y := load[a], load[b]; {
+			case x < y:
+				return -1
+			case x > y:
+				return 1
+			case a.weight > b.weight:
+				return -1
+			case a.weight < b.weight:
+				return 1
+			}
+			return 0
+		})
+	}
+	for i := 0; i < len(wait) && i < n; i++ {
+		wait[i].sent = true
+		p.try(wait[i], false)
+	}
+}
+
+// Part count (DESIGN; FAST CLOUD sec. IV and V).
+
+// share is L: the instance's share of the servers that hold the class's shards, at least m.
+func (p *Policy) share(m int) float64 {
+	n := 0
+	for _, r := range p.list {
+		if r.state == Up {
+			n++
+		}
+	}
+	return math.Max(float64(m), float64(n)/float64(p.cfg.Aggregators))
+}
+
+// threshold is Q_s: the backlog, in queries, at which s and s+1 parts have the same modelled delay.
+func (md *model) threshold(m, s int, l float64) float64 {
+	capacity := func(s int) float64 { return l / (float64(s)*md.delta + float64(m)*md.spread) }
+	queue := func(s int, c float64) float64 { return float64(s+1) / (2 * float64(s) * c) } // times λ/(C−λ)
+	c1, c2 := capacity(s), capacity(s+1)
+	b1, b2 := queue(s, c1), queue(s+1, c2)
+	gain := md.spread * (1/float64(s-m+1) - 1/float64(s+1)) // service time that one more part saves
+	// λ·b2/(C2−λ) − λ·b1/(C1−λ) = gain, as a quadratic in λ.
+	qa := gain + b2 - b1
+	qb := -(gain*(c1+c2) + b2*c1 - b1*c2)
+	qc := gain * c1 * c2
+	disc := qb*qb - 4*qa*qc
+	if disc < 0 {
+		return math.Inf(1)
+	}
+	// The smaller root in a form that holds for qa near zero.
+	root := 2 * qc / (-qb + math.Sqrt(disc))
+	if md.delta <= 0 || !(root > 0 && root < c2) { // without Δ one more part never costs capacity
+		return math.Inf(1)
+	}
+	return root * root * b1 / (c1 - root)
+}
+
+// partCount is s: k on an empty backlog, m on a long one.
+func (p *Policy) partCount(class, m, k int) int {
+	l := p.share(m)
+	backlog := math.Max(0, float64(p.inFlight)-l) / float64(m)
+	if backlog == 0 {
+		return k
+	}
+	s := m
+	for s < k && backlog < p.models[class].threshold(m, s, l) {
+		s++
+	}
+	return s
+}
+
+// learn refreshes the estimates.
+func (p *Policy) learn() {
+	for i := range p.models {
+		md := &p.models[i]
+		x := md.seen.recent(p.now - memory*p.cfg.Classes[i].Promise)
+		if len(x) < leastSeen {
+			continue
+		}
+		md.tail = quantile(x, tailShare)
+		x = x[:len(x)-int(cutWorst*float64(len(x)))]
+		md.mean, md.spread = moments(x)
+		md.delta = math.Max(0, md.mean-md.spread)
+	}
+}
+
+// Replica choice.
+
+// pick returns the holder with fewest of our calls out among the fittest, ties at random, and how unfit
+// it is: 0 sound, 1 suspect, 2 tried for this part before, 3 both. A call that is being filled in this
+// turn costs no more for one part more, so it counts as the next call would elsewhere.
+func (p *Policy) pick(pt *part) (best *replica, rank int) {
+	load, ties := 0, 0
+	for j := range min(p.cfg.Reach, p.cfg.Cells) {
+		for _, r := range p.cells[(pt.shard+j)%p.cfg.Cells] {
+			if r.state != Up || p.coldShut(r) {
+				continue
+			}
+			rk, busy := 0, false
+			if r.suspect && !p.trialDue(r, pt) {
+				rk = 1
+			}
+			for _, a := range pt.attempts {
+				if a.r == r {
+					busy = busy || !a.ended
+					rk |= 2
+				}
+			}
+			if busy {
+				continue
+			}
+			n := r.calls
+			switch {
+			case best == nil || rk < rank || rk == rank && n < load:
+				best, rank, load, ties = r, rk, n, 1
+			case rk == rank && n == load:
+				if ties++; p.rng.IntN(ties) == 0 {
+					best = r
+				}
+			}
+		}
+	}
+	return best, rank
+}
+
+// Sending.
+
+// try sends one attempt for a part where some holder may take it now; otherwise the part waits for a look.
+func (p *Policy) try(pt *part, hedge bool) bool {
+	r, rank := p.pick(pt)
+	if r == nil || hedge && rank > 0 {
+		return false
+	}
+	if len(pt.attempts) > 0 && rank >= 2 && pt.retryAt <= p.now && !hedge {
+		// Every holder was tried: wait a mean latency between rounds, or quick failures use up all tries.
+		if last := pt.attempts[len(pt.attempts)-1]; p.now-last.sentAt < p.models[pt.q.class].mean {
+			pt.retryAt = last.sentAt + p.models[pt.q.class].mean
+			return false
+		}
+	}
+	return p.send(pt, r, hedge)
+}
+
+// send is the one place from which attempts go; every rule on sending is kept here.
+func (p *Policy) send(pt *part, r *replica, hedge bool) bool {
+	q := pt.q
+	switch {
+	case q.over || pt.in || q.due-p.now <= p.tick: // rule 1: nothing after the end
+		return false
+	case p.cfg.MaxAttempts > 0 && len(pt.attempts) >= p.cfg.MaxAttempts:
+		return false
+	case len(pt.attempts) > 0 && !p.mayRepeat(pt): // rule 2
+		return false
+	case pt.out > 0 && (!p.cfg.SecondCopies || pt.out > 1):
+		return false
+	case r.state != Up: // rule 3
+		return false
+	case p.coldShut(r): // rule 4
+		return false
+	case len(pt.attempts) > 0 && !p.spend(hedge): // rule 6
+		return false
+	}
+	p.coldSpend(r)
+	if r.call == nil || r.call.turn != p.turn || r.call.parts >= p.cfg.CallParts {
+		r.call = &call{turn: p.turn}
+	}
+	if r.call.out == 0 {
+		r.calls++
+	}
+	r.call.parts++
+	r.call.out++
+	a := &attempt{p: pt, r: r, call: r.call, no: len(pt.attempts), sentAt: p.now, hedge: hedge}
+	pt.attempts = append(pt.attempts, a)
+	pt.out++
+	pt.sent = true
+	r.outs = append(r.outs, a)
+	p.inFlight++
+	p.sent.add(p.now)
+	p.act(Action{Verb: Send, Part: pt.id, Replica: r.id})
+	return true
+}
+
+// mayRepeat is rule 2: an unsafe part goes again only when no attempt can have run; a keyed one that may
+// have run only within the window from the first such attempt, less the time that a turn can lag.
+func (p *Policy) mayRepeat(pt *part) bool {
+	c := &p.cfg.Classes[pt.q.class]
+	if c.Effect == Safe {
+		return true
+	}
+	for _, a := range pt.attempts {
+		if a.neverRan {
+			continue
+		}
+		return c.Effect == Keyed && p.now < a.sentAt+c.Window-2*p.tick
+	}
+	return true
+}
+
+// spend is the one ledger of attempts beyond a part's first (rule 6). Where no budget is stated, second
+// copies alone are bounded, against storms of our own making.
+func (p *Policy) spend(hedge bool) bool {
+	free, share, span := p.cfg.ExtraFree, p.cfg.ExtraPerRequest, p.cfg.ExtraSpan
+	if span <= 0 {
+		if !hedge {
+			return true
+		}
+		free, share, span = ownFree, ownExtra, ownSpan*p.promise
+	}
+	// Requests on the window's edge are left out and attempts on it counted: either reading is kept.
+	taken := p.requests.count(p.now - span + p.cfg.Resolution)
+	used := p.extras.count(p.now - span - p.cfg.Resolution)
+	if float64(used+1) > free+share*float64(taken) {
+		return false
+	}
+	p.extras.add(p.now)
+	return true
+}
+
+// Outcomes.
+
+func (p *Policy) attemptEnded(ev *Event) {
+	pt := p.parts[ev.Part]
+	if pt == nil || ev.Attempt < 0 || ev.Attempt >= len(pt.attempts) || pt.attempts[ev.Attempt].ended {
+		return
+	}
+	a, q := pt.attempts[ev.Attempt], pt.q
+	a.ended = true
+	a.neverRan = ev.Outcome == Rejected || ev.Outcome == Unreachable || ev.Outcome == Moot
+	a.r.drop(a)
+	pt.out--
+	p.inFlight--
+	p.judge(a, ev.Outcome, ev.Took)
+	if ev.Outcome == OK {
+		p.models[q.class].seen.add(p.now, ev.Took)
+		p.stress.add(ev.Took/p.cfg.Classes[q.class].Promise, paceShare/4)
+	}
+	if q.over {
+		if pt.out == 0 {
+			delete(p.parts, pt.id)
+		}
+		return
+	}
+	if ev.Outcome != OK {
+		p.again(pt)
+		return
+	}
+	if pt.in {
+		return
+	}
+	pt.in = true
+	q.in += pt.weight
+	q.inCount++
+	p.revoke(pt)
+	p.settle(q)
+}
+
+// again goes on after an attempt that failed.
+func (p *Policy) again(pt *part) {
+	q := pt.q
+	if pt.in || pt.out > 0 {
+		return
+	}
+	capped := p.cfg.MaxAttempts > 0 && len(pt.attempts) >= p.cfg.MaxAttempts
+	if capped || !p.mayRepeat(pt) {
+		pt.dead = true
+	}
+	// A part held back costs no further attempt, so it goes before a repeat.
+	asked, heldBack := 0, 0
+	for _, o := range q.parts {
+		if o.sent {
+			asked++
+		} else {
+			heldBack++
+		}
+	}
+	if heldBack > 0 {
+		p.askFor(q, asked+1)
+	} else if !pt.dead {
+		p.try(pt, false)
+	}
+	if pt.dead {
+		p.settle(q)
+	}
+}
+
+// Time.
+
+// look goes over what is open once a tick.
+func (p *Policy) look() {
+	if p.now >= p.refreshAt {
+		p.refreshAt = p.now + refresh
+		p.learn()
+	}
+	p.watchHealth()
+	for _, q := range p.open {
+		if !q.over {
+			p.lookAt(q)
+		}
+	}
+	p.open = slices.DeleteFunc(p.open, func(q *query) bool { return q.over })
+}
+
+func (p *Policy) lookAt(q *query) {
+	c, md := &p.cfg.Classes[q.class], &p.models[q.class]
+	if q.due-p.now <= dueMargin*p.tick {
+		p.giveUp(q)
+		return
+	}
+	if age := p.now - q.arrived; age+p.tick >= c.Promise {
+		// After the promise a short answer may be worth more than waiting for the whole, and a class that
+		// earns nothing late is given up: its parts only keep others waiting.
+		if p.shortWorth(q) > c.LateWorth || c.LateWorth == 0 && age >= c.Promise {
+			p.giveUp(q)
+			return
+		}
+	}
+	late := math.Max(md.tail, lateTimes*md.mean)
+	for _, pt := range q.parts {
+		if q.over {
+			return
+		}
+		if pt.in || pt.dead || !pt.sent {
+			continue
+		}
+		if pt.out == 0 {
+			if pt.retryAt <= p.now {
+				if len(pt.attempts) == 0 {
+					p.try(pt, false)
+				} else {
+					p.again(pt)
+				}
+			}
+			continue
+		}
+		if pt.out > 1 {
+			continue
+		}
+		a := pt.attempts[len(pt.attempts)-1]
+		if !a.r.suspect && (p.now-a.sentAt < late || p.stress.value > stressMean) {
+			continue
+		}
+		if p.releaseOne(q) {
+			continue
+		}
+		p.try(pt, true)
+	}
+}
+
+// releaseOne asks for a part that was held back, in place of a second copy of a late one.
+func (p *Policy) releaseOne(q *query) bool {
+	asked, late := 0, 0
+	md := &p.models[q.class]
+	for _, pt := range q.parts {
+		if pt.sent {
+			asked++
+			if !pt.in && (pt.dead || pt.out > 0 &&
+				(pt.attempts[0].r.suspect || p.now-pt.attempts[0].sentAt > md.tail)) {
+				late++
+			}
+		}
+	}
+	if asked == len(q.parts) || asked-late >= q.need {
+		return asked < len(q.parts)
+	}
+	p.askFor(q, asked+1)
+	return true
+}
+
+// Health. One suspicion for each replica, whatever the symptom: faults, silence, or a slow pace. It only
+// narrows the choice; a shard whose holders are all suspect still uses them.
+
+func (p *Policy) judge(a *attempt, o Outcome, took float64) {
+	r, md := a.r, &p.models[a.p.q.class]
+	switch o {
+	case OK:
+		r.heardAt = p.now
+		r.faults.add(0, faultShare)
+		r.pace.add(took/md.mean, paceShare)
+		if r.suspect && a.sentAt > r.since {
+			if took <= paceLimit*md.mean {
+				if r.passed++; r.passed >= trialsOK {
+					r.suspect, r.pace, r.faults = false, ewma{}, ewma{}
+					p.log("replica %d taken back", r.id)
+				}
+			} else {
+				r.passed = 0
+			}
+		}
+	case Revoked, Moot:
+		// A revoked attempt ended by our own wish. Its age is a bound on its latency: when it is already
+		// slow, that is news of a replica that second copies would otherwise hide.
+		if took > md.mean*r.pace.value && took > md.mean {
+			r.pace.add(took/md.mean, paceShare)
+		}
+	default:
+		if o != TimedOut {
+			r.heardAt = p.now
+		}
+		r.faults.add(1, faultShare)
+		r.passed = 0
+		if r.faults.value > faultLimit && r.faults.n > 1 || o == Unreachable || o == Broken {
+			p.suspect(r, "faults")
+		}
+	}
+}
+
+func (p *Policy) suspect(r *replica, why string) {
+	if !r.suspect {
+		r.suspect, r.since, r.passed = true, p.now, 0
+		r.trialAt = p.now + trialGap*p.promise
+		p.log("replica %d suspect: %s", r.id, why)
+	}
+}
+
+// watchHealth looks for silence and for a pace far from that of the others.
+func (p *Policy) watchHealth() {
+	var paces []float64
+	for _, r := range p.list {
+		if r.pace.n >= paceLeast && r.state == Up {
+			paces = append(paces, r.pace.value)
+		}
+	}
+	slices.Sort(paces)
+	middle := quantile(paces, 0.5)
+	for _, r := range p.list {
+		if r.suspect {
+			continue
+		}
+		if r.pace.n >= paceLeast && len(paces) > 2 && r.pace.value > paceLimit*math.Max(1, middle) {
+			p.suspect(r, "slow")
+		}
+		if len(r.outs) > 0 {
+			a := r.outs[0]
+			md := &p.models[a.p.q.class]
+			if r.heardAt < a.sentAt && p.now-a.sentAt > silentTimes*math.Max(md.tail, lateTimes*md.mean) {
+				p.suspect(r, "silent")
+			}
+		}
+	}
+}
+
+// trialDue tells whether a suspect may have this part as a trial: one at a time, and only a part that may
+// go elsewhere as well should the trial fail.
+func (p *Policy) trialDue(r *replica, pt *part) bool {
+	return r.trialAt <= p.now && len(r.outs) == 0 && len(pt.attempts) == 0 &&
+		p.cfg.Classes[pt.q.class].Effect == Safe && p.cfg.SecondCopies
+}
+
+// The list.
+
+func (p *Policy) listChanged(ev *Event) {
+	if ev.Full {
+		for _, r := range p.list {
+			r.state = Removed
+		}
+	}
+	for _, e := range ev.List {
+		r := p.replicas[e.Replica]
+		if r == nil {
+			r = &replica{id: e.Replica}
+			p.replicas[e.Replica] = r
+			p.list = append(p.list, r)
+		}
+		if e.State != Removed {
+			r.cell, r.size = e.Cell, e.Size
+			if e.Started > r.started {
+				if r.started > 0 || r.suspect {
+					r.suspect, r.pace, r.faults = false, ewma{}, ewma{}
+				}
+				r.started = e.Started
+			}
+		}
+		r.state = e.State
+	}
+	slices.SortFunc(p.list, func(a, b *replica) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	for i := range p.cells {
+		p.cells[i] = p.cells[i][:0]
+	}
+	for _, r := range p.list {
+		if r.cell >= 0 && r.cell < len(p.cells) {
+			p.cells[r.cell] = append(p.cells[r.cell], r)
+		}
+	}
+}
+
+// Guards.
+
+// coldGap is the least time between our parts to a cold replica, 0 for a warm one (rule 4). Capacity is
+// not told. Two lower bounds on it: what we send to a warm one on average, which summed over the peers
+// is what warm ones take; and one core that does our share of parts at the mean latency seen, which
+// is no shorter than the work. Even gaps leave no opening burst.
+func (p *Policy) coldGap(r *replica) float64 {
+	age := p.now - r.started
+	if r.started <= 0 || age >= p.cfg.WarmUp || p.cfg.FallMultiple <= 0 {
+		return 0
+	}
+	level := p.cfg.ColdFrom + (1-p.cfg.ColdFrom)*math.Max(0, age-p.cfg.TipAfter)/p.cfg.WarmUp
+	warm := 0
+	for _, o := range p.list {
+		if o.state == Up && (o.started <= 0 || p.now-o.started >= p.cfg.WarmUp) {
+			warm++
+		}
+	}
+	span := coldMemory * p.cfg.TipAfter
+	rate := float64(p.sent.count(p.now-span)) / span / float64(max(1, warm))
+	longest := 0.0
+	for i := range p.models {
+		longest = math.Max(longest, p.models[i].mean)
+	}
+	rate = math.Max(rate, 1/(longest*float64(p.cfg.Aggregators)))
+	return 1 / (coldSafety * p.cfg.FallMultiple * level * rate)
+}
+
+func (p *Policy) coldShut(r *replica) bool { return r.coldFree > p.now && p.coldGap(r) > 0 }
+
+func (p *Policy) coldSpend(r *replica) {
+	if gap := p.coldGap(r); gap > 0 {
+		r.coldFree = p.now + gap
+	}
+}
+
+// turnedAway decides on a query at its arrival: when all is slow or the instance nearly full, what a
+// tenant sends beyond its share is refused, since it would earn little and keep others waiting.
+func (p *Policy) turnedAway(q *query) bool {
+	full := p.cfg.MaxOpen > 0 && float64(p.held) > fullOpen*float64(p.cfg.MaxOpen)
+	if !full && p.stress.value <= stressMean {
+		return false
+	}
+	return p.overShare(q)
+}
+
+func (p *Policy) overShare(q *query) bool {
+	if q.tenant < 0 || p.cfg.OverShareKeep >= 1 {
+		return false
+	}
+	t, span := &p.cfg.Tenants[q.tenant], shareSpan*p.promise
+	mine := float64(p.tenants[q.tenant].count(p.now - span))
+	all := float64(p.arrivals.count(p.now - span))
+	return mine > shareSlack*span*t.Quota/float64(p.cfg.Aggregators) && mine > shareSlack*t.Share*all
+}
+
+// Answers.
+
+// settle answers a query that has enough, and gives up one that can no longer have it.
+func (p *Policy) settle(q *query) {
+	c := &p.cfg.Classes[q.class]
+	need, hope := c.Need, q.in
+	if q.step == 2 {
+		need = 1
+	}
+	for _, pt := range q.parts {
+		if !pt.in && !pt.dead {
+			hope += pt.weight
+		}
+	}
+	switch {
+	case q.in >= need-weightSlip && (q.step == 1 || q.inCount == len(q.parts)):
+		p.answer(q)
+	case hope < need-weightSlip && p.shortWorth(q) > 0:
+		p.answer(q)
+	case hope < math.Min(need, c.Floor)-weightSlip:
+		p.giveUp(q)
+	}
+}
+
+// shortWorth is what an answer from the parts that are in would earn, as a share of a whole one's.
+func (p *Policy) shortWorth(q *query) float64 {
+	c := &p.cfg.Classes[q.class]
+	if !p.floorMet(q) || q.inCount == 0 {
+		return 0
+	}
+	return c.ShortWorth * math.Min(1, q.in/c.Need)
+}
+
+func (p *Policy) floorMet(q *query) bool {
+	c := &p.cfg.Classes[q.class]
+	if q.step == 2 && c.Floor >= c.Need {
+		return q.inCount == len(q.parts)
+	}
+	return q.in >= c.Floor-weightSlip
+}
+
+// giveUp ends a query at once: with what is in where that may be told, else by a refusal where no part
+// can have run or a repeat does no harm, else by a failure.
+func (p *Policy) giveUp(q *query) {
+	if p.floorMet(q) && q.inCount > 0 {
+		p.answer(q)
+		return
+	}
+	a := Action{Verb: Refuse, Query: q.id}
+	for _, pt := range q.parts {
+		for _, at := range pt.attempts {
+			if !at.neverRan && p.cfg.Classes[q.class].Effect != Safe { // rule 2
+				a.Verb = Fail
+			}
+		}
+	}
+	if q.step == 2 && p.cfg.Classes[q.class].Effect != Safe {
+		a.Verb = Fail
+	}
+	if a.Verb == Refuse && p.cfg.RetryAfter {
+		a.After = math.Min(p.cfg.MaxRetryAfter, p.models[q.class].mean)
+	}
+	p.final(q, a)
+}
+
+// answer ends a query, or its first step, from the parts that are in (rule 5).
+func (p *Policy) answer(q *query) {
+	c := &p.cfg.Classes[q.class]
+	if !p.floorMet(q) {
+		return
+	}
+	whole := q.in >= c.Need-weightSlip
+	if q.step == 2 {
+		whole = q.firstWhole && q.inCount == len(q.parts)
+	}
+	if q.step == 1 && c.FollowUp > 0 {
+		p.act(Action{Verb: Answer, Query: q.id, Full: whole})
+		p.release(q)
+		q.step, q.firstWhole = 2, whole
+		q.parts, q.in, q.inCount, q.planned = nil, 0, 0, false
+		return
+	}
+	p.final(q, Action{Verb: Answer, Query: q.id, Full: whole})
+}
+
+// final is the one place from which a query's final answer goes (rule 1).
+func (p *Policy) final(q *query, a Action) {
+	if q.over {
+		return
+	}
+	p.act(a)
+	p.end(q)
+}
+
+// end forgets a query; what is still out of it is cancelled.
+func (p *Policy) end(q *query) {
+	q.over = true
+	p.release(q)
+	p.held--
+	delete(p.queries, q.id)
+	delete(p.groups, q.group)
+}
+
+// release ends the parts of a step.
+func (p *Policy) release(q *query) {
+	for _, pt := range q.parts {
+		p.revoke(pt)
+		p.held--
+		if pt.out == 0 {
+			delete(p.parts, pt.id)
+		}
+		pt.dead = true
+	}
+}
+
+// revoke cancels what is out of a part.
+func (p *Policy) revoke(pt *part) {
+	for _, a := range pt.attempts {
+		if !a.ended && !a.revoked && p.cfg.Cancel {
+			a.revoked = true
+			p.act(Action{Verb: Cancel, Part: pt.id, Attempt: a.no})
+		}
+	}
+}
+
+// log says what changed, at most once a tick.
+func (p *Policy) log(format string, args ...any) {
+	if p.now >= p.logAt {
+		p.logAt = p.now + p.tick
+		p.act(Action{Verb: Log, Text: fmt.Sprintf(format, args...)})
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,168 @@
+package policy
+
+import (
+	"math"
+	"slices"
+)
+
+// query is one query that the instance holds.
+type query struct {
+	id, group     uint64
+	class, tenant int
+	arrived, due  float64
+	retry         bool
+	step          int // 1 or 2
+	firstWhole    bool
+	parts         []*part
+	need          int // m: parts that suffice
+	chosen        int // s: parts asked for at first
+	in            float64
+	inCount       int
+	held          int // queries and parts counted against MaxOpen
+	planned       bool
+	over          bool
+}
+
+// part is one part of a query.
+type part struct {
+	id       uint64
+	q        *query
+	shard    int
+	weight   float64
+	work     float64
+	attempts []*attempt
+	out      int
+	sent     bool // asked for, or due to be
+	in       bool
+	dead     bool // no further attempt can help
+	retryAt  float64
+}
+
+// attempt is one send of a part.
+type attempt struct {
+	p        *part
+	r        *replica
+	call     *call
+	no       int
+	sentAt   float64
+	ended    bool
+	neverRan bool
+	revoked  bool
+	hedge    bool
+}
+
+// call is what one turn sends to one replica; its parts count once as load.
+type call struct {
+	turn  uint64
+	parts int
+	out   int
+}
+
+// replica is one listed replica and what was seen of it.
+type replica struct {
+	id      uint64
+	cell    int
+	state   Readiness
+	size    float64
+	started float64
+	calls   int
+	call    *call // the newest
+	outs    []*attempt
+
+	heardAt  float64 // last answer of any kind
+	pace     ewma    // latency over what its class expects
+	faults   ewma    // share of attempts that failed
+	suspect  bool
+	since    float64
+	trialAt  float64
+	passed   int // good trials in a row
+	sends    window
+	coldFree float64
+}
+
+// drop takes an ended attempt out of the replica's list.
+func (r *replica) drop(a *attempt) {
+	if i := slices.Index(r.outs, a); i >= 0 {
+		r.outs = slices.Delete(r.outs, i, i+1)
+	}
+	if a.call.out--; a.call.out == 0 {
+		r.calls--
+	}
+}
+
+// window holds the times of recent happenings, oldest first.
+type window struct{ at []float64 }
+
+func (w *window) add(t float64) { w.at = append(w.at, t) }
+
+// count drops what is older than from and tells how many are left.
+func (w *window) count(from float64) int {
+	i := 0
+	for i < len(w.at) && w.at[i] < from {
+		i++
+	}
+	if i > 0 {
+		w.at = append(w.at[:0], w.at[i:]...)
+	}
+	return len(w.at)
+}
+
+// ewma is an average that forgets by count of samples.
+type ewma struct {
+	value float64
+	n     int
+}
+
+func (e *ewma) add(x, share float64) {
+	e.n++
+	e.value += (x - e.value) * math.Max(share, 1/float64(e.n))
+}
+
+// sample is one latency with its time.
+type sample struct{ at, took float64 }
+
+// samples keeps recent latencies of one class.
+type samples struct {
+	ring   []sample
+	sorted []float64
+}
+
+func (s *samples) add(at, took float64) { s.ring = append(s.ring, sample{at, took}) }
+
+// recent drops what is older than from and returns the rest in rising order.
+func (s *samples) recent(from float64) []float64 {
+	i := 0
+	for i < len(s.ring) && s.ring[i].at < from {
+		i++
+	}
+	s.ring = append(s.ring[:0], s.ring[i:]...)
+	s.sorted = s.sorted[:0]
+	for _, x := range s.ring {
+		s.sorted = append(s.sorted, x.took)
+	}
+	slices.Sort(s.sorted)
+	return s.sorted
+}
+
+// moments returns the mean and the standard deviation.
+func moments(x []float64) (mean, spread float64) {
+	if len(x) == 0 {
+		return 0, 0
+	}
+	for _, v := range x {
+		mean += v
+	}
+	mean /= float64(len(x))
+	for _, v := range x {
+		spread += (v - mean) * (v - mean)
+	}
+	return mean, math.Sqrt(spread / float64(len(x)))
+}
+
+// quantile of values in rising order.
+func quantile(x []float64, share float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	return x[int(share*float64(len(x)-1)+0.5)]
+}
