Resend parts whose answer is long overdue though their replica answers others

Change: an attempt is lost at twice the late age and goes elsewhere outside the copies' share; a censored age counts against a replica's pace only if it has answered nothing since; silence needs three times the late age. May hurt when all is slow at once: more copies of work that is only late, bounded by the attempts a part may have.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,6 +27,8 @@
 	// Further attempts.
 	tailShare  = 0.95 // quantile of latencies after which a part counts as late: 5 % are
 	lateTimes  = 1.5  // means: a part younger than this is never late, however tight the tail
+	lateLeast  = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
+	lostTimes  = 2.0  // times late: the part's answer is taken for lost, whatever else its replica answers
 	stressMean = 0.35 // of the promise: recent latency above which all is slow, and copies only add to it
 	ownExtra   = 0.10 // copies for each part taken, where no budget is stated: bounds a storm of them
 	ownFree    = 4.0  // copies free of that share, so that a small instance has some
@@ -38,7 +40,7 @@
 	paceShare   = 0.2  // weight of the newest latency
 	paceLimit   = 2.5  // times the middle pace of the list: slower is suspect; queueing alone stays under
 	paceLeast   = 4    // samples before a pace is believed
-	silentTimes = 2.0  // tails without any answer from a replica that owes one: silent
+	silentTimes = 3.0  // times late without any answer from a replica that owes one: silent
 	trialGap    = 0.5  // promises between trials of a suspect
 	trialsOK    = 2    // good trials in a row that end the suspicion
 
@@ -369,7 +371,7 @@
 	if r == nil || hedge && rank > 0 {
 		return false
 	}
-	if len(pt.attempts) > 0 && rank >= 2 && pt.retryAt <= p.now && !hedge {
+	if pt.out == 0 && len(pt.attempts) > 0 && rank >= 2 {
 		// Every holder was tried: wait a mean latency between rounds, or quick failures use up all tries.
 		if last := pt.attempts[len(pt.attempts)-1]; p.now-last.sentAt < p.models[pt.q.class].mean {
 			pt.retryAt = last.sentAt + p.models[pt.q.class].mean
@@ -538,8 +540,14 @@
 	p.open = slices.DeleteFunc(p.open, func(q *query) bool { return q.over })
 }
 
+// late is the age from which a part of the class counts as late.
+func (p *Policy) late(class int) float64 {
+	md := &p.models[class]
+	return math.Max(lateLeast*p.cfg.Classes[class].Promise, math.Max(md.tail, lateTimes*md.mean))
+}
+
 func (p *Policy) lookAt(q *query) {
-	c, md := &p.cfg.Classes[q.class], &p.models[q.class]
+	c := &p.cfg.Classes[q.class]
 	if q.due-p.now <= dueMargin*p.tick {
 		p.giveUp(q)
 		return
@@ -552,7 +560,7 @@
 			return
 		}
 	}
-	late := math.Max(md.tail, lateTimes*md.mean)
+	late := p.late(q.class)
 	for _, pt := range q.parts {
 		if q.over {
 			return
@@ -571,16 +579,23 @@
 			continue
 		}
 		if pt.out > 1 {
+			if last := pt.attempts[len(pt.attempts)-1]; p.now-last.sentAt >= lostTimes*late {
+				p.revokeFirst(pt) // both copies seem lost: make room for one more
+			}
 			continue
 		}
 		a := pt.attempts[len(pt.attempts)-1]
-		if !a.r.suspect && (p.now-a.sentAt < late || p.stress.value > stressMean) {
+		age := p.now - a.sentAt
+		// Guards against answers that never come from a replica that goes on answering others (a stuck
+		// worker, a lost reply): the part goes elsewhere though no replica looks unsound.
+		lost := age >= lostTimes*late
+		if !lost && !a.r.suspect && (age < late || p.stress.value > stressMean) {
 			continue
 		}
 		if p.releaseOne(q) {
 			continue
 		}
-		p.try(pt, true)
+		p.try(pt, !lost)
 	}
 }
 
@@ -626,8 +641,9 @@
 		}
 	case Revoked, Moot:
 		// A revoked attempt ended by our own wish. Its age is a bound on its latency: when it is already
-		// slow, that is news of a replica that second copies would otherwise hide.
-		if took > md.mean*r.pace.value && took > md.mean {
+		// slow, that is news of a replica that second copies would otherwise hide. Not so where the replica
+		// has answered later parts meanwhile: that one answer was lost, and the replica is not slow.
+		if r.heardAt < a.sentAt && took > md.mean*r.pace.value && took > md.mean {
 			r.pace.add(took/md.mean, paceShare)
 		}
 	default:
@@ -669,8 +685,7 @@
 		}
 		if len(r.outs) > 0 {
 			a := r.outs[0]
-			md := &p.models[a.p.q.class]
-			if r.heardAt < a.sentAt && p.now-a.sentAt > silentTimes*math.Max(md.tail, lateTimes*md.mean) {
+			if r.heardAt < a.sentAt && p.now-a.sentAt > silentTimes*p.late(a.p.q.class) {
 				p.suspect(r, "silent")
 			}
 		}
@@ -897,6 +912,20 @@
 	}
 }
 
+// revokeFirst cancels the older of two copies.
+func (p *Policy) revokeFirst(pt *part) {
+	for _, a := range pt.attempts {
+		if !a.ended {
+			more := p.cfg.MaxAttempts == 0 || len(pt.attempts) < p.cfg.MaxAttempts
+			if more && !a.revoked && p.cfg.Cancel {
+				a.revoked = true
+				p.act(Action{Verb: Cancel, Part: pt.id, Attempt: a.no})
+			}
+			return
+		}
+	}
+}
+
 // revoke cancels what is out of a part.
 func (p *Policy) revoke(pt *part) {
 	for _, a := range pt.attempts {
