Admit queries by Little's law while latencies show queues

Change: a query is refused when parts out at sound replicas exceed the rate of answers times 0.4 of the promise, but only while recent latencies show queues; queries over their tenant's share from 0.6 of that. May hurt on a sudden burst after a lull that the replicas could take.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,6 +52,10 @@
 	shareSpan  = 2.0 // promises: window of a tenant's rate
 	shareSlack = 1.1 // times its share: short swings are let pass
 	fullOpen   = 0.9 // of max_open: from here a query needs worth to be taken
+	waitShare  = 0.4 // of the promise: mean time of a part that still lets the last of them be in time
+	overRoom   = 0.6 // of that: where queries over their tenant's share, which earn little, are turned away
+	slowShare  = 0.5 // of that: recent latency from which queues are taken to have formed
+	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
 	weightSlip = 1e-6
 )
 
@@ -86,7 +90,8 @@
 	sent             window
 	tenants          []window
 	arrivals         window
-	stress           ewma // latency over promise
+	done             window // answers of parts
+	stress           ewma   // latency over promise
 	promise          float64
 	tick             float64
 	armed            bool
@@ -471,6 +476,7 @@
 	p.inFlight--
 	p.judge(a, ev.Outcome, ev.Took)
 	if ev.Outcome == OK {
+		p.done.add(p.now)
 		p.models[q.class].seen.add(p.now, ev.Took)
 		p.stress.add(ev.Took/p.cfg.Classes[q.class].Promise, paceShare/4)
 	}
@@ -777,14 +783,28 @@
 	}
 }
 
-// turnedAway decides on a query at its arrival: when all is slow or the instance nearly full, what a
-// tenant sends beyond its share is refused, since it would earn little and keep others waiting.
+// turnedAway decides on a query at its arrival. By Little's law the parts out at sound replicas, over the
+// rate at which parts come back, are the time that a new part will take. Where that leaves too little of
+// the promise the query is refused, earlier if its tenant is over its share. Guards against queues that
+// make every answer late, whatever filled them: a burst, a flood, retries, lost or slow replicas.
 func (p *Policy) turnedAway(q *query) bool {
-	full := p.cfg.MaxOpen > 0 && float64(p.held) > fullOpen*float64(p.cfg.MaxOpen)
-	if !full && p.stress.value <= stressMean {
-		return false
+	c, out := &p.cfg.Classes[q.class], 0
+	for _, r := range p.list {
+		if !r.suspect {
+			out += len(r.outs)
+		}
 	}
-	return p.overShare(q)
+	room := waitShare * c.Promise * float64(p.done.count(p.now-p.promise)) / p.promise
+	if c.FollowUp > 0 {
+		room /= 2 // the promise holds for both steps
+	}
+	if p.overShare(q) {
+		room *= overRoom
+	}
+	full := p.cfg.MaxOpen > 0 && float64(p.held) > fullOpen*float64(p.cfg.MaxOpen)
+	// A rate seen in a lull says little, so latencies must show the queues as well.
+	slow := p.stress.value > slowShare*waitShare
+	return full && p.overShare(q) || slow && float64(out) > math.Max(leastRoom*p.share(q.need), room)
 }
 
 func (p *Policy) overShare(q *query) bool {
