--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,14 +25,15 @@
 	dueMargin = 2.0  // ticks before the client's end at which a query is settled
 
 	// Further attempts.
-	tailShare  = 0.95 // quantile of latencies after which a part counts as late: 5 % are
-	lateTimes  = 1.5  // means: a part younger than this is never late, however tight the tail
-	lateLeast  = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
-	lostTimes  = 2.0  // times late: the part's answer is taken for lost, whatever else its replica answers
-	stressMean = 0.35 // of the promise: recent latency above which all is slow, and copies only add to it
-	ownExtra   = 0.10 // copies for each part taken, where no budget is stated: bounds a storm of them
-	ownFree    = 4.0  // copies free of that share, so that a small instance has some
-	ownSpan    = 4.0  // promises: window of that share
+	tailShare   = 0.95 // quantile of latencies after which a part counts as late: 5 % are
+	lateTimes   = 1.5  // means: a part younger than this is never late, however tight the tail
+	lateLeast   = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
+	lostTimes   = 2.0  // times late: the part's answer is taken for lost, whatever else its replica answers
+	stressMean  = 0.35 // of the promise: recent latency above which all is slow, and copies only add to it
+	copiesShare = 0.5  // of the budget that copies of late parts may use up: the rest is for failed ones
+	ownExtra    = 0.20 // copies for each part taken, where no budget is stated: bounds a storm of them
+	ownFree     = 8.0  // copies free of that share, so that a small instance has some
+	ownSpan     = 4.0  // promises: window of that share
 
 	// Health.
 	faultShare  = 0.25 // weight of the newest outcome: two faults in a row show
@@ -454,7 +455,11 @@
 	// Requests on the window's edge are left out and attempts on it counted: either reading is kept.
 	taken := p.requests.count(p.now - span + p.cfg.Resolution)
 	used := p.extras.count(p.now - span - p.cfg.Resolution)
-	if float64(used+1) > free+share*float64(taken) {
+	limit := free + share*float64(taken)
+	if hedge {
+		limit *= copiesShare
+	}
+	if float64(used+1) > limit {
 		return false
 	}
 	p.extras.add(p.now)
