Do not copy a late part while others still out suffice

Cause: any-m-of-k classes copied late parts though the spare parts already out would complete the answer. Change: a copy goes only when parts in and parts out in good time are fewer than needed.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -610,21 +610,25 @@
 	}
 }
 
-// releaseOne asks for a part that was held back, in place of a second copy of a late one.
+// releaseOne answers lateness without a second copy where it can: parts that are out in good time may
+// suffice, or a part that was held back goes first. It tells whether that is so.
 func (p *Policy) releaseOne(q *query) bool {
-	asked, late := 0, 0
-	md := &p.models[q.class]
+	asked, good, late := 0, q.inCount, p.late(q.class)
 	for _, pt := range q.parts {
 		if pt.sent {
 			asked++
-			if !pt.in && (pt.dead || pt.out > 0 &&
-				(pt.attempts[0].r.suspect || p.now-pt.attempts[0].sentAt > md.tail)) {
-				late++
+			if n := len(pt.attempts); !pt.in && !pt.dead && pt.out > 0 {
+				if a := pt.attempts[n-1]; !a.r.suspect && p.now-a.sentAt < late {
+					good++
+				}
 			}
 		}
 	}
-	if asked == len(q.parts) || asked-late >= q.need {
-		return asked < len(q.parts)
+	if good >= q.need {
+		return true
+	}
+	if asked == len(q.parts) {
+		return false
 	}
 	p.askFor(q, asked+1)
 	return true
