--- a/policy/policy.go
+++ b/policy/policy.go
@@ -92,6 +92,7 @@
 	tenants          []window
 	arrivals         window
 	done             window // answers of parts
+	ahead            ewma   // calls already out where attempts went
 	stress           ewma   // latency over promise
 	promise          float64
 	tick             float64
@@ -415,7 +416,8 @@
 	}
 	r.call.parts++
 	r.call.out++
-	a := &attempt{p: pt, r: r, call: r.call, no: len(pt.attempts), sentAt: p.now, hedge: hedge}
+	a := &attempt{p: pt, r: r, call: r.call, no: len(pt.attempts), sentAt: p.now, ahead: r.calls - 1}
+	p.ahead.add(float64(a.ahead), paceShare/4)
 	pt.attempts = append(pt.attempts, a)
 	pt.out++
 	pt.sent = true
@@ -638,14 +640,14 @@
 // narrows the choice; a shard whose holders are all suspect still uses them.
 
 func (p *Policy) judge(a *attempt, o Outcome, took float64) {
-	r, md := a.r, &p.models[a.p.q.class]
+	r := a.r
 	switch o {
 	case OK:
 		r.heardAt = p.now
 		r.faults.add(0, faultShare)
-		r.pace.add(took/md.mean, paceShare)
+		r.pace.add(took/p.expected(a), paceShare)
 		if r.suspect && a.sentAt > r.since {
-			if took <= paceLimit*md.mean {
+			if took <= paceLimit*p.expected(a) {
 				if r.passed++; r.passed >= trialsOK {
 					r.suspect, r.pace, r.faults = false, ewma{}, ewma{}
 					p.log("replica %d taken back", r.id)
@@ -658,8 +660,8 @@
 		// A revoked attempt ended by our own wish. Its age is a bound on its latency: when it is already
 		// slow, that is news of a replica that second copies would otherwise hide. Not so where the replica
 		// has answered later parts meanwhile: that one answer was lost, and the replica is not slow.
-		if r.heardAt < a.sentAt && took > md.mean*r.pace.value && took > md.mean {
-			r.pace.add(took/md.mean, paceShare)
+		if x := took / p.expected(a); r.heardAt < a.sentAt && x > math.Max(1, r.pace.value) {
+			r.pace.add(x, paceShare)
 		}
 	default:
 		if o != TimedOut {
@@ -673,6 +675,12 @@
 	}
 }
 
+// expected is the latency that an attempt's class and the calls ahead of it explain. Without the latter the
+// mates of a failed replica, which take its load, look slow for it and are left out as well.
+func (p *Policy) expected(a *attempt) float64 {
+	return p.models[a.p.q.class].mean * float64(1+a.ahead) / (1 + p.ahead.value)
+}
+
 func (p *Policy) suspect(r *replica, why string) {
 	if !r.suspect {
 		r.suspect, r.since, r.passed = true, p.now, 0
--- a/policy/state.go
+++ b/policy/state.go
@@ -48,7 +48,7 @@
 	ended    bool
 	neverRan bool
 	revoked  bool
-	hedge    bool
+	ahead    int // our calls already out at the replica
 }
 
 // call is what one turn sends to one replica; its parts count once as load.
