Space tries when no sound holder is left, and take a return from down as cold

Change: a part without a sound holder waits a tenth of the promise, then twice that; a failed trial puts off the next; a replica that answers after a failed connect is cold from that moment.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,7 @@
 	dueMargin = 2.0  // ticks before the client's end at which a query is settled
 
 	// Further attempts.
+	pauseShare  = 0.1  // of the promise: first wait of a part that has no sound holder left, then doubled
 	tailShare   = 0.95 // quantile of latencies after which a part counts as late: 5 % are
 	lateTimes   = 1.5  // means: a part younger than this is never late, however tight the tail
 	lateLeast   = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
@@ -378,10 +379,11 @@
 	if r == nil || hedge && rank > 0 {
 		return false
 	}
-	if pt.out == 0 && len(pt.attempts) > 0 && rank >= 2 {
-		// Every holder was tried: wait a mean latency between rounds, or quick failures use up all tries.
-		if last := pt.attempts[len(pt.attempts)-1]; p.now-last.sentAt < p.models[pt.q.class].mean {
-			pt.retryAt = last.sentAt + p.models[pt.q.class].mean
+	if n := len(pt.attempts); pt.out == 0 && n > 0 && rank > 0 {
+		// Guards against quick failures at all holders (a restart of them all, a lost link) that use up a
+		// part's attempts within milliseconds: with no sound holder left to try, wait ever longer.
+		wait := pauseShare * p.cfg.Classes[pt.q.class].Promise * float64(uint(1)<<min(n-1, 8))
+		if pt.retryAt = pt.attempts[n-1].sentAt + wait; pt.retryAt > p.now {
 			return false
 		}
 	}
@@ -644,6 +646,9 @@
 	switch o {
 	case OK:
 		r.heardAt = p.now
+		if r.downAt > r.started {
+			r.started = r.downAt // guards against a restart that the list has not told yet: it is cold
+		}
 		r.faults.add(0, faultShare)
 		r.pace.add(took/p.expected(a), paceShare)
 		if r.suspect && a.sentAt > r.since {
@@ -669,6 +674,10 @@
 		}
 		r.faults.add(1, faultShare)
 		r.passed = 0
+		r.trialAt = p.now + trialGap*p.promise
+		if o == Unreachable || o == Broken {
+			r.downAt = p.now
+		}
 		if r.faults.value > faultLimit && r.faults.n > 1 || o == Unreachable || o == Broken {
 			p.suspect(r, "faults")
 		}
