--- a/policy/policy.go
+++ b/policy/policy.go
@@ -674,9 +674,8 @@
 		}
 		r.faults.add(1, faultShare)
 		r.passed = 0
-		r.trialAt = p.now + trialGap*p.promise
-		if o == Unreachable || o == Broken {
-			r.downAt = p.now
+		if o == Unreachable || o == Broken { // down; one that only fails some parts is tried again at once
+			r.downAt, r.trialAt = p.now, p.now+trialGap*p.promise
 		}
 		if r.faults.value > faultLimit && r.faults.n > 1 || o == Unreachable || o == Broken {
 			p.suspect(r, "faults")
