--- a/policy/policy.go
+++ b/policy/policy.go
@@ -646,9 +646,6 @@
 	switch o {
 	case OK:
 		r.heardAt = p.now
-		if r.downAt > r.started {
-			r.started = r.downAt // guards against a restart that the list has not told yet: it is cold
-		}
 		r.faults.add(0, faultShare)
 		r.pace.add(took/p.expected(a), paceShare)
 		if r.suspect && a.sentAt > r.since {
@@ -675,7 +672,7 @@
 		r.faults.add(1, faultShare)
 		r.passed = 0
 		if o == Unreachable || o == Broken { // down; one that only fails some parts is tried again at once
-			r.downAt, r.trialAt = p.now, p.now+trialGap*p.promise
+			r.trialAt = p.now + trialGap*p.promise
 		}
 		if r.faults.value > faultLimit && r.faults.n > 1 || o == Unreachable || o == Broken {
 			p.suspect(r, "faults")
--- a/policy/state.go
+++ b/policy/state.go
@@ -70,7 +70,6 @@
 	outs    []*attempt
 
 	heardAt  float64 // last answer of any kind
-	downAt   float64 // last failed connect or broken connection
 	pace     ewma    // latency over what its class expects
 	faults   ewma    // share of attempts that failed
 	suspect  bool
