Refuse at once what no reachable holder can make whole

Change: at arrival such a query is refused, but for one each trial gap. May hurt when the holders come back within the promise: such a query could have waited.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -645,7 +645,7 @@
 	r := a.r
 	switch o {
 	case OK:
-		r.heardAt = p.now
+		r.heardAt, r.down = p.now, false
 		r.faults.add(0, faultShare)
 		r.pace.add(took/p.expected(a), paceShare)
 		if r.suspect && a.sentAt > r.since {
@@ -672,7 +672,7 @@
 		r.faults.add(1, faultShare)
 		r.passed = 0
 		if o == Unreachable || o == Broken { // down; one that only fails some parts is tried again at once
-			r.trialAt = p.now + trialGap*p.promise
+			r.trialAt, r.down = p.now+trialGap*p.promise, true
 		}
 		if r.faults.value > faultLimit && r.faults.n > 1 || o == Unreachable || o == Broken {
 			p.suspect(r, "faults")
@@ -746,7 +746,7 @@
 			r.cell, r.size = e.Cell, e.Size
 			if e.Started > r.started {
 				if r.started > 0 || r.suspect {
-					r.suspect, r.pace, r.faults = false, ewma{}, ewma{}
+					r.suspect, r.down, r.pace, r.faults = false, false, ewma{}, ewma{}
 				}
 				r.started = e.Started
 			}
@@ -823,6 +823,22 @@
 	if p.overShare(q) {
 		room *= overRoom
 	}
+	// Guards against work for queries that cannot be whole: a shard whose holders all refuse connections.
+	hope := len(q.parts)
+	for _, pt := range q.parts {
+		reach := false
+		for j := range min(p.cfg.Reach, p.cfg.Cells) {
+			for _, r := range p.cells[(pt.shard+j)%p.cfg.Cells] {
+				reach = reach || r.state == Up && (!r.down || p.now >= r.trialAt)
+			}
+		}
+		if !reach {
+			hope--
+		}
+	}
+	if hope < q.need {
+		return true
+	}
 	full := p.cfg.MaxOpen > 0 && float64(p.held) > fullOpen*float64(p.cfg.MaxOpen)
 	// A rate seen in a lull says little, so latencies must show the queues as well.
 	slow := p.stress.value > slowShare*waitShare
