--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,6 +5,7 @@
 // answers. Times are seconds. Settings are what Config says, observation is what this instance saw itself.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -43,6 +44,7 @@
 	paceLimit   = 2.5  // times the middle pace of the list: slower is suspect; queueing alone stays under
 	paceLeast   = 4    // samples before a pace is believed
 	silentTimes = 3.0  // times late without any answer from a replica that owes one: silent
+	silentLeast = 3    // attempts in a row given up as late with nothing heard since: silent as well
 	trialGap    = 0.5  // promises between trials of a suspect
 	trialsOK    = 2    // good trials in a row that end the suspicion
 
@@ -98,7 +100,7 @@
 	promise          float64
 	tick             float64
 	armed            bool
-	started          bool
+	watchAt          float64
 	refreshAt        float64
 	logAt            float64
 }
@@ -120,6 +122,9 @@
 		md.delta = md.mean - md.spread
 		md.tail = md.delta + 3*md.spread // the 95 % point of a shifted exponential
 	}
+	if len(cfg.Classes) == 0 {
+		p.promise = 1
+	}
 	p.tick = math.Max(cfg.Resolution, tickShare*p.promise)
 	return p
 }
@@ -128,11 +133,9 @@
 func (p *Policy) Handle(now float64, events []Event) []Action {
 	p.now, p.out = now, p.out[:0]
 	p.turn++
-	if !p.started {
-		p.started = true
-		if p.cfg.MustAsk {
-			p.act(Action{Verb: Watch})
-		}
+	if p.cfg.MustAsk && now >= p.watchAt {
+		p.watchAt = math.Inf(1) // until a call fails or the subscription drops
+		p.act(Action{Verb: Watch})
 	}
 	for i := range events {
 		p.take(&events[i])
@@ -168,7 +171,7 @@
 	case ListChanged:
 		p.listChanged(ev)
 	case ListFailed:
-		p.act(Action{Verb: Watch}) // the list that is held stays in force meanwhile
+		p.watchAt = p.now + p.promise // the list that is held stays in force meanwhile
 	}
 }
 
@@ -222,7 +225,6 @@
 		}
 	}
 	q.chosen = p.partCount(q.class, q.need, k)
-	q.planned = true
 	p.askFor(q, q.chosen)
 }
 
@@ -248,17 +250,7 @@
 			}
 		}
 		slices.SortStableFunc(wait, func(a, b *part) int {
-			switch x, y := load[a], load[b]; {
-			case x < y:
-				return -1
-			case x > y:
-				return 1
-			case a.weight > b.weight:
-				return -1
-			case a.weight < b.weight:
-				return 1
-			}
-			return 0
+			return cmp.Or(cmp.Compare(load[a], load[b]), cmp.Compare(b.weight, a.weight))
 		})
 	}
 	for i := 0; i < len(wait) && i < n; i++ {
@@ -645,7 +637,7 @@
 	r := a.r
 	switch o {
 	case OK:
-		r.heardAt, r.down = p.now, false
+		r.heardAt, r.down, r.unheard = p.now, false, 0
 		r.faults.add(0, faultShare)
 		r.pace.add(took/p.expected(a), paceShare)
 		if r.suspect && a.sentAt > r.since {
@@ -665,6 +657,15 @@
 		if x := took / p.expected(a); r.heardAt < a.sentAt && x > math.Max(1, r.pace.value) {
 			r.pace.add(x, paceShare)
 		}
+		if r.heardAt < a.sentAt && took >= p.late(a.p.q.class) {
+			// Guards against silence that second copies hide: no attempt is out long enough to show it.
+			if r.unheard++; r.unheard >= silentLeast {
+				p.suspect(r, "silent")
+			}
+		}
+		if r.suspect && r.heardAt < r.since {
+			r.trialAt = p.now + trialGap*p.promise // a trial by which a silent one is silent still
+		}
 	default:
 		if o != TimedOut {
 			r.heardAt = p.now
@@ -753,12 +754,7 @@
 		}
 		r.state = e.State
 	}
-	slices.SortFunc(p.list, func(a, b *replica) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(p.list, func(a, b *replica) int { return cmp.Compare(a.id, b.id) })
 	for i := range p.cells {
 		p.cells[i] = p.cells[i][:0]
 	}
@@ -934,7 +930,7 @@
 		p.act(Action{Verb: Answer, Query: q.id, Full: whole})
 		p.release(q)
 		q.step, q.firstWhole = 2, whole
-		q.parts, q.in, q.inCount, q.planned = nil, 0, 0, false
+		q.parts, q.in, q.inCount = nil, 0, 0
 		return
 	}
 	p.final(q, Action{Verb: Answer, Query: q.id, Full: whole})
--- /dev/null
+++ b/policy/rules_test.go
@@ -0,0 +1,496 @@
+package policy
+
+import "testing"
+
+// rig drives one instance by hand: no bench, no servers.
+type rig struct {
+	t    *testing.T
+	p    *Policy
+	now  float64
+	next uint64
+	acts []Action
+}
+
+// settings are those of a plain site: one cell of four holders, one shard a part.
+func settings(effect Effect) Config {
+	return Config{
+		Seed: 1, Resolution: 0.005, Aggregators: 1,
+		Classes: []Class{{
+			Promise: 1, GiveUp: 4, LateWorth: 0.1, Points: 1, Effect: effect, Window: 2, Need: 1, Floor: 1, ShortWorth: 0.9,
+		}},
+		MaxAttempts: 4, Cancel: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 0.5,
+		Cells: 1, Reach: 1, Shards: 8, CallParts: 1,
+		ColdFrom: 0.2, WarmUp: 10, FallMultiple: 2, TipAfter: 1,
+	}
+}
+
+func newRig(t *testing.T, cfg Config) *rig {
+	r := &rig{t: t, p: New(cfg), now: 100, next: 1000}
+	var list []Entry
+	for id := uint64(1); id <= 4; id++ {
+		list = append(list, Entry{Replica: id, Size: 1})
+	}
+	r.do(Event{Kind: ListChanged, Full: true, List: list})
+	return r
+}
+
+func (r *rig) do(events ...Event) []Action {
+	r.acts = append([]Action(nil), r.p.Handle(r.now, events)...)
+	return r.acts
+}
+
+// run lets time pass and returns all that was done meanwhile.
+func (r *rig) run(span float64) []Action {
+	var all []Action
+	for end := r.now + span; r.now < end; {
+		r.now += r.p.tick
+		all = append(all, r.do(Event{Kind: TimerFired})...)
+	}
+	return all
+}
+
+// ask brings in a query of n equal parts and returns its id and those of the parts.
+func (r *rig) ask(n int, due float64) (uint64, []uint64, []Action) {
+	r.next += 100
+	q := r.next
+	events := []Event{{Kind: QueryArrived, Query: q, Group: q, Tenant: -1, Due: r.now + due, Count: n}}
+	var parts []uint64
+	for i := range n {
+		id := q + uint64(i) + 1
+		parts = append(parts, id)
+		events = append(events, Event{Kind: PartArrived, Part: id, Group: q, Shard: i, Weight: 1 / float64(n)})
+	}
+	return q, parts, r.do(events...)
+}
+
+func (r *rig) end(part uint64, attempt int, replica uint64, o Outcome) []Action {
+	return r.do(Event{Kind: AttemptEnded, Part: part, Attempt: attempt, Replica: replica, Outcome: o, Took: 0.1})
+}
+
+func of(verb Verb, acts []Action) []Action {
+	var out []Action
+	for _, a := range acts {
+		if a.Verb == verb {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func finals(acts []Action) []Action {
+	return append(append(of(Answer, acts), of(Refuse, acts)...), of(Fail, acts)...)
+}
+
+func TestOneFinalAnswerBeforeDue(t *testing.T) {
+	r := newRig(t, settings(Unsafe))
+	q, _, acts := r.ask(2, 1.5)
+	if len(of(Send, acts)) != 2 {
+		t.Fatalf("sent %d parts, want 2", len(of(Send, acts)))
+	}
+	due := r.now + 1.5
+	var at float64
+	n := 0
+	for r.now < due+1 {
+		if f := finals(r.run(r.p.tick)); len(f) > 0 {
+			n, at = n+len(f), r.now
+			if f[0].Query != q || f[0].Verb != Fail {
+				t.Fatalf("an unsafe query with parts out ended by %+v", f[0])
+			}
+		}
+	}
+	if n != 1 || at > due {
+		t.Fatalf("%d final answers, the last %.3f s before due", n, due-at)
+	}
+	if s := of(Send, r.end(q+1, 0, of(Send, acts)[0].Replica, Rejected)); len(s) > 0 {
+		t.Fatal("a part was sent after its query's end")
+	}
+}
+
+// What each outcome allows for each kind of class: a resend or, for the query, a refusal.
+func TestResendByOutcome(t *testing.T) {
+	for _, c := range []struct {
+		effect Effect
+		o      Outcome
+		resend bool
+	}{
+		{Safe, Failed, true}, {Safe, Rejected, true}, {Safe, TimedOut, true}, {Safe, Unreachable, true},
+		{Safe, Broken, true}, {Safe, Revoked, true}, {Safe, Moot, true},
+		{Keyed, Failed, true}, {Keyed, Rejected, true}, {Keyed, TimedOut, true}, {Keyed, Unreachable, true},
+		{Keyed, Broken, true}, {Keyed, Revoked, true}, {Keyed, Moot, true},
+		{Unsafe, Failed, false}, {Unsafe, Rejected, true}, {Unsafe, TimedOut, false}, {Unsafe, Unreachable, true},
+		{Unsafe, Broken, false}, {Unsafe, Revoked, false}, {Unsafe, Moot, true},
+	} {
+		r := newRig(t, settings(c.effect))
+		_, parts, acts := r.ask(1, 4)
+		acts = r.end(parts[0], 0, of(Send, acts)[0].Replica, c.o)
+		if got := len(of(Send, acts)) == 1; got != c.resend {
+			t.Errorf("effect %d outcome %d: resent %v, want %v", c.effect, c.o, got, c.resend)
+		}
+		if !c.resend {
+			if f := finals(acts); len(f) != 1 || f[0].Verb != Fail {
+				t.Errorf("effect %d outcome %d: ended by %+v, want one failure", c.effect, c.o, f)
+			}
+		}
+	}
+}
+
+func TestUnsafeHasNoSecondCopy(t *testing.T) {
+	r := newRig(t, settings(Unsafe))
+	r.ask(1, 3.9)
+	if s := of(Send, r.run(3.8)); len(s) > 0 {
+		t.Fatalf("an unsafe part that may run was sent again: %+v", s)
+	}
+}
+
+// The window starts at the first attempt that may have run, not at one that is proved never to have.
+func TestKeyedWindow(t *testing.T) {
+	r := newRig(t, settings(Keyed))
+	_, parts, acts := r.ask(1, 10)
+	r.now += 0.5
+	acts = r.end(parts[0], 0, of(Send, acts)[0].Replica, Unreachable)
+	first := r.now // attempt 1 may run
+	s := of(Send, acts)
+	if len(s) != 1 {
+		t.Fatalf("no resend after a failed connect: %+v", acts)
+	}
+	r.now = first + 1.7
+	s = of(Send, r.end(parts[0], 1, s[0].Replica, Failed))
+	if len(s) != 1 {
+		t.Fatal("no resend well inside the window")
+	}
+	r.now = first + 1.995
+	acts = r.end(parts[0], 2, s[0].Replica, Failed)
+	if s = of(Send, append(acts, r.run(3)...)); len(s) > 0 {
+		t.Fatalf("sent at the window's end or past it: %+v", s)
+	}
+}
+
+func TestNothingToDraining(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	_, parts, acts := r.ask(1, 3)
+	first := of(Send, acts)[0].Replica
+	var list []Entry
+	for id := uint64(1); id <= 4; id++ {
+		e := Entry{Replica: id, Size: 1, State: Draining}
+		if id == first {
+			e.State = Removed
+		}
+		list = append(list, e)
+	}
+	r.do(Event{Kind: ListChanged, List: list})
+	acts = append(r.end(parts[0], 0, first, Broken), r.run(2.5)...) // neither a retry nor a second copy
+	_, _, more := r.ask(1, 3)
+	if s := of(Send, append(acts, more...)); len(s) > 0 {
+		t.Fatalf("sent to a replica that drains or is gone: %+v", s)
+	}
+}
+
+// A replica left out of a whole list is gone.
+func TestNothingToOneMissingFromSnapshot(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	r.do(Event{Kind: ListChanged, Full: true, List: []Entry{{Replica: 2, Size: 1}}})
+	for range 8 {
+		_, _, acts := r.ask(1, 3)
+		for _, a := range of(Send, acts) {
+			if a.Replica != 2 {
+				t.Fatalf("sent to replica %d, which the whole list no longer has", a.Replica)
+			}
+		}
+	}
+}
+
+// cold counts what goes to replica 1, just started, in each window of the rule while it is warming up.
+func cold(t *testing.T, list Event, each float64) (sent, most int) {
+	r := newRig(t, settings(Safe))
+	for range 400 { // others are warm and take their load
+		_, parts, acts := r.ask(4, 3)
+		r.now += each
+		for i, a := range of(Send, acts) {
+			if i < len(parts) {
+				r.end(a.Part, 0, a.Replica, OK)
+			}
+		}
+	}
+	r.do(list)
+	var at []float64
+	for end := r.now + 3; r.now < end; {
+		_, _, acts := r.ask(4, 3)
+		for _, a := range of(Send, acts) {
+			if a.Replica == 1 {
+				at = append(at, r.now)
+			}
+		}
+		r.now += each
+		for _, a := range of(Send, acts) {
+			r.end(a.Part, 0, a.Replica, OK)
+		}
+	}
+	for i := range at {
+		n := 0
+		for j := i; j < len(at) && at[j] < at[i]+1; j++ {
+			n++
+		}
+		most = max(most, n)
+	}
+	return len(at), most
+}
+
+func TestColdReplicaGetsATrickle(t *testing.T) {
+	start := 100 + 400*0.02 - 0.01
+	fresh := Entry{Replica: 1, Size: 1, Started: start}
+	for name, list := range map[string]Event{
+		"restart under the same id": {Kind: ListChanged, List: []Entry{fresh}},
+		"list from disk":            {Kind: ListChanged, Full: true, Stale: true, List: []Entry{fresh, {Replica: 2}, {Replica: 3}, {Replica: 4}}},
+	} {
+		// 200 parts a second over four replicas are 50 for each; the rule allows 2 x 0.2 x capacity at first.
+		sent, most := cold(t, list, 0.02)
+		if sent == 0 {
+			t.Errorf("%s: nothing at all was sent, so it would never be used", name)
+		}
+		if most > 30 {
+			t.Errorf("%s: %d parts in a second, more than 2 x 0.3 of the 50 that a warm one takes", name, most)
+		}
+	}
+}
+
+func TestAnswerNeedsFloorAndCountsAPartOnce(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes[0].Need, cfg.Classes[0].Floor = 1, 0.75
+	r := newRig(t, cfg)
+	_, parts, acts := r.ask(4, 3)
+	at := map[uint64]uint64{}
+	for _, a := range of(Send, acts) {
+		at[a.Part] = a.Replica
+	}
+	for range 4 { // the same end four times is one part, not four
+		if f := finals(r.end(parts[0], 0, at[parts[0]], OK)); len(f) > 0 {
+			t.Fatalf("answered from a part counted more than once: %+v", f)
+		}
+	}
+	r.end(parts[1], 0, at[parts[1]], OK)
+	if f := finals(r.end(parts[2], 0, at[parts[2]], OK)); len(f) > 0 {
+		t.Fatalf("answered from three parts of four while the fourth may still come: %+v", f)
+	}
+	f := finals(r.run(2.9))
+	if len(f) != 1 || f[0].Verb != Answer || f[0].Full {
+		t.Fatalf("want one answer that is not marked whole, got %+v", f)
+	}
+}
+
+func TestNoAnswerUnderFloor(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes[0].Need, cfg.Classes[0].Floor = 0.75, 0.75
+	r := newRig(t, cfg)
+	_, parts, acts := r.ask(4, 2)
+	for _, a := range of(Send, acts) {
+		if a.Part == parts[0] || a.Part == parts[1] {
+			r.end(a.Part, 0, a.Replica, OK)
+		}
+	}
+	f := finals(r.run(2.5))
+	if len(f) != 1 || f[0].Verb == Answer {
+		t.Fatalf("two parts of four are under the floor, got %+v", f)
+	}
+}
+
+func TestSecondStepWholeOnlyWithAll(t *testing.T) {
+	for _, firstWhole := range []bool{true, false} {
+		cfg := settings(Safe)
+		cfg.Classes[0].FollowUp, cfg.Classes[0].Floor, cfg.Classes[0].Need = 2, 0.5, 1
+		r := newRig(t, cfg)
+		q, _, acts := r.ask(2, 3)
+		s := of(Send, acts)
+		r.end(s[0].Part, 0, s[0].Replica, OK)
+		var f []Action
+		if firstWhole {
+			f = finals(r.end(s[1].Part, 0, s[1].Replica, OK))
+		} else {
+			f = finals(r.run(1.1)) // a short answer once the promise has passed
+		}
+		if len(f) != 1 || f[0].Verb != Answer || f[0].Full != firstWhole {
+			t.Fatalf("first step ended by %+v", f)
+		}
+		acts = r.do(
+			Event{Kind: PartArrived, Part: q + 50, Group: q, Shard: 0, Weight: 0.5},
+			Event{Kind: PartArrived, Part: q + 51, Group: q, Shard: 1, Weight: 0.5})
+		s = of(Send, acts)
+		if len(s) != 2 {
+			t.Fatalf("second step sent %d parts, want 2", len(s))
+		}
+		if f = finals(r.end(s[0].Part, 0, s[0].Replica, OK)); len(f) > 0 {
+			if firstWhole || f[0].Full {
+				t.Fatalf("answered from half of the second step: %+v", f)
+			}
+			continue
+		}
+		f = finals(r.end(s[1].Part, 0, s[1].Replica, OK))
+		if len(f) != 1 || f[0].Verb != Answer || f[0].Full != firstWhole {
+			t.Fatalf("first step whole %v, second ended by %+v", firstWhole, f)
+		}
+	}
+}
+
+// Further attempts never pass free + share x requests in any window, whatever ends the attempts.
+func TestAttemptBudget(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.ExtraFree, cfg.ExtraPerRequest, cfg.ExtraSpan = 3, 0.1, 2
+	r := newRig(t, cfg)
+	type happening struct {
+		at    float64
+		extra bool
+	}
+	var log []happening
+	tried := map[uint64]int{}
+	for round := range 400 {
+		_, parts, acts := r.ask(2, 3)
+		log = append(log, happening{r.now, false}, happening{r.now, false}, happening{r.now, false})
+		for n := 0; n < 2; n++ {
+			var next []Action
+			for _, a := range of(Send, acts) {
+				tried[a.Part]++
+				if tried[a.Part] > 1 {
+					log = append(log, happening{r.now, true})
+					extra, taken := 0, 0
+					for _, h := range log {
+						switch {
+						case h.at < r.now-2:
+						case h.extra:
+							extra++
+						default:
+							taken++
+						}
+					}
+					if float64(extra) > 3+0.1*float64(taken)+1e-9 {
+						t.Fatalf("round %d: %d further attempts for %d requests", round, extra, taken)
+					}
+				}
+				if a.Part == parts[0] || a.Part == parts[1] {
+					next = append(next, r.end(a.Part, a.Attempt+tried[a.Part]-1, a.Replica, Failed)...)
+				}
+			}
+			acts = next
+		}
+		r.now += 0.013 * float64(1+round%7)
+		for _, a := range of(Send, r.do(Event{Kind: TimerFired})) {
+			if tried[a.Part]++; tried[a.Part] > 1 {
+				log = append(log, happening{r.now, true})
+			}
+		}
+	}
+}
+
+func TestAttemptsCap(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.MaxAttempts = 3
+	r := newRig(t, cfg)
+	_, parts, acts := r.ask(1, 3.9)
+	n := 0
+	for r.now < 103.8 {
+		var next []Action
+		for _, a := range of(Send, acts) {
+			n++
+			next = append(next, r.end(a.Part, n-1, a.Replica, Failed)...)
+		}
+		acts = append(next, r.run(r.p.tick)...)
+	}
+	if n != 3 {
+		t.Fatalf("part %d had %d attempts, cap 3", parts[0], n)
+	}
+}
+
+// Guards of symptoms.
+
+func TestLostAnswerIsAskedElsewhere(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	_, _, acts := r.ask(1, 3.9)
+	first := of(Send, acts)[0].Replica
+	s := of(Send, r.run(1.5))
+	if len(s) == 0 || s[0].Replica == first {
+		t.Fatalf("a part whose answer never came was sent %+v, first to %d", s, first)
+	}
+}
+
+func TestSilentReplicaIsLeftOutAndTriedAgain(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	silent, late := 0, 0
+	for r.now < 130 {
+		_, _, acts := r.ask(1, 3)
+		for _, a := range of(Send, acts) {
+			if a.Replica == 1 {
+				if r.now > 115 {
+					late++
+				}
+				silent++
+				continue
+			}
+			r.now += 0.05
+			r.end(a.Part, 0, a.Replica, OK)
+		}
+		for _, a := range r.run(0.05) {
+			switch a.Verb {
+			case Send: // a second copy elsewhere
+				for _, c := range of(Cancel, r.end(a.Part, 1, a.Replica, OK)) {
+					r.do(Event{Kind: AttemptEnded, Part: c.Part, Attempt: c.Attempt, Replica: 1, Outcome: Revoked, Took: 0.3})
+				}
+			case Cancel:
+				r.do(Event{Kind: AttemptEnded, Part: a.Part, Attempt: a.Attempt, Replica: 1, Outcome: Revoked, Took: 0.3})
+			}
+		}
+	}
+	if late == 0 {
+		t.Fatal("a silent replica was never tried again")
+	}
+	if late > 40 {
+		t.Fatalf("a silent replica still got %d first attempts of some 150 in 15 s", late)
+	}
+}
+
+func TestAllHoldersSuspectAreStillUsed(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	for _, x := range r.p.list {
+		r.p.suspect(x, "test")
+	}
+	if _, _, acts := r.ask(1, 3); len(of(Send, acts)) != 1 {
+		t.Fatal("with every holder suspect nothing was sent")
+	}
+}
+
+// All holders refuse connections: tries are spaced, and new queries refused at once but for trials.
+func TestNoReachableHolder(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	sends, refused := 0, 0
+	for range 100 {
+		_, _, acts := r.ask(1, 3)
+		refused += len(of(Refuse, acts))
+		for s := of(Send, acts); len(s) > 0; {
+			sends++
+			s = of(Send, r.end(s[0].Part, len(r.p.parts[s[0].Part].attempts)-1, s[0].Replica, Unreachable))
+		}
+		r.now += 0.01
+	}
+	if refused < 80 {
+		t.Fatalf("%d of 100 queries were refused at once, want most", refused)
+	}
+	if sends > 40 {
+		t.Fatalf("%d attempts within a second at holders that are all down", sends)
+	}
+}
+
+// With less than the needed share out in good time a held-back part goes before any second copy.
+func TestHeldBackPartGoesBeforeARepeat(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes[0].Need, cfg.Classes[0].Floor = 0.5, 0.5
+	r := newRig(t, cfg)
+	for range 12 { // a long backlog, so that m parts of k are asked
+		r.ask(4, 3.5)
+	}
+	_, parts, acts := r.ask(4, 3.5)
+	s := of(Send, acts)
+	if len(s) != 2 {
+		t.Fatalf("on a long backlog %d parts of 4 were asked, want m = 2", len(s))
+	}
+	again := of(Send, r.end(s[0].Part, 0, s[0].Replica, Failed))
+	if len(again) != 1 || again[0].Part == s[0].Part || again[0].Part < parts[0] || again[0].Part > parts[3] {
+		t.Fatalf("after a failure %+v was sent, want a part that was held back", again)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,7 +19,6 @@
 	in            float64
 	inCount       int
 	held          int // queries and parts counted against MaxOpen
-	planned       bool
 	over          bool
 }
 
@@ -70,6 +69,7 @@
 	outs    []*attempt
 
 	heardAt  float64 // last answer of any kind
+	unheard  int     // attempts in a row given up as late with nothing heard since
 	pace     ewma    // latency over what its class expects
 	faults   ewma    // share of attempts that failed
 	suspect  bool
