Ask the admission of each shard's holders too

Change: a query is refused when for too many of its shards every holder has more parts out than it will bring back in time. Also holds against hot keys and sets that lost replicas. May hurt where a replica seldom used by us has no rate yet: a few parts are always allowed.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,6 +60,8 @@
 	overRoom   = 0.6 // of that: where queries over their tenant's share, which earn little, are turned away
 	slowShare  = 0.5 // of that: recent latency from which queues are taken to have formed
 	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
+	leastOut   = 4.0 // parts out at one replica that are always allowed
+	rateSpan   = 2.0 // promises: window of one replica's rate
 	weightSlip = 1e-6
 )
 
@@ -80,6 +82,7 @@
 
 	replicas map[uint64]*replica
 	list     []*replica // by id
+	scratch  []*replica
 	cells    [][]*replica
 	queries  map[uint64]*query
 	groups   map[uint64]*query
@@ -331,38 +334,43 @@
 // turn costs no more for one part more, so it counts as the next call would elsewhere.
 func (p *Policy) pick(pt *part) (best *replica, rank int) {
 	load, ties := 0, 0
-	for j := range min(p.cfg.Reach, p.cfg.Cells) {
-		for _, r := range p.cells[(pt.shard+j)%p.cfg.Cells] {
-			if r.state != Up || p.coldShut(r) {
-				continue
-			}
-			rk, busy := 0, false
-			if r.suspect && !p.trialDue(r, pt) {
-				rk = 1
-			}
-			for _, a := range pt.attempts {
-				if a.r == r {
-					busy = busy || !a.ended
-					rk |= 2
-				}
+	for _, r := range p.holders(pt.shard) {
+		rk, busy := 0, p.coldShut(r)
+		if r.suspect && !p.trialDue(r, pt) {
+			rk = 1
+		}
+		for _, a := range pt.attempts {
+			if a.r == r {
+				busy = busy || !a.ended
+				rk |= 2
 			}
-			if busy {
-				continue
-			}
-			n := r.calls
-			switch {
-			case best == nil || rk < rank || rk == rank && n < load:
-				best, rank, load, ties = r, rk, n, 1
-			case rk == rank && n == load:
-				if ties++; p.rng.IntN(ties) == 0 {
-					best = r
-				}
+		}
+		switch n := r.calls; {
+		case busy:
+		case best == nil || rk < rank || rk == rank && n < load:
+			best, rank, load, ties = r, rk, n, 1
+		case rk == rank && n == load:
+			if ties++; p.rng.IntN(ties) == 0 {
+				best = r
 			}
 		}
 	}
 	return best, rank
 }
 
+// holders lists the replicas that are up and hold the shard; the next call reuses the list.
+func (p *Policy) holders(shard int) []*replica {
+	p.scratch = p.scratch[:0]
+	for j := range min(p.cfg.Reach, p.cfg.Cells) {
+		for _, r := range p.cells[(shard+j)%p.cfg.Cells] {
+			if r.state == Up {
+				p.scratch = append(p.scratch, r)
+			}
+		}
+	}
+	return p.scratch
+}
+
 // Sending.
 
 // try sends one attempt for a part where some holder may take it now; otherwise the part waits for a look.
@@ -478,6 +486,7 @@
 	p.judge(a, ev.Outcome, ev.Took)
 	if ev.Outcome == OK {
 		p.done.add(p.now)
+		a.r.done.add(p.now)
 		p.models[q.class].seen.add(p.now, ev.Took)
 		p.stress.add(ev.Took/p.cfg.Classes[q.class].Promise, paceShare/4)
 	}
@@ -801,10 +810,12 @@
 	}
 }
 
-// turnedAway decides on a query at its arrival. By Little's law the parts out at sound replicas, over the
-// rate at which parts come back, are the time that a new part will take. Where that leaves too little of
-// the promise the query is refused, earlier if its tenant is over its share. Guards against queues that
-// make every answer late, whatever filled them: a burst, a flood, retries, lost or slow replicas.
+// turnedAway decides on a query at its arrival. By Little's law the parts out, over the rate at which parts
+// come back, are the time that a new part will take. Where that leaves too little of the promise the query
+// is refused, earlier if its tenant is over its share. It is asked of all sound replicas together, and of
+// the holders of each shard. Guards against queues that make every answer late, whatever filled them (a
+// burst, a flood, retries, lost or slow replicas, a hot key), and against work for queries that cannot be
+// whole since all holders of a shard refuse connections.
 func (p *Policy) turnedAway(q *query) bool {
 	c, out := &p.cfg.Classes[q.class], 0
 	for _, r := range p.list {
@@ -812,23 +823,19 @@
 			out += len(r.outs)
 		}
 	}
-	room := waitShare * c.Promise * float64(p.done.count(p.now-p.promise)) / p.promise
+	wait, over := waitShare*c.Promise, p.overShare(q)
 	if c.FollowUp > 0 {
-		room /= 2 // the promise holds for both steps
+		wait /= 2 // the promise holds for both steps
 	}
-	if p.overShare(q) {
-		room *= overRoom
+	if over {
+		wait *= overRoom
 	}
-	// Guards against work for queries that cannot be whole: a shard whose holders all refuse connections.
 	hope := len(q.parts)
 	for _, pt := range q.parts {
-		reach := false
-		for j := range min(p.cfg.Reach, p.cfg.Cells) {
-			for _, r := range p.cells[(pt.shard+j)%p.cfg.Cells] {
-				reach = reach || r.state == Up && (!r.down || p.now >= r.trialAt)
-			}
-		}
-		if !reach {
+		if !slices.ContainsFunc(p.holders(pt.shard), func(r *replica) bool {
+			rate := float64(r.done.count(p.now-rateSpan*p.promise)) / (rateSpan * p.promise)
+			return (!r.down || p.now >= r.trialAt) && float64(len(r.outs)) <= math.Max(leastOut, wait*rate)
+		}) {
 			hope--
 		}
 	}
@@ -838,7 +845,8 @@
 	full := p.cfg.MaxOpen > 0 && float64(p.held) > fullOpen*float64(p.cfg.MaxOpen)
 	// A rate seen in a lull says little, so latencies must show the queues as well.
 	slow := p.stress.value > slowShare*waitShare
-	return full && p.overShare(q) || slow && float64(out) > math.Max(leastRoom*p.share(q.need), room)
+	room := wait * float64(p.done.count(p.now-p.promise)) / p.promise
+	return full && over || slow && float64(out) > math.Max(leastRoom*p.share(q.need), room)
 }
 
 func (p *Policy) overShare(q *query) bool {
--- a/policy/state.go
+++ b/policy/state.go
@@ -76,8 +76,8 @@
 	down     bool // refused its last connection
 	since    float64
 	trialAt  float64
-	passed   int // good trials in a row
-	sends    window
+	passed   int    // good trials in a row
+	done     window // answers
 	coldFree float64
 }
 
