Scale the late age by the latest latencies; count nothing of an ended step

Change: the late age grows at once with the latest answers over the estimates. May hurt when a few very slow replicas are used much: the age grows for all.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,10 +55,10 @@
 	// Admission.
 	shareSpan  = 2.0 // promises: window of a tenant's rate
 	shareSlack = 1.1 // times its share: short swings are let pass
-	fullOpen   = 0.9 // of max_open: from here a query needs worth to be taken
 	waitShare  = 0.4 // of the promise: mean time of a part that still lets the last of them be in time
 	overRoom   = 0.6 // of that: where queries over their tenant's share, which earn little, are turned away
 	slowShare  = 0.5 // of that: recent latency from which queues are taken to have formed
+	fullOpen   = 0.9 // of max_open: from here queries over a tenant's share are refused, lest others are
 	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
 	leastOut   = 4.0 // parts out at one replica that are always allowed
 	rateSpan   = 2.0 // promises: window of one replica's rate
@@ -91,7 +91,6 @@
 	fresh    []*query // to be planned at the end of this turn
 	models   []model
 	inFlight int
-	held     int
 
 	requests, extras window
 	sent             window
@@ -100,6 +99,7 @@
 	done             window // answers of parts
 	ahead            ewma   // calls already out where attempts went
 	stress           ewma   // latency over promise
+	drag             ewma   // latest latencies over the estimates
 	promise          float64
 	tick             float64
 	armed            bool
@@ -183,14 +183,13 @@
 func (p *Policy) queryArrived(ev *Event) {
 	q := &query{
 		id: ev.Query, group: ev.Group, class: ev.Class, tenant: ev.Tenant,
-		arrived: p.now, due: ev.Due, retry: ev.Retry, step: 1, held: 1,
+		arrived: p.now, due: ev.Due, step: 1,
 	}
 	p.queries[q.id], p.groups[q.group] = q, q
 	p.open = append(p.open, q)
 	p.fresh = append(p.fresh, q)
 	p.requests.add(p.now)
 	p.arrivals.add(p.now)
-	p.held++
 	if q.tenant >= 0 {
 		p.tenants[q.tenant].add(p.now)
 	}
@@ -205,11 +204,9 @@
 	if q.step == 2 && !slices.Contains(p.fresh, q) {
 		p.fresh = append(p.fresh, q)
 	}
-	pt := &part{id: ev.Part, q: q, shard: ev.Shard, weight: ev.Weight, work: ev.Work}
+	pt := &part{id: ev.Part, q: q, shard: ev.Shard, weight: ev.Weight}
 	q.parts = append(q.parts, pt)
 	p.parts[pt.id] = pt
-	q.held++
-	p.held++
 }
 
 // plan admits a query and asks for as many of its parts as the design says.
@@ -227,8 +224,7 @@
 			return
 		}
 	}
-	q.chosen = p.partCount(q.class, q.need, k)
-	p.askFor(q, q.chosen)
+	p.askFor(q, p.partCount(q.class, q.need, k))
 }
 
 // askFor sends first attempts until n parts have been asked for. Where fewer than all go, those go first
@@ -244,16 +240,16 @@
 		}
 	}
 	if n < len(wait) {
-		load := make(map[*part]float64, len(wait))
 		for _, pt := range wait {
-			r, rank := p.pick(pt)
-			load[pt] = math.Inf(1)
-			if r != nil {
-				load[pt] = float64(rank)*1e6 + float64(r.calls)
+			if r, rank := p.pick(pt); r != nil {
+				pt.rank, pt.load = rank, r.calls
+			} else {
+				pt.rank = math.MaxInt
 			}
 		}
 		slices.SortStableFunc(wait, func(a, b *part) int {
-			return cmp.Or(cmp.Compare(load[a], load[b]), cmp.Compare(b.weight, a.weight))
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.load, b.load),
+				cmp.Compare(b.weight, a.weight))
 		})
 	}
 	for i := 0; i < len(wait) && i < n; i++ {
@@ -394,7 +390,7 @@
 func (p *Policy) send(pt *part, r *replica, hedge bool) bool {
 	q := pt.q
 	switch {
-	case q.over || pt.in || q.due-p.now <= p.tick: // rule 1: nothing after the end
+	case pt.gone || pt.in || q.due-p.now <= p.tick: // rule 1: nothing after the end
 		return false
 	case p.cfg.MaxAttempts > 0 && len(pt.attempts) >= p.cfg.MaxAttempts:
 		return false
@@ -409,7 +405,9 @@
 	case len(pt.attempts) > 0 && !p.spend(hedge): // rule 6
 		return false
 	}
-	p.coldSpend(r)
+	if gap := p.coldGap(r); gap > 0 {
+		r.coldFree = p.now + gap
+	}
 	if r.call == nil || r.call.turn != p.turn || r.call.parts >= p.cfg.CallParts {
 		r.call = &call{turn: p.turn}
 	}
@@ -433,17 +431,8 @@
 // mayRepeat is rule 2: an unsafe part goes again only when no attempt can have run; a keyed one that may
 // have run only within the window from the first such attempt, less the time that a turn can lag.
 func (p *Policy) mayRepeat(pt *part) bool {
-	c := &p.cfg.Classes[pt.q.class]
-	if c.Effect == Safe {
-		return true
-	}
-	for _, a := range pt.attempts {
-		if a.neverRan {
-			continue
-		}
-		return c.Effect == Keyed && p.now < a.sentAt+c.Window-2*p.tick
-	}
-	return true
+	c, first := &p.cfg.Classes[pt.q.class], pt.firstRun()
+	return c.Effect == Safe || first == nil || c.Effect == Keyed && p.now < first.sentAt+c.Window-2*p.tick
 }
 
 // spend is the one ledger of attempts beyond a part's first (rule 6). Where no budget is stated, second
@@ -488,19 +477,19 @@
 		p.done.add(p.now)
 		a.r.done.add(p.now)
 		p.models[q.class].seen.add(p.now, ev.Took)
+		p.drag.add(ev.Took/p.models[q.class].mean, paceShare/4)
 		p.stress.add(ev.Took/p.cfg.Classes[q.class].Promise, paceShare/4)
 	}
-	if q.over {
+	switch {
+	case pt.gone: // its query or step has ended, and this answer counts no more
 		if pt.out == 0 {
 			delete(p.parts, pt.id)
 		}
 		return
-	}
-	if ev.Outcome != OK {
+	case ev.Outcome != OK:
 		p.again(pt)
 		return
-	}
-	if pt.in {
+	case pt.in:
 		return
 	}
 	pt.in = true
@@ -520,16 +509,13 @@
 	if capped || !p.mayRepeat(pt) {
 		pt.dead = true
 	}
-	// A part held back costs no further attempt, so it goes before a repeat.
-	asked, heldBack := 0, 0
+	asked := 0
 	for _, o := range q.parts {
 		if o.sent {
 			asked++
-		} else {
-			heldBack++
 		}
 	}
-	if heldBack > 0 {
+	if asked < len(q.parts) { // a part held back costs no further attempt, so it goes before a repeat
 		p.askFor(q, asked+1)
 	} else if !pt.dead {
 		p.try(pt, false)
@@ -556,10 +542,13 @@
 	p.open = slices.DeleteFunc(p.open, func(q *query) bool { return q.over })
 }
 
-// late is the age from which a part of the class counts as late.
+// late is the age from which a part of the class counts as late. It grows at once with the latest answers:
+// guards against a fleet that slows down as a whole, or a costlier mix, where estimates some promises old
+// make every part late and the copies of all of them make it worse.
 func (p *Policy) late(class int) float64 {
 	md := &p.models[class]
-	return math.Max(lateLeast*p.cfg.Classes[class].Promise, math.Max(md.tail, lateTimes*md.mean))
+	least := lateLeast * p.cfg.Classes[class].Promise
+	return math.Max(1, p.drag.value) * math.Max(least, math.Max(md.tail, lateTimes*md.mean))
 }
 
 func (p *Policy) lookAt(q *query) {
@@ -608,24 +597,23 @@
 		if !lost && !a.r.suspect && (age < late || p.stress.value > stressMean) {
 			continue
 		}
-		if p.releaseOne(q) {
-			continue
+		if !p.releaseOne(q, late) {
+			p.try(pt, !lost)
 		}
-		p.try(pt, !lost)
 	}
 }
 
 // releaseOne answers lateness without a second copy where it can: parts that are out in good time may
 // suffice, or a part that was held back goes first. It tells whether that is so.
-func (p *Policy) releaseOne(q *query) bool {
-	asked, good, late := 0, q.inCount, p.late(q.class)
+func (p *Policy) releaseOne(q *query, late float64) bool {
+	asked, good := 0, q.inCount
 	for _, pt := range q.parts {
 		if pt.sent {
 			asked++
-			if n := len(pt.attempts); !pt.in && !pt.dead && pt.out > 0 {
-				if a := pt.attempts[n-1]; !a.r.suspect && p.now-a.sentAt < late {
-					good++
-				}
+		}
+		if !pt.in && pt.out > 0 {
+			if a := pt.attempts[len(pt.attempts)-1]; !a.r.suspect && p.now-a.sentAt < late {
+				good++
 			}
 		}
 	}
@@ -753,7 +741,7 @@
 			p.list = append(p.list, r)
 		}
 		if e.State != Removed {
-			r.cell, r.size = e.Cell, e.Size
+			r.cell = e.Cell
 			if e.Started > r.started {
 				if r.started > 0 || r.suspect {
 					r.suspect, r.down, r.pace, r.faults = false, false, ewma{}, ewma{}
@@ -804,12 +792,6 @@
 
 func (p *Policy) coldShut(r *replica) bool { return r.coldFree > p.now && p.coldGap(r) > 0 }
 
-func (p *Policy) coldSpend(r *replica) {
-	if gap := p.coldGap(r); gap > 0 {
-		r.coldFree = p.now + gap
-	}
-}
-
 // turnedAway decides on a query at its arrival. By Little's law the parts out, over the rate at which parts
 // come back, are the time that a new part will take. Where that leaves too little of the promise the query
 // is refused, earlier if its tenant is over its share. It is asked of all sound replicas together, and of
@@ -823,10 +805,11 @@
 			out += len(r.outs)
 		}
 	}
-	wait, over := waitShare*c.Promise, p.overShare(q)
+	wait := waitShare * c.Promise
 	if c.FollowUp > 0 {
 		wait /= 2 // the promise holds for both steps
 	}
+	over := p.overShare(q)
 	if over {
 		wait *= overRoom
 	}
@@ -842,7 +825,7 @@
 	if hope < q.need {
 		return true
 	}
-	full := p.cfg.MaxOpen > 0 && float64(p.held) > fullOpen*float64(p.cfg.MaxOpen)
+	full := p.cfg.MaxOpen > 0 && float64(len(p.queries)+len(p.parts)) > fullOpen*float64(p.cfg.MaxOpen)
 	// A rate seen in a lull says little, so latencies must show the queues as well.
 	slow := p.stress.value > slowShare*waitShare
 	room := wait * float64(p.done.count(p.now-p.promise)) / p.promise
@@ -909,15 +892,10 @@
 	}
 	a := Action{Verb: Refuse, Query: q.id}
 	for _, pt := range q.parts {
-		for _, at := range pt.attempts {
-			if !at.neverRan && p.cfg.Classes[q.class].Effect != Safe { // rule 2
-				a.Verb = Fail
-			}
+		if p.cfg.Classes[q.class].Effect != Safe && (q.step == 2 || pt.firstRun() != nil) { // rule 2
+			a.Verb = Fail
 		}
 	}
-	if q.step == 2 && p.cfg.Classes[q.class].Effect != Safe {
-		a.Verb = Fail
-	}
 	if a.Verb == Refuse && p.cfg.RetryAfter {
 		a.After = math.Min(p.cfg.MaxRetryAfter, p.models[q.class].mean)
 	}
@@ -957,7 +935,6 @@
 func (p *Policy) end(q *query) {
 	q.over = true
 	p.release(q)
-	p.held--
 	delete(p.queries, q.id)
 	delete(p.groups, q.group)
 }
@@ -966,11 +943,10 @@
 func (p *Policy) release(q *query) {
 	for _, pt := range q.parts {
 		p.revoke(pt)
-		p.held--
 		if pt.out == 0 {
 			delete(p.parts, pt.id)
 		}
-		pt.dead = true
+		pt.gone = true
 	}
 }
 
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -494,3 +494,78 @@
 		t.Fatalf("after a failure %+v was sent, want a part that was held back", again)
 	}
 }
+
+// A spare part of the first step that is answered during the second is no part of the second.
+func TestAnswerOfAnEndedStepCountsNoMore(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes[0].FollowUp, cfg.Classes[0].Need, cfg.Classes[0].Floor = 2, 0.5, 0.5
+	r := newRig(t, cfg)
+	q, _, acts := r.ask(2, 3)
+	first := of(Send, acts)
+	if len(first) != 2 {
+		t.Fatalf("with no backlog %d parts of 2 were asked", len(first))
+	}
+	r.end(first[0].Part, 0, first[0].Replica, OK)
+	r.do(
+		Event{Kind: PartArrived, Part: q + 50, Group: q, Shard: 0, Weight: 0.5},
+		Event{Kind: PartArrived, Part: q + 51, Group: q, Shard: 1, Weight: 0.5})
+	acts = r.end(first[1].Part, 0, first[1].Replica, OK)
+	if len(finals(acts)) > 0 || r.p.queries[q].inCount != 0 {
+		t.Fatalf("a part of the first step was counted in the second: %+v", acts)
+	}
+	acts = r.end(first[1].Part, 0, first[1].Replica, Failed)
+	if len(of(Send, acts)) > 0 {
+		t.Fatal("a part of an ended step was sent again")
+	}
+}
+
+// The whole fleet answers three times slower from one moment on: that is no reason to copy every part.
+func TestFleetSlowingDownIsNotCopied(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	type out struct {
+		Action
+		at float64
+	}
+	var waiting []out
+	asked, copies := 0, 0
+	took := 0.1
+	for step := 0; r.now < 130; step++ {
+		if r.now > 115 {
+			took = 0.5
+		}
+		acts := append([]Action(nil), r.run(r.p.tick)...)
+		if step%10 == 0 {
+			_, _, more := r.ask(1, 3)
+			asked++
+			acts = append(acts, more...)
+		}
+		for _, a := range of(Send, acts) {
+			waiting = append(waiting, out{a, r.now})
+		}
+		var left []out
+		for _, w := range waiting {
+			pt := r.p.parts[w.Part]
+			if pt == nil {
+				continue
+			}
+			no := 0
+			for i, at := range pt.attempts {
+				if at.r.id == w.Replica {
+					no = i
+				}
+			}
+			if no > 0 && w.at == r.now && r.now > 115 {
+				copies++
+			}
+			if r.now-w.at < took {
+				left = append(left, w)
+				continue
+			}
+			r.do(Event{Kind: AttemptEnded, Part: w.Part, Attempt: no, Replica: w.Replica, Outcome: OK, Took: r.now - w.at})
+		}
+		waiting = left
+	}
+	if asked < 200 || copies > 30 {
+		t.Errorf("%d copies for some %d parts while all slowed down alike", copies, asked/2)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -10,15 +10,12 @@
 	id, group     uint64
 	class, tenant int
 	arrived, due  float64
-	retry         bool
 	step          int // 1 or 2
 	firstWhole    bool
 	parts         []*part
 	need          int // m: parts that suffice
-	chosen        int // s: parts asked for at first
 	in            float64
 	inCount       int
-	held          int // queries and parts counted against MaxOpen
 	over          bool
 }
 
@@ -28,12 +25,14 @@
 	q        *query
 	shard    int
 	weight   float64
-	work     float64
 	attempts []*attempt
 	out      int
 	sent     bool // asked for, or due to be
 	in       bool
 	dead     bool // no further attempt can help
+	gone     bool // its query or step has ended
+	rank     int  // how unfit its best holder is, and that one's load
+	load     int
 	retryAt  float64
 }
 
@@ -50,6 +49,16 @@
 	ahead    int // our calls already out at the replica
 }
 
+// firstRun is the first attempt that may have run, nil if there is none.
+func (pt *part) firstRun() *attempt {
+	for _, a := range pt.attempts {
+		if !a.neverRan {
+			return a
+		}
+	}
+	return nil
+}
+
 // call is what one turn sends to one replica; its parts count once as load.
 type call struct {
 	turn  uint64
@@ -62,7 +71,6 @@
 	id      uint64
 	cell    int
 	state   Readiness
-	size    float64
 	started float64
 	calls   int
 	call    *call // the newest
