--- a/policy/policy.go
+++ b/policy/policy.go
@@ -669,8 +669,8 @@
 		}
 		r.faults.add(1, faultShare)
 		r.passed = 0
-		if o == Unreachable || o == Broken { // down; one that only fails some parts is tried again at once
-			r.trialAt, r.down = p.now+trialGap*p.promise, true
+		if o != Failed { // down or full; one that only fails some parts is tried again at once
+			r.trialAt, r.down = p.now+trialGap*p.promise, o == Unreachable || o == Broken
 		}
 		if r.faults.value > faultLimit && r.faults.n > 1 || o == Unreachable || o == Broken {
 			p.suspect(r, "faults")
