--- a/policy/policy.go
+++ b/policy/policy.go
@@ -670,7 +670,7 @@
 		r.faults.add(1, faultShare)
 		r.passed = 0
 		if o != Failed { // down or full; one that only fails some parts is tried again at once
-			r.trialAt, r.down = p.now+trialGap*p.promise, o == Unreachable || o == Broken
+			r.trialAt, r.down = p.now+trialGap*p.promise, o != TimedOut
 		}
 		if r.faults.value > faultLimit && r.faults.n > 1 || o == Unreachable || o == Broken {
 			p.suspect(r, "faults")
--- a/policy/state.go
+++ b/policy/state.go
@@ -81,7 +81,7 @@
 	pace     ewma    // latency over what its class expects
 	faults   ewma    // share of attempts that failed
 	suspect  bool
-	down     bool // refused its last connection
+	down     bool // took nothing when last tried: no connection, or full
 	since    float64
 	trialAt  float64
 	passed   int    // good trials in a row
