--- /dev/null
+++ b/policy/fuzz_test.go
@@ -0,0 +1,446 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// checker keeps rules 1, 2, 3, 5 and 6 from what went in and came out alone; it shares no code with the module.
+type checker struct {
+	cfg     Config
+	faults  []string
+	queries map[uint64]*seenQuery
+	groups  map[uint64]*seenQuery
+	parts   map[uint64]*seenPart
+	told    map[uint64]float64 // replica to the time at which it was told of as unfit; absent while up
+	known   map[uint64]bool
+	reqs    []float64
+	extras  []float64
+}
+
+type seenQuery struct {
+	class    Class
+	due      float64
+	step     int
+	whole    bool
+	finals   int
+	left     bool
+	parts    []*seenPart
+	attempts int
+}
+
+type seenPart struct {
+	id      uint64
+	q       *seenQuery
+	step    int
+	shard   int
+	weight  float64
+	in      bool
+	sentAt  []float64
+	ended   []bool
+	unrun   []bool
+	replica []uint64
+}
+
+func newChecker(cfg Config) *checker {
+	return &checker{
+		cfg: cfg, queries: map[uint64]*seenQuery{}, groups: map[uint64]*seenQuery{}, parts: map[uint64]*seenPart{},
+		told: map[uint64]float64{}, known: map[uint64]bool{},
+	}
+}
+
+func (c *checker) fault(rule int, format string, args ...any) {
+	c.faults = append(c.faults, fmt.Sprintf("rule %d: ", rule)+fmt.Sprintf(format, args...))
+}
+
+func (c *checker) event(now float64, ev Event) {
+	switch ev.Kind {
+	case QueryArrived:
+		q := &seenQuery{class: c.cfg.Classes[ev.Class], due: ev.Due, step: 1}
+		c.queries[ev.Query], c.groups[ev.Group] = q, q
+		c.reqs = append(c.reqs, now)
+	case PartArrived:
+		q := c.groups[ev.Group]
+		pt := &seenPart{id: ev.Part, q: q, step: q.step, shard: ev.Shard, weight: ev.Weight}
+		q.parts = append(q.parts, pt)
+		c.parts[ev.Part] = pt
+		c.reqs = append(c.reqs, now)
+	case AttemptEnded:
+		pt := c.parts[ev.Part]
+		pt.ended[ev.Attempt] = true
+		pt.unrun[ev.Attempt] = ev.Outcome == Rejected || ev.Outcome == Unreachable || ev.Outcome == Moot
+		pt.in = pt.in || ev.Outcome == OK
+	case ClientLeft:
+		if q := c.queries[ev.Query]; q.finals == 0 {
+			c.fault(1, "the client left query %d without an answer", ev.Query)
+			q.left = true
+		}
+	case ListChanged:
+		if ev.Full {
+			for id := range c.known {
+				if _, old := c.told[id]; !old {
+					c.told[id] = now
+				}
+			}
+		}
+		for _, e := range ev.List {
+			c.known[e.Replica] = true
+			if e.State == Up {
+				delete(c.told, e.Replica)
+			} else if _, old := c.told[e.Replica]; !old {
+				c.told[e.Replica] = now
+			}
+		}
+	}
+}
+
+func (c *checker) action(now float64, a Action) {
+	switch a.Verb {
+	case Send:
+		c.send(now, a)
+	case Answer, Refuse, Fail:
+		q := c.queries[a.Query]
+		if q.finals > 0 || q.left {
+			c.fault(1, "query %d has a second final answer", a.Query)
+			return
+		}
+		if now > q.due+0.02 {
+			c.fault(1, "query %d was answered %.3f s after its end", a.Query, now-q.due)
+		}
+		in, all := 0.0, true
+		for _, pt := range q.parts {
+			switch {
+			case pt.step != q.step:
+			case pt.in:
+				in += pt.weight
+			default:
+				all = false
+			}
+			for i := range pt.sentAt {
+				if a.Verb == Refuse && q.class.Effect == Unsafe && !pt.unrun[i] {
+					c.fault(2, "query %d was refused though attempt %d of part %d may have run", a.Query, i, pt.id)
+				}
+			}
+		}
+		if a.Verb == Answer {
+			if floor := q.class.Floor; in < floor-1e-4 || q.step == 2 && floor >= q.class.Need && !all {
+				c.fault(5, "query %d was answered from %.3f of step %d", a.Query, in, q.step)
+			}
+			if a.Full && (q.step == 1 && in < q.class.Need-1e-4 || q.step == 2 && !(all && q.whole)) {
+				c.fault(5, "query %d was marked whole from %.3f of step %d", a.Query, in, q.step)
+			}
+			if q.step == 1 && q.class.FollowUp > 0 {
+				q.step, q.whole = 2, a.Full
+				return
+			}
+		}
+		q.finals++
+	}
+}
+
+func (c *checker) send(now float64, a Action) {
+	pt := c.parts[a.Part]
+	q := pt.q
+	if q.finals > 0 || q.left || pt.step != q.step || now > q.due {
+		c.fault(1, "part %d was sent after its end", a.Part)
+	}
+	if at, unfit := c.told[a.Replica]; unfit && now > at+c.cfg.DrainGrace {
+		c.fault(3, "part %d was sent to replica %d, told of as unfit %.3f s ago", a.Part, a.Replica, now-at)
+	}
+	out := 0
+	for i, at := range pt.sentAt {
+		if !pt.ended[i] {
+			out++
+		}
+		if pt.unrun[i] {
+			continue
+		}
+		if q.class.Effect == Unsafe || q.class.Effect == Keyed && now > at+q.class.Window {
+			c.fault(2, "part %d was sent again after attempt %d may have run", a.Part, i)
+		}
+	}
+	if out > 1 || out == 1 && !c.cfg.SecondCopies {
+		c.fault(6, "part %d has %d attempts out already", a.Part, out)
+	}
+	if len(pt.sentAt) >= c.cfg.MaxAttempts {
+		c.fault(6, "part %d has had its %d attempts", a.Part, len(pt.sentAt))
+	}
+	if len(pt.sentAt) > 0 && c.cfg.ExtraSpan > 0 {
+		c.extras = append(c.extras, now)
+		n := func(at []float64) (n int) {
+			for _, t := range at {
+				if t >= now-c.cfg.ExtraSpan {
+					n++
+				}
+			}
+			return n
+		}
+		if limit := c.cfg.ExtraFree + c.cfg.ExtraPerRequest*float64(n(c.reqs)); float64(n(c.extras)) > limit+1e-9 {
+			c.fault(6, "%d further attempts in the window, %.2f earned", n(c.extras), limit)
+		}
+	}
+	pt.sentAt = append(pt.sentAt, now)
+	pt.ended = append(pt.ended, false)
+	pt.unrun = append(pt.unrun, false)
+	pt.replica = append(pt.replica, a.Replica)
+}
+
+// world makes up legal events: it answers what was sent in odd orders, moves the list, lets time pass. It
+// models no servers and measures nothing.
+type world struct {
+	rng   *rand.Rand
+	cfg   Config
+	now   float64
+	chk   *checker
+	p     *Policy
+	out   []pending
+	ids   uint64
+	steps []followUp
+	alter func(Action) Action // breaks an action on purpose
+	list  []Entry
+}
+
+type pending struct {
+	at float64
+	ev Event
+}
+
+type followUp struct{ query, group uint64 }
+
+func randomConfig(rng *rand.Rand) Config {
+	cfg := Config{
+		Seed: rng.Uint64(), Resolution: 0.005, Aggregators: 1 + rng.IntN(4), MaxAttempts: 2 + rng.IntN(4),
+		Cancel: rng.IntN(4) > 0, SecondCopies: rng.IntN(4) > 0, RetryAfter: rng.IntN(2) > 0, MaxRetryAfter: 0.5,
+		Cells: 1 + rng.IntN(4), Reach: 1, Shards: 12, CallParts: 1 + rng.IntN(8), DrainGrace: 0.25, AnswerSlack: 0.02,
+		ColdFrom: 0.2, WarmUp: 10, FallMultiple: 2, TipAfter: 1, MaxOpen: 40 + rng.IntN(300), OverShareKeep: 0.1,
+		Tenants: []Tenant{{Quota: 5, Share: 0.5}, {Quota: 5, Share: 0.5}},
+	}
+	cfg.Reach = 1 + rng.IntN(min(2, cfg.Cells))
+	if rng.IntN(2) > 0 {
+		cfg.ExtraFree, cfg.ExtraPerRequest, cfg.ExtraSpan = float64(rng.IntN(12)), 0.2*rng.Float64(), 0.5+3*rng.Float64()
+	}
+	for range 1 + rng.IntN(3) {
+		need := []float64{1, 1, 0.75, 0.5}[rng.IntN(4)]
+		cfg.Classes = append(cfg.Classes, Class{
+			Promise: 0.3 + rng.Float64(), GiveUp: 4, LateWorth: []float64{0, 0.1, 0.5}[rng.IntN(3)], Points: 1,
+			Effect: Effect(rng.IntN(3)), Window: 0.3 + 2*rng.Float64(), Need: need, Floor: need * []float64{1, 1, 0.6}[rng.IntN(3)],
+			FollowUp: []int{0, 0, 2}[rng.IntN(3)], ShortWorth: 0.9,
+		})
+	}
+	return cfg
+}
+
+func newWorld(seed uint64, alter func(Action) Action) *world {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	w := &world{rng: rng, cfg: randomConfig(rng), now: 1000, alter: alter}
+	w.chk, w.p = newChecker(w.cfg), New(w.cfg)
+	for i := range uint64(2 + rng.IntN(10)) {
+		w.list = append(w.list, Entry{Replica: 10 + i, Cell: rng.IntN(w.cfg.Cells)})
+	}
+	w.turn([]Event{{Kind: ListChanged, Full: true, Stale: true, List: append([]Entry(nil), w.list...)}})
+	return w
+}
+
+func (w *world) turn(events []Event) {
+	for _, ev := range events {
+		w.chk.event(w.now, ev)
+	}
+	for _, a := range w.p.Handle(w.now, events) {
+		if w.alter != nil {
+			a = w.alter(a)
+		}
+		w.chk.action(w.now, a)
+		switch a.Verb {
+		case Send:
+			w.outcome(a)
+		case Cancel:
+			for i := range w.out {
+				if e := &w.out[i]; e.ev.Kind == AttemptEnded && e.ev.Part == a.Part && e.ev.Attempt == a.Attempt && w.rng.IntN(5) > 0 {
+					e.at, e.ev.Outcome = w.now, Revoked
+				}
+			}
+		case Timer:
+			w.out = append(w.out, pending{w.now + a.After, Event{Kind: TimerFired, Handle: a.Handle}})
+		case Answer:
+			if q := w.chk.queries[a.Query]; q.finals == 0 && q.step == 2 {
+				w.steps = append(w.steps, followUp{a.Query, a.Query})
+			}
+		}
+	}
+}
+
+// outcome makes up how an attempt ends: mostly well, at times badly, at times only when the client has gone.
+func (w *world) outcome(a Action) {
+	pt := w.chk.parts[a.Part]
+	took, o := 0.02+0.2*w.rng.ExpFloat64(), OK
+	switch w.rng.IntN(10) {
+	case 0:
+		o = Outcome(1 + w.rng.IntN(7))
+	case 1:
+		took *= 20
+	case 2:
+		took, o = 0.001, Outcome(1+w.rng.IntN(7))
+	}
+	if at := pt.q.due; w.now+took >= at {
+		took, o = at-w.now, TimedOut
+	}
+	w.out = append(w.out, pending{w.now + took, Event{
+		Kind: AttemptEnded, Part: a.Part, Attempt: len(pt.sentAt) - 1, Replica: a.Replica, Outcome: o, Took: took,
+	}})
+}
+
+func (w *world) step() {
+	w.now += 0.005
+	var events []Event
+	for _, s := range w.steps {
+		n := 1 + w.rng.IntN(w.cfg.Shards/2)
+		for range n {
+			w.ids++
+			events = append(events, Event{Kind: PartArrived, Part: w.ids, Group: s.group, Shard: w.rng.IntN(w.cfg.Shards), Weight: 1 / float64(n)})
+		}
+	}
+	w.steps = w.steps[:0]
+	left := w.out[:0]
+	for _, e := range w.out {
+		if e.at > w.now {
+			left = append(left, e)
+			continue
+		}
+		events = append(events, e.ev)
+	}
+	w.out = left
+	for id, q := range w.chk.queries { // overdue ones: an order of no weight, since none should be
+		if q.finals == 0 && !q.left && w.now > q.due+0.02 {
+			events = append(events, Event{Kind: ClientLeft, Query: id})
+		}
+	}
+	if w.rng.IntN(60) == 0 {
+		i := w.rng.IntN(len(w.list))
+		e := &w.list[i]
+		e.State = Readiness(w.rng.IntN(3))
+		if w.rng.IntN(2) > 0 {
+			e.State, e.Started = Up, w.now-w.rng.Float64()
+		}
+		events = append(events, Event{Kind: ListChanged, List: []Entry{*e}})
+	}
+	for range w.rng.IntN(3) * w.rng.IntN(2) {
+		w.ids++
+		q, class := w.ids, w.rng.IntN(len(w.cfg.Classes))
+		n := 1 + w.rng.IntN(6)
+		events = append(events, Event{
+			Kind: QueryArrived, Query: q, Group: q, Class: class, Tenant: w.rng.IntN(3) - 1, Due: w.now + 0.1 + 3*w.rng.Float64(), Count: n,
+		})
+		for i := range n {
+			w.ids++
+			events = append(events, Event{Kind: PartArrived, Part: w.ids, Group: q, Class: class, Shard: (i + int(q)) % w.cfg.Shards, Weight: 1 / float64(n)})
+		}
+	}
+	w.turn(events)
+}
+
+func TestRulesUnderRandomEvents(t *testing.T) {
+	answered, refused, failed := 0, 0, 0
+	for seed := range uint64(120) {
+		w := newWorld(seed, func(a Action) Action {
+			switch a.Verb {
+			case Answer:
+				answered++
+			case Refuse:
+				refused++
+			case Fail:
+				failed++
+			}
+			return a
+		})
+		for range 1600 {
+			w.step()
+		}
+		if len(w.chk.faults) > 0 {
+			t.Fatalf("seed %d: %d faults, the first: %s\nsettings %+v", seed, len(w.chk.faults), w.chk.faults[0], w.cfg)
+		}
+	}
+	if answered < 1000 || refused < 100 || failed < 100 {
+		t.Fatalf("%d answered, %d refused, %d failed: too few of a kind to tell anything", answered, refused, failed)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	trace := func() (s string) {
+		w := newWorld(5, nil)
+		w.alter = func(a Action) Action { s += fmt.Sprintln(w.now, a); return a }
+		for range 800 {
+			w.step()
+		}
+		return s
+	}
+	if a, b := trace(), trace(); a != b || len(a) < 1000 {
+		t.Fatal("the same events gave other actions")
+	}
+}
+
+// The checker itself: each rule broken on purpose in what the module says must be found.
+func TestCheckerFindsBrokenRules(t *testing.T) {
+	broken := map[int]func(w *world) func(Action) Action{
+		1: func(w *world) func(Action) Action { // a final answer goes astray
+			n := 0
+			return func(a Action) Action {
+				if a.Verb == Refuse || a.Verb == Fail {
+					if n++; n == 3 {
+						return Action{Verb: Log}
+					}
+				}
+				return a
+			}
+		},
+		2: func(w *world) func(Action) Action { // an unsafe failure is told as a refusal
+			return func(a Action) Action {
+				if a.Verb == Fail {
+					a.Verb = Refuse
+				}
+				return a
+			}
+		},
+		3: func(w *world) func(Action) Action { // a send goes to a replica that was told of as unfit
+			return func(a Action) Action {
+				if a.Verb == Send {
+					for _, e := range w.list {
+						if at, unfit := w.chk.told[e.Replica]; unfit && w.now > at+w.cfg.DrainGrace {
+							a.Replica = e.Replica
+						}
+					}
+				}
+				return a
+			}
+		},
+		5: func(w *world) func(Action) Action { // every answer is marked whole, every failure is an answer
+			return func(a Action) Action {
+				if a.Verb == Fail {
+					a.Verb = Answer
+				}
+				a.Full = a.Verb == Answer
+				return a
+			}
+		},
+		6: func(w *world) func(Action) Action { // the budget in force is smaller than the one that was told
+			w.chk.cfg.ExtraFree, w.chk.cfg.ExtraPerRequest, w.chk.cfg.ExtraSpan = 0, 0.001, 2
+			return func(a Action) Action { return a }
+		},
+	}
+	for rule, how := range broken {
+		found := false
+		for seed := uint64(0); seed < 30 && !found; seed++ {
+			w := newWorld(seed, nil)
+			w.alter = how(w)
+			for range 1200 {
+				w.step()
+			}
+			for _, f := range w.chk.faults {
+				found = found || f[5] == byte('0'+rule)
+			}
+		}
+		if !found {
+			t.Errorf("rule %d was broken on purpose and no fault was found", rule)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -891,10 +891,9 @@
 		return
 	}
 	a := Action{Verb: Refuse, Query: q.id}
-	for _, pt := range q.parts {
-		if p.cfg.Classes[q.class].Effect != Safe && (q.step == 2 || pt.firstRun() != nil) { // rule 2
-			a.Verb = Fail
-		}
+	ran := func(pt *part) bool { return pt.firstRun() != nil }
+	if p.cfg.Classes[q.class].Effect != Safe && (q.step == 2 || slices.ContainsFunc(q.parts, ran)) {
+		a.Verb = Fail // rule 2; what the first step ran is forgotten by now, and its parts with it
 	}
 	if a.Verb == Refuse && p.cfg.RetryAfter {
 		a.After = math.Min(p.cfg.MaxRetryAfter, p.models[q.class].mean)
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -569,3 +569,17 @@
 		t.Errorf("%d copies for some %d parts while all slowed down alike", copies, asked/2)
 	}
 }
+
+// Found by random events: an unsafe query between its two steps has no parts, yet its first step ran.
+func TestUnsafeBetweenStepsIsNotRefused(t *testing.T) {
+	cfg := settings(Unsafe)
+	cfg.Classes[0].FollowUp = 1
+	r := newRig(t, cfg)
+	_, _, acts := r.ask(1, 0.5)
+	s := of(Send, acts)
+	r.end(s[0].Part, 0, s[0].Replica, OK)
+	f := finals(r.run(1))
+	if len(f) != 1 || f[0].Verb != Fail {
+		t.Fatalf("want one failure, got %+v", f)
+	}
+}
