Give costly parts, by their hints, as much more time before they are late

Change: the late age and the expected latency of a part grow with its hint over its class's mean hint. May hurt where hints are false and high: a lost part then waits longer.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,7 @@
 	// Further attempts.
 	pauseShare  = 0.1  // of the promise: first wait of a part that has no sound holder left, then doubled
 	tailShare   = 0.95 // quantile of latencies after which a part counts as late: 5 % are
+	workShare   = 0.02 // weight of the newest work hint: hints are rough, some 50 of them make the mean
 	lateTimes   = 1.5  // means: a part younger than this is never late, however tight the tail
 	lateLeast   = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
 	lostTimes   = 2.0  // times late: the part's answer is taken for lost, whatever else its replica answers
@@ -70,6 +71,7 @@
 	delta, spread float64 // Δ and 1/μ
 	mean, tail    float64
 	seen          samples
+	work          ewma // hints of parts
 }
 
 // Policy is one instance.
@@ -204,7 +206,13 @@
 	if q.step == 2 && !slices.Contains(p.fresh, q) {
 		p.fresh = append(p.fresh, q)
 	}
-	pt := &part{id: ev.Part, q: q, shard: ev.Shard, weight: ev.Weight}
+	pt := &part{id: ev.Part, q: q, shard: ev.Shard, weight: ev.Weight, heavy: 1}
+	if md := &p.models[q.class]; ev.Work > 0 {
+		if md.work.n >= leastSeen { // guards against copies of costly parts, which are late for their work
+			pt.heavy = math.Max(1, ev.Work/md.work.value)
+		}
+		md.work.add(ev.Work, workShare)
+	}
 	q.parts = append(q.parts, pt)
 	p.parts[pt.id] = pt
 }
@@ -565,7 +573,7 @@
 			return
 		}
 	}
-	late := p.late(q.class)
+	base := p.late(q.class)
 	for _, pt := range q.parts {
 		if q.over {
 			return
@@ -573,6 +581,7 @@
 		if pt.in || pt.dead || !pt.sent {
 			continue
 		}
+		late := base * pt.heavy
 		if pt.out == 0 {
 			if pt.retryAt <= p.now {
 				if len(pt.attempts) == 0 {
@@ -597,7 +606,7 @@
 		if !lost && !a.r.suspect && (age < late || p.stress.value > stressMean) {
 			continue
 		}
-		if !p.releaseOne(q, late) {
+		if !p.releaseOne(q, base) {
 			p.try(pt, !lost)
 		}
 	}
@@ -612,7 +621,7 @@
 			asked++
 		}
 		if !pt.in && pt.out > 0 {
-			if a := pt.attempts[len(pt.attempts)-1]; !a.r.suspect && p.now-a.sentAt < late {
+			if a := pt.attempts[len(pt.attempts)-1]; !a.r.suspect && p.now-a.sentAt < late*pt.heavy {
 				good++
 			}
 		}
@@ -654,7 +663,7 @@
 		if x := took / p.expected(a); r.heardAt < a.sentAt && x > math.Max(1, r.pace.value) {
 			r.pace.add(x, paceShare)
 		}
-		if r.heardAt < a.sentAt && took >= p.late(a.p.q.class) {
+		if r.heardAt < a.sentAt && took >= p.late(a.p.q.class)*a.p.heavy {
 			// Guards against silence that second copies hide: no attempt is out long enough to show it.
 			if r.unheard++; r.unheard >= silentLeast {
 				p.suspect(r, "silent")
@@ -681,7 +690,7 @@
 // expected is the latency that an attempt's class and the calls ahead of it explain. Without the latter the
 // mates of a failed replica, which take its load, look slow for it and are left out as well.
 func (p *Policy) expected(a *attempt) float64 {
-	return p.models[a.p.q.class].mean * float64(1+a.ahead) / (1 + p.ahead.value)
+	return p.models[a.p.q.class].mean * a.p.heavy * float64(1+a.ahead) / (1 + p.ahead.value)
 }
 
 func (p *Policy) suspect(r *replica, why string) {
@@ -711,7 +720,7 @@
 		}
 		if len(r.outs) > 0 {
 			a := r.outs[0]
-			if r.heardAt < a.sentAt && p.now-a.sentAt > silentTimes*p.late(a.p.q.class) {
+			if r.heardAt < a.sentAt && p.now-a.sentAt > silentTimes*p.late(a.p.q.class)*a.p.heavy {
 				p.suspect(r, "silent")
 			}
 		}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -583,3 +583,30 @@
 		t.Fatalf("want one failure, got %+v", f)
 	}
 }
+
+// A part whose hint says six times the usual work is not late for taking six times as long.
+func TestCostlyPartIsGivenItsTime(t *testing.T) {
+	copies := func(work float64) int {
+		r := newRig(t, settings(Safe))
+		part := func(work float64) (Event, Event) {
+			r.next += 100
+			q := Event{Kind: QueryArrived, Query: r.next, Group: r.next, Tenant: -1, Due: r.now + 3.9, Count: 1}
+			return q, Event{Kind: PartArrived, Part: r.next + 1, Group: r.next, Weight: 1, Work: work}
+		}
+		for range 60 {
+			q, pt := part(0.02)
+			acts := r.do(q, pt)
+			r.end(pt.Part, 0, of(Send, acts)[0].Replica, OK)
+		}
+		r.run(2.1)
+		q, pt := part(work)
+		r.do(q, pt)
+		return len(of(Send, r.run(0.5)))
+	}
+	if n := copies(0.02); n == 0 {
+		t.Fatal("an ordinary part five times late was not sent elsewhere")
+	}
+	if n := copies(0.12); n > 0 {
+		t.Fatalf("a costly part was sent %d times more within the time its work takes", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -25,6 +25,7 @@
 	q        *query
 	shard    int
 	weight   float64
+	heavy    float64 // work hint over its class's mean, at least 1
 	attempts []*attempt
 	out      int
 	sent     bool // asked for, or due to be
