--- a/policy/policy.go
+++ b/policy/policy.go
@@ -334,8 +334,7 @@
 // Replica choice.
 
 // pick returns the holder with fewest of our calls out among the fittest, ties at random, and how unfit
-// it is: 0 sound, 1 suspect, 2 tried for this part before, 3 both. A call that is being filled in this
-// turn costs no more for one part more, so it counts as the next call would elsewhere.
+// it is: 0 sound, 1 suspect, 2 tried for this part before, 3 both. Parts that share a call count once.
 func (p *Policy) pick(pt *part) (best *replica, rank int) {
 	load, ties := 0, 0
 	for _, r := range p.holders(pt.shard) {
