--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,7 @@
 
 	// Further attempts.
 	pauseShare  = 0.1  // of the promise: first wait of a part that has no sound holder left, then doubled
-	tailShare   = 0.95 // quantile of latencies after which a part counts as late: 5 % are
+	tailShare   = 0.98 // quantile of latencies after which a part counts as late: 2 % are
 	workShare   = 0.02 // weight of the newest work hint: hints are rough, some 50 of them make the mean
 	lateTimes   = 1.5  // means: a part younger than this is never late, however tight the tail
 	lateLeast   = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
