--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -102,6 +102,7 @@
 		MustAsk:         s.pairs["membership_mode"] == "subscribe",
 		MustAskIn:       s.float("invariants.must_ask_in_s", 0),
 		OverShareKeep:   s.float("over_share_worth", 1),
+		WorthByWork:     s.pairs["worth_by"] == "work",
 		ReportNames:     s.list("reporting.names"),
 	}
 	for i, z := range names.zones {
--- a/policy/api.go
+++ b/policy/api.go
@@ -68,6 +68,7 @@
 
 	MustAsk       bool // the list comes only when it is asked for
 	MustAskIn     float64
+	WorthByWork   bool    // a query's worth grows with the work of its parts
 	OverShareKeep float64 // share of its worth that a query over its tenant's share keeps
 	ReportNames   []string
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -58,6 +58,7 @@
 	shareSlack = 1.1 // times its share: short swings are let pass
 	waitShare  = 0.4 // of the promise: mean time of a part that still lets the last of them be in time
 	overRoom   = 0.6 // of that: where queries over their tenant's share, which earn little, are turned away
+	valueMost  = 1.5 // most that a query's worth for its work stretches or shrinks that time
 	slowShare  = 0.5 // of that: recent latency from which queues are taken to have formed
 	fullOpen   = 0.9 // of max_open: from here queries over a tenant's share are refused, lest others are
 	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
@@ -101,6 +102,7 @@
 	done             window // answers of parts
 	ahead            ewma   // calls already out where attempts went
 	stress           ewma   // latency over promise
+	value            ewma   // worth for the work of a part
 	drag             ewma   // latest latencies over the estimates
 	promise          float64
 	tick             float64
@@ -817,6 +819,14 @@
 	if c.FollowUp > 0 {
 		wait /= 2 // the promise holds for both steps
 	}
+	value := c.Points // for the work of a part
+	if !p.cfg.WorthByWork {
+		value /= float64(q.need)
+	}
+	p.value.add(value, workShare)
+	if p.value.value > 0 {
+		wait *= math.Max(1/valueMost, math.Min(valueMost, math.Sqrt(value/p.value.value)))
+	}
 	over := p.overShare(q)
 	if over {
 		wait *= overRoom
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -610,3 +610,31 @@
 		t.Fatalf("a costly part was sent %d times more within the time its work takes", n)
 	}
 }
+
+// While latencies show queues, the class that is worth less for its work is refused first.
+func TestLessWorthIsRefusedFirst(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.WorthByWork = true
+	rich := cfg.Classes[0]
+	rich.Points = 4
+	cfg.Classes = append(cfg.Classes, rich)
+	r := newRig(t, cfg)
+	for range 400 { // slow answers, many of them: queues have formed
+		_, _, acts := r.ask(4, 3)
+		r.now += 0.02
+		for _, a := range of(Send, acts) {
+			r.do(Event{Kind: AttemptEnded, Part: a.Part, Replica: a.Replica, Outcome: OK, Took: 0.3})
+		}
+	}
+	refused := [2]int{}
+	for i := range 200 {
+		r.next += 100
+		acts := r.do(
+			Event{Kind: QueryArrived, Query: r.next, Group: r.next, Class: i % 2, Tenant: -1, Due: r.now + 3, Count: 1},
+			Event{Kind: PartArrived, Part: r.next + 1, Group: r.next, Weight: 1})
+		refused[i%2] += len(of(Refuse, acts))
+	}
+	if refused[0] <= refused[1] || refused[0] == 0 {
+		t.Fatalf("%d of little and %d of much worth were refused", refused[0], refused[1])
+	}
+}
