Give up late queries while max_open is nearly reached

Cause: queries past their promise, worth a tenth to a third, hold places for new ones worth all. May hurt where late worth is high.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,7 +60,7 @@
 	overRoom   = 0.6 // of that: where queries over their tenant's share, which earn little, are turned away
 	valueMost  = 1.5 // most that a query's worth for its work stretches or shrinks that time
 	slowShare  = 0.5 // of that: recent latency from which queues are taken to have formed
-	fullOpen   = 0.9 // of max_open: from here queries over a tenant's share are refused, lest others are
+	fullOpen   = 0.9 // of max_open: from here late queries and those over a tenant's share make room
 	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
 	leastOut   = 4.0 // parts out at one replica that are always allowed
 	rateSpan   = 2.0 // promises: window of one replica's rate
@@ -568,8 +568,9 @@
 	}
 	if age := p.now - q.arrived; age+p.tick >= c.Promise {
 		// After the promise a short answer may be worth more than waiting for the whole, and a class that
-		// earns nothing late is given up: its parts only keep others waiting.
-		if p.shortWorth(q) > c.LateWorth || c.LateWorth == 0 && age >= c.Promise {
+		// earns nothing late is given up: its parts only keep others waiting. So is any late one while the
+		// instance is full, since a new query in its place may earn its whole worth.
+		if p.shortWorth(q) > c.LateWorth || age >= c.Promise && (c.LateWorth == 0 || p.full()) {
 			p.giveUp(q)
 			return
 		}
@@ -843,11 +844,15 @@
 	if hope < q.need {
 		return true
 	}
-	full := p.cfg.MaxOpen > 0 && float64(len(p.queries)+len(p.parts)) > fullOpen*float64(p.cfg.MaxOpen)
 	// A rate seen in a lull says little, so latencies must show the queues as well.
 	slow := p.stress.value > slowShare*waitShare
 	room := wait * float64(p.done.count(p.now-p.promise)) / p.promise
-	return full && over || slow && float64(out) > math.Max(leastRoom*p.share(q.need), room)
+	return p.full() && over || slow && float64(out) > math.Max(leastRoom*p.share(q.need), room)
+}
+
+// full tells that queries will soon be turned away before they reach this instance.
+func (p *Policy) full() bool {
+	return p.cfg.MaxOpen > 0 && float64(len(p.queries)+len(p.parts)) > fullOpen*float64(p.cfg.MaxOpen)
 }
 
 func (p *Policy) overShare(q *query) bool {
