Shrink the room by how far a tenant is over its share, chance and retries left out

Change: room and stress limit shrink by how many times over its share a tenant is; its fair count is its part of the quota or its share of our arrivals, whichever is more, and 0.7 roots of that for chance; retries do not count. May hurt tenants of uneven traffic while latencies are high.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,10 +54,9 @@
 	coldMemory = 5.0 // tip_after: how far back own sends are counted to infer what a warm one takes
 
 	// Admission.
-	shareSpan  = 2.0 // promises: window of a tenant's rate
-	shareSlack = 1.1 // times its share: short swings are let pass
+	shareSpan  = 3.0 // promises: window of a tenant's rate
+	shareSlack = 0.7 // roots of a tenant's fair count beyond it that are let pass as chance
 	waitShare  = 0.4 // of the promise: mean time of a part that still lets the last of them be in time
-	overRoom   = 0.6 // of that: where queries over their tenant's share, which earn little, are turned away
 	valueMost  = 1.5 // most that a query's worth for its work stretches or shrinks that time
 	slowShare  = 0.5 // of that: recent latency from which queues are taken to have formed
 	fullOpen   = 0.9 // of max_open: from here late queries and those over a tenant's share make room
@@ -193,9 +192,11 @@
 	p.open = append(p.open, q)
 	p.fresh = append(p.fresh, q)
 	p.requests.add(p.now)
-	p.arrivals.add(p.now)
-	if q.tenant >= 0 {
-		p.tenants[q.tenant].add(p.now)
+	if !ev.Retry { // a client's new try of what it asked before is no more traffic of its tenant's
+		p.arrivals.add(p.now)
+		if q.tenant >= 0 {
+			p.tenants[q.tenant].add(p.now)
+		}
 	}
 }
 
@@ -829,9 +830,7 @@
 		wait *= math.Max(1/valueMost, math.Min(valueMost, math.Sqrt(value/p.value.value)))
 	}
 	over := p.overShare(q)
-	if over {
-		wait *= overRoom
-	}
+	wait /= over
 	hope := len(q.parts)
 	for _, pt := range q.parts {
 		if !slices.ContainsFunc(p.holders(pt.shard), func(r *replica) bool {
@@ -845,9 +844,9 @@
 		return true
 	}
 	// A rate seen in a lull says little, so latencies must show the queues as well.
-	slow := p.stress.value > slowShare*waitShare
+	slow := p.stress.value > slowShare*waitShare/over
 	room := wait * float64(p.done.count(p.now-p.promise)) / p.promise
-	return p.full() && over || slow && float64(out) > math.Max(leastRoom*p.share(q.need), room)
+	return p.full() && over > 1 || slow && float64(out) > math.Max(leastRoom*p.share(q.need)/over, room)
 }
 
 // full tells that queries will soon be turned away before they reach this instance.
@@ -855,14 +854,17 @@
 	return p.cfg.MaxOpen > 0 && float64(len(p.queries)+len(p.parts)) > fullOpen*float64(p.cfg.MaxOpen)
 }
 
-func (p *Policy) overShare(q *query) bool {
+// overShare tells how many times over its share a query's tenant is, at least 1. Only this instance's own
+// traffic is known, so the tenant must be over both its part of the quota and its share of what comes here.
+func (p *Policy) overShare(q *query) float64 {
 	if q.tenant < 0 || p.cfg.OverShareKeep >= 1 {
-		return false
+		return 1
 	}
 	t, span := &p.cfg.Tenants[q.tenant], shareSpan*p.promise
 	mine := float64(p.tenants[q.tenant].count(p.now - span))
 	all := float64(p.arrivals.count(p.now - span))
-	return mine > shareSlack*span*t.Quota/float64(p.cfg.Aggregators) && mine > shareSlack*t.Share*all
+	fair := math.Max(span*t.Quota/float64(p.cfg.Aggregators), t.Share*all)
+	return math.Max(1, mine/math.Max(1, fair+shareSlack*math.Sqrt(fair)))
 }
 
 // Answers.
