--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,6 @@
 	lateTimes   = 1.5  // means: a part younger than this is never late, however tight the tail
 	lateLeast   = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
 	lostTimes   = 2.0  // times late: the part's answer is taken for lost, whatever else its replica answers
-	stressMean  = 0.35 // of the promise: recent latency above which all is slow, and copies only add to it
 	copiesShare = 0.5  // of the budget that copies of late parts may use up: the rest is for failed ones
 	ownExtra    = 0.20 // copies for each part taken, where no budget is stated: bounds a storm of them
 	ownFree     = 8.0  // copies free of that share, so that a small instance has some
@@ -606,7 +605,7 @@
 		// Guards against answers that never come from a replica that goes on answering others (a stuck
 		// worker, a lost reply): the part goes elsewhere though no replica looks unsound.
 		lost := age >= lostTimes*late
-		if !lost && !a.r.suspect && (age < late || p.stress.value > stressMean) {
+		if !lost && !a.r.suspect && age < late {
 			continue
 		}
 		if !p.releaseOne(q, base) {
