--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,6 @@
 	paceLimit   = 2.5  // times the middle pace of the list: slower is suspect; queueing alone stays under
 	paceLeast   = 4    // samples before a pace is believed
 	silentTimes = 3.0  // times late without any answer from a replica that owes one: silent
-	silentLeast = 3    // attempts in a row given up as late with nothing heard since: silent as well
 	trialGap    = 0.5  // promises between trials of a suspect
 	trialsOK    = 2    // good trials in a row that end the suspicion
 
@@ -645,7 +644,7 @@
 	r := a.r
 	switch o {
 	case OK:
-		r.heardAt, r.down, r.unheard = p.now, false, 0
+		r.heardAt, r.down = p.now, false
 		r.faults.add(0, faultShare)
 		r.pace.add(took/p.expected(a), paceShare)
 		if r.suspect && a.sentAt > r.since {
@@ -665,12 +664,6 @@
 		if x := took / p.expected(a); r.heardAt < a.sentAt && x > math.Max(1, r.pace.value) {
 			r.pace.add(x, paceShare)
 		}
-		if r.heardAt < a.sentAt && took >= p.late(a.p.q.class)*a.p.heavy {
-			// Guards against silence that second copies hide: no attempt is out long enough to show it.
-			if r.unheard++; r.unheard >= silentLeast {
-				p.suspect(r, "silent")
-			}
-		}
 		if r.suspect && r.heardAt < r.since {
 			r.trialAt = p.now + trialGap*p.promise // a trial by which a silent one is silent still
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -78,7 +78,6 @@
 	outs    []*attempt
 
 	heardAt  float64 // last answer of any kind
-	unheard  int     // attempts in a row given up as late with nothing heard since
 	pace     ewma    // latency over what its class expects
 	faults   ewma    // share of attempts that failed
 	suspect  bool
