--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -39,3 +39,167 @@
 		t.Fatalf("Q = %v with Δ = 0: one more part costs nothing in the model", q)
 	}
 }
+
+func modelPolicy(need float64) *Policy {
+	cfg := settings(Safe)
+	cfg.Classes[0].Need, cfg.Classes[0].Floor = need, need
+	return newRig(&testing.T{}, cfg).p
+}
+
+func TestStartValues(t *testing.T) {
+	md := modelPolicy(1).models[0] // promise 1 s
+	if md.mean != 0.2 || md.spread != 0.1 || md.delta != 0.1 {
+		t.Fatalf("mean %v, 1/μ %v, Δ %v; want a fifth of the promise, half of that, the difference", md.mean, md.spread, md.delta)
+	}
+}
+
+// An empty backlog gives k, a very long one m, and in between the count never rises with the backlog.
+func TestPartCountFallsWithBacklog(t *testing.T) {
+	p := modelPolicy(0.5)
+	p.inFlight = 4 // L: four servers, one co-ordinator
+	if s := p.partCount(0, 4, 8); s != 8 {
+		t.Fatalf("with nothing beyond L %d parts of 8 are asked", s)
+	}
+	last, between := 8, false
+	for p.inFlight = 5; p.inFlight < 400; p.inFlight++ {
+		s := p.partCount(0, 4, 8)
+		if s > last || s < 4 {
+			t.Fatalf("backlog of %d parts: s = %d after %d", p.inFlight, s, last)
+		}
+		last, between = s, between || s > 4 && s < 8
+	}
+	if last != 4 || !between {
+		t.Fatalf("ended at s = %d, counts in between seen: %v", last, between)
+	}
+}
+
+func TestAllPartsClassHasNoChoice(t *testing.T) {
+	p := modelPolicy(1)
+	for _, n := range []int{0, 10, 1000} {
+		p.inFlight = n
+		if s := p.partCount(0, 5, 5); s != 5 {
+			t.Fatalf("m = k = 5, %d parts out: s = %d", n, s)
+		}
+	}
+}
+
+// L is the servers over the co-ordinators, but never under m.
+func TestShare(t *testing.T) {
+	p := modelPolicy(1)
+	if l := p.share(1); l != 4 {
+		t.Fatalf("four servers, one co-ordinator: L = %v", l)
+	}
+	p.cfg.Aggregators = 8
+	if l := p.share(3); l != 3 {
+		t.Fatalf("half a server a co-ordinator, m = 3: L = %v", l)
+	}
+}
+
+func TestLearnCutsTheWorstThousandth(t *testing.T) {
+	p := modelPolicy(1)
+	p.now = 200
+	for i := range 2000 {
+		took := 0.1
+		if i%2 == 0 {
+			took = 0.3
+		}
+		if i < 2 {
+			took = 100 // the worst two of 2,000
+		}
+		p.models[0].seen.add(p.now, took)
+	}
+	p.learn()
+	if md := p.models[0]; math.Abs(md.mean-0.2) > 1e-3 || math.Abs(md.spread-0.1) > 1e-3 || math.Abs(md.delta-0.1) > 1e-3 {
+		t.Fatalf("mean %v, 1/μ %v, Δ %v; want 0.2, 0.1, 0.1", md.mean, md.spread, md.delta)
+	}
+}
+
+func TestLearnKeepsEstimatesWithoutSamples(t *testing.T) {
+	p := modelPolicy(1)
+	before := p.models[0].mean
+	p.now = 500
+	p.learn()
+	for range leastSeen {
+		p.models[0].seen.add(p.now-memory-1, 9) // too old to count
+	}
+	p.learn()
+	if md := p.models[0]; md.mean != before {
+		t.Fatalf("mean %v without a sample of late, want it as it was, %v", md.mean, before)
+	}
+}
+
+// Spread over the mean: Δ would be negative and is held at zero.
+func TestDeltaIsNeverNegative(t *testing.T) {
+	p := modelPolicy(1)
+	p.now = 300
+	for i := range 100 {
+		took := 0.01
+		if i%20 == 0 {
+			took = 2
+		}
+		p.models[0].seen.add(p.now, took)
+	}
+	p.learn()
+	if md := p.models[0]; md.delta != 0 || md.spread <= md.mean {
+		t.Fatalf("Δ = %v with 1/μ %v and mean %v", md.delta, md.spread, md.mean)
+	}
+}
+
+// Revoked parts leave no latency: the model sees only what was answered.
+func TestRevokedPartsLeaveNoSample(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	_, parts, acts := r.ask(1, 3)
+	s := of(Send, acts)
+	r.do(Event{Kind: AttemptEnded, Part: parts[0], Replica: s[0].Replica, Outcome: Revoked, Took: 0.9})
+	if n := len(r.p.models[0].seen.ring); n != 0 {
+		t.Fatalf("%d samples from a revoked part", n)
+	}
+}
+
+func TestReplicaRule(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.CallParts = 8
+	r := newRig(t, cfg)
+	_, _, acts := r.ask(4, 3) // four holders, four parts: one each, for nothing is out yet
+	seen := map[uint64]bool{}
+	for _, a := range of(Send, acts) {
+		seen[a.Replica] = true
+	}
+	if len(seen) != 4 {
+		t.Fatalf("four parts went to %d of four idle holders", len(seen))
+	}
+	r.ask(4, 3)
+	for _, x := range r.p.list {
+		if x.calls != 2 {
+			t.Fatalf("replica %d has %d calls out, want two each", x.id, x.calls)
+		}
+	}
+	_, _, acts = r.ask(8, 3) // two parts each, but those of one turn share a call
+	for _, x := range r.p.list {
+		if x.calls != 3 {
+			t.Fatalf("replica %d has %d calls out, want three: parts sharing a call count once", x.id, x.calls)
+		}
+	}
+	if len(of(Send, acts)) != 8 {
+		t.Fatalf("%d of 8 parts went out: none waits for a slot", len(of(Send, acts)))
+	}
+}
+
+// The list has to be asked for at some sites: at once, and again a while after a call failed.
+func TestListIsAskedFor(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.MustAsk = true
+	r := &rig{t: t, p: New(cfg), now: 100}
+	if n := len(of(Watch, r.do(Event{Kind: ListChanged, Full: true, Stale: true}))); n != 1 {
+		t.Fatalf("asked %d times at the start", n)
+	}
+	if n := len(of(Watch, r.run(5))); n != 0 {
+		t.Fatalf("asked %d times more though no call failed", n)
+	}
+	if n := len(of(Watch, r.do(Event{Kind: ListFailed}))); n != 0 {
+		t.Fatal("asked again in the turn of the failure: many instances at once make all of them late")
+	}
+	if n := len(of(Watch, r.run(1.5))); n != 1 {
+		t.Fatalf("asked %d times within one and a half promises of a failed call", n)
+	}
+}
