--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -638,3 +638,109 @@
 		t.Fatalf("%d of little and %d of much worth were refused", refused[0], refused[1])
 	}
 }
+
+// The choke points themselves, each asked for what its callers would not ask.
+
+func TestSendKeepsItsRules(t *testing.T) {
+	for name, breach := range map[string]func(r *rig, pt *part, x *replica){
+		"gone":     func(r *rig, pt *part, x *replica) { pt.gone = true },
+		"in":       func(r *rig, pt *part, x *replica) { pt.in = true },
+		"too late": func(r *rig, pt *part, x *replica) { r.p.now = pt.q.due },
+		"draining": func(r *rig, pt *part, x *replica) { x.state = Draining },
+		"removed":  func(r *rig, pt *part, x *replica) { x.state = Removed },
+		"cold": func(r *rig, pt *part, x *replica) {
+			x.started, x.coldFree = r.p.now-0.01, r.p.now+0.1
+		},
+		"attempts": func(r *rig, pt *part, x *replica) { pt.attempts = append(pt.attempts, pt.attempts[0]) },
+		"two out":  func(r *rig, pt *part, x *replica) { r.p.cfg.MaxAttempts = 9; pt.out = 2 },
+		"no copies": func(r *rig, pt *part, x *replica) {
+			r.p.cfg.SecondCopies = false
+		},
+		"unsafe": func(r *rig, pt *part, x *replica) { r.p.cfg.Classes[0].Effect = Unsafe },
+		"budget": func(r *rig, pt *part, x *replica) {
+			r.p.cfg.ExtraSpan, r.p.cfg.ExtraPerRequest = 2, 0.01
+		},
+	} {
+		for _, broken := range []bool{false, true} {
+			cfg := settings(Safe)
+			cfg.MaxAttempts = 2
+			r := newRig(t, cfg)
+			_, parts, acts := r.ask(1, 3)
+			pt := r.p.parts[parts[0]]
+			var other *replica
+			for _, x := range r.p.list {
+				if x.id != of(Send, acts)[0].Replica {
+					other = x
+				}
+			}
+			if broken {
+				breach(r, pt, other)
+			}
+			if sent := r.p.send(pt, other, false); sent == broken {
+				t.Errorf("%s: sent %v, want %v", name, sent, !broken)
+			}
+		}
+	}
+}
+
+func TestAnswerUnderFloorIsNotGiven(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes[0].Need, cfg.Classes[0].Floor = 1, 0.75
+	r := newRig(t, cfg)
+	q, _, _ := r.ask(4, 3)
+	held := r.p.queries[q]
+	held.in, held.inCount = 0.5, 2
+	r.p.out = r.p.out[:0]
+	if r.p.answer(held); len(r.p.out) > 0 {
+		t.Fatalf("half of the weight, floor 0.75: %+v", r.p.out)
+	}
+	held.in, held.inCount = 0.75, 3
+	if r.p.answer(held); len(finals(r.p.out)) != 1 {
+		t.Fatalf("at the floor: %+v", r.p.out)
+	}
+}
+
+func TestFinalIsSaidOnce(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	q, _, _ := r.ask(1, 3)
+	held := r.p.queries[q]
+	r.p.out = r.p.out[:0]
+	r.p.final(held, Action{Verb: Fail, Query: q})
+	r.p.final(held, Action{Verb: Refuse, Query: q})
+	if n := len(finals(r.p.out)); n != 1 {
+		t.Fatalf("%d final answers", n)
+	}
+}
+
+// A lost answer is asked elsewhere also when late parts have used up the copies' share.
+func TestLostIsNotBoundByTheCopies(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	r.ask(1, 3.9)
+	for range 1000 {
+		r.p.extras.add(r.now)
+	}
+	if n := len(of(Send, r.run(1.2))); n == 0 {
+		t.Fatal("a part whose answer was lost stood until its end")
+	}
+}
+
+// With every holder failing at once a part's attempts are spread out, not used up within milliseconds.
+func TestTriesAreSpaced(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.MaxAttempts = 9
+	r := newRig(t, cfg)
+	_, parts, acts := r.ask(1, 3.9)
+	n, start := 0, r.now
+	for r.now < start+0.5 {
+		s := of(Send, acts)
+		acts = nil
+		for _, a := range s {
+			n++
+			acts = append(acts, r.end(parts[0], n-1, a.Replica, Unreachable)...)
+		}
+		acts = append(acts, r.run(r.p.tick)...)
+	}
+	if n > 4 {
+		t.Fatalf("%d attempts in half a second at four holders that are down", n)
+	}
+}
