--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -215,6 +215,9 @@
 	var at []float64
 	for end := r.now + 3; r.now < end; {
 		_, _, acts := r.ask(4, 3)
+		if len(of(Send, acts)) != 4 {
+			t.Fatalf("%d of 4 parts went out at once: the warm holders stand by", len(of(Send, acts)))
+		}
 		for _, a := range of(Send, acts) {
 			if a.Replica == 1 {
 				at = append(at, r.now)
