Cap the late age at five median latencies, and name the last bare numbers

Change: a part is late at the tail, but from 1.5 to 5 medians. Constants that stood bare in the code are named; the start tail is that of a shifted exponential at the tail's share. Also holds against heavy tails that are no stalls; may hurt there by copies of what is only long.

--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -203,3 +203,20 @@
 		t.Fatalf("asked %d times within one and a half promises of a failed call", n)
 	}
 }
+
+// One answer in twenty takes twenty times as long: that is no reason to wait so long for each.
+func TestStallsDoNotHideThemselves(t *testing.T) {
+	p := modelPolicy(1)
+	p.now = 300
+	for i := range 200 {
+		took := 0.1
+		if i%20 == 0 {
+			took = 2
+		}
+		p.models[0].seen.add(p.now, took)
+	}
+	p.learn()
+	if late := p.late(0); late > 0.6 {
+		t.Fatalf("a part counts as late after %v s, the median being 0.1 s", late)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,13 +23,14 @@
 
 	// Time.
 	tickShare = 0.01 // of the least promise: period of the look at what is open; ends rounding to 1 %
-	dueMargin = 2.0  // ticks before the client's end at which a query is settled
+	dueMargin = 2.0  // ticks that a query is settled, and a keyed window left, before its end: a turn may lag
 
 	// Further attempts.
 	pauseShare  = 0.1  // of the promise: first wait of a part that has no sound holder left, then doubled
 	tailShare   = 0.98 // quantile of latencies after which a part counts as late: 2 % are
 	workShare   = 0.02 // weight of the newest work hint: hints are rough, some 50 of them make the mean
-	lateTimes   = 1.5  // means: a part younger than this is never late, however tight the tail
+	lateTimes   = 1.5  // medians: a part younger than this is never late, however tight the tail
+	lateMost    = 5.0  // medians: one older is, or stalls of more than the tail's share would hide themselves
 	lateLeast   = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
 	lostTimes   = 2.0  // times late: the part's answer is taken for lost, whatever else its replica answers
 	copiesShare = 0.5  // of the budget that copies of late parts may use up: the rest is for failed ones
@@ -41,6 +42,7 @@
 	faultShare  = 0.25 // weight of the newest outcome: two faults in a row show
 	faultLimit  = 0.3  // share of faults from which a replica is suspect
 	paceShare   = 0.2  // weight of the newest latency
+	freshShare  = 0.05 // weight of the newest answer where all replicas' are taken together
 	paceLimit   = 2.5  // times the middle pace of the list: slower is suspect; queueing alone stays under
 	paceLeast   = 4    // samples before a pace is believed
 	silentTimes = 3.0  // times late without any answer from a replica that owes one: silent
@@ -52,22 +54,23 @@
 	coldMemory = 5.0 // tip_after: how far back own sends are counted to infer what a warm one takes
 
 	// Admission.
-	shareSpan  = 3.0 // promises: window of a tenant's rate
-	shareSlack = 0.7 // roots of a tenant's fair count beyond it that are let pass as chance
-	waitShare  = 0.4 // of the promise: mean time of a part that still lets the last of them be in time
-	valueMost  = 1.5 // most that a query's worth for its work stretches or shrinks that time
-	slowShare  = 0.5 // of that: recent latency from which queues are taken to have formed
-	fullOpen   = 0.9 // of max_open: from here late queries and those over a tenant's share make room
-	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
-	leastOut   = 4.0 // parts out at one replica that are always allowed
-	rateSpan   = 2.0 // promises: window of one replica's rate
-	weightSlip = 1e-6
+	shareSpan  = 3.0  // promises: window of a tenant's rate
+	shareSlack = 0.7  // roots of a tenant's fair count beyond it that are let pass as chance
+	waitShare  = 0.4  // of the promise: mean time of a part that still lets the last of them be in time
+	valueMost  = 1.5  // most that a query's worth for its work stretches or shrinks that time
+	slowShare  = 0.5  // of that: recent latency from which queues are taken to have formed
+	fullOpen   = 0.9  // of max_open: from here late queries and those over a tenant's share make room
+	leastRoom  = 2.0  // L: parts out that are always allowed; a start or a lull tells no rate
+	leastOut   = 4.0  // parts out at one replica that are always allowed
+	rateSpan   = 2.0  // promises: window of one replica's rate
+	weightSlip = 1e-6 // a sum of weights may miss by rounding
 )
 
 // model is what a class's recent part latencies say.
 type model struct {
 	delta, spread float64 // Δ and 1/μ
-	mean, tail    float64
+	mean          float64
+	middle, tail  float64 // the median and the latency from which a part is late
 	seen          samples
 	work          ewma // hints of parts
 }
@@ -124,7 +127,8 @@
 		md.mean = startMean * c.Promise
 		md.spread = startSpread * md.mean
 		md.delta = md.mean - md.spread
-		md.tail = md.delta + 3*md.spread // the 95 % point of a shifted exponential
+		md.middle = md.mean
+		md.tail = md.delta - math.Log(1-tailShare)*md.spread // of a shifted exponential
 	}
 	if len(cfg.Classes) == 0 {
 		p.promise = 1
@@ -325,7 +329,7 @@
 		if len(x) < leastSeen {
 			continue
 		}
-		md.tail = quantile(x, tailShare)
+		md.middle, md.tail = quantile(x, 0.5), quantile(x, tailShare)
 		x = x[:len(x)-int(cutWorst*float64(len(x)))]
 		md.mean, md.spread = moments(x)
 		md.delta = math.Max(0, md.mean-md.spread)
@@ -386,7 +390,7 @@
 	if n := len(pt.attempts); pt.out == 0 && n > 0 && rank > 0 {
 		// Guards against quick failures at all holders (a restart of them all, a lost link) that use up a
 		// part's attempts within milliseconds: with no sound holder left to try, wait ever longer.
-		wait := pauseShare * p.cfg.Classes[pt.q.class].Promise * float64(uint(1)<<min(n-1, 8))
+		wait := pauseShare * p.cfg.Classes[pt.q.class].Promise * math.Exp2(float64(n-1))
 		if pt.retryAt = pt.attempts[n-1].sentAt + wait; pt.retryAt > p.now {
 			return false
 		}
@@ -425,7 +429,7 @@
 	r.call.parts++
 	r.call.out++
 	a := &attempt{p: pt, r: r, call: r.call, no: len(pt.attempts), sentAt: p.now, ahead: r.calls - 1}
-	p.ahead.add(float64(a.ahead), paceShare/4)
+	p.ahead.add(float64(a.ahead), freshShare)
 	pt.attempts = append(pt.attempts, a)
 	pt.out++
 	pt.sent = true
@@ -440,7 +444,8 @@
 // have run only within the window from the first such attempt, less the time that a turn can lag.
 func (p *Policy) mayRepeat(pt *part) bool {
 	c, first := &p.cfg.Classes[pt.q.class], pt.firstRun()
-	return c.Effect == Safe || first == nil || c.Effect == Keyed && p.now < first.sentAt+c.Window-2*p.tick
+	inWindow := first != nil && p.now < first.sentAt+c.Window-dueMargin*p.tick
+	return c.Effect == Safe || first == nil || c.Effect == Keyed && inWindow
 }
 
 // spend is the one ledger of attempts beyond a part's first (rule 6). Where no budget is stated, second
@@ -485,8 +490,8 @@
 		p.done.add(p.now)
 		a.r.done.add(p.now)
 		p.models[q.class].seen.add(p.now, ev.Took)
-		p.drag.add(ev.Took/p.models[q.class].mean, paceShare/4)
-		p.stress.add(ev.Took/p.cfg.Classes[q.class].Promise, paceShare/4)
+		p.drag.add(ev.Took/p.models[q.class].mean, freshShare)
+		p.stress.add(ev.Took/p.cfg.Classes[q.class].Promise, freshShare)
 	}
 	switch {
 	case pt.gone: // its query or step has ended, and this answer counts no more
@@ -556,7 +561,8 @@
 func (p *Policy) late(class int) float64 {
 	md := &p.models[class]
 	least := lateLeast * p.cfg.Classes[class].Promise
-	return math.Max(1, p.drag.value) * math.Max(least, math.Max(md.tail, lateTimes*md.mean))
+	return math.Max(1, p.drag.value) * math.Max(least,
+		math.Max(lateTimes*md.middle, math.Min(lateMost*md.middle, md.tail)))
 }
 
 func (p *Policy) lookAt(q *query) {
