--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,9 +84,9 @@
 	out  []Action
 
 	replicas map[uint64]*replica
-	list     []*replica // by id
+	list     []*replica   // by id
+	cells    [][]*replica // by cell, each by id
 	scratch  []*replica
-	cells    [][]*replica
 	queries  map[uint64]*query
 	groups   map[uint64]*query
 	parts    map[uint64]*part
@@ -95,21 +95,17 @@
 	models   []model
 	inFlight int
 
-	requests, extras window
-	sent             window
-	tenants          []window
-	arrivals         window
-	done             window // answers of parts
-	ahead            ewma   // calls already out where attempts went
-	stress           ewma   // latency over promise
-	value            ewma   // worth for the work of a part
-	drag             ewma   // latest latencies over the estimates
-	promise          float64
-	tick             float64
-	armed            bool
-	watchAt          float64
-	refreshAt        float64
-	logAt            float64
+	requests, extras, sent window   // all that came, further attempts, attempts
+	arrivals, done         window   // queries but retries, answers of parts
+	tenants                []window // queries but retries
+	ahead                  ewma     // calls already out where attempts went
+	stress                 ewma     // latency over promise
+	drag                   ewma     // latest latencies over the estimates
+	value                  ewma     // worth for the work of a part
+	promise, tick          float64  // the least promise; the period of a look
+	watchAt, refreshAt     float64
+	logAt                  float64
+	armed                  bool
 }
 
 // New returns an instance that knows only its settings.
@@ -404,7 +400,7 @@
 	switch {
 	case pt.gone || pt.in || q.due-p.now <= p.tick: // rule 1: nothing after the end
 		return false
-	case p.cfg.MaxAttempts > 0 && len(pt.attempts) >= p.cfg.MaxAttempts:
+	case p.spent(pt):
 		return false
 	case len(pt.attempts) > 0 && !p.mayRepeat(pt): // rule 2
 		return false
@@ -440,6 +436,11 @@
 	return true
 }
 
+// spent tells that a part has had all its attempts.
+func (p *Policy) spent(pt *part) bool {
+	return p.cfg.MaxAttempts > 0 && len(pt.attempts) >= p.cfg.MaxAttempts
+}
+
 // mayRepeat is rule 2: an unsafe part goes again only when no attempt can have run; a keyed one that may
 // have run only within the window from the first such attempt, less the time that a turn can lag.
 func (p *Policy) mayRepeat(pt *part) bool {
@@ -508,7 +509,7 @@
 	pt.in = true
 	q.in += pt.weight
 	q.inCount++
-	p.revoke(pt)
+	p.revoke(pt, pt.out)
 	p.settle(q)
 }
 
@@ -518,8 +519,7 @@
 	if pt.in || pt.out > 0 {
 		return
 	}
-	capped := p.cfg.MaxAttempts > 0 && len(pt.attempts) >= p.cfg.MaxAttempts
-	if capped || !p.mayRepeat(pt) {
+	if p.spent(pt) || !p.mayRepeat(pt) {
 		pt.dead = true
 	}
 	asked := 0
@@ -600,8 +600,8 @@
 			continue
 		}
 		if pt.out > 1 {
-			if last := pt.attempts[len(pt.attempts)-1]; p.now-last.sentAt >= lostTimes*late {
-				p.revokeFirst(pt) // both copies seem lost: make room for one more
+			if last := pt.attempts[len(pt.attempts)-1]; p.now-last.sentAt >= lostTimes*late && !p.spent(pt) {
+				p.revoke(pt, 1) // both copies seem lost: make room for one more
 			}
 			continue
 		}
@@ -965,7 +965,7 @@
 // release ends the parts of a step.
 func (p *Policy) release(q *query) {
 	for _, pt := range q.parts {
-		p.revoke(pt)
+		p.revoke(pt, pt.out)
 		if pt.out == 0 {
 			delete(p.parts, pt.id)
 		}
@@ -973,24 +973,13 @@
 	}
 }
 
-// revokeFirst cancels the older of two copies.
-func (p *Policy) revokeFirst(pt *part) {
+// revoke cancels the first n attempts that are out of a part.
+func (p *Policy) revoke(pt *part, n int) {
 	for _, a := range pt.attempts {
-		if !a.ended {
-			more := p.cfg.MaxAttempts == 0 || len(pt.attempts) < p.cfg.MaxAttempts
-			if more && !a.revoked && p.cfg.Cancel {
-				a.revoked = true
-				p.act(Action{Verb: Cancel, Part: pt.id, Attempt: a.no})
-			}
-			return
+		if a.ended || n == 0 {
+			continue
 		}
-	}
-}
-
-// revoke cancels what is out of a part.
-func (p *Policy) revoke(pt *part) {
-	for _, a := range pt.attempts {
-		if !a.ended && !a.revoked && p.cfg.Cancel {
+		if n--; !a.revoked && p.cfg.Cancel {
 			a.revoked = true
 			p.act(Action{Verb: Cancel, Part: pt.id, Attempt: a.no})
 		}
