Share the parts always allowed at one replica among the co-ordinators

Change: twelve parts over the number of co-ordinators, at least one. May hurt where one co-ordinator has nearly all the traffic.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,7 +61,7 @@
 	slowShare  = 0.5  // of that: recent latency from which queues are taken to have formed
 	fullOpen   = 0.9  // of max_open: from here late queries and those over a tenant's share make room
 	leastRoom  = 2.0  // L: parts out that are always allowed; a start or a lull tells no rate
-	leastOut   = 4.0  // parts out at one replica that are always allowed
+	leastOut   = 12.0 // parts out at one replica, of all co-ordinators if alike, that are always allowed
 	rateSpan   = 2.0  // promises: window of one replica's rate
 	weightSlip = 1e-6 // a sum of weights may miss by rounding
 )
@@ -830,11 +830,11 @@
 	}
 	over := p.overShare(q)
 	wait /= over
-	hope := len(q.parts)
+	hope, least := len(q.parts), math.Max(1, leastOut/float64(p.cfg.Aggregators))
 	for _, pt := range q.parts {
 		if !slices.ContainsFunc(p.holders(pt.shard), func(r *replica) bool {
 			rate := float64(r.done.count(p.now-rateSpan*p.promise)) / (rateSpan * p.promise)
-			return (!r.down || p.now >= r.trialAt) && float64(len(r.outs)) <= math.Max(leastOut, wait*rate)
+			return (!r.down || p.now >= r.trialAt) && float64(len(r.outs)) <= math.Max(least, wait*rate)
 		}) {
 			hope--
 		}
