--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,7 +61,7 @@
 	slowShare  = 0.5  // of that: recent latency from which queues are taken to have formed
 	fullOpen   = 0.9  // of max_open: from here late queries and those over a tenant's share make room
 	leastRoom  = 2.0  // L: parts out that are always allowed; a start or a lull tells no rate
-	leastOut   = 12.0 // parts out at one replica, of all co-ordinators if alike, that are always allowed
+	leastOut   = 8.0  // parts out at one replica, of all co-ordinators if alike, that are always allowed
 	rateSpan   = 2.0  // promises: window of one replica's rate
 	weightSlip = 1e-6 // a sum of weights may miss by rounding
 )
