Count ages from the end of our own standstills

On waking all that was out looked late and silent, its latencies were our own sleep, copies and refusals followed. Told from other causes: the gap between turns; monitoring lines of late scrapes; all replicas at once, at one co-ordinator at a time. Change: a gap of four ticks is a standstill; ages count from its end, latencies across it are not believed, no holder's rate is asked for a promise after it, and the look at what is open comes after all events of a turn. Also holds against a slow collector or a throttled machine. May hurt where turns are rare by design: the module's own timer sees to it that they are not.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,8 +22,10 @@
 	leastSeen   = 8     // samples: fewer do not replace an estimate
 
 	// Time.
-	tickShare = 0.01 // of the least promise: period of the look at what is open; ends rounding to 1 %
-	dueMargin = 2.0  // ticks that a query is settled, and a keyed window left, before its end: a turn may lag
+	endless    = 3600.0 // s: more than any promise, for settings that name no class
+	tickShare  = 0.01   // of the least promise: period of the look at what is open; ends rounding to 1 %
+	dueMargin  = 2.0    // ticks that a query is settled, a keyed window left, before its end: a turn may lag
+	stallTicks = 4.0    // ticks without a turn: this instance stood still
 
 	// Further attempts.
 	pauseShare  = 0.1  // of the promise: first wait of a part that has no sound holder left, then doubled
@@ -104,6 +106,7 @@
 	value                  ewma     // worth for the work of a part
 	promise, tick          float64  // the least promise; the period of a look
 	watchAt, refreshAt     float64
+	stalledAt              float64 // end of our last standstill
 	logAt                  float64
 	armed                  bool
 }
@@ -116,7 +119,7 @@
 		queries: map[uint64]*query{}, groups: map[uint64]*query{}, parts: map[uint64]*part{},
 		models: make([]model, len(cfg.Classes)), tenants: make([]window, len(cfg.Tenants)),
 	}
-	p.promise = math.Inf(1)
+	p.promise = endless
 	for i := range cfg.Classes {
 		c, md := &cfg.Classes[i], &p.models[i]
 		p.promise = math.Min(p.promise, c.Promise)
@@ -126,15 +129,17 @@
 		md.middle = md.mean
 		md.tail = md.delta - math.Log(1-tailShare)*md.spread // of a shifted exponential
 	}
-	if len(cfg.Classes) == 0 {
-		p.promise = 1
-	}
 	p.tick = math.Max(cfg.Resolution, tickShare*p.promise)
 	return p
 }
 
 // Handle takes one turn: what happened at now, in order. The actions hold until the next call.
 func (p *Policy) Handle(now float64, events []Event) []Action {
+	// Guards against our own standstills (no CPU, a long collection): what was out meanwhile looks late, and
+	// all replicas silent, though only we were. Ages then count from the end of it.
+	if p.armed && now-p.now > stallTicks*p.tick {
+		p.stalledAt = now
+	}
 	p.now, p.out = now, p.out[:0]
 	p.turn++
 	if p.cfg.MustAsk && now >= p.watchAt {
@@ -144,11 +149,15 @@
 	for i := range events {
 		p.take(&events[i])
 	}
+	due := !p.armed
+	if due {
+		p.look() // after all that came in this turn, or what has just been answered counts as late
+	}
 	for _, q := range p.fresh {
 		p.plan(q)
 	}
 	p.fresh = p.fresh[:0]
-	if !p.armed {
+	if due {
 		p.armed = true
 		p.act(Action{Verb: Timer, After: p.tick})
 	}
@@ -171,7 +180,6 @@
 		}
 	case TimerFired:
 		p.armed = false
-		p.look()
 	case ListChanged:
 		p.listChanged(ev)
 	case ListFailed:
@@ -396,21 +404,15 @@
 
 // send is the one place from which attempts go; every rule on sending is kept here.
 func (p *Policy) send(pt *part, r *replica, hedge bool) bool {
-	q := pt.q
+	again := len(pt.attempts) > 0
 	switch {
-	case pt.gone || pt.in || q.due-p.now <= p.tick: // rule 1: nothing after the end
-		return false
-	case p.spent(pt):
-		return false
-	case len(pt.attempts) > 0 && !p.mayRepeat(pt): // rule 2
-		return false
-	case pt.out > 0 && (!p.cfg.SecondCopies || pt.out > 1):
-		return false
-	case r.state != Up: // rule 3
-		return false
-	case p.coldShut(r): // rule 4
-		return false
-	case len(pt.attempts) > 0 && !p.spend(hedge): // rule 6
+	case pt.gone || pt.in || pt.q.due-p.now <= p.tick, // rule 1: nothing after the end
+		p.spent(pt),
+		again && !p.mayRepeat(pt), // rule 2
+		pt.out > 0 && (!p.cfg.SecondCopies || pt.out > 1),
+		r.state != Up,            // rule 3
+		p.coldShut(r),            // rule 4
+		again && !p.spend(hedge): // rule 6, last since it books the attempt
 		return false
 	}
 	if gap := p.coldGap(r); gap > 0 {
@@ -490,6 +492,8 @@
 	if ev.Outcome == OK {
 		p.done.add(p.now)
 		a.r.done.add(p.now)
+	}
+	if ev.Outcome == OK && a.sentAt >= p.stalledAt {
 		p.models[q.class].seen.add(p.now, ev.Took)
 		p.drag.add(ev.Took/p.models[q.class].mean, freshShare)
 		p.stress.add(ev.Took/p.cfg.Classes[q.class].Promise, freshShare)
@@ -565,6 +569,9 @@
 		math.Max(lateTimes*md.middle, math.Min(lateMost*md.middle, md.tail)))
 }
 
+// age is for how long an attempt has been out, as far as we were there to see its end.
+func (p *Policy) age(a *attempt) float64 { return p.now - math.Max(a.sentAt, p.stalledAt) }
+
 func (p *Policy) lookAt(q *query) {
 	c := &p.cfg.Classes[q.class]
 	if q.due-p.now <= dueMargin*p.tick {
@@ -600,13 +607,13 @@
 			continue
 		}
 		if pt.out > 1 {
-			if last := pt.attempts[len(pt.attempts)-1]; p.now-last.sentAt >= lostTimes*late && !p.spent(pt) {
+			if last := pt.attempts[len(pt.attempts)-1]; p.age(last) >= lostTimes*late && !p.spent(pt) {
 				p.revoke(pt, 1) // both copies seem lost: make room for one more
 			}
 			continue
 		}
 		a := pt.attempts[len(pt.attempts)-1]
-		age := p.now - a.sentAt
+		age := p.age(a)
 		// Guards against answers that never come from a replica that goes on answering others (a stuck
 		// worker, a lost reply): the part goes elsewhere though no replica looks unsound.
 		lost := age >= lostTimes*late
@@ -628,7 +635,7 @@
 			asked++
 		}
 		if !pt.in && pt.out > 0 {
-			if a := pt.attempts[len(pt.attempts)-1]; !a.r.suspect && p.now-a.sentAt < late*pt.heavy {
+			if a := pt.attempts[len(pt.attempts)-1]; !a.r.suspect && p.age(a) < late*pt.heavy {
 				good++
 			}
 		}
@@ -652,6 +659,9 @@
 	case OK:
 		r.heardAt, r.down = p.now, false
 		r.faults.add(0, faultShare)
+		if a.sentAt < p.stalledAt {
+			return // how long it took was not seen
+		}
 		r.pace.add(took/p.expected(a), paceShare)
 		if r.suspect && a.sentAt > r.since {
 			if took <= paceLimit*p.expected(a) {
@@ -667,7 +677,8 @@
 		// A revoked attempt ended by our own wish. Its age is a bound on its latency: when it is already
 		// slow, that is news of a replica that second copies would otherwise hide. Not so where the replica
 		// has answered later parts meanwhile: that one answer was lost, and the replica is not slow.
-		if x := took / p.expected(a); r.heardAt < a.sentAt && x > math.Max(1, r.pace.value) {
+		seen := math.Max(r.heardAt, p.stalledAt) < a.sentAt
+		if x := took / p.expected(a); seen && x > math.Max(1, r.pace.value) {
 			r.pace.add(x, paceShare)
 		}
 		if r.suspect && r.heardAt < r.since {
@@ -721,7 +732,7 @@
 		}
 		if len(r.outs) > 0 {
 			a := r.outs[0]
-			if r.heardAt < a.sentAt && p.now-a.sentAt > silentTimes*p.late(a.p.q.class)*a.p.heavy {
+			if r.heardAt < a.sentAt && p.age(a) > silentTimes*p.late(a.p.q.class)*a.p.heavy {
 				p.suspect(r, "silent")
 			}
 		}
@@ -830,11 +841,13 @@
 	}
 	over := p.overShare(q)
 	wait /= over
+	blind := p.now-p.stalledAt < p.promise // our own standstill tells no rate
 	hope, least := len(q.parts), math.Max(1, leastOut/float64(p.cfg.Aggregators))
 	for _, pt := range q.parts {
 		if !slices.ContainsFunc(p.holders(pt.shard), func(r *replica) bool {
 			rate := float64(r.done.count(p.now-rateSpan*p.promise)) / (rateSpan * p.promise)
-			return (!r.down || p.now >= r.trialAt) && float64(len(r.outs)) <= math.Max(least, wait*rate)
+			return (!r.down || p.now >= r.trialAt) &&
+				(blind || float64(len(r.outs)) <= math.Max(least, wait*rate))
 		}) {
 			hope--
 		}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -747,3 +747,42 @@
 		t.Fatalf("%d attempts in half a second at four holders that are down", n)
 	}
 }
+
+// This instance stood still for two promises: what came back meanwhile says nothing of the replicas, what
+// is still out is not late yet, and new queries are not refused for the answers that were not seen.
+func TestOwnStandstill(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	for range 200 {
+		_, _, acts := r.ask(1, 3)
+		r.run(0.02)
+		r.end(of(Send, acts)[0].Part, 0, of(Send, acts)[0].Replica, OK)
+	}
+	mean, stress := r.p.models[0].mean, r.p.stress.value
+	var out []Action
+	for range 8 {
+		_, _, acts := r.ask(1, 9)
+		out = append(out, of(Send, acts)...)
+	}
+	r.now += 2
+	events := []Event{{Kind: TimerFired}}
+	for _, a := range out[:4] {
+		events = append(events, Event{Kind: AttemptEnded, Part: a.Part, Replica: a.Replica, Outcome: OK, Took: 2})
+	}
+	if n := len(of(Send, r.do(events...))); n > 0 {
+		t.Fatalf("%d parts sent again for our own standstill", n)
+	}
+	for range 6 {
+		if _, _, acts := r.ask(1, 3); len(of(Refuse, acts)) > 0 {
+			t.Fatal("a query was refused for answers that our own standstill hid")
+		}
+	}
+	r.p.learn()
+	if r.p.models[0].mean != mean && r.p.models[0].mean > 0.2 || r.p.stress.value != stress {
+		t.Fatalf("mean %v, stress %v: a standstill of ours was taken for latency", r.p.models[0].mean, r.p.stress.value)
+	}
+	for _, x := range r.p.list {
+		if x.suspect {
+			t.Fatalf("replica %d is suspect for our own standstill", x.id)
+		}
+	}
+}
