Copy sooner while answers get lost

Change: while over 5 % of attempts are late at replicas that answer others, a part is late from at most 3 medians and the scale of the latest latencies is left out. The list's index and the holders of a shard moved to the records.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,8 @@
 	lateMost    = 5.0  // medians: one older is, or stalls of more than the tail's share would hide themselves
 	lateLeast   = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
 	lostTimes   = 2.0  // times late: the part's answer is taken for lost, whatever else its replica answers
+	lossLimit   = 0.05 // share of attempts that are late while their replicas answer others: answers get lost
+	lossMost    = 3.0  // medians, in place of lateMost, while they do
 	copiesShare = 0.5  // of the budget that copies of late parts may use up: the rest is for failed ones
 	ownExtra    = 0.20 // copies for each part taken, where no budget is stated: bounds a storm of them
 	ownFree     = 8.0  // copies free of that share, so that a small instance has some
@@ -103,6 +105,7 @@
 	ahead                  ewma     // calls already out where attempts went
 	stress                 ewma     // latency over promise
 	drag                   ewma     // latest latencies over the estimates
+	losses                 ewma     // share of attempts that were late while their replica answered others
 	value                  ewma     // worth for the work of a part
 	promise, tick          float64  // the least promise; the period of a look
 	watchAt, refreshAt     float64
@@ -370,19 +373,6 @@
 	return best, rank
 }
 
-// holders lists the replicas that are up and hold the shard; the next call reuses the list.
-func (p *Policy) holders(shard int) []*replica {
-	p.scratch = p.scratch[:0]
-	for j := range min(p.cfg.Reach, p.cfg.Cells) {
-		for _, r := range p.cells[(shard+j)%p.cfg.Cells] {
-			if r.state == Up {
-				p.scratch = append(p.scratch, r)
-			}
-		}
-	}
-	return p.scratch
-}
-
 // Sending.
 
 // try sends one attempt for a part where some holder may take it now; otherwise the part waits for a look.
@@ -563,10 +553,12 @@
 // guards against a fleet that slows down as a whole, or a costlier mix, where estimates some promises old
 // make every part late and the copies of all of them make it worse.
 func (p *Policy) late(class int) float64 {
-	md := &p.models[class]
-	least := lateLeast * p.cfg.Classes[class].Promise
-	return math.Max(1, p.drag.value) * math.Max(least,
-		math.Max(lateTimes*md.middle, math.Min(lateMost*md.middle, md.tail)))
+	md, most, scale := &p.models[class], lateMost, math.Max(1, p.drag.value)
+	if p.losses.value > lossLimit { // then waiting longer brings nothing, and what is lost costs no one work
+		most, scale = lossMost, 1
+	}
+	return scale * math.Max(lateLeast*p.cfg.Classes[class].Promise,
+		math.Max(lateTimes*md.middle, math.Min(most*md.middle, md.tail)))
 }
 
 // age is for how long an attempt has been out, as far as we were there to see its end.
@@ -659,6 +651,7 @@
 	case OK:
 		r.heardAt, r.down = p.now, false
 		r.faults.add(0, faultShare)
+		p.losses.add(0, freshShare)
 		if a.sentAt < p.stalledAt {
 			return // how long it took was not seen
 		}
@@ -677,6 +670,9 @@
 		// A revoked attempt ended by our own wish. Its age is a bound on its latency: when it is already
 		// slow, that is news of a replica that second copies would otherwise hide. Not so where the replica
 		// has answered later parts meanwhile: that one answer was lost, and the replica is not slow.
+		if r.heardAt > a.sentAt && took >= p.late(a.p.q.class)*a.p.heavy {
+			p.losses.add(1, freshShare)
+		}
 		seen := math.Max(r.heardAt, p.stalledAt) < a.sentAt
 		if x := took / p.expected(a); seen && x > math.Max(1, r.pace.value) {
 			r.pace.add(x, paceShare)
@@ -772,15 +768,7 @@
 		}
 		r.state = e.State
 	}
-	slices.SortFunc(p.list, func(a, b *replica) int { return cmp.Compare(a.id, b.id) })
-	for i := range p.cells {
-		p.cells[i] = p.cells[i][:0]
-	}
-	for _, r := range p.list {
-		if r.cell >= 0 && r.cell < len(p.cells) {
-			p.cells[r.cell] = append(p.cells[r.cell], r)
-		}
-	}
+	p.index()
 }
 
 // Guards.
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -175,3 +176,29 @@
 	}
 	return x[int(share*float64(len(x)-1)+0.5)]
 }
+
+// holders lists the replicas that are up and hold the shard; the next call reuses the list.
+func (p *Policy) holders(shard int) []*replica {
+	p.scratch = p.scratch[:0]
+	for j := range min(p.cfg.Reach, p.cfg.Cells) {
+		for _, r := range p.cells[(shard+j)%p.cfg.Cells] {
+			if r.state == Up {
+				p.scratch = append(p.scratch, r)
+			}
+		}
+	}
+	return p.scratch
+}
+
+// index sorts the list by id and the cells with it.
+func (p *Policy) index() {
+	slices.SortFunc(p.list, func(a, b *replica) int { return cmp.Compare(a.id, b.id) })
+	for i := range p.cells {
+		p.cells[i] = p.cells[i][:0]
+	}
+	for _, r := range p.list {
+		if r.cell >= 0 && r.cell < len(p.cells) {
+			p.cells[r.cell] = append(p.cells[r.cell], r)
+		}
+	}
+}
