--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	// Time.
 	endless    = 3600.0 // s: more than any promise, for settings that name no class
 	tickShare  = 0.01   // of the least promise: period of the look at what is open; ends rounding to 1 %
-	dueMargin  = 2.0    // ticks that a query is settled, a keyed window left, before its end: a turn may lag
+	dueMargin  = 2.0    // ticks before its end that a query is settled and a keyed window left: a turn may lag
 	stallTicks = 4.0    // ticks without a turn: this instance stood still
 
 	// Further attempts.
@@ -58,16 +58,18 @@
 	coldMemory = 5.0 // tip_after: how far back own sends are counted to infer what a warm one takes
 
 	// Admission.
-	shareSpan  = 3.0  // promises: window of a tenant's rate
-	shareSlack = 0.7  // roots of a tenant's fair count beyond it that are let pass as chance
-	waitShare  = 0.4  // of the promise: mean time of a part that still lets the last of them be in time
-	valueMost  = 1.5  // most that a query's worth for its work stretches or shrinks that time
-	slowShare  = 0.5  // of that: recent latency from which queues are taken to have formed
-	fullOpen   = 0.9  // of max_open: from here late queries and those over a tenant's share make room
-	leastRoom  = 2.0  // L: parts out that are always allowed; a start or a lull tells no rate
-	leastOut   = 8.0  // parts out at one replica, of all co-ordinators if alike, that are always allowed
-	rateSpan   = 2.0  // promises: window of one replica's rate
-	weightSlip = 1e-6 // a sum of weights may miss by rounding
+	shareSpan  = 3.0 // promises: window of a tenant's rate
+	shareSlack = 0.7 // roots of a tenant's fair count beyond it that are let pass as chance
+	waitShare  = 0.4 // of the promise: mean time of a part that still lets the last of them be in time
+	slowShare  = 0.5 // of waitShare: recent latency, in promises, from which queues are taken to have formed
+	valueMost  = 1.5 // most that a query's worth for its work stretches or shrinks its time of a part
+	fullOpen   = 0.9 // of max_open: from here late queries and those over a tenant's share make room
+	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
+	leastOut   = 8.0 // parts out at one replica, of all co-ordinators if alike, that are always allowed
+	rateSpan   = 2.0 // promises: window of one replica's rate
+
+	// Answers.
+	weightSlip = 1e-6 // of a whole: a sum of weights may miss by rounding
 )
 
 // model is what a class's recent part latencies say.
