--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	// Time.
 	endless    = 3600.0 // s: more than any promise, for settings that name no class
 	tickShare  = 0.01   // of the least promise: period of the look at what is open; ends rounding to 1 %
-	dueMargin  = 2.0    // ticks before its end that a query is settled and a keyed window left: a turn may lag
+	dueMargin  = 2.0    // ticks before their end that queries are settled, keyed windows left: a turn may lag
 	stallTicks = 4.0    // ticks without a turn: this instance stood still
 
 	// Further attempts.
