Start the cold guard at random credit and leave room for chance

Credit now starts at a random part, and where our share of the window is under one part the sum over the peers must keep the limit by three roots. Should also hold against replacements in waves; hurts where all holders of a shard are cold at once.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,7 +55,9 @@
 
 	// Cold replicas.
 	coldSafety = 0.6 // of the inferred budget: peers' traffic is uneven and capacity only inferred
-	coldMemory = 5.0 // tip_after: how far back own sends are counted to infer what a warm one takes
+	coldChance = 3.0 // roots of the expected parts: sums of chance stay under that in all but 1 of 1000
+	swiftShare = 0.2 // quantile of latencies that is taken for the work of a part
+	coldMemory = 5.0 // tip_after: how far back answers are counted to infer what a warm one gives
 
 	// Admission.
 	shareSpan  = 3.0 // promises: window of a tenant's rate
@@ -76,7 +78,8 @@
 type model struct {
 	delta, spread float64 // Δ and 1/μ
 	mean          float64
-	middle, tail  float64 // the median and the latency from which a part is late
+	swift, middle float64 // quantiles: about the work alone, and the median
+	tail          float64 // the latency from which a part is late
 	seen          samples
 	work          ewma // hints of parts
 }
@@ -100,20 +103,21 @@
 	fresh    []*query // to be planned at the end of this turn
 	models   []model
 	inFlight int
-
-	requests, extras, sent window   // all that came, further attempts, attempts
-	arrivals, done         window   // queries but retries, answers of parts
-	tenants                []window // queries but retries
-	ahead                  ewma     // calls already out where attempts went
-	stress                 ewma     // latency over promise
-	drag                   ewma     // latest latencies over the estimates
-	losses                 ewma     // share of attempts that were late while their replica answered others
-	value                  ewma     // worth for the work of a part
-	promise, tick          float64  // the least promise; the period of a look
-	watchAt, refreshAt     float64
-	stalledAt              float64 // end of our last standstill
-	logAt                  float64
-	armed                  bool
+	up       int // replicas on the list that are up
+
+	requests, extras   window   // all that came, further attempts
+	arrivals, done     window   // queries but retries, answers of parts
+	tenants            []window // queries but retries
+	ahead              ewma     // calls already out where attempts went
+	stress             ewma     // latency over promise
+	drag               ewma     // latest latencies over the estimates
+	losses             ewma     // share of attempts that were late while their replica answered others
+	value              ewma     // worth for the work of a part
+	promise, tick      float64  // the least promise; the period of a look
+	watchAt, refreshAt float64
+	stalledAt          float64 // end of our last standstill
+	logAt              float64
+	armed              bool
 }
 
 // New returns an instance that knows only its settings.
@@ -131,10 +135,17 @@
 		md.mean = startMean * c.Promise
 		md.spread = startSpread * md.mean
 		md.delta = md.mean - md.spread
-		md.middle = md.mean
+		md.middle, md.swift = md.mean, md.mean
 		md.tail = md.delta - math.Log(1-tailShare)*md.spread // of a shifted exponential
 	}
 	p.tick = math.Max(cfg.Resolution, tickShare*p.promise)
+	spans := math.Max(cfg.ExtraSpan+dueMargin*cfg.Resolution, ownSpan*p.promise)
+	p.requests.keep, p.extras.keep = spans, spans
+	p.done.keep = math.Max(coldMemory*cfg.TipAfter, p.promise)
+	p.arrivals.keep = shareSpan * p.promise
+	for i := range p.tenants {
+		p.tenants[i].keep = p.arrivals.keep
+	}
 	return p
 }
 
@@ -284,13 +295,7 @@
 
 // share is L: the instance's share of the servers that hold the class's shards, at least m.
 func (p *Policy) share(m int) float64 {
-	n := 0
-	for _, r := range p.list {
-		if r.state == Up {
-			n++
-		}
-	}
-	return math.Max(float64(m), float64(n)/float64(p.cfg.Aggregators))
+	return math.Max(float64(m), float64(p.up)/float64(p.cfg.Aggregators))
 }
 
 // threshold is Q_s: the backlog, in queries, at which s and s+1 parts have the same modelled delay.
@@ -338,7 +343,7 @@
 		if len(x) < leastSeen {
 			continue
 		}
-		md.middle, md.tail = quantile(x, 0.5), quantile(x, tailShare)
+		md.swift, md.middle, md.tail = quantile(x, swiftShare), quantile(x, 0.5), quantile(x, tailShare)
 		x = x[:len(x)-int(cutWorst*float64(len(x)))]
 		md.mean, md.spread = moments(x)
 		md.delta = math.Max(0, md.mean-md.spread)
@@ -407,9 +412,7 @@
 		again && !p.spend(hedge): // rule 6, last since it books the attempt
 		return false
 	}
-	if gap := p.coldGap(r); gap > 0 {
-		r.coldFree = p.now + gap
-	}
+	r.credit-- // while it is cold
 	if r.call == nil || r.call.turn != p.turn || r.call.parts >= p.cfg.CallParts {
 		r.call = &call{turn: p.turn}
 	}
@@ -425,7 +428,6 @@
 	pt.sent = true
 	r.outs = append(r.outs, a)
 	p.inFlight++
-	p.sent.add(p.now)
 	p.act(Action{Verb: Send, Part: pt.id, Replica: r.id})
 	return true
 }
@@ -755,7 +757,7 @@
 	for _, e := range ev.List {
 		r := p.replicas[e.Replica]
 		if r == nil {
-			r = &replica{id: e.Replica}
+			r = &replica{id: e.Replica, done: window{keep: rateSpan * p.promise}}
 			p.replicas[e.Replica] = r
 			p.list = append(p.list, r)
 		}
@@ -765,7 +767,7 @@
 				if r.started > 0 || r.suspect {
 					r.suspect, r.down, r.pace, r.faults = false, false, ewma{}, ewma{}
 				}
-				r.started = e.Started
+				r.started, r.credit, r.creditAt = e.Started, p.rng.Float64(), p.now
 			}
 		}
 		r.state = e.State
@@ -775,33 +777,39 @@
 
 // Guards.
 
-// coldGap is the least time between our parts to a cold replica, 0 for a warm one (rule 4). Capacity is
-// not told. Two lower bounds on it: what we send to a warm one on average, which summed over the peers
-// is what warm ones take; and one core that does our share of parts at the mean latency seen, which
-// is no shorter than the work. Even gaps leave no opening burst.
-func (p *Policy) coldGap(r *replica) float64 {
-	age := p.now - r.started
+// coldRate is how many parts a second this instance may send to a cold replica (rule 4), and false for a
+// warm one. Capacity is not told. Two lower bounds on it: the answers that a replica gives us on average,
+// times the co-ordinators, and one core at the swift latency of the slowest class: little of it is waiting.
+// Where our share is a part or more in the window, even gaps keep it; where it is less, the sum with the
+// peers is left to chance, and its mean must lie so far under the limit that chance does not pass it.
+func (p *Policy) coldRate(r *replica) (float64, bool) {
+	age, peers := p.now-r.started, float64(p.cfg.Aggregators)
 	if r.started <= 0 || age >= p.cfg.WarmUp || p.cfg.FallMultiple <= 0 {
-		return 0
+		return 0, false
 	}
 	level := p.cfg.ColdFrom + (1-p.cfg.ColdFrom)*math.Max(0, age-p.cfg.TipAfter)/p.cfg.WarmUp
-	warm := 0
-	for _, o := range p.list {
-		if o.state == Up && (o.started <= 0 || p.now-o.started >= p.cfg.WarmUp) {
-			warm++
-		}
-	}
-	span := coldMemory * p.cfg.TipAfter
-	rate := float64(p.sent.count(p.now-span)) / span / float64(max(1, warm))
 	longest := 0.0
 	for i := range p.models {
-		longest = math.Max(longest, p.models[i].mean)
+		longest = math.Max(longest, p.models[i].swift)
 	}
-	rate = math.Max(rate, 1/(longest*float64(p.cfg.Aggregators)))
-	return 1 / (coldSafety * p.cfg.FallMultiple * level * rate)
+	span := coldMemory * p.cfg.TipAfter
+	seen := float64(p.done.count(p.now-span)) / span / float64(max(1, p.up)) * peers
+	limit := p.cfg.FallMultiple * level * math.Max(seen, 1/longest) * p.cfg.TipAfter
+	parts := coldSafety * limit
+	if parts < peers {
+		root := (math.Sqrt(coldChance*coldChance+4*limit) - coldChance) / 2
+		parts = math.Min(parts, root*root)
+	}
+	return parts / p.cfg.TipAfter / peers, true
 }
 
-func (p *Policy) coldShut(r *replica) bool { return r.coldFree > p.now && p.coldGap(r) > 0 }
+// coldShut tells whether a replica is cold and has had what it may take by now. Credit starts at random:
+// guards against all co-ordinators sending their first part as soon as they are told of a new start.
+func (p *Policy) coldShut(r *replica) bool {
+	rate, cold := p.coldRate(r)
+	r.credit, r.creditAt = math.Min(1, r.credit+rate*(p.now-r.creditAt)), p.now
+	return cold && r.credit < 1
+}
 
 // turnedAway decides on a query at its arrival. By Little's law the parts out, over the rate at which parts
 // come back, are the time that a new part will take. Where that leaves too little of the promise the query
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // rig drives one instance by hand: no bench, no servers.
 type rig struct {
@@ -256,6 +259,54 @@
 	}
 }
 
+// Many co-ordinators are told of a new start at the same moment, and each has parts for it: what all of them
+// send together stays under the rule's limit in every window. One that had each send its first part at once fails.
+func TestManyCoordinatorsDoNotTipAColdReplica(t *testing.T) {
+	const peers = 40
+	most := 0
+	for round := range 5 {
+		var at []float64
+		for ordinal := range peers {
+			cfg := settings(Safe)
+			cfg.Aggregators, cfg.Ordinal, cfg.Seed = peers, ordinal, uint64(1+round)
+			r := newRig(t, cfg)
+			step := func(took float64) {
+				_, _, acts := r.ask(1, 3)
+				for _, a := range of(Send, acts) {
+					if a.Replica == 1 && r.now > 110 {
+						at = append(at, r.now)
+					}
+					r.do(Event{Kind: AttemptEnded, Part: a.Part, Replica: a.Replica, Outcome: OK, Took: took})
+				}
+				r.run(0.1)
+			}
+			for r.now < 110 {
+				step(0.1)
+			}
+			r.do(Event{Kind: ListChanged, List: []Entry{{Replica: 1, Started: r.now}}})
+			for r.now < 116 {
+				step(0.1)
+			}
+		}
+		slices.Sort(at)
+		for i := range at {
+			n := 0
+			for j := i; j < len(at) && at[j] < at[i]+1; j++ {
+				n++
+			}
+			level := 0.2 + 0.8*(at[i]-110)/10
+			// 0.1 s of work on each of two cores: 20 parts a second when warm, twice that is the multiple.
+			if float64(n) > 40*level {
+				t.Fatalf("%d parts within 1 s at %.2f s after its start, limit %.1f", n, at[i]-110, 40*level)
+			}
+			most = max(most, n)
+		}
+	}
+	if most < 2 {
+		t.Fatal("the cold replica was not used at all")
+	}
+}
+
 func TestAnswerNeedsFloorAndCountsAPartOnce(t *testing.T) {
 	cfg := settings(Safe)
 	cfg.Classes[0].Need, cfg.Classes[0].Floor = 1, 0.75
@@ -652,7 +703,7 @@
 		"draining": func(r *rig, pt *part, x *replica) { x.state = Draining },
 		"removed":  func(r *rig, pt *part, x *replica) { x.state = Removed },
 		"cold": func(r *rig, pt *part, x *replica) {
-			x.started, x.coldFree = r.p.now-0.01, r.p.now+0.1
+			x.started, x.credit, x.creditAt = r.p.now-0.01, 0, r.p.now
 		},
 		"attempts": func(r *rig, pt *part, x *replica) { pt.attempts = append(pt.attempts, pt.attempts[0]) },
 		"two out":  func(r *rig, pt *part, x *replica) { r.p.cfg.MaxAttempts = 9; pt.out = 2 },
--- a/policy/state.go
+++ b/policy/state.go
@@ -78,16 +78,18 @@
 	call    *call // the newest
 	outs    []*attempt
 
-	heardAt  float64 // last answer of any kind
-	pace     ewma    // latency over what its class expects
-	faults   ewma    // share of attempts that failed
-	suspect  bool
-	down     bool // took nothing when last tried: no connection, or full
-	since    float64
-	trialAt  float64
-	passed   int    // good trials in a row
-	done     window // answers
-	coldFree float64
+	heardAt float64 // last answer of any kind
+	pace    ewma    // latency over what its class expects
+	faults  ewma    // share of attempts that failed
+	suspect bool
+	down    bool // took nothing when last tried: no connection, or full
+	since   float64
+	trialAt float64
+	passed  int    // good trials in a row
+	done    window // answers
+
+	credit   float64 // parts that may go while cold, at most one
+	creditAt float64
 }
 
 // drop takes an ended attempt out of the replica's list.
@@ -100,23 +102,29 @@
 	}
 }
 
-// window holds the times of recent happenings, oldest first.
-type window struct{ at []float64 }
-
-func (w *window) add(t float64) { w.at = append(w.at, t) }
+// window holds the times of recent happenings, oldest first, for as long as keep says.
+type window struct {
+	at   []float64
+	keep float64
+}
 
-// count drops what is older than from and tells how many are left.
-func (w *window) count(from float64) int {
-	i := 0
-	for i < len(w.at) && w.at[i] < from {
-		i++
-	}
-	if i > 0 {
+func (w *window) add(t float64) {
+	if len(w.at) == cap(w.at) { // before it grows: what is too old makes room
+		i := w.from(t - w.keep)
 		w.at = append(w.at[:0], w.at[i:]...)
 	}
-	return len(w.at)
+	w.at = append(w.at, t)
+}
+
+// from is the place of the first that is not older.
+func (w *window) from(t float64) int {
+	i, _ := slices.BinarySearch(w.at, t)
+	return i
 }
 
+// count tells how many are not older.
+func (w *window) count(from float64) int { return len(w.at) - w.from(from) }
+
 // ewma is an average that forgets by count of samples.
 type ewma struct {
 	value float64
@@ -190,13 +198,17 @@
 	return p.scratch
 }
 
-// index sorts the list by id and the cells with it.
+// index sorts the list by id and the cells with it, and counts who is up.
 func (p *Policy) index() {
+	p.up = 0
 	slices.SortFunc(p.list, func(a, b *replica) int { return cmp.Compare(a.id, b.id) })
 	for i := range p.cells {
 		p.cells[i] = p.cells[i][:0]
 	}
 	for _, r := range p.list {
+		if r.state == Up {
+			p.up++
+		}
 		if r.cell >= 0 && r.cell < len(p.cells) {
 			p.cells[r.cell] = append(p.cells[r.cell], r)
 		}
