Judge replicas by class, scout risky queries, stop resending what breaks replicas

All rules kept. Taken out, earning nothing now: the pace, calls ahead, the loss share, worth for work at admission.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,8 +1,7 @@
 package policy
 
 // This module makes every decision of a co-ordinator. Its interface is api.go; state.go keeps the records.
-// Order: constants, turn, arrival, part count, replica choice, sending, outcomes, time, health, guards,
-// answers. Times are seconds. Settings are what Config says, observation is what this instance saw itself.
+// Order: constants, turn, arrival, part count, choice, sending, outcomes, time, health, guards, answers.
 
 import (
 	"cmp"
@@ -29,29 +28,25 @@
 
 	// Further attempts.
 	pauseShare  = 0.1  // of the promise: first wait of a part that has no sound holder left, then doubled
+	brokeMemory = 8.0  // promises: for so long after a broken connection queries send a scout
 	tailShare   = 0.98 // quantile of latencies after which a part counts as late: 2 % are
 	workShare   = 0.02 // weight of the newest work hint: hints are rough, some 50 of them make the mean
 	lateTimes   = 1.5  // medians: a part younger than this is never late, however tight the tail
 	lateMost    = 5.0  // medians: one older is, or stalls of more than the tail's share would hide themselves
 	lateLeast   = 0.1  // of the promise: nor younger than this; there is time, and copies cost work
 	lostTimes   = 2.0  // times late: the part's answer is taken for lost, whatever else its replica answers
-	lossLimit   = 0.05 // share of attempts that are late while their replicas answer others: answers get lost
-	lossMost    = 3.0  // medians, in place of lateMost, while they do
 	copiesShare = 0.5  // of the budget that copies of late parts may use up: the rest is for failed ones
 	ownExtra    = 0.20 // copies for each part taken, where no budget is stated: bounds a storm of them
 	ownFree     = 8.0  // copies free of that share, so that a small instance has some
 	ownSpan     = 4.0  // promises: window of that share
 
 	// Health.
-	faultShare  = 0.25 // weight of the newest outcome: two faults in a row show
-	faultLimit  = 0.3  // share of faults from which a replica is suspect
-	paceShare   = 0.2  // weight of the newest latency
-	freshShare  = 0.05 // weight of the newest answer where all replicas' are taken together
-	paceLimit   = 2.5  // times the middle pace of the list: slower is suspect; queueing alone stays under
-	paceLeast   = 4    // samples before a pace is believed
-	silentTimes = 3.0  // times late without any answer from a replica that owes one: silent
-	trialGap    = 0.5  // promises between trials of a suspect
-	trialsOK    = 2    // good trials in a row that end the suspicion
+	faultShare = 0.25 // weight of the newest outcome: two faults in a row show
+	faultLimit = 0.3  // share of faults from which a replica is suspect
+	freshShare = 0.05 // weight of the newest answer where all replicas' are taken together
+	trialGap   = 0.5  // promises between trials of a suspect
+	trialShare = 0.1  // of the parts sent may be trials
+	trialsMost = 2.0  // trials that may have been saved up
 
 	// Cold replicas.
 	coldSafety = 0.6 // of the inferred budget: peers' traffic is uneven and capacity only inferred
@@ -64,7 +59,6 @@
 	shareSlack = 0.7 // roots of a tenant's fair count beyond it that are let pass as chance
 	waitShare  = 0.4 // of the promise: mean time of a part that still lets the last of them be in time
 	slowShare  = 0.5 // of waitShare: recent latency, in promises, from which queues are taken to have formed
-	valueMost  = 1.5 // most that a query's worth for its work stretches or shrinks its time of a part
 	fullOpen   = 0.9 // of max_open: from here late queries and those over a tenant's share make room
 	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
 	leastOut   = 8.0 // parts out at one replica, of all co-ordinators if alike, that are always allowed
@@ -102,21 +96,20 @@
 	open     []*query // in order of arrival
 	fresh    []*query // to be planned at the end of this turn
 	models   []model
-	inFlight int
+	inFlight int // attempts out
+	stuck    int // of these, too long out
 	up       int // replicas on the list that are up
 
 	requests, extras   window   // all that came, further attempts
 	arrivals, done     window   // queries but retries, answers of parts
 	tenants            []window // queries but retries
-	ahead              ewma     // calls already out where attempts went
+	trials             float64  // that may go now
 	stress             ewma     // latency over promise
 	drag               ewma     // latest latencies over the estimates
-	losses             ewma     // share of attempts that were late while their replica answered others
-	value              ewma     // worth for the work of a part
 	promise, tick      float64  // the least promise; the period of a look
 	watchAt, refreshAt float64
 	stalledAt          float64 // end of our last standstill
-	logAt              float64
+	brokeUntil         float64 // end of the time of scouts
 	armed              bool
 }
 
@@ -128,6 +121,9 @@
 		queries: map[uint64]*query{}, groups: map[uint64]*query{}, parts: map[uint64]*part{},
 		models: make([]model, len(cfg.Classes)), tenants: make([]window, len(cfg.Tenants)),
 	}
+	if cfg.MaxAttempts <= 0 {
+		p.cfg.MaxAttempts = math.MaxInt // no limit
+	}
 	p.promise = endless
 	for i := range cfg.Classes {
 		c, md := &cfg.Classes[i], &p.models[i]
@@ -151,8 +147,7 @@
 
 // Handle takes one turn: what happened at now, in order. The actions hold until the next call.
 func (p *Policy) Handle(now float64, events []Event) []Action {
-	// Guards against our own standstills (no CPU, a long collection): what was out meanwhile looks late, and
-	// all replicas silent, though only we were. Ages then count from the end of it.
+	// Guards against our own standstills, in which all replicas look silent: ages count from its end.
 	if p.armed && now-p.now > stallTicks*p.tick {
 		p.stalledAt = now
 	}
@@ -208,7 +203,7 @@
 func (p *Policy) queryArrived(ev *Event) {
 	q := &query{
 		id: ev.Query, group: ev.Group, class: ev.Class, tenant: ev.Tenant,
-		arrived: p.now, due: ev.Due, step: 1,
+		arrived: p.now, due: ev.Due, step: 1, retry: ev.Retry,
 	}
 	p.queries[q.id], p.groups[q.group] = q, q
 	p.open = append(p.open, q)
@@ -247,22 +242,31 @@
 	if q.over || len(q.parts) == 0 {
 		return
 	}
-	c := &p.cfg.Classes[q.class]
-	k := len(q.parts)
-	q.need = k
+	q.need = len(q.parts)
 	if q.step == 1 {
-		q.need = min(k, max(1, int(math.Ceil(c.Need*float64(k)-weightSlip))))
+		q.need = min(q.need, max(1, int(math.Ceil(p.cfg.Classes[q.class].Need*float64(q.need)-weightSlip))))
 		if p.turnedAway(q) {
 			p.giveUp(q)
 			return
 		}
 	}
-	p.askFor(q, p.partCount(q.class, q.need, k))
+	// Guards against queries that bring down each replica that begins a part of them: one that a client
+	// asks again, and any soon after a connection broke, sends one part ahead as a scout. The rest goes when
+	// that has come in, or is late and thus broke nothing.
+	if q.scout = q.step == 1 && (q.retry || p.now < p.brokeUntil); q.scout {
+		p.askFor(q, 1)
+	} else {
+		p.askAll(q)
+	}
+}
+
+func (p *Policy) askAll(q *query) {
+	q.scout = false
+	p.askFor(q, p.partCount(q.class, q.need, len(q.parts)))
 }
 
 // askFor sends first attempts until n parts have been asked for. Where fewer than all go, those go first
-// whose holders are healthy and least loaded, heavier ones before lighter: these are the likeliest to make
-// the answer. A part whose holders are all unfit thus is left out whenever the rest suffices.
+// whose holders are healthy and least loaded, heavier before lighter: they are the likeliest to be in time.
 func (p *Policy) askFor(q *query, n int) {
 	var wait []*part
 	for _, pt := range q.parts {
@@ -358,7 +362,7 @@
 	load, ties := 0, 0
 	for _, r := range p.holders(pt.shard) {
 		rk, busy := 0, p.coldShut(r)
-		if r.suspect && !p.trialDue(r, pt) {
+		if p.doubted(r, pt.q.class) && !p.trialDue(r, pt) {
 			rk = 1
 		}
 		for _, a := range pt.attempts {
@@ -389,8 +393,8 @@
 		return false
 	}
 	if n := len(pt.attempts); pt.out == 0 && n > 0 && rank > 0 {
-		// Guards against quick failures at all holders (a restart of them all, a lost link) that use up a
-		// part's attempts within milliseconds: with no sound holder left to try, wait ever longer.
+		// Guards against quick failures at all holders, which use up a part's attempts within milliseconds:
+		// with no sound holder left to try, wait ever longer.
 		wait := pauseShare * p.cfg.Classes[pt.q.class].Promise * math.Exp2(float64(n-1))
 		if pt.retryAt = pt.attempts[n-1].sentAt + wait; pt.retryAt > p.now {
 			return false
@@ -404,7 +408,7 @@
 	again := len(pt.attempts) > 0
 	switch {
 	case pt.gone || pt.in || pt.q.due-p.now <= p.tick, // rule 1: nothing after the end
-		p.spent(pt),
+		len(pt.attempts) >= p.cfg.MaxAttempts,
 		again && !p.mayRepeat(pt), // rule 2
 		pt.out > 0 && (!p.cfg.SecondCopies || pt.out > 1),
 		r.state != Up,            // rule 3
@@ -413,6 +417,12 @@
 		return false
 	}
 	r.credit-- // while it is cold
+	if !again && p.trials < trialsMost {
+		p.trials += trialShare
+	}
+	if p.doubted(r, pt.q.class) && p.trialDue(r, pt) {
+		p.trials--
+	}
 	if r.call == nil || r.call.turn != p.turn || r.call.parts >= p.cfg.CallParts {
 		r.call = &call{turn: p.turn}
 	}
@@ -421,8 +431,7 @@
 	}
 	r.call.parts++
 	r.call.out++
-	a := &attempt{p: pt, r: r, call: r.call, no: len(pt.attempts), sentAt: p.now, ahead: r.calls - 1}
-	p.ahead.add(float64(a.ahead), freshShare)
+	a := &attempt{p: pt, r: r, call: r.call, no: len(pt.attempts), sentAt: p.now}
 	pt.attempts = append(pt.attempts, a)
 	pt.out++
 	pt.sent = true
@@ -432,13 +441,7 @@
 	return true
 }
 
-// spent tells that a part has had all its attempts.
-func (p *Policy) spent(pt *part) bool {
-	return p.cfg.MaxAttempts > 0 && len(pt.attempts) >= p.cfg.MaxAttempts
-}
-
-// mayRepeat is rule 2: an unsafe part goes again only when no attempt can have run; a keyed one that may
-// have run only within the window from the first such attempt, less the time that a turn can lag.
+// mayRepeat is rule 2: what may have run goes again if it is safe, or keyed and well within the window.
 func (p *Policy) mayRepeat(pt *part) bool {
 	c, first := &p.cfg.Classes[pt.q.class], pt.firstRun()
 	inWindow := first != nil && p.now < first.sentAt+c.Window-dueMargin*p.tick
@@ -482,6 +485,9 @@
 	a.r.drop(a)
 	pt.out--
 	p.inFlight--
+	if a.lost {
+		p.stuck--
+	}
 	p.judge(a, ev.Outcome, ev.Took)
 	if ev.Outcome == OK {
 		p.done.add(p.now)
@@ -497,27 +503,27 @@
 		if pt.out == 0 {
 			delete(p.parts, pt.id)
 		}
-		return
 	case ev.Outcome != OK:
 		p.again(pt)
-		return
-	case pt.in:
-		return
+	case !pt.in:
+		pt.in = true
+		q.in += pt.weight
+		q.inCount++
+		p.revoke(pt, pt.out)
+		if q.scout {
+			p.askAll(q)
+		}
+		p.settle(q)
 	}
-	pt.in = true
-	q.in += pt.weight
-	q.inCount++
-	p.revoke(pt, pt.out)
-	p.settle(q)
 }
 
 // again goes on after an attempt that failed.
 func (p *Policy) again(pt *part) {
 	q := pt.q
-	if pt.in || pt.out > 0 {
+	if pt.in || pt.out > 0 || p.withheld(q) {
 		return
 	}
-	if p.spent(pt) || !p.mayRepeat(pt) {
+	if len(pt.attempts) >= p.cfg.MaxAttempts || !p.mayRepeat(pt) {
 		pt.dead = true
 	}
 	asked := 0
@@ -536,6 +542,24 @@
 	}
 }
 
+// withheld tells that no part of a query may go again yet. Guards against the same: resent, such a query
+// takes all holders of its shards. What broke two replicas and got no answer from any is failed; while other
+// parts may still be answered, the broken ones wait, since an innocent query's other parts come in.
+func (p *Policy) withheld(q *query) bool {
+	if len(q.broke) == 0 || q.inCount > 0 || q.step > 1 || q.over {
+		return q.over
+	}
+	for _, pt := range q.parts {
+		if pt.out > 0 && p.age(pt.last()) < p.late(q.class)*pt.heavy {
+			return true
+		}
+	}
+	if len(q.broke) > 1 {
+		p.final(q, Action{Verb: Fail, Query: q.id}) // no refusal: to come again would do harm
+	}
+	return q.over
+}
+
 // Time.
 
 // look goes over what is open once a tick.
@@ -544,7 +568,6 @@
 		p.refreshAt = p.now + refresh
 		p.learn()
 	}
-	p.watchHealth()
 	for _, q := range p.open {
 		if !q.over {
 			p.lookAt(q)
@@ -554,15 +577,11 @@
 }
 
 // late is the age from which a part of the class counts as late. It grows at once with the latest answers:
-// guards against a fleet that slows down as a whole, or a costlier mix, where estimates some promises old
-// make every part late and the copies of all of them make it worse.
+// guards against a fleet that slows down as a whole, where copies of every part make it worse.
 func (p *Policy) late(class int) float64 {
-	md, most, scale := &p.models[class], lateMost, math.Max(1, p.drag.value)
-	if p.losses.value > lossLimit { // then waiting longer brings nothing, and what is lost costs no one work
-		most, scale = lossMost, 1
-	}
-	return scale * math.Max(lateLeast*p.cfg.Classes[class].Promise,
-		math.Max(lateTimes*md.middle, math.Min(most*md.middle, md.tail)))
+	md := &p.models[class]
+	return math.Max(1, p.drag.value) * math.Max(lateLeast*p.cfg.Classes[class].Promise,
+		math.Max(lateTimes*md.middle, math.Min(lateMost*md.middle, md.tail)))
 }
 
 // age is for how long an attempt has been out, as far as we were there to see its end.
@@ -575,15 +594,17 @@
 		return
 	}
 	if age := p.now - q.arrived; age+p.tick >= c.Promise {
-		// After the promise a short answer may be worth more than waiting for the whole, and a class that
-		// earns nothing late is given up: its parts only keep others waiting. So is any late one while the
-		// instance is full, since a new query in its place may earn its whole worth.
+		// After the promise a short answer may be worth more than waiting for the whole, and what earns
+		// nothing late, or any late one while the instance is full, only keeps others waiting.
 		if p.shortWorth(q) > c.LateWorth || age >= c.Promise && (c.LateWorth == 0 || p.full()) {
 			p.giveUp(q)
 			return
 		}
 	}
 	base := p.late(q.class)
+	if q.scout && p.now-q.arrived > base {
+		p.askAll(q)
+	}
 	for _, pt := range q.parts {
 		if q.over {
 			return
@@ -592,6 +613,13 @@
 			continue
 		}
 		late := base * pt.heavy
+		for _, a := range pt.attempts {
+			if !a.ended && !a.lost && p.age(a) >= p.tooLong(a) {
+				a.lost = true
+				p.stuck++
+				p.bad(a, false)
+			}
+		}
 		if pt.out == 0 {
 			if pt.retryAt <= p.now {
 				if len(pt.attempts) == 0 {
@@ -602,18 +630,20 @@
 			}
 			continue
 		}
+		a := pt.last()
+		age := p.age(a)
 		if pt.out > 1 {
-			if last := pt.attempts[len(pt.attempts)-1]; p.age(last) >= lostTimes*late && !p.spent(pt) {
+			if age >= lostTimes*late && len(pt.attempts) < p.cfg.MaxAttempts {
 				p.revoke(pt, 1) // both copies seem lost: make room for one more
 			}
 			continue
 		}
-		a := pt.attempts[len(pt.attempts)-1]
-		age := p.age(a)
-		// Guards against answers that never come from a replica that goes on answering others (a stuck
-		// worker, a lost reply): the part goes elsewhere though no replica looks unsound.
+		if p.doubted(a.r, q.class) {
+			late = math.Min(late, p.models[q.class].middle*pt.heavy)
+		}
+		// Guards against answers that never come from a replica that goes on answering others.
 		lost := age >= lostTimes*late
-		if !lost && !a.r.suspect && age < late {
+		if !lost && age < late {
 			continue
 		}
 		if !p.releaseOne(q, base) {
@@ -631,7 +661,7 @@
 			asked++
 		}
 		if !pt.in && pt.out > 0 {
-			if a := pt.attempts[len(pt.attempts)-1]; !a.r.suspect && p.age(a) < late*pt.heavy {
+			if a := pt.last(); !p.doubted(a.r, q.class) && p.age(a) < late*pt.heavy {
 				good++
 			}
 		}
@@ -639,111 +669,106 @@
 	if good >= q.need {
 		return true
 	}
-	if asked == len(q.parts) {
-		return false
+	if asked < len(q.parts) {
+		p.askFor(q, asked+1)
 	}
-	p.askFor(q, asked+1)
-	return true
+	return asked < len(q.parts)
 }
 
-// Health. One suspicion for each replica, whatever the symptom: faults, silence, or a slow pace. It only
-// narrows the choice; a shard whose holders are all suspect still uses them.
+// Health. One record of bad outcomes for each replica and class, whatever the symptom: faults, silence, or
+// slowness. It only narrows the choice; a shard whose holders are all suspect still uses them.
 
 func (p *Policy) judge(a *attempt, o Outcome, took float64) {
-	r := a.r
+	r, class := a.r, a.p.q.class
 	switch o {
 	case OK:
 		r.heardAt, r.down = p.now, false
-		r.faults.add(0, faultShare)
-		p.losses.add(0, freshShare)
 		if a.sentAt < p.stalledAt {
 			return // how long it took was not seen
 		}
-		r.pace.add(took/p.expected(a), paceShare)
-		if r.suspect && a.sentAt > r.since {
-			if took <= paceLimit*p.expected(a) {
-				if r.passed++; r.passed >= trialsOK {
-					r.suspect, r.pace, r.faults = false, ewma{}, ewma{}
-					p.log("replica %d taken back", r.id)
-				}
-			} else {
-				r.passed = 0
-			}
+		if took < p.tooLong(a) {
+			p.good(r, class)
+		} else if !a.lost {
+			p.bad(a, false)
 		}
 	case Revoked, Moot:
-		// A revoked attempt ended by our own wish. Its age is a bound on its latency: when it is already
-		// slow, that is news of a replica that second copies would otherwise hide. Not so where the replica
-		// has answered later parts meanwhile: that one answer was lost, and the replica is not slow.
-		if r.heardAt > a.sentAt && took >= p.late(a.p.q.class)*a.p.heavy {
-			p.losses.add(1, freshShare)
-		}
-		seen := math.Max(r.heardAt, p.stalledAt) < a.sentAt
-		if x := took / p.expected(a); seen && x > math.Max(1, r.pace.value) {
-			r.pace.add(x, paceShare)
-		}
-		if r.suspect && r.heardAt < r.since {
+		if r.suspect && r.heardAt < a.sentAt {
 			r.trialAt = p.now + trialGap*p.promise // a trial by which a silent one is silent still
 		}
 	default:
 		if o != TimedOut {
 			r.heardAt = p.now
 		}
-		r.faults.add(1, faultShare)
-		r.passed = 0
+		if q := a.p.q; o == Broken && !slices.Contains(q.broke, r) {
+			q.broke = append(q.broke, r)
+			p.brokeUntil = p.now + brokeMemory*p.promise
+		}
 		if o != Failed { // down or full; one that only fails some parts is tried again at once
 			r.trialAt, r.down = p.now+trialGap*p.promise, o != TimedOut
 		}
-		if r.faults.value > faultLimit && r.faults.n > 1 || o == Unreachable || o == Broken {
-			p.suspect(r, "faults")
-		}
+		p.bad(a, o == Unreachable || o == Broken)
 	}
 }
 
-// expected is the latency that an attempt's class and the calls ahead of it explain. Without the latter the
-// mates of a failed replica, which take its load, look slow for it and are left out as well.
-func (p *Policy) expected(a *attempt) float64 {
-	return p.models[a.p.q.class].mean * a.p.heavy * float64(1+a.ahead) / (1 + p.ahead.value)
+// good and bad keep the share of bad outcomes. The longer nothing was heard, the more the newest says: with
+// little traffic one bad outcome is all the evidence there will be for a while.
+func (p *Policy) good(r *replica, class int) {
+	rec := &r.classes[class]
+	rec.goodAt = p.now
+	rec.add(0, p.now, p.promise)
+	if rec.suspect && rec.value <= faultLimit {
+		rec.suspect = false
+		r.suspect = slices.ContainsFunc(r.classes, func(rec record) bool { return rec.suspect })
+		p.log("replica %d taken back for class %d", r.id, class)
+	}
 }
 
-func (p *Policy) suspect(r *replica, why string) {
-	if !r.suspect {
-		r.suspect, r.since, r.passed = true, p.now, 0
-		r.trialAt = p.now + trialGap*p.promise
-		p.log("replica %d suspect: %s", r.id, why)
+func (p *Policy) bad(a *attempt, enough bool) {
+	r, rec := a.r, &a.r.classes[a.p.q.class]
+	rec.add(1, p.now, p.promise)
+	if !rec.suspect && (enough || rec.value > faultLimit) {
+		rec.suspect, rec.since, rec.value = true, p.now, 1
+		r.suspect, r.trialAt = true, p.now+trialGap*p.promise
+		p.log("replica %d suspect for class %d", r.id, a.p.q.class)
 	}
 }
 
-// watchHealth looks for silence and for a pace far from that of the others.
-func (p *Policy) watchHealth() {
-	var paces []float64
-	for _, r := range p.list {
-		if r.pace.n >= paceLeast && r.state == Up {
-			paces = append(paces, r.pace.value)
-		}
+// tooLong is the age from which an attempt speaks against its replica: late, or lost while latencies show
+// queues, since then many are late for others' sake.
+func (p *Policy) tooLong(a *attempt) float64 {
+	age := p.late(a.p.q.class) * a.p.heavy
+	if p.stress.value > slowShare*waitShare {
+		age *= lostTimes
 	}
-	slices.Sort(paces)
-	middle := quantile(paces, 0.5)
-	for _, r := range p.list {
-		if r.suspect {
-			continue
-		}
-		if r.pace.n >= paceLeast && len(paces) > 2 && r.pace.value > paceLimit*math.Max(1, middle) {
-			p.suspect(r, "slow")
-		}
-		if len(r.outs) > 0 {
-			a := r.outs[0]
-			if r.heardAt < a.sentAt && p.age(a) > silentTimes*p.late(a.p.q.class)*a.p.heavy {
-				p.suspect(r, "silent")
-			}
-		}
+	return age
+}
+
+// doubted tells whether a replica is left out for a class: it took nothing just now, the class's record is
+// bad, or another's is and nothing good was heard of this one since. Guards against replicas that fail or
+// swallow one class: good answers of others do not clear it, nor do those suffer.
+func (p *Policy) doubted(r *replica, class int) bool {
+	if r.down && p.now < r.trialAt {
+		return true
 	}
+	if !r.suspect {
+		return false
+	}
+	own := &r.classes[class]
+	return own.suspect || slices.ContainsFunc(r.classes, func(rec record) bool {
+		return rec.suspect && own.goodAt < rec.since
+	})
+}
+
+func (p *Policy) clear(r *replica) {
+	r.suspect, r.down = false, false
+	clear(r.classes)
 }
 
-// trialDue tells whether a suspect may have this part as a trial: one at a time, and only a part that may
-// go elsewhere as well should the trial fail.
+// trialDue tells whether a suspect may have this part as a trial: one at a time, and only a part that may go
+// elsewhere too. Trials are a share of the parts sent, or with little traffic they would be all there is.
 func (p *Policy) trialDue(r *replica, pt *part) bool {
-	return r.trialAt <= p.now && len(r.outs) == 0 && len(pt.attempts) == 0 &&
-		p.cfg.Classes[pt.q.class].Effect == Safe && p.cfg.SecondCopies
+	return p.trials >= 1 && r.trialAt <= p.now && len(r.outs) == 0 &&
+		len(pt.attempts) == 0 && p.cfg.Classes[pt.q.class].Effect == Safe && p.cfg.SecondCopies
 }
 
 // The list.
@@ -757,16 +782,15 @@
 	for _, e := range ev.List {
 		r := p.replicas[e.Replica]
 		if r == nil {
-			r = &replica{id: e.Replica, done: window{keep: rateSpan * p.promise}}
+			r = &replica{id: e.Replica, classes: make([]record, len(p.models))}
+			r.done.keep = rateSpan * p.promise
 			p.replicas[e.Replica] = r
 			p.list = append(p.list, r)
 		}
 		if e.State != Removed {
 			r.cell = e.Cell
 			if e.Started > r.started {
-				if r.started > 0 || r.suspect {
-					r.suspect, r.down, r.pace, r.faults = false, false, ewma{}, ewma{}
-				}
+				p.clear(r)
 				r.started, r.credit, r.creditAt = e.Started, p.rng.Float64(), p.now
 			}
 		}
@@ -803,8 +827,8 @@
 	return parts / p.cfg.TipAfter / peers, true
 }
 
-// coldShut tells whether a replica is cold and has had what it may take by now. Credit starts at random:
-// guards against all co-ordinators sending their first part as soon as they are told of a new start.
+// coldShut tells whether a replica is cold and has had what it may take by now. Credit starts at random, or
+// all co-ordinators would send their first part as soon as they are told of a new start.
 func (p *Policy) coldShut(r *replica) bool {
 	rate, cold := p.coldRate(r)
 	r.credit, r.creditAt = math.Min(1, r.credit+rate*(p.now-r.creditAt)), p.now
@@ -812,31 +836,17 @@
 }
 
 // turnedAway decides on a query at its arrival. By Little's law the parts out, over the rate at which parts
-// come back, are the time that a new part will take. Where that leaves too little of the promise the query
-// is refused, earlier if its tenant is over its share. It is asked of all sound replicas together, and of
-// the holders of each shard. Guards against queues that make every answer late, whatever filled them (a
-// burst, a flood, retries, lost or slow replicas, a hot key), and against work for queries that cannot be
-// whole since all holders of a shard refuse connections.
+// come back, are the time that a new part will take. Where that leaves too little of the promise the query is
+// refused, earlier if its tenant is over its share. It is asked of all replicas together and of each shard's
+// holders. Guards against queues that make every answer late, whatever filled them, and against work for
+// queries that cannot be whole.
 func (p *Policy) turnedAway(q *query) bool {
-	c, out := &p.cfg.Classes[q.class], 0
-	for _, r := range p.list {
-		if !r.suspect {
-			out += len(r.outs)
-		}
-	}
+	c := &p.cfg.Classes[q.class]
 	time := math.Min(c.Promise, q.due-p.now) // clients that leave early set the pace
 	wait := waitShare * time
 	if c.FollowUp > 0 {
 		wait /= 2 // the promise holds for both steps
 	}
-	value := c.Points // for the work of a part
-	if !p.cfg.WorthByWork {
-		value /= float64(q.need)
-	}
-	p.value.add(value, workShare)
-	if p.value.value > 0 {
-		wait *= math.Max(1/valueMost, math.Min(valueMost, math.Sqrt(value/p.value.value)))
-	}
 	over := p.overShare(q)
 	wait /= over
 	blind := p.now-p.stalledAt < p.promise // our own standstill tells no rate
@@ -856,7 +866,8 @@
 	// A rate seen in a lull says little, so latencies must show the queues as well.
 	slow := p.stress.value*c.Promise > slowShare*waitShare*time/over
 	room := wait * float64(p.done.count(p.now-p.promise)) / p.promise
-	return p.full() && over > 1 || slow && float64(out) > math.Max(leastRoom*p.share(q.need)/over, room)
+	room = math.Max(leastRoom*p.share(q.need)/over, room)
+	return p.full() && over > 1 || slow && float64(p.inFlight-p.stuck) > room
 }
 
 // full tells that queries will soon be turned away before they reach this instance.
@@ -864,8 +875,8 @@
 	return p.cfg.MaxOpen > 0 && float64(len(p.queries)+len(p.parts)) > fullOpen*float64(p.cfg.MaxOpen)
 }
 
-// overShare tells how many times over its share a query's tenant is, at least 1. Only this instance's own
-// traffic is known, so the tenant must be over both its part of the quota and its share of what comes here.
+// overShare tells how many times over its share a query's tenant is, at least 1: over both its part of the
+// quota and its share of what comes here, since only our own traffic is known.
 func (p *Policy) overShare(q *query) float64 {
 	if q.tenant < 0 || p.cfg.OverShareKeep >= 1 {
 		return 1
@@ -918,8 +929,7 @@
 	return q.in >= c.Floor-weightSlip
 }
 
-// giveUp ends a query at once: with what is in where that may be told, else by a refusal where no part
-// can have run or a repeat does no harm, else by a failure.
+// giveUp ends a query at once: by what is in, else by a refusal where that is allowed, else by a failure.
 func (p *Policy) giveUp(q *query) {
 	if p.floorMet(q) && q.inCount > 0 {
 		p.answer(q)
@@ -997,10 +1007,6 @@
 	}
 }
 
-// log says what changed, at most once a tick.
 func (p *Policy) log(format string, args ...any) {
-	if p.now >= p.logAt {
-		p.logAt = p.now + p.tick
-		p.act(Action{Verb: Log, Text: fmt.Sprintf(format, args...)})
-	}
+	p.act(Action{Verb: Log, Text: fmt.Sprintf(format, args...)})
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -17,6 +17,8 @@
 	need          int // m: parts that suffice
 	in            float64
 	inCount       int
+	broke         []*replica // went down with a part of it
+	retry, scout  bool
 	over          bool
 }
 
@@ -38,6 +40,8 @@
 	retryAt  float64
 }
 
+func (pt *part) last() *attempt { return pt.attempts[len(pt.attempts)-1] }
+
 // attempt is one send of a part.
 type attempt struct {
 	p        *part
@@ -48,7 +52,7 @@
 	ended    bool
 	neverRan bool
 	revoked  bool
-	ahead    int // our calls already out at the replica
+	lost     bool // counted as too long out
 }
 
 // firstRun is the first attempt that may have run, nil if there is none.
@@ -79,19 +83,29 @@
 	outs    []*attempt
 
 	heardAt float64 // last answer of any kind
-	pace    ewma    // latency over what its class expects
-	faults  ewma    // share of attempts that failed
-	suspect bool
+	classes []record
+	suspect bool // for a class at least
 	down    bool // took nothing when last tried: no connection, or full
-	since   float64
 	trialAt float64
-	passed  int    // good trials in a row
 	done    window // answers
 
 	credit   float64 // parts that may go while cold, at most one
 	creditAt float64
 }
 
+// record is the share of bad outcomes of one class at one replica.
+type record struct {
+	value             float64
+	at, since, goodAt float64 // last outcome, start of the suspicion, last good outcome
+	suspect           bool
+}
+
+// add takes in one outcome, with the more weight the longer the last one is ago.
+func (r *record) add(x, now, span float64) {
+	r.value += (x - r.value) * (1 - math.Pow(1-faultShare, 1+(now-r.at)/span))
+	r.at = now
+}
+
 // drop takes an ended attempt out of the replica's list.
 func (r *replica) drop(a *attempt) {
 	if i := slices.Index(r.outs, a); i >= 0 {
