--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,6 @@
 
 	// Further attempts.
 	pauseShare  = 0.1  // of the promise: first wait of a part that has no sound holder left, then doubled
-	brokeMemory = 8.0  // promises: for so long after a broken connection queries send a scout
 	tailShare   = 0.98 // quantile of latencies after which a part counts as late: 2 % are
 	workShare   = 0.02 // weight of the newest work hint: hints are rough, some 50 of them make the mean
 	lateTimes   = 1.5  // medians: a part younger than this is never late, however tight the tail
@@ -109,7 +108,6 @@
 	promise, tick      float64  // the least promise; the period of a look
 	watchAt, refreshAt float64
 	stalledAt          float64 // end of our last standstill
-	brokeUntil         float64 // end of the time of scouts
 	armed              bool
 }
 
@@ -251,9 +249,9 @@
 		}
 	}
 	// Guards against queries that bring down each replica that begins a part of them: one that a client
-	// asks again, and any soon after a connection broke, sends one part ahead as a scout. The rest goes when
-	// that has come in, or is late and thus broke nothing.
-	if q.scout = q.step == 1 && (q.retry || p.now < p.brokeUntil); q.scout {
+	// asks again sends one part ahead as a scout. The rest goes when that has come in, or is late and thus
+	// broke nothing.
+	if q.scout = q.retry && q.step == 1; q.scout {
 		p.askFor(q, 1)
 	} else {
 		p.askAll(q)
@@ -701,7 +699,6 @@
 		}
 		if q := a.p.q; o == Broken && !slices.Contains(q.broke, r) {
 			q.broke = append(q.broke, r)
-			p.brokeUntil = p.now + brokeMemory*p.promise
 		}
 		if o != Failed { // down or full; one that only fails some parts is tried again at once
 			r.trialAt, r.down = p.now+trialGap*p.promise, o != TimedOut
