--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,6 +40,7 @@
 	ownSpan     = 4.0  // promises: window of that share
 
 	// Health.
+	queueShare = 0.2  // of the promise: recent latency from which queues have formed: many are late
 	faultShare = 0.25 // weight of the newest outcome: two faults in a row show
 	faultLimit = 0.3  // share of faults from which a replica is suspect
 	freshShare = 0.05 // weight of the newest answer where all replicas' are taken together
@@ -56,7 +57,7 @@
 	// Admission.
 	shareSpan  = 3.0 // promises: window of a tenant's rate
 	shareSlack = 0.7 // roots of a tenant's fair count beyond it that are let pass as chance
-	waitShare  = 0.4 // of the promise: mean time of a part that still lets the last of them be in time
+	waitShare  = 0.6 // of the promise: mean time of a part that still lets the last of them be in time
 	slowShare  = 0.5 // of waitShare: recent latency, in promises, from which queues are taken to have formed
 	fullOpen   = 0.9 // of max_open: from here late queries and those over a tenant's share make room
 	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
@@ -541,8 +542,8 @@
 }
 
 // withheld tells that no part of a query may go again yet. Guards against the same: resent, such a query
-// takes all holders of its shards. What broke two replicas and got no answer from any is failed; while other
-// parts may still be answered, the broken ones wait, since an innocent query's other parts come in.
+// takes all holders of its shards. What broke two replicas, or one after an earlier try, and got no answer
+// is failed; while other parts may still be answered, the broken ones wait: an innocent query's come in.
 func (p *Policy) withheld(q *query) bool {
 	if len(q.broke) == 0 || q.inCount > 0 || q.step > 1 || q.over {
 		return q.over
@@ -552,7 +553,7 @@
 			return true
 		}
 	}
-	if len(q.broke) > 1 {
+	if len(q.broke) > 1 || q.retry {
 		p.final(q, Action{Verb: Fail, Query: q.id}) // no refusal: to come again would do harm
 	}
 	return q.over
@@ -734,7 +735,7 @@
 // queues, since then many are late for others' sake.
 func (p *Policy) tooLong(a *attempt) float64 {
 	age := p.late(a.p.q.class) * a.p.heavy
-	if p.stress.value > slowShare*waitShare {
+	if p.stress.value > queueShare {
 		age *= lostTimes
 	}
 	return age
