--- a/policy/fuzz_test.go
+++ b/policy/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -20,6 +21,7 @@
 }
 
 type seenQuery struct {
+	id       uint64
 	class    Class
 	due      float64
 	step     int
@@ -57,7 +59,7 @@
 func (c *checker) event(now float64, ev Event) {
 	switch ev.Kind {
 	case QueryArrived:
-		q := &seenQuery{class: c.cfg.Classes[ev.Class], due: ev.Due, step: 1}
+		q := &seenQuery{id: ev.Query, class: c.cfg.Classes[ev.Class], due: ev.Due, step: 1}
 		c.queries[ev.Query], c.groups[ev.Group] = q, q
 		c.reqs = append(c.reqs, now)
 	case PartArrived:
@@ -199,6 +201,10 @@
 	steps []followUp
 	alter func(Action) Action // breaks an action on purpose
 	list  []Entry
+	fails map[uint64]int  // replica to the class that it fails or swallows
+	fatal map[uint64]bool // queries that bring down each replica that takes a part of them
+	swept []uint64        // drained in a wave, to be removed soon
+	born  uint64          // ids of replacements
 }
 
 type pending struct {
@@ -216,6 +222,9 @@
 		ColdFrom: 0.2, WarmUp: 10, FallMultiple: 2, TipAfter: 1, MaxOpen: 40 + rng.IntN(300), OverShareKeep: 0.1,
 		Tenants: []Tenant{{Quota: 5, Share: 0.5}, {Quota: 5, Share: 0.5}},
 	}
+	if rng.IntN(3) == 0 { // a large fleet with many co-ordinators
+		cfg.Aggregators, cfg.Cells, cfg.Shards = 20+rng.IntN(70), 20+rng.IntN(40), 60
+	}
 	cfg.Reach = 1 + rng.IntN(min(2, cfg.Cells))
 	if rng.IntN(2) > 0 {
 		cfg.ExtraFree, cfg.ExtraPerRequest, cfg.ExtraSpan = float64(rng.IntN(12)), 0.2*rng.Float64(), 0.5+3*rng.Float64()
@@ -235,8 +244,16 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	w := &world{rng: rng, cfg: randomConfig(rng), now: 1000, alter: alter}
 	w.chk, w.p = newChecker(w.cfg), New(w.cfg)
-	for i := range uint64(2 + rng.IntN(10)) {
-		w.list = append(w.list, Entry{Replica: 10 + i, Cell: rng.IntN(w.cfg.Cells)})
+	n := 2 + rng.IntN(10)
+	if w.cfg.Aggregators >= 20 {
+		n = w.cfg.Cells * 3
+	}
+	w.fails, w.fatal, w.born = map[uint64]int{}, map[uint64]bool{}, 10_000_000
+	for i := range uint64(n) {
+		w.list = append(w.list, Entry{Replica: 10 + i, Cell: int(i) % w.cfg.Cells, Zone: int(i) % 3})
+		if rng.IntN(5) == 0 {
+			w.fails[10+i] = rng.IntN(len(w.cfg.Classes))
+		}
 	}
 	w.turn([]Event{{Kind: ListChanged, Full: true, Stale: true, List: append([]Entry(nil), w.list...)}})
 	return w
@@ -282,6 +299,17 @@
 	case 2:
 		took, o = 0.001, Outcome(1+w.rng.IntN(7))
 	}
+	if class, bad := w.fails[a.Replica]; bad && pt.q.class == w.cfg.Classes[class] && w.rng.IntN(5) > 0 {
+		took, o = []float64{0.005, 60}[int(a.Replica)%2], Failed // at once, or never an answer
+	}
+	if w.fatal[pt.q.id] { // and with it goes all else that is out there
+		took, o = 0.02, Broken
+		for i := range w.out {
+			if e := &w.out[i]; e.ev.Kind == AttemptEnded && e.ev.Replica == a.Replica && e.at > w.now+took {
+				e.at, e.ev.Outcome = w.now+took, Broken
+			}
+		}
+	}
 	if at := pt.q.due; w.now+took >= at {
 		took, o = at-w.now, TimedOut
 	}
@@ -324,12 +352,41 @@
 		}
 		events = append(events, Event{Kind: ListChanged, List: []Entry{*e}})
 	}
+	if w.rng.IntN(300) == 0 { // a wave: some drain, are gone soon, and new ones come up cold in their place
+		ev := Event{Kind: ListChanged}
+		for i := range w.list {
+			if e := &w.list[i]; e.State == Up && w.rng.IntN(5) == 0 {
+				e.State = Draining
+				w.swept = append(w.swept, e.Replica)
+				ev.List = append(ev.List, *e)
+			}
+		}
+		events = append(events, ev)
+	}
+	if len(w.swept) > 0 && w.rng.IntN(100) == 0 {
+		ev := Event{Kind: ListChanged}
+		for i := range w.list {
+			e := &w.list[i]
+			if !slices.Contains(w.swept, e.Replica) {
+				continue
+			}
+			e.State = Removed
+			ev.List = append(ev.List, *e, *e) // told twice, and in any order
+			w.born++
+			e.Replica, e.State, e.Started = w.born, Up, w.now-w.rng.Float64()
+			ev.List = append(ev.List, *e)
+		}
+		w.rng.Shuffle(len(ev.List), func(i, j int) { ev.List[i], ev.List[j] = ev.List[j], ev.List[i] })
+		w.swept = nil
+		events = append(events, ev)
+	}
 	for range w.rng.IntN(3) * w.rng.IntN(2) {
 		w.ids++
+		w.fatal[w.ids] = w.rng.IntN(50) == 0
 		q, class := w.ids, w.rng.IntN(len(w.cfg.Classes))
 		n := 1 + w.rng.IntN(6)
 		events = append(events, Event{
-			Kind: QueryArrived, Query: q, Group: q, Class: class, Tenant: w.rng.IntN(3) - 1, Due: w.now + 0.1 + 3*w.rng.Float64(), Count: n,
+			Kind: QueryArrived, Query: q, Group: q, Class: class, Tenant: w.rng.IntN(3) - 1, Retry: w.rng.IntN(4) == 0, Due: w.now + 0.1 + 3*w.rng.Float64(), Count: n,
 		})
 		for i := range n {
 			w.ids++
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -701,9 +701,7 @@
 		if q := a.p.q; o == Broken && !slices.Contains(q.broke, r) {
 			q.broke = append(q.broke, r)
 		}
-		if o != Failed { // down or full; one that only fails some parts is tried again at once
-			r.trialAt, r.down = p.now+trialGap*p.promise, o != TimedOut
-		}
+		r.trialAt, r.down = p.now+trialGap*p.promise, o != TimedOut && o != Failed
 		p.bad(a, o == Unreachable || o == Broken)
 	}
 }
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 )
@@ -838,3 +839,187 @@
 		}
 	}
 }
+
+// Kinds of symptom at the later sizes.
+
+// A replica that fails one class and serves the other is left out for the one and used for the other.
+func TestOneClassFailsAndTheOtherIsServed(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes = append(cfg.Classes, cfg.Classes[0])
+	r := newRig(t, cfg)
+	got := [2]int{}
+	for i := range 1200 {
+		r.next += 100
+		acts := r.do(
+			Event{Kind: QueryArrived, Query: r.next, Group: r.next, Class: i % 2, Tenant: -1, Due: r.now + 3, Count: 1},
+			Event{Kind: PartArrived, Part: r.next + 1, Group: r.next, Weight: 1})
+		for n, s := 0, of(Send, acts); len(s) > 0; n++ {
+			o := OK
+			if s[0].Replica == 1 && i%2 == 0 {
+				o = Failed
+			}
+			if s[0].Replica == 1 && i > 200 && n == 0 {
+				got[i%2]++
+			}
+			s = of(Send, r.end(s[0].Part, n, s[0].Replica, o))
+		}
+		r.run(0.02)
+	}
+	if got[0] > 60 || got[1] < 80 {
+		t.Fatalf("of 500 first attempts of each class the failing replica got %d of the failed and %d of the served", got[0], got[1])
+	}
+}
+
+// The longer nothing was heard, the more one outcome says: a single failure after a long silence is enough,
+// amid many answers it is not.
+func TestOneFailureCountsByTheTimeSinceTheLast(t *testing.T) {
+	for _, gap := range []float64{0.01, 5} {
+		r := newRig(t, settings(Safe))
+		for range 20 {
+			_, _, acts := r.ask(1, 3)
+			r.end(of(Send, acts)[0].Part, 0, of(Send, acts)[0].Replica, OK)
+		}
+		r.now += gap
+		_, _, acts := r.ask(1, 3)
+		s := of(Send, acts)[0]
+		r.end(s.Part, 0, s.Replica, Failed)
+		if x := r.p.replicas[s.Replica]; x.suspect != (gap > 1) {
+			t.Errorf("one failure %v s after a good answer: suspect %v", gap, x.suspect)
+		}
+	}
+}
+
+// With many suspects and little traffic, trials by the clock alone would be most of what is sent.
+func TestTrialsAreAShareOfTheParts(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Cells, cfg.Shards = 40, 40
+	r := newRig(t, cfg)
+	var list []Entry
+	for id := range uint64(80) {
+		list = append(list, Entry{Replica: 1 + id, Cell: int(id) % 40})
+	}
+	r.do(Event{Kind: ListChanged, Full: true, List: list})
+	for id := range uint64(40) { // one of the two holders of each shard
+		x := r.p.replicas[1+id]
+		x.suspect, x.classes[0] = true, record{suspect: true, value: 1, since: r.now, at: r.now}
+	}
+	trials, sent := 0, 0
+	for i := range 400 {
+		r.next += 100
+		acts := r.do(
+			Event{Kind: QueryArrived, Query: r.next, Group: r.next, Tenant: -1, Due: r.now + 3, Count: 1},
+			Event{Kind: PartArrived, Part: r.next + 1, Group: r.next, Weight: 1, Shard: i % 40})
+		for n, s := 0, of(Send, acts); len(s) > 0; n++ {
+			sent++
+			o := OK
+			if s[0].Replica <= 40 {
+				trials, o = trials+1, Failed
+			}
+			s = of(Send, r.end(s[0].Part, n, s[0].Replica, o))
+		}
+		r.run(0.1)
+	}
+	if trials == 0 || trials > sent/8 {
+		t.Fatalf("%d trials of %d attempts at 40 suspects", trials, sent)
+	}
+}
+
+// What a client asks again sends one part ahead; the rest goes when that is in or late, and none if it broke.
+func TestRetrySendsAScout(t *testing.T) {
+	for _, how := range []string{"in", "late", "broken"} {
+		r := newRig(t, settings(Safe))
+		ev := []Event{{Kind: QueryArrived, Query: 500, Group: 500, Tenant: -1, Due: r.now + 3, Count: 3, Retry: true}}
+		for i := range 3 {
+			ev = append(ev, Event{Kind: PartArrived, Part: uint64(501 + i), Group: 500, Shard: i, Weight: 1.0 / 3})
+		}
+		first := of(Send, r.do(ev...))
+		if len(first) != 1 {
+			t.Fatalf("a retry sent %d parts at once", len(first))
+		}
+		var next []Action
+		switch how {
+		case "in":
+			next = r.end(first[0].Part, 0, first[0].Replica, OK)
+		case "late":
+			next = r.run(0.9)
+		case "broken":
+			next = append(r.end(first[0].Part, 0, first[0].Replica, Broken), r.run(0.1)...)
+		}
+		if s, f := of(Send, next), finals(next); how == "broken" && (len(s) > 0 || len(f) != 1 || f[0].Verb != Fail) ||
+			how != "broken" && len(s) < 2 {
+			t.Errorf("scout %s: sent %v, ended by %v", how, s, f)
+		}
+	}
+}
+
+// Decisions on a part look at its holders alone: ten times as many replicas, as many times the co-ordinators,
+// and the actions are the same.
+func TestActionsDoNotChangeWithTheFleet(t *testing.T) {
+	trace := func(times int) (s string) {
+		cfg := settings(Safe)
+		cfg.Cells, cfg.Aggregators, cfg.Classes[0].Need, cfg.Classes[0].Floor = 2*times, 8*times, 0.75, 0.75
+		r := newRig(t, cfg)
+		var list []Entry
+		for id := range uint64(8 * times) {
+			list = append(list, Entry{Replica: 1 + id, Cell: int(id / 4)})
+		}
+		r.do(Event{Kind: ListChanged, Full: true, List: list})
+		for i := range 300 {
+			r.next += 100
+			ev := []Event{{Kind: QueryArrived, Query: r.next, Group: r.next, Tenant: -1, Due: r.now + 3, Count: 4}}
+			for j := range uint64(4) {
+				ev = append(ev, Event{Kind: PartArrived, Part: r.next + 1 + j, Group: r.next, Shard: int(j % 2), Weight: 0.25})
+			}
+			acts := r.do(ev...)
+			s += fmt.Sprintln(acts)
+			for k, a := range of(Send, acts) {
+				if o := OK; (i+k)%7 > 0 {
+					if a.Replica == 3 {
+						o = Failed
+					}
+					s += fmt.Sprintln(r.end(a.Part, 0, a.Replica, o))
+				}
+			}
+			s += fmt.Sprintln(r.run(0.05))
+		}
+		return s
+	}
+	if a, b := trace(1), trace(10); a != b || len(a) < 10000 {
+		t.Fatal("the same events at the holders gave other actions in the larger fleet")
+	}
+}
+
+// Entries that come twice, or late with an older start, neither end the time of the cold guard nor double a holder.
+func TestListEntriesRepeatedOrOld(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	fresh, old := Entry{Replica: 1, Started: r.now - 0.1}, Entry{Replica: 1, Started: r.now - 50}
+	r.do(Event{Kind: ListChanged, List: []Entry{fresh, fresh, old, {Replica: 2}, {Replica: 2}, {Replica: 9, State: Removed}}})
+	if x := r.p.replicas[1]; x.started != fresh.Started {
+		t.Fatalf("an old entry set the last start to %v", x.started)
+	}
+	if n := len(r.p.holders(0)); n != 4 {
+		t.Fatalf("%d holders of four", n)
+	}
+	if _, cold := r.p.coldRate(r.p.replicas[1]); !cold {
+		t.Fatal("an old entry ended the time of the cold guard")
+	}
+}
+
+// Events that name nothing known do nothing.
+func TestUnknownEventsDoNothing(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	q, parts, acts := r.ask(1, 3)
+	s := of(Send, acts)[0]
+	for _, ev := range []Event{
+		{Kind: AttemptEnded, Part: 9}, {Kind: AttemptEnded, Part: parts[0], Attempt: 7}, {Kind: AttemptEnded, Part: parts[0], Attempt: -1},
+		{Kind: AttemptEnded, Part: parts[0], Replica: 77, Attempt: 3}, {Kind: PartArrived, Part: 9, Group: 9}, {Kind: ClientLeft, Query: 9},
+		{Kind: ProbeEnded, Replica: 77}, {Kind: ListFailed}, {Kind: Kind(200)}, {Kind: ListChanged, List: []Entry{{Replica: 70, Cell: 99, Zone: -1}}},
+	} {
+		if f := append(finals(r.do(ev)), of(Send, r.acts)...); len(f) > 0 {
+			t.Errorf("%+v: %+v", ev, f)
+		}
+	}
+	if f := finals(r.end(s.Part, 0, s.Replica, OK)); len(f) != 1 || f[0].Query != q {
+		t.Fatalf("the query itself ended by %+v", f)
+	}
+}
