--- a/policy/policy.go
+++ b/policy/policy.go
@@ -702,6 +702,7 @@
 			q.broke = append(q.broke, r)
 		}
 		r.trialAt, r.down = p.now+trialGap*p.promise, o != TimedOut && o != Failed
+		r.classes[class].failing = o == Failed
 		p.bad(a, o == Unreachable || o == Broken)
 	}
 }
@@ -710,7 +711,7 @@
 // little traffic one bad outcome is all the evidence there will be for a while.
 func (p *Policy) good(r *replica, class int) {
 	rec := &r.classes[class]
-	rec.goodAt = p.now
+	rec.goodAt, rec.failing = p.now, false
 	rec.add(0, p.now, p.promise)
 	if rec.suspect && rec.value <= faultLimit {
 		rec.suspect = false
@@ -850,7 +851,8 @@
 	for _, pt := range q.parts {
 		if !slices.ContainsFunc(p.holders(pt.shard), func(r *replica) bool {
 			rate := float64(r.done.count(p.now-rateSpan*p.promise)) / (rateSpan * p.promise)
-			return (!r.down || p.now >= r.trialAt) &&
+			rec := &r.classes[q.class]
+			return (p.now >= r.trialAt || !r.down && !(rec.suspect && rec.failing)) &&
 				(blind || float64(len(r.outs)) <= math.Max(least, wait*rate))
 		}) {
 			hope--
--- a/policy/state.go
+++ b/policy/state.go
@@ -97,7 +97,7 @@
 type record struct {
 	value             float64
 	at, since, goodAt float64 // last outcome, start of the suspicion, last good outcome
-	suspect           bool
+	suspect, failing  bool    // failing: its newest outcome was a failure
 }
 
 // add takes in one outcome, with the more weight the longer the last one is ago.
