--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,12 +44,12 @@
 	faultShare = 0.25 // weight of the newest outcome: two faults in a row show
 	faultLimit = 0.3  // share of faults from which a replica is suspect
 	freshShare = 0.05 // weight of the newest answer where all replicas' are taken together
+	fewHolders = 2    // holders of a shard: with so few, leaving one out doubles what the other gets
 	trialGap   = 0.5  // promises between trials of a suspect
 	trialShare = 0.1  // of the parts sent may be trials
 	trialsMost = 2.0  // trials that may have been saved up
 
 	// Cold replicas.
-	coldSafety = 0.6 // of the inferred budget: peers' traffic is uneven and capacity only inferred
 	coldChance = 3.0 // roots of the expected parts: sums of chance stay under that in all but 1 of 1000
 	swiftShare = 0.2 // quantile of latencies that is taken for the work of a part
 	coldMemory = 5.0 // tip_after: how far back answers are counted to infer what a warm one gives
@@ -269,13 +269,11 @@
 func (p *Policy) askFor(q *query, n int) {
 	var wait []*part
 	for _, pt := range q.parts {
-		if pt.sent {
-			n--
-		} else if !pt.dead {
+		if !pt.sent && !pt.dead {
 			wait = append(wait, pt)
 		}
 	}
-	if n < len(wait) {
+	if n -= q.asked; n < len(wait) {
 		for _, pt := range wait {
 			if r, rank := p.pick(pt); r != nil {
 				pt.rank, pt.load = rank, r.calls
@@ -290,6 +288,7 @@
 	}
 	for i := 0; i < len(wait) && i < n; i++ {
 		wait[i].sent = true
+		q.asked++
 		p.try(wait[i], false)
 	}
 }
@@ -433,7 +432,6 @@
 	a := &attempt{p: pt, r: r, call: r.call, no: len(pt.attempts), sentAt: p.now}
 	pt.attempts = append(pt.attempts, a)
 	pt.out++
-	pt.sent = true
 	r.outs = append(r.outs, a)
 	p.inFlight++
 	p.act(Action{Verb: Send, Part: pt.id, Replica: r.id})
@@ -525,14 +523,8 @@
 	if len(pt.attempts) >= p.cfg.MaxAttempts || !p.mayRepeat(pt) {
 		pt.dead = true
 	}
-	asked := 0
-	for _, o := range q.parts {
-		if o.sent {
-			asked++
-		}
-	}
-	if asked < len(q.parts) { // a part held back costs no further attempt, so it goes before a repeat
-		p.askFor(q, asked+1)
+	if q.asked < len(q.parts) { // a part held back costs no further attempt, so it goes before a repeat
+		p.askFor(q, q.asked+1)
 	} else if !pt.dead {
 		p.try(pt, false)
 	}
@@ -613,7 +605,7 @@
 		}
 		late := base * pt.heavy
 		for _, a := range pt.attempts {
-			if !a.ended && !a.lost && p.age(a) >= p.tooLong(a) {
+			if age := p.age(a); !a.ended && !a.lost && age >= late && age >= p.tooLong(a) {
 				a.lost = true
 				p.stuck++
 				p.bad(a, false)
@@ -654,11 +646,8 @@
 // releaseOne answers lateness without a second copy where it can: parts that are out in good time may
 // suffice, or a part that was held back goes first. It tells whether that is so.
 func (p *Policy) releaseOne(q *query, late float64) bool {
-	asked, good := 0, q.inCount
+	good, left := q.inCount, len(q.parts)-q.asked
 	for _, pt := range q.parts {
-		if pt.sent {
-			asked++
-		}
 		if !pt.in && pt.out > 0 {
 			if a := pt.last(); !p.doubted(a.r, q.class) && p.age(a) < late*pt.heavy {
 				good++
@@ -668,10 +657,10 @@
 	if good >= q.need {
 		return true
 	}
-	if asked < len(q.parts) {
-		p.askFor(q, asked+1)
+	if left > 0 {
+		p.askFor(q, q.asked+1)
 	}
-	return asked < len(q.parts)
+	return left > 0
 }
 
 // Health. One record of bad outcomes for each replica and class, whatever the symptom: faults, silence, or
@@ -730,11 +719,14 @@
 	}
 }
 
-// tooLong is the age from which an attempt speaks against its replica: late, or lost while latencies show
-// queues, since then many are late for others' sake.
+// tooLong is the age from which an attempt speaks against its replica: late, or lost where that says little:
+// while latencies show queues, or where it would leave out the last sound one of two holders. Guards against
+// slow fleets in which the holders of a shard are left out in turn, each for the load of the other.
 func (p *Policy) tooLong(a *attempt) float64 {
-	age := p.late(a.p.q.class) * a.p.heavy
-	if p.stress.value > queueShare {
+	age, class, holders := p.late(a.p.q.class)*a.p.heavy, a.p.q.class, p.holders(a.p.shard)
+	other := func(r *replica) bool { return r != a.r && !p.doubted(r, class) && !p.coldShut(r) }
+	if p.stress.value > queueShare ||
+		len(holders) <= fewHolders && !p.doubted(a.r, class) && !slices.ContainsFunc(holders, other) {
 		age *= lostTimes
 	}
 	return age
@@ -761,8 +753,8 @@
 	clear(r.classes)
 }
 
-// trialDue tells whether a suspect may have this part as a trial: one at a time, and only a part that may go
-// elsewhere too. Trials are a share of the parts sent, or with little traffic they would be all there is.
+// trialDue tells whether a suspect may have this part as a trial: one at a time, and a part that may go
+// elsewhere too. Trials are a share of the parts sent, or with little traffic they would be all of them.
 func (p *Policy) trialDue(r *replica, pt *part) bool {
 	return p.trials >= 1 && r.trialAt <= p.now && len(r.outs) == 0 &&
 		len(pt.attempts) == 0 && p.cfg.Classes[pt.q.class].Effect == Safe && p.cfg.SecondCopies
@@ -801,8 +793,8 @@
 // coldRate is how many parts a second this instance may send to a cold replica (rule 4), and false for a
 // warm one. Capacity is not told. Two lower bounds on it: the answers that a replica gives us on average,
 // times the co-ordinators, and one core at the swift latency of the slowest class: little of it is waiting.
-// Where our share is a part or more in the window, even gaps keep it; where it is less, the sum with the
-// peers is left to chance, and its mean must lie so far under the limit that chance does not pass it.
+// The sum over the peers is left to chance, so its mean must lie so far under the limit that chance does
+// not pass it.
 func (p *Policy) coldRate(r *replica) (float64, bool) {
 	age, peers := p.now-r.started, float64(p.cfg.Aggregators)
 	if r.started <= 0 || age >= p.cfg.WarmUp || p.cfg.FallMultiple <= 0 {
@@ -816,12 +808,8 @@
 	span := coldMemory * p.cfg.TipAfter
 	seen := float64(p.done.count(p.now-span)) / span / float64(max(1, p.up)) * peers
 	limit := p.cfg.FallMultiple * level * math.Max(seen, 1/longest) * p.cfg.TipAfter
-	parts := coldSafety * limit
-	if parts < peers {
-		root := (math.Sqrt(coldChance*coldChance+4*limit) - coldChance) / 2
-		parts = math.Min(parts, root*root)
-	}
-	return parts / p.cfg.TipAfter / peers, true
+	root := (math.Sqrt(coldChance*coldChance+4*limit) - coldChance) / 2 // root² + coldChance·root = limit
+	return root * root / p.cfg.TipAfter / peers, true
 }
 
 // coldShut tells whether a replica is cold and has had what it may take by now. Credit starts at random, or
@@ -958,7 +946,7 @@
 		p.act(Action{Verb: Answer, Query: q.id, Full: whole})
 		p.release(q)
 		q.step, q.firstWhole = 2, whole
-		q.parts, q.in, q.inCount = nil, 0, 0
+		q.parts, q.asked, q.in, q.inCount = nil, 0, 0, 0
 		return
 	}
 	p.final(q, Action{Verb: Answer, Query: q.id, Full: whole})
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1023,3 +1023,27 @@
 		t.Fatalf("the query itself ended by %+v", f)
 	}
 }
+
+// With two holders, a late part alone does not leave out the last sound one; a lost one does, and so does a late
+// one while the other holder is sound.
+func TestLastSoundOfTwoHoldersIsNotLeftOutForLateness(t *testing.T) {
+	for _, otherSound := range []bool{true, false} {
+		r := newRig(t, settings(Safe))
+		r.do(Event{Kind: ListChanged, Full: true, List: []Entry{{Replica: 1}, {Replica: 2}}})
+		r.p.stress.add(0.1, 1)
+		_, _, acts := r.ask(1, 3.9)
+		x, other := r.p.replicas[of(Send, acts)[0].Replica], r.p.replicas[3-of(Send, acts)[0].Replica]
+		if !otherSound {
+			other.suspect, other.classes[0] = true, record{suspect: true, value: 1, since: r.now, at: r.now}
+			other.trialAt = r.now + 100
+		}
+		late := r.p.late(0)
+		r.run(1.2 * late)
+		if x.suspect != otherSound {
+			t.Errorf("other holder sound %v, a part late: suspect %v", otherSound, x.suspect)
+		}
+		if r.run(late); !x.suspect {
+			t.Errorf("other holder sound %v, a part lost: not suspect", otherSound)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -14,7 +14,7 @@
 	step          int // 1 or 2
 	firstWhole    bool
 	parts         []*part
-	need          int // m: parts that suffice
+	need, asked   int // m: parts that suffice; parts sent or due to be
 	in            float64
 	inCount       int
 	broke         []*replica // went down with a part of it
