--- a/policy/policy.go
+++ b/policy/policy.go
@@ -629,8 +629,8 @@
 			}
 			continue
 		}
-		if p.doubted(a.r, q.class) {
-			late = math.Min(late, p.models[q.class].middle*pt.heavy)
+		if p.doubted(a.r, q.class) && len(p.holders(pt.shard)) > fewHolders { // a trial: no need to wait long
+			late = math.Min(late, lateTimes*p.models[q.class].middle*pt.heavy)
 		}
 		// Guards against answers that never come from a replica that goes on answering others.
 		lost := age >= lostTimes*late
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1047,3 +1047,27 @@
 		}
 	}
 }
+
+// A trial of a suspect is copied sooner than an ordinary part, but not where the copy can go to one holder alone.
+func TestTrialIsCopiedSoonerAmongMoreThanTwoHolders(t *testing.T) {
+	for _, holders := range []uint64{2, 4} {
+		r := newRig(t, settings(Safe))
+		var list []Entry
+		for id := range holders {
+			list = append(list, Entry{Replica: 1 + id})
+		}
+		r.do(Event{Kind: ListChanged, Full: true, List: list})
+		x := r.p.replicas[1]
+		x.suspect, x.classes[0] = true, record{suspect: true, value: 1, since: r.now, at: r.now}
+		r.p.trials, r.p.models[0].tail = 2, 0.8 // late well after 1.5 medians
+		for x.calls == 0 {
+			_, parts, acts := r.ask(1, 3.9)
+			if s := of(Send, acts)[0]; s.Replica != 1 {
+				r.end(parts[0], 0, s.Replica, OK)
+			}
+		}
+		if n := len(of(Send, r.run(0.4))); (n > 0) != (holders > 2) {
+			t.Errorf("%d holders: %d copies of a trial within two medians", holders, n)
+		}
+	}
+}
