--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,7 +57,7 @@
 	// Admission.
 	shareSpan  = 3.0 // promises: window of a tenant's rate
 	shareSlack = 0.7 // roots of a tenant's fair count beyond it that are let pass as chance
-	waitShare  = 0.6 // of the promise: mean time of a part that still lets the last of them be in time
+	waitShare  = 0.5 // of the promise: mean time of a part that still lets the last of them be in time
 	slowShare  = 0.5 // of waitShare: recent latency, in promises, from which queues are taken to have formed
 	fullOpen   = 0.9 // of max_open: from here late queries and those over a tenant's share make room
 	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
