--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1071,3 +1071,30 @@
 		}
 	}
 }
+
+// Where every holder of a shard fails its class, a query is refused at arrival until one is due for a trial, and not
+// let in to take the work of its other parts with it; the class that they serve is let in.
+func TestQueryIsRefusedWhereEveryHolderFails(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes = append(cfg.Classes, cfg.Classes[0])
+	r := newRig(t, cfg)
+	for _, x := range r.p.list {
+		x.suspect, x.trialAt = true, r.now+1
+		x.classes[0] = record{suspect: true, failing: true, value: 1, since: r.now, at: r.now}
+		x.classes[1] = record{goodAt: r.now, at: r.now}
+	}
+	for _, c := range []struct {
+		class   int
+		wait    float64
+		refused int
+	}{{0, 0, 1}, {1, 0, 0}, {0, 1.1, 0}} {
+		r.now += c.wait
+		r.next += 100
+		acts := r.do(
+			Event{Kind: QueryArrived, Query: r.next, Group: r.next, Class: c.class, Tenant: -1, Due: r.now + 3, Count: 1},
+			Event{Kind: PartArrived, Part: r.next + 1, Group: r.next, Weight: 1})
+		if n := len(of(Refuse, acts)); n != c.refused {
+			t.Errorf("class %d after %v s: %d refused, want %d", c.class, c.wait, n, c.refused)
+		}
+	}
+}
