--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 )
@@ -1098,3 +1099,20 @@
 		}
 	}
 }
+
+// What all peers together may send a cold replica in the rule's window stays under the limit by three roots of its
+// mean, however many they are: nobody tells them apart, so their sum is left to chance.
+func TestColdShareLeavesRoomForChance(t *testing.T) {
+	for _, peers := range []int{2, 30, 90} {
+		cfg := settings(Safe)
+		cfg.Aggregators = peers
+		r := newRig(t, cfg)
+		r.do(Event{Kind: ListChanged, List: []Entry{{Replica: 1, Started: r.now}}})
+		r.p.models[0].swift = 0.01
+		rate, cold := r.p.coldRate(r.p.replicas[1])
+		mean, limit := rate*float64(peers)*cfg.TipAfter, cfg.FallMultiple*cfg.ColdFrom*100*cfg.TipAfter
+		if !cold || mean <= 0 || mean+3*math.Sqrt(mean) > limit+1e-9 {
+			t.Errorf("%d peers: %.1f parts expected in the window, limit %.1f", peers, mean, limit)
+		}
+	}
+}
