Reload the configuration on SIGHUP and move the list to its discovery

Tested: 129 is 128+SIGHUP; cmd/birchcart/serve.go took SIGTERM and SIGINT only, so the default ended the process. Ruled out: a fault of the watch (the log ends in mid-second without a line). At fault: serve.go Run (signals), discovery.Client (one address for good). Change: SIGHUP is caught first thing in main and for good. The file is read again, without EDGE_DISCOVERY over it; one that can't be read keeps the old and is looked at again. The watch of the new address starts beside the old one and takes over with its first whole list, whatever its index. Tests: TestReload (program), TestMove, TestMovesInARow, TestMoveToASilentAddress, TestMoveWhereTheListIsAskedFor.

--- a/cmd/birchcart/main.go
+++ b/cmd/birchcart/main.go
@@ -5,7 +5,10 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
@@ -85,6 +88,11 @@
 }
 
 func main() {
+	// Before anything else, and for good: a SIGHUP that nobody waits for ends a process, at its start and in its
+	// drain as well. The same holds for SIGPIPE once whoever reads the log has gone.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	var cmd command
 	ctx := kong.Parse(&cmd, kong.Name("birchcart"),
 		kong.Description("A co-ordinator that answers queries from replicas of many shards."), kong.UsageOnError())
@@ -93,5 +101,5 @@
 	level, err := logrus.ParseLevel(cmd.LogLevel)
 	ctx.FatalIfErrorf(err)
 	log.SetLevel(level)
-	ctx.FatalIfErrorf(ctx.Run(log))
+	ctx.FatalIfErrorf(ctx.Run(log, hangups))
 }
--- /dev/null
+++ b/cmd/birchcart/reload.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/config"
+)
+
+// reloader reads the configuration again at each SIGHUP, for as long as the process lives.
+type reloader struct {
+	cfg  *config.Config // as it was at the start
+	src  source
+	disc interface{ Move(address string) }
+	log  *logrus.Entry
+}
+
+// run takes the file at each SIGHUP. One that can't be read, or is not whole yet, changes nothing and is looked at
+// again for a while; a further SIGHUP begins anew.
+func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
+	tries, wait := 0, time.Duration(0)
+	var again <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			tries, wait = r.cfg.Limits.ReloadTries, r.cfg.Limits.ReloadWait
+		case <-again:
+		}
+		if again = nil; r.reload() {
+			continue
+		}
+		if tries--; tries > 0 {
+			again = time.After(wait)
+			wait *= 2
+		} else {
+			r.log.Error("the configuration is left as it was")
+		}
+	}
+}
+
+func (r *reloader) reload() bool {
+	src := config.Source{Path: r.src.Config, Name: r.src.Name, Listen: r.src.Listen}
+	cfg, err := config.Reload(src)
+	if err != nil {
+		r.log.WithError(err).Warn("the configuration can't be read again")
+		return false
+	}
+	same := *cfg // but for what changes with each writing
+	same.Discovery, same.Known, same.Policy.Seed = r.cfg.Discovery, r.cfg.Known, r.cfg.Policy.Seed
+	r.log.WithFields(logrus.Fields{
+		"discovery": cfg.Discovery, "waits_for_restart": !reflect.DeepEqual(&same, r.cfg),
+	}).Info("the configuration was read again")
+	r.disc.Move(cfg.Discovery)
+	return true
+}
--- a/cmd/birchcart/serve.go
+++ b/cmd/birchcart/serve.go
@@ -29,14 +29,14 @@
 	source
 }
 
-func (c *serveCommand) Run(logger *logrus.Logger) error {
+func (c *serveCommand) Run(logger *logrus.Logger, hangups chan os.Signal) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	cfg, err := c.load()
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return serve(ctx, cfg, logger.WithField("node", cfg.Name))
+	return serve(ctx, cfg, c.source, hangups, logger.WithField("node", cfg.Name))
 }
 
 // fit keeps the runtime within the machine: one thread for each whole core, and a heap below the limit.
@@ -49,7 +49,7 @@
 }
 
 // serve runs a co-ordinator until ctx ends, and then until all that it took is answered.
-func serve(ctx context.Context, cfg *config.Config, log *logrus.Entry) error {
+func serve(ctx context.Context, cfg *config.Config, src source, hangups <-chan os.Signal, log *logrus.Entry) error {
 	fit(cfg.Limits)
 	ex := exchange.New(cfg, log)
 	pool := replica.New(cfg, ex, log)
@@ -74,6 +74,7 @@
 	defer end()
 	go ex.Run(running)
 	go disc.Run(running)
+	go (&reloader{cfg: cfg, src: src, disc: disc, log: log}).run(running, hangups)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(running) }()
 	log.WithFields(logrus.Fields{
--- a/cmd/birchcart/serve_test.go
+++ b/cmd/birchcart/serve_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -192,6 +193,88 @@
 	}
 }
 
+// until waits for a text in the log.
+func (l *logText) until(t *testing.T, text string) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !strings.Contains(l.String(), text); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %q in the log:\n%s", text, l.String())
+		}
+	}
+}
+
+// logText is a buffer that is read while the program writes it.
+type logText struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// SIGHUP never ends the program, however early or late it comes. The file's address of discovery then counts, also
+// over the one that overrode it at the start; a file that is half written changes nothing and is looked at again.
+func TestReload(t *testing.T) {
+	path, address := deployment(t, 50*time.Millisecond)
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const empty = `{"index":3,"snapshot":true,"endpoints":[]}`
+	second, third := startDiscovery(t, empty).Addr().String(), startDiscovery(t, empty).Addr().String()
+	moved := func(to string) []byte {
+		from := regexp.MustCompile(`"discovery": "[^"]*"`)
+		return from.ReplaceAll(good, []byte(`"discovery": "`+to+`"`))
+	}
+	cmd := program("serve", "--config", path, "--discovery", startDiscovery(t, empty).Addr().String())
+	log := &logText{}
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	log.until(t, "a whole list")
+	write := func(text []byte) {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+	}
+	write(good[:len(good)/2])
+	log.until(t, "can't be read again")
+	if err := os.WriteFile(path, moved(second), 0o600); err != nil { // no further word: it is looked at again
+		t.Fatal(err)
+	}
+	log.until(t, "to=\""+second)
+	ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+	defer stop()
+	if status, body, err := post(ctx, address, "a"); err != nil || status == 0 {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	write(moved(third))
+	write(moved(third))
+	log.until(t, "to=\""+third)
+	cmd.Process.Signal(syscall.SIGTERM)
+	log.until(t, "draining")
+	write(moved(second))
+	log.until(t, "from=\""+third)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v\n%s", err, log.String())
+	}
+	if !strings.Contains(log.String(), "ended") {
+		t.Errorf("logged %s", log.String())
+	}
+}
+
 // What cannot be started says why in a line and exits with a status that is not 0, before it listens.
 func TestBadStarts(t *testing.T) {
 	path, address := deployment(t, 0)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,6 +55,13 @@
 	return Parse(raw, src)
 }
 
+// Reload reads the file again while the co-ordinator serves. Of the address of discovery the file's word counts:
+// what overrode it at the start is from before the file was replaced.
+func Reload(src Source) (*Config, error) {
+	src.Discovery = ""
+	return Load(src)
+}
+
 // Parse reads the text of the configuration.
 func Parse(raw []byte, src Source) (*Config, error) {
 	var f file
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -42,9 +42,14 @@
 	// Discovery.
 	ListBytes    int           // of one line
 	WatchSilence time.Duration // its pulse comes every 2 s
+	AgentTime    time.Duration // for a connection, and for the whole list to begin: the agent is on this machine
 	RedialFirst  time.Duration // wait before a new connection, doubled up to the most
 	RedialMost   time.Duration
 
+	// The configuration.
+	ReloadWait  time.Duration // before a file that can't be read is looked at again, doubled each time
+	ReloadTries int           // looks at one
+
 	// All.
 	WriteTime time.Duration // for queued bytes to be taken by the peer's machine
 	AnswerBy  time.Duration // after a query's end, the latest that it is closed
@@ -91,7 +96,8 @@
 		ReplicaIdle: time.Duration(idleShare * float64(idle)),
 		Silence:     silentDials * connect, Remember: time.Minute, ProbeTime: connect,
 
-		ListBytes: 8 << 20, WatchSilence: 3 * time.Second,
+		ListBytes: 8 << 20, WatchSilence: 3 * time.Second, AgentTime: time.Second,
+		ReloadWait: 100 * time.Millisecond, ReloadTries: 6,
 		RedialFirst: 50 * time.Millisecond, RedialMost: time.Second,
 
 		WriteTime: time.Second, AnswerBy: 40 * time.Millisecond,
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -128,7 +128,7 @@
 	log.SetOutput(io.Discard)
 	s := &sink{make(chan exchange.List, 10), make(chan struct{}, 10)}
 	c := New(&config.Config{Discovery: ln.Addr().String(), Policy: policy.Config{MustAsk: ask}, Limits: config.Limits{
-		HeadBytes: 1000, BodyBytes: 1000, ListBytes: 1000, WatchSilence: 500 * time.Millisecond, WriteTime: time.Second,
+		HeadBytes: 1000, BodyBytes: 1000, ListBytes: 1000, WatchSilence: 500 * time.Millisecond, AgentTime: 100 * time.Millisecond, WriteTime: time.Second,
 		RedialFirst: time.Millisecond, RedialMost: 10 * time.Millisecond,
 	}}, 5, s, logrus.NewEntry(log))
 	ctx, stop := context.WithCancel(context.Background())
@@ -215,3 +215,138 @@
 		<-s.failed
 	}
 }
+
+func newAgent(t *testing.T) *agent {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return &agent{t, ln}
+}
+
+func (a *agent) address() string { return a.ln.Addr().String() }
+
+// lists takes a connection that asks for the whole list and answers it.
+func (a *agent) lists(index int, entries ...string) (net.Conn, *bufio.Reader) {
+	a.Helper()
+	nc, r := a.accept()
+	a.expect(r, "/api/targets")
+	io.WriteString(nc, whole(list(index, true, entries...)))
+	return nc, r
+}
+
+// watched answers the watch that follows on the connection.
+func (a *agent) watched(nc net.Conn, r *bufio.Reader, index int) {
+	a.Helper()
+	a.expect(r, fmt.Sprint("/api/targets?watch=1&after=", index))
+	io.WriteString(nc, opened)
+}
+
+// ended tells that the other side has closed.
+func (a *agent) ended(nc net.Conn) {
+	a.Helper()
+	nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := nc.Read(make([]byte, 1)); err == nil || strings.Contains(err.Error(), "timeout") {
+		a.Fatalf("still open: %v", err)
+	}
+}
+
+// A move takes the whole list from the new address, whose versions count from anywhere, and until it has that the
+// old address is heard. From then on the old one is left and its word counts no more.
+func TestMove(t *testing.T) {
+	a, s, c := start(t, false)
+	old, r := a.lists(41, entry("a", "Ready"), entry("b", "Ready"))
+	s.next(t)
+	a.watched(old, r, 41)
+	b := newAgent(t)
+	c.Move(b.address())
+	c.Move(b.address()) // told twice: nothing is begun anew
+	nc, r := b.accept()
+	b.expect(r, "/api/targets")
+	io.WriteString(old, chunk(list(42, false, entry("a", "Gone"))+"\n"))
+	if l := s.next(t); l.Full || l.Entries[0].State != policy.Removed {
+		t.Fatalf("%+v", l)
+	}
+	io.WriteString(nc, whole(list(3, true, entry("b", "Ready"))))
+	if l := s.next(t); !l.Full || len(l.Entries) != 1 {
+		t.Fatalf("%+v", l)
+	}
+	a.ended(old)
+	b.watched(nc, r, 3)
+	io.WriteString(nc, chunk(list(4, false, entry("b", "Terminating"))+"\n"))
+	if l := s.next(t); l.Entries[0].State != policy.Draining {
+		t.Fatalf("%+v", l)
+	}
+	a.ln.(*net.TCPListener).SetDeadline(time.Now().Add(30 * time.Millisecond))
+	if _, err := a.ln.Accept(); err == nil {
+		t.Error("the old address was dialled again")
+	}
+}
+
+// Several moves at once end at the last address, and one that can't be had is tried again while the list goes on
+// coming from the old one.
+func TestMovesInARow(t *testing.T) {
+	a, s, c := start(t, false)
+	old, r := a.lists(41, entry("a", "Ready"))
+	s.next(t)
+	a.watched(old, r, 41)
+	between, b, dead := newAgent(t), newAgent(t), newAgent(t)
+	dead.ln.Close()
+	c.Move(between.address())
+	nc, r := between.accept()
+	between.expect(r, "/api/targets")
+	c.Move(dead.address())
+	between.ended(nc)
+	time.Sleep(20 * time.Millisecond)
+	io.WriteString(old, chunk(list(42, false, entry("a", "Terminating"))+"\n"))
+	if l := s.next(t); l.Entries[0].State != policy.Draining {
+		t.Fatalf("%+v", l)
+	}
+	c.Move(b.address())
+	b.lists(1, entry("a", "Ready"), entry("z", "Ready"))
+	if l := s.next(t); !l.Full || len(l.Entries) != 2 {
+		t.Fatalf("%+v", l)
+	}
+	a.ended(old)
+	c.Move(a.address()) // and back again: its versions are not those of before
+	a.lists(2, entry("a", "Ready"))
+	if l := s.next(t); !l.Full || len(l.Entries) != 1 {
+		t.Fatalf("%+v", l)
+	}
+}
+
+// An agent that takes the connection and says nothing is left soon, also when the list moves to it.
+func TestMoveToASilentAddress(t *testing.T) {
+	_, s, c := start(t, false)
+	b := newAgent(t)
+	c.Move(b.address())
+	b.accept()
+	b.lists(1, entry("a", "Ready"))
+	s.next(t)
+}
+
+// Where the decisions ask for the list, a move needs no word of theirs, and its failures are not told them while
+// the old address is heard.
+func TestMoveWhereTheListIsAskedFor(t *testing.T) {
+	a, s, c := start(t, true)
+	c.Watch()
+	old, r := a.lists(41, entry("a", "Ready"))
+	s.next(t)
+	a.watched(old, r, 41)
+	b := newAgent(t)
+	c.Move(b.address())
+	nc, _ := b.accept()
+	nc.Close()
+	nc, _ = b.lists(1, entry("a", "Ready"))
+	s.next(t)
+	if len(s.failed) > 0 {
+		t.Error("a failure of the move was told")
+	}
+	nc.Close()
+	<-s.failed
+	c.Watch()
+	nc, r = b.accept()
+	b.watched(nc, r, 1)
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,27 +26,41 @@
 	ListFailed()
 }
 
-// Client watches the list. One goroutine, one connection.
+// Client watches the list. A feed is one goroutine with one connection. There is one of them, but while the list
+// moves to another address: then the old one goes on until the new one has a whole list.
 type Client struct {
-	address string
 	ask     bool // the decisions say when to watch
 	limits  config.Limits
 	sink    Sink
 	log     *logrus.Entry
 	noisy   *logs.Limited
-
 	asked   chan struct{}
+	hasList atomic.Bool
+	feeds   sync.WaitGroup
+
+	mu   sync.Mutex
+	ctx  context.Context // of Run, nil before
+	lead *feed           // whose word is taken
+	next *feed           // at the address that was named last, until it leads
+}
+
+// feed has the list from one address. Its index means nothing at another.
+type feed struct {
+	c       *Client
+	address string
 	index   int64
 	whole   bool // a whole list is wanted: at the start, and after a line that could not be read
-	hasList atomic.Bool
+	end     context.CancelFunc
 }
 
 // New returns a client that has the list up to index already.
 func New(cfg *config.Config, index int64, sink Sink, log *logrus.Entry) *Client {
-	return &Client{
-		address: cfg.Discovery, ask: cfg.Policy.MustAsk, limits: cfg.Limits, sink: sink, log: log,
-		noisy: logs.Limit(log, cfg.Limits.LogEvery), asked: make(chan struct{}, 1), index: index, whole: true,
+	c := &Client{
+		ask: cfg.Policy.MustAsk, limits: cfg.Limits, sink: sink, log: log,
+		noisy: logs.Limit(log, cfg.Limits.LogEvery), asked: make(chan struct{}, 1),
 	}
+	c.lead = &feed{c: c, address: cfg.Discovery, index: index, whole: true}
+	return c
 }
 
 // Watch asks for a watch, where the deployment has the decisions ask. It does not block.
@@ -59,12 +74,64 @@
 // HasList tells whether discovery has given a list.
 func (c *Client) HasList() bool { return c.hasList.Load() }
 
-// Run watches until the context ends. After a failure it dials again, ever more slowly; where the decisions
-// ask, it tells them and waits for their word.
+// Run watches until the context ends.
 func (c *Client) Run(ctx context.Context) {
+	c.mu.Lock()
+	c.ctx = ctx
+	c.start(c.lead)
+	if c.next != nil {
+		c.start(c.next)
+	}
+	c.mu.Unlock()
+	<-ctx.Done()
+	c.feeds.Wait()
+}
+
+// Move has the list from another address. What is held stays in force, and the old address is heard, until the
+// new one has given a whole list; a move that follows before that takes its place. It may be called from anywhere.
+func (c *Client) Move(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.lead
+	if c.next != nil {
+		now = c.next
+	}
+	if now.address == address {
+		return
+	}
+	if c.next != nil && c.next.end != nil {
+		c.next.end()
+	}
+	c.next = &feed{c: c, address: address, whole: true}
+	if c.ctx != nil {
+		c.start(c.next)
+	}
+}
+
+func (c *Client) start(f *feed) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	var ctx context.Context
+	ctx, f.end = context.WithCancel(c.ctx)
+	c.feeds.Go(func() { f.run(ctx) })
+}
+
+// leads tells whether a feed's word is taken.
+func (c *Client) leads(f *feed) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lead == f
+}
+
+// run watches until the context ends. After a failure it dials again, ever more slowly; where the decisions ask,
+// it tells them and waits for their word. A move needs no word of theirs.
+func (f *feed) run(ctx context.Context) {
+	c := f.c
 	wait := c.limits.RedialFirst
 	for ctx.Err() == nil {
-		if c.ask {
+		asked := c.ask && c.leads(f)
+		if asked {
 			select {
 			case <-ctx.Done():
 				return
@@ -72,12 +139,12 @@
 			}
 		}
 		began := time.Now()
-		err := c.watch(ctx)
+		err := f.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		c.noisy.Warn("the watch of the list ended", logrus.Fields{"error": err, "index": c.index})
-		if c.ask {
+		c.noisy.Warn("the watch of the list ended", logrus.Fields{"error": err, "index": f.index, "address": f.address})
+		if c.ask && c.leads(f) {
 			c.sink.ListFailed()
 			continue
 		}
@@ -152,22 +219,23 @@
 }
 
 // watch uses one connection: for the whole list if that is wanted, then for the changes.
-func (c *Client) watch(ctx context.Context) error {
-	d := net.Dialer{Timeout: c.limits.WatchSilence}
-	nc, err := d.DialContext(ctx, "tcp", c.address)
+func (f *feed) watch(ctx context.Context) error {
+	c := f.c
+	d := net.Dialer{Timeout: c.limits.AgentTime}
+	nc, err := d.DialContext(ctx, "tcp", f.address)
 	if err != nil {
 		return err
 	}
 	defer nc.Close()
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
-	s := &stream{nc: nc, most: c.limits.ListBytes, quiet: c.limits.WatchSilence}
+	s := &stream{nc: nc, most: c.limits.ListBytes, quiet: c.limits.AgentTime}
 	s.split.Limits = h1.Limits{Head: c.limits.HeadBytes}
 	s.in = bufio.NewScanner(s)
 	s.in.Buffer(nil, c.limits.HeadBytes+c.limits.BodyBytes)
 	s.in.Split(s.split.Split)
-	if c.whole {
-		if err := s.get("/api/targets", c.address, c.limits.WriteTime); err != nil {
+	if f.whole {
+		if err := s.get("/api/targets", f.address, c.limits.WriteTime); err != nil {
 			return err
 		}
 		for !s.split.Done {
@@ -175,17 +243,18 @@
 				return err
 			}
 		}
-		if !c.take(s.line) {
+		if !f.take(s.line) {
 			return errors.New("no list could be read")
 		}
-		if c.whole = false; s.split.Close {
+		if f.whole = false; s.split.Close {
 			return errors.New("closed after the whole list")
 		}
 		s.line = s.line[:0]
 	}
-	if err := s.get("/api/targets?watch=1&after="+strconv.FormatInt(c.index, 10), c.address, c.limits.WriteTime); err != nil {
+	if err := s.get("/api/targets?watch=1&after="+strconv.FormatInt(f.index, 10), f.address, c.limits.WriteTime); err != nil {
 		return err
 	}
+	s.quiet = c.limits.WatchSilence
 	for !s.split.Done {
 		if err := s.next(); err != nil {
 			return err
@@ -195,8 +264,8 @@
 			if !ok {
 				break
 			}
-			if len(bytes.TrimSpace(line)) > 0 && !c.take(line) {
-				c.whole = true // what that line said is missing: the whole list has it
+			if len(bytes.TrimSpace(line)) > 0 && !f.take(line) {
+				f.whole = true // what that line said is missing: the whole list has it
 				return errors.New("a line could not be read")
 			}
 			s.line = s.line[:copy(s.line, rest)]
@@ -205,8 +274,10 @@
 	return errors.New("the answer ended")
 }
 
-// take reads one object and passes it on. One that can't be read leaves the list as it is.
-func (c *Client) take(raw []byte) bool {
+// take reads one object and passes it on. One that can't be read leaves the list as it is. The first whole list
+// of a new address is where the move is done: from then on the old one is not heard.
+func (f *feed) take(raw []byte) bool {
+	c := f.c
 	list, index, odd, err := Parse(raw)
 	if err != nil {
 		c.noisy.Warn("a line of the list is passed over", logrus.Fields{"error": err, "bytes": len(raw)})
@@ -215,11 +286,23 @@
 	if len(odd) > 0 {
 		c.noisy.Warn("odd entries on the list", logrus.Fields{"entries": odd, "index": index})
 	}
-	if !list.Full && index <= c.index { // had already
+	list.Full = list.Full || f.whole
+	if !list.Full && index <= f.index { // had already
 		return true
 	}
-	c.index = index
-	c.sink.Listed(list)
-	c.hasList.Store(true)
+	f.index = index
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next == f {
+		c.log.WithFields(logrus.Fields{"from": c.lead.address, "to": f.address, "index": index}).Info("the list has moved")
+		if c.lead.end != nil {
+			c.lead.end()
+		}
+		c.lead, c.next = f, nil
+	}
+	if c.lead == f {
+		c.sink.Listed(list)
+		c.hasList.Store(true)
+	}
 	return true
 }
