--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -16,23 +16,31 @@
 	// Clients.
 	Clients     int           // connections served; past that idle ones make room
 	ClientsOver int           // connections beyond, which are answered with a refusal and closed
+	UnreadBytes int64         // of requests not yet whole, of all connections together
 	HeadBytes   int           // of a request or a response
 	BodyBytes   int           // of a request
 	IDBytes     int           // of a query's id
 	Pipelined   int           // requests read ahead on one connection
+	FirstTime   time.Duration // from a connection's start to the last byte of its first request
 	RequestTime time.Duration // from the first byte of a request to its last
-	SlowRequest time.Duration // after so long an unfinished request makes room for other clients
-	ClientIdle  time.Duration // between requests
-	Linger      time.Duration // after a refused request, for its rest to arrive
+	SlowRequest time.Duration // after so long a silent start or an unfinished request makes room for other clients
+	IdleKeep    time.Duration // between requests, before it makes room for others
+	ClientIdle  time.Duration // between requests, the most
+	Linger      time.Duration // after a connection's last answer, for the client to close
+	LingerBytes int           // read meanwhile, and after a connection's last request
+	Longest     time.Duration // of the times that clients say they wait; over it is a mistake
+	MostWork    float64       // seconds of a part's hint; over it is a mistake
 	Held        int           // queries and parts at once; 0 for no limit
 	ComeBack    time.Duration // named when a limit refuses a query; 0 where no time may be named
 
 	// Replicas.
 	ReplicaLinks int           // connections to all replicas
 	PerReplica   int           // connections to one
+	Spread       int           // of these, opened so that parts need not share one
 	Streams      int           // parts out on a connection
 	CallParts    int           // parts of one call
 	FrameBytes   int           // of a replica's frame; no body to a client is over 64 KiB
+	FrameTime    time.Duration // from a frame's first byte to its last
 	ConnectTime  time.Duration // for a connection to come up
 	ReplicaIdle  time.Duration // after so long without a part a connection is closed
 	Silence      time.Duration // parts out and nothing heard for so long: no new part goes there
@@ -46,6 +54,8 @@
 	RedialFirst  time.Duration // wait before a new connection, doubled up to the most
 	RedialMost   time.Duration
 
+	Forget time.Duration // after so long a replica that is off the list is forgotten
+
 	// The configuration.
 	ReloadWait  time.Duration // before a file that can't be read is looked at again, doubled each time
 	ReloadTries int           // looks at one
@@ -62,6 +72,7 @@
 const (
 	fixedSockets = 24   // standard streams, listener, discovery, epoll and what the runtime opens
 	idleShare    = 0.75 // of the replica's idle limit: closed well before, or a part crosses the close
+	unreadPart   = 8    // of the memory: with buffers that double and the collector's slack it is a quarter
 	silentDials  = 4    // connect times without a word: a healthy machine would have taken a new connection
 )
 
@@ -84,24 +95,26 @@
 	return Limits{
 		Cores: m.Cores, Memory: memory, Sockets: sockets,
 
-		Clients: free / 2, ClientsOver: free / 10,
-		HeadBytes: 16 << 10, BodyBytes: 64 << 10, IDBytes: 128, Pipelined: 8,
-		RequestTime: 10 * time.Second, SlowRequest: time.Second, ClientIdle: 5 * time.Minute, Linger: 200 * time.Millisecond,
+		Clients: free / 2, ClientsOver: free / 10, UnreadBytes: memory / unreadPart,
+		HeadBytes: 16 << 10, BodyBytes: 64 << 10, IDBytes: 128, Pipelined: 4,
+		FirstTime: 2 * time.Second, RequestTime: 2 * time.Second, SlowRequest: 250 * time.Millisecond,
+		IdleKeep: time.Second, ClientIdle: 5 * time.Second, Linger: 200 * time.Millisecond, LingerBytes: 64 << 10,
+		Longest: time.Hour, MostWork: 3600,
 		Held: s.Int("allowed.open_cap", 0), ComeBack: comeBack,
 
 		ReplicaLinks: free * 2 / 5, PerReplica: max(8, 256/max(1, s.Int("allowed.streams_per_conn", 1))),
 		Streams:    max(1, s.Int("allowed.streams_per_conn", 1)),
 		CallParts:  max(1, s.Int("family_info.per_call", 1)),
-		FrameBytes: 68 << 10, ConnectTime: connect,
+		FrameBytes: 68 << 10, FrameTime: connect, ConnectTime: connect, Spread: 4,
 		ReplicaIdle: time.Duration(idleShare * float64(idle)),
-		Silence:     silentDials * connect, Remember: time.Minute, ProbeTime: connect,
+		Silence:     silentDials * connect, Remember: 15 * time.Second, ProbeTime: connect,
 
-		ListBytes: 8 << 20, WatchSilence: 3 * time.Second, AgentTime: time.Second,
+		ListBytes: 8 << 20, WatchSilence: 3 * time.Second, AgentTime: time.Second, Forget: 30 * time.Second,
 		ReloadWait: 100 * time.Millisecond, ReloadTries: 6,
 		RedialFirst: 50 * time.Millisecond, RedialMost: time.Second,
 
 		WriteTime: time.Second, AnswerBy: 40 * time.Millisecond,
-		DrainTime: 900 * time.Millisecond, LogEvery: time.Second, TellEvery: 10 * time.Second,
+		DrainTime: 700 * time.Millisecond, LogEvery: time.Second, TellEvery: 10 * time.Second,
 		StepGap: 3 * time.Millisecond,
 	}
 }
--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -30,6 +30,7 @@
 
 	mu    sync.Mutex
 	awake bool
+	woken chan struct{} // the same for Wait
 }
 
 // past is a deadline that has gone by on every clock.
@@ -40,7 +41,7 @@
 
 // New wraps a connection.
 func New(nc net.Conn, src Source, writeTime time.Duration) *Conn {
-	return &Conn{nc: nc, src: src, writeTime: writeTime}
+	return &Conn{nc: nc, src: src, writeTime: writeTime, woken: make(chan struct{}, 1)}
 }
 
 // Wake makes the goroutine ask its source. It may be called from anywhere and does not block.
@@ -49,6 +50,10 @@
 	c.awake = true
 	c.nc.SetReadDeadline(past)
 	c.mu.Unlock()
+	select {
+	case c.woken <- struct{}{}:
+	default:
+	}
 }
 
 // ReadAt is when the newest bytes were read.
@@ -107,14 +112,38 @@
 	}
 }
 
-// Drain reads and forgets what still comes, for so long at the most: a connection that is closed over unread
-// bytes is reset, and with it what was written last.
-func (c *Conn) Drain(linger time.Duration) {
-	c.nc.SetReadDeadline(time.Now().Add(linger))
-	var junk [4096]byte
+// Wait writes what is queued until the source ends the connection, and reads nothing: what a peer sends on
+// without being asked stays with its machine and costs none of our time.
+func (c *Conn) Wait() error {
 	for {
-		if _, err := c.nc.Read(junk[:]); err != nil {
+		until, err := c.Flush()
+		if err != nil {
+			return err
+		}
+		var timeout <-chan time.Time
+		if !until.IsZero() {
+			timeout = time.After(time.Until(until))
+		}
+		select {
+		case <-c.woken:
+		case <-timeout:
+		}
+	}
+}
+
+// Drain reads and forgets what still comes, for so long and so many bytes at the most: a connection that is
+// closed over unread bytes is reset, and the reset may overtake what was written last. Past the bytes it only
+// waits, since a peer that sends megabytes would have our time for them.
+func (c *Conn) Drain(linger time.Duration, most int) {
+	end := time.Now().Add(linger)
+	c.nc.SetReadDeadline(end)
+	var junk [4096]byte
+	for most > 0 {
+		n, err := c.nc.Read(junk[:])
+		if err != nil {
 			return
 		}
+		most -= n
 	}
+	time.Sleep(time.Until(end))
 }
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -37,9 +37,10 @@
 
 	ln     net.Listener
 	mu     sync.Mutex
-	room   *sync.Cond // a connection has ended
+	room   *sync.Cond // a connection has ended, or may be asked to by now
 	conns  map[*client]struct{}
 	ending atomic.Bool
+	unread atomic.Int64 // bytes of requests that are not yet whole
 }
 
 // New returns a server. ready tells whether a list has been had.
@@ -65,15 +66,18 @@
 // Addr is where the server listens.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
-// Serve accepts until the listener is closed. Up to Clients connections are served. Past that the one that
-// has been idle longest makes room; where none is idle the new one gets a refusal, and past ClientsOver of
-// those the rest wait with the machine, so that descriptors never run out.
+// Serve accepts until the listener is closed. Up to Clients connections are served. Past that one that can be
+// spared makes room; where there is none the new one gets a refusal, and past ClientsOver of those the rest wait
+// with the machine, so that descriptors never run out.
 func (s *Server) Serve(ctx context.Context) error {
 	for {
 		s.mu.Lock()
 		for len(s.conns) >= s.limits.Clients+s.limits.ClientsOver && !s.ending.Load() {
 			s.log.Warn("all connections are taken", logrus.Fields{"connections": len(s.conns)})
+			s.evict()
+			look := time.AfterFunc(s.limits.SlowRequest/4, s.room.Broadcast) // one may be spared by then
 			s.room.Wait()
+			look.Stop()
 		}
 		s.mu.Unlock()
 		nc, err := s.ln.Accept()
@@ -96,22 +100,34 @@
 	}
 }
 
-// evict asks the client to go that has been idle longest, or slowest with a request it has begun.
+// evict asks the client to go that can best be spared, among those alike the one that has waited longest.
 func (s *Server) evict() bool {
-	var oldest *client
-	var least time.Time
+	var best *client
+	var kind spare
+	var since time.Time
 	for c := range s.conns {
-		if since, idle := c.idleSince(); idle && (oldest == nil || since.Before(least)) {
-			oldest, least = c, since
+		if k, at := c.spared(); k != needed && (best == nil || k < kind || k == kind && at.Before(since)) {
+			best, kind, since = c, k, at
 		}
 	}
-	if oldest == nil {
+	if best == nil {
 		return false
 	}
-	oldest.hangUp()
+	best.hangUp()
 	return true
 }
 
+// relieve looks once more for room for a client that came past the limit and has asked for something: there may be
+// some by now. Without it the client is refused.
+func (s *Server) relieve(c *client) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) <= s.limits.Clients || s.evict() {
+		c.over = false
+	}
+	return !c.over
+}
+
 // gone forgets a connection.
 func (s *Server) gone(c *client) {
 	s.mu.Lock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -42,8 +42,9 @@
 	log.SetOutput(io.Discard)
 	l := config.Limits{
 		Clients: 20, ClientsOver: 4, HeadBytes: 2000, BodyBytes: 64 << 10, IDBytes: 64, Pipelined: 2,
-		RequestTime: 5 * time.Second, SlowRequest: 50 * time.Millisecond, ClientIdle: time.Minute,
-		Linger: 20 * time.Millisecond, WriteTime: time.Second, DrainTime: 100 * time.Millisecond, LogEvery: time.Second,
+		RequestTime: 5 * time.Second, SlowRequest: 50 * time.Millisecond, ClientIdle: time.Minute, FirstTime: 5 * time.Second,
+		Linger: 20 * time.Millisecond, LingerBytes: 4 << 10, UnreadBytes: 1 << 20, Longest: time.Hour, MostWork: 3600,
+		WriteTime: time.Second, DrainTime: 100 * time.Millisecond, LogEvery: time.Second,
 	}
 	if change != nil {
 		change(&l)
@@ -138,7 +139,7 @@
 	}
 }
 
-const goodBody = `{"buckets":[{"bucket":3,"part":0.5,"effort":9000},{"bucket":9,"part":0.5,"seed":"00ff"}],"body":"c41e77d0"}`
+const goodBody = `{"buckets":[{"bucket":3,"part":0.5,"effort":9000},{"bucket":9,"part":0.5,"seed":"00ff5be2a07c19f0"}],"body":"c41e77d0"}`
 
 func query(id, extra, body string) string {
 	return fmt.Sprintf("POST /search/x HTTP/1.1\r\nHost: h\r\nX-Request-ID: %s\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 480\r\n%sContent-Length: %d\r\n\r\n%s",
@@ -230,6 +231,25 @@
 		"zero share":     {query("a", "", `{"buckets":[{"bucket":1,"part":0}],"body":"x"}`), 400},
 		"over a whole":   {query("a", "", `{"buckets":[{"bucket":1,"part":0.9},{"bucket":2,"part":0.9}],"body":"x"}`), 400},
 		"keyed":          {strings.Replace(query("a", "Idempotency-Key: k\r\n", goodBody), "/search", "/keyed", 1), 501},
+		"under a whole":  {query("a", "", `{"buckets":[{"bucket":1,"part":0.5}],"body":"x"}`), 400},
+		"share over 1":   {query("a", "", `{"buckets":[{"bucket":1,"part":1.5}],"body":"x"}`), 400},
+		"minus share":    {query("a", "", `{"buckets":[{"bucket":1,"part":1.5},{"bucket":2,"part":-0.5}],"body":"x"}`), 400},
+		"huge share":     {query("a", "", `{"buckets":[{"bucket":1,"part":1e999}],"body":"x"}`), 400},
+		"minus effort":   {query("a", "", `{"buckets":[{"bucket":1,"part":1,"effort":-1}],"body":"x"}`), 400},
+		"huge effort":    {query("a", "", `{"buckets":[{"bucket":1,"part":1,"effort":1e300}],"body":"x"}`), 400},
+		"odd seed":       {query("a", "", `{"buckets":[{"bucket":1,"part":1,"seed":"xyz"}],"body":"x"}`), 400},
+		"key twice":      {query("a", "", `{"buckets":[{"bucket":1,"part":1}],"body":"x","body":"y"}`), 400},
+		"key twice deep": {query("a", "", `{"buckets":[{"bucket":1,"part":1,"Bucket":2}],"body":"x"}`), 400},
+		"half a pair":    {query("a", "", `{"buckets":[{"bucket":1,"part":1}],"body":"\ud800"}`), 400},
+		"deep":           {query("a", "", strings.Repeat("[", 10000)), 400},
+		"signed time":    {strings.Replace(good, "480", "+480", 1), 400},
+		"endless time":   {strings.Replace(good, "480", "999999999", 1), 400},
+		"two time-outs":  {query("a", "X-Timeout-Ms: 9\r\n", goodBody), 400},
+		"two ids":        {query("a", "X-Request-ID: a\r\n", goodBody), 400},
+		"id of a part":   {query("a.3", "", goodBody), 400},
+		"two lengths":    {query("a", "Content-Length: 5\r\n", goodBody), 400},
+		"two framings":   {query("a", "Transfer-Encoding: chunked\r\n", goodBody), 400},
+		"empty lines":    {strings.Repeat("\r\n", 20), 400},
 		"over 64 KiB":    {query("a", "", strings.Repeat(" ", 64<<10+1)), 413},
 		"long head":      {query("a", "X: "+strings.Repeat("x", 3000)+"\r\n", goodBody), 431},
 		"request line":   {"NONSENSE\r\n\r\n", 400},
@@ -248,18 +268,153 @@
 	c.status(200)
 }
 
-// A query that is not of the form leaves the connection in use; a message that can't be told apart ends it.
-func TestWhichBadInputEndsTheConnection(t *testing.T) {
+// Bad input of either kind ends the connection with its error, and nothing behind it is read: what hides in the body
+// of a request with two framings is not passed on, and its place goes to others.
+func TestBadInputEndsTheConnection(t *testing.T) {
+	st := newStand(t, nil)
+	for _, bad := range []string{
+		query("a", "", "nonsense"), "nonsense\r\n\r\n", query("a", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"),
+	} {
+		c := st.dial()
+		c.write(query("a", "", goodBody))
+		st.next().Reply(exchange.Reply{})
+		c.status(200)
+		c.write(bad + query("b", "", goodBody))
+		if r := c.status(400); !r.Close {
+			t.Errorf("%q: the connection is kept", bad)
+		}
+		c.ended()
+	}
+	st.none()
+}
+
+// Guards against clients that send all they have at once: one error for all of them at once, the open one is given
+// up, and the rest is neither read nor waited for.
+func TestManyAtOnceOnAConnection(t *testing.T) {
 	st := newStand(t, nil)
 	c := st.dial()
-	c.write(query("a", "", "nonsense"))
-	c.status(400)
-	c.write(query("a", "", goodBody))
-	st.next().Reply(exchange.Reply{})
-	c.status(200)
-	c.write("nonsense\r\n\r\n")
-	c.status(400)
+	var all strings.Builder
+	for i := range 300 {
+		all.WriteString(query(fmt.Sprint("a", i), "", goodBody))
+	}
+	go io.WriteString(c.nc, all.String())
+	q := st.next()
+	if r := c.status(400); !r.Close {
+		t.Error("the connection is kept")
+	}
+	select {
+	case l := <-st.sink.left:
+		if l != q {
+			t.Errorf("%+v left", l)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the open one was not given up")
+	}
 	c.ended()
+	st.none()
+}
+
+// Guards against megabytes of a body that is refused: the error goes out at once, and of the rest little is read.
+func TestAHugeBodyIsNotRead(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.Linger = 100 * time.Millisecond })
+	c := st.dial()
+	sent := make(chan int, 1)
+	go func() {
+		n := 0
+		io.WriteString(c.nc, "POST /search HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\n")
+		for junk := make([]byte, 64<<10); n < 60_000_000; {
+			m, err := c.nc.Write(junk)
+			if n += m; err != nil {
+				break
+			}
+		}
+		sent <- n
+	}()
+	c.status(413)
+	if n := <-sent; n >= 60_000_000 {
+		t.Error("all of it was read")
+	}
+}
+
+// A client that says nothing, or half a request, is closed on time from its connecting, though an established one
+// may be idle for longer.
+func TestTheFirstRequestHasItsTime(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.FirstTime = 50 * time.Millisecond })
+	kept := st.dial()
+	kept.write(query("a", "", goodBody))
+	st.next().Reply(exchange.Reply{})
+	kept.status(200)
+	st.dial().ended()
+	half := st.dial()
+	half.write(query("b", "", goodBody)[:50])
+	half.status(408)
+	half.ended()
+	bit := st.dial() // a byte now and then gives no more time
+	go func() {
+		for _, b := range []byte(query("c", "", goodBody)) {
+			if _, err := bit.nc.Write([]byte{b}); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	bit.status(408)
+	kept.write(query("d", "", goodBody))
+	st.next().Reply(exchange.Reply{})
+	kept.status(200)
+}
+
+// Guards against many bodies at once that a small memory does not hold: past the budget for all connections a
+// large request is refused while small ones pass, and what is over is given back.
+func TestUnreadRequestsHaveABudget(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.UnreadBytes = 20 << 10 })
+	large := func() *conn {
+		c := st.dial()
+		head, _, _ := strings.Cut(query("x", "", strings.Repeat(" ", 60<<10)), "   ")
+		c.write(head + strings.Repeat(" ", 12<<10))
+		return c
+	}
+	first := large()
+	time.Sleep(30 * time.Millisecond)
+	second := large()
+	second.status(503)
+	second.ended()
+	small := st.dial()
+	small.write(query("a", "", goodBody))
+	st.next().Reply(exchange.Reply{})
+	small.status(200)
+	first.nc.Close()
+	for end := time.Now().Add(5 * time.Second); st.s.unread.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are still booked", st.s.unread.Load())
+		}
+	}
+}
+
+// Silent connections and those that only sent what could not be used make room for new ones before a client's that
+// is between requests; a new one has its time to speak first.
+func TestWhoMakesRoom(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.Clients, l.ClientsOver, l.IdleKeep = 3, 1, time.Minute })
+	usual := st.dial()
+	usual.write(query("a", "", goodBody))
+	st.next().Reply(exchange.Reply{})
+	usual.status(200)
+	time.Sleep(20 * time.Millisecond)
+	quiet := [2]*conn{st.dial(), st.dial()}
+	time.Sleep(80 * time.Millisecond)
+	st.dial() // silent as well, and new
+	quiet[0].ended()
+	for range 6 { // far more than there are places
+		st.dial()
+	}
+	quiet[1].ended()
+	late := st.dial()
+	late.write(query("b", "", goodBody))
+	st.next().Reply(exchange.Reply{})
+	late.status(200)
+	usual.write(query("c", "", goodBody))
+	st.next().Reply(exchange.Reply{})
+	usual.status(200)
 }
 
 // A client that goes away while its query is open is noticed, whichever way it goes.
@@ -285,6 +440,35 @@
 	}
 }
 
+// Once a request was the last one, what its client sends on is left where it is; its leaving is still seen.
+func TestAfterTheLastRequest(t *testing.T) {
+	st := newStand(t, nil)
+	c := st.dial()
+	c.write(query("a", "Connection: close\r\n", goodBody))
+	q := st.next()
+	go io.Copy(c.nc, io.LimitReader(endless{}, 1<<20))
+	time.Sleep(20 * time.Millisecond)
+	q.Reply(exchange.Reply{})
+	c.status(200)
+	c = st.dial()
+	c.write(query("b", "Connection: close\r\n", goodBody))
+	q = st.next()
+	c.nc.Close()
+	select {
+	case l := <-st.sink.left:
+		if l != q {
+			t.Errorf("%+v left", l)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("nobody noticed")
+	}
+}
+
+// endless is what a client sends that does not stop.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
 // Requests that were sent ahead are asked one by one and answered in order.
 func TestReadAhead(t *testing.T) {
 	st := newStand(t, nil)
@@ -340,7 +524,6 @@
 
 func TestAnIdleConnectionEnds(t *testing.T) {
 	st := newStand(t, func(l *config.Limits) { l.ClientIdle = 30 * time.Millisecond })
-	st.dial().ended()
 	c := st.dial()
 	c.write(query("a", "", goodBody))
 	q := st.next()
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -2,20 +2,16 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"net"
-	"strconv"
 	"sync"
 	"time"
-	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/duplex"
 	"birchcart/internal/exchange"
 	"birchcart/internal/h1"
-	"birchcart/internal/settings"
 )
 
 // client is one connection from a client.
@@ -29,14 +25,19 @@
 	asked   *exchange.Query   // the query that waits for its answer
 	waiting []*exchange.Query // read ahead; one at a time is asked
 	closing bool              // nothing more is read once all is answered and written
-	over    bool              // past the limit of connections: gets a refusal
+	over    bool              // came past the limit of connections; guarded by the server's lock
+	good    bool              // has sent a request that could be used
 	idleAt  time.Time
 	partial time.Time // when the first bytes of an unfinished request came
 	spoke   bool      // an answer was the last thing that happened
+
+	began  time.Time
+	unread int64 // bytes that have come of an unfinished request; the goroutine's own
 }
 
 func newClient(s *Server, nc net.Conn) *client {
-	c := &client{s: s, peer: nc.RemoteAddr().String(), idleAt: time.Now()}
+	now := time.Now()
+	c := &client{s: s, peer: nc.RemoteAddr().String(), idleAt: now, began: now}
 	c.conn = duplex.New(nc, c, s.limits.WriteTime)
 	return c
 }
@@ -45,6 +46,7 @@
 	errDone = errors.New("front: all is answered")
 	errIdle = errors.New("front: closed as idle")
 	errSlow = &h1.Error{Status: 408, Reason: "the request took too long to arrive"}
+	errRoom = &h1.Error{Status: 503, Reason: "no room for more of unfinished requests"}
 )
 
 // run is the goroutine of the connection.
@@ -55,13 +57,19 @@
 	// Room for the body in the smallest chunks of sixteen bytes and for a trailer; past that it is too long.
 	in.Buffer(nil, 2*lim.HeadBytes+2*lim.BodyBytes)
 	in.Split(split.Split)
-	for in.Scan() {
+	last := false
+	for !last && in.Scan() {
 		c.mu.Lock()
 		c.partial = time.Time{}
 		c.mu.Unlock()
-		c.request(&split.Request)
+		c.has(-c.unread)
+		last = c.request(&split.Request)
 	}
 	err := in.Err()
+	if last {
+		err = c.rest()
+	}
+	c.has(-c.unread)
 	if errors.Is(err, bufio.ErrTooLong) {
 		err = &h1.Error{Status: 413, Reason: "message over the limit"}
 	}
@@ -71,7 +79,7 @@
 		c.lastWords(unfit.Status)
 	} else if errors.Is(err, errDone) {
 		c.conn.CloseWrite()
-		c.conn.Drain(lim.Linger)
+		c.conn.Drain(lim.Linger, lim.LingerBytes)
 	}
 	c.abandon()
 	c.conn.Close()
@@ -87,19 +95,35 @@
 	}
 	c.closing = true
 	c.mu.Unlock()
-	if busy {
-		// The query in hand keeps its answer; what follows it is dropped with the connection.
-		var junk [512]byte
-		for {
-			if _, err := c.conn.Read(junk[:]); err != nil {
-				break
-			}
+	if busy { // the query in hand keeps its answer; what follows it is dropped with the connection
+		if err := c.rest(); !errors.Is(err, errDone) {
+			return
 		}
 	} else if _, err := c.conn.Flush(); err != nil && !errors.Is(err, errDone) {
 		return
 	}
 	c.conn.CloseWrite()
-	c.conn.Drain(c.s.limits.Linger)
+	c.conn.Drain(c.s.limits.Linger, c.s.limits.LingerBytes)
+}
+
+// rest waits for the answers that are due on a connection of which no further request is taken. For some bytes it
+// still reads, to see its client leave. It ends with errDone once all is written.
+func (c *client) rest() error {
+	var junk [512]byte
+	for left := c.s.limits.LingerBytes; left > 0; {
+		n, err := c.conn.Read(junk[:])
+		if err != nil {
+			return err
+		}
+		left -= n
+	}
+	return c.conn.Wait()
+}
+
+// has books bytes of an unfinished request and tells whether there is room for them.
+func (c *client) has(more int64) bool {
+	c.unread += more
+	return c.s.unread.Add(more) <= c.s.limits.UnreadBytes
 }
 
 // abandon tells the exchange that nobody waits any more.
@@ -113,6 +137,9 @@
 	}
 }
 
+// firstBuffer is what bufio.Scanner starts with.
+const firstBuffer = 4 << 10
+
 // reader notes when an unfinished request began to arrive.
 type reader struct {
 	c     *client
@@ -135,19 +162,29 @@
 			r.c.partial = r.c.conn.ReadAt()
 		}
 		r.c.mu.Unlock()
+		// Guards against many bodies at once in a small memory; what fits into a buffer's first size always may.
+		if !r.c.has(int64(n)) && r.c.unread > firstBuffer {
+			return n, errRoom
+		}
 	}
 	return n, err
 }
 
-// request takes one request.
-func (c *client) request(r *h1.Request) {
+// request takes one request and tells whether it is the connection's last.
+func (c *client) request(r *h1.Request) (last bool) {
 	c.mu.Lock()
 	dropped := c.closing // what follows the last request is not served
 	c.closing = c.closing || r.Close
 	c.mu.Unlock()
-	if dropped {
-		return
+	if !dropped {
+		c.take(r)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+func (c *client) take(r *h1.Request) {
 	if r.Target == "/-/ready" {
 		switch {
 		case r.Method != "GET" && r.Method != "HEAD":
@@ -155,6 +192,9 @@
 		case !c.s.isReady():
 			c.say(503, nil)
 		default:
+			c.mu.Lock()
+			c.good = true
+			c.mu.Unlock()
 			c.say(200, nil)
 		}
 		return
@@ -166,14 +206,17 @@
 			unfit = &h1.Error{Status: 400, Reason: err.Error()}
 		}
 		c.s.log.Warn("bad request", logrus.Fields{
-			"peer": c.peer, "status": unfit.Status, "reason": unfit.Reason, "target": r.Target,
+			"peer": c.peer, "status": unfit.Status, "reason": unfit.Reason, "target": r.Target[:min(len(r.Target), 200)],
 		})
+		c.mu.Lock()
+		c.closing = true // its buffer and its place go to others
+		c.mu.Unlock()
 		c.say(unfit.Status, nil)
 		return
 	}
+	over := c.over && !c.s.relieve(c)
 	c.mu.Lock()
-	over := c.over
-	c.closing = c.closing || over
+	c.closing, c.good = c.closing || over, true
 	c.mu.Unlock()
 	if over {
 		c.say(503, comeBack(c.s.limits.ComeBack))
@@ -188,7 +231,15 @@
 	c.mu.Lock()
 	if c.asked != nil {
 		if c.waiting = append(c.waiting, q); len(c.waiting) > c.s.limits.Pipelined {
-			c.waiting, c.closing = c.waiting[:c.s.limits.Pipelined], true
+			open := c.asked
+			c.asked, c.waiting, c.closing = nil, nil, true
+			c.out = h1.AppendResponse(c.out, 400, nil, nil, true)
+			c.mu.Unlock()
+			// Guards against clients that send all at once: one after the other they would be answered long after
+			// the first has its error.
+			c.s.log.Warn("bad request", logrus.Fields{"peer": c.peer, "status": 400, "reason": "too many at once"})
+			c.s.sink.Leave(open)
+			return
 		}
 		c.mu.Unlock()
 		return
@@ -197,97 +248,3 @@
 	c.mu.Unlock()
 	c.s.sink.Submit(q)
 }
-
-// body is what a client posts.
-type body struct {
-	Buckets []bucket `json:"buckets"`
-	Body    *string  `json:"body"`
-}
-
-type bucket struct {
-	Bucket *int     `json:"bucket"`
-	Part   *float64 `json:"part"`
-	Effort float64  `json:"effort"`
-	Seed   string   `json:"seed"`
-}
-
-const (
-	microsecond = 1e-6
-	partSlip    = 1e-3 // of the whole: shares may be rounded
-)
-
-func unfit(status int, reason string) error { return &h1.Error{Status: status, Reason: reason} }
-
-// parse reads a query; whatever is not of the form is told apart here, before anything is sent.
-func (s *Server) parse(r *h1.Request, at time.Time) (*exchange.Query, error) {
-	class := settings.Place(s.names.Classes, h1.FirstSegment(r.Target))
-	if class < 0 {
-		return nil, unfit(404, "unknown class")
-	}
-	if r.Method != "POST" {
-		return nil, unfit(405, "method "+r.Method)
-	}
-	if s.keyed[class] && r.Header.Get("Idempotency-Key") != "" {
-		// The frames have no field for it, and replicas close the connection, with all that is out on it, over
-		// a part that comes without.
-		return nil, unfit(501, "the frames can't carry the key of this class")
-	}
-	q := &exchange.Query{ID: r.Header.Get("X-Request-ID"), Class: class, Tenant: -1, Received: at}
-	if !validID(q.ID, s.limits.IDBytes) {
-		return nil, unfit(400, "request id")
-	}
-	if len(s.names.Tenants) > 0 {
-		if q.Tenant = settings.Place(s.names.Tenants, r.Header.Get("X-Tenant-Id")); q.Tenant < 0 {
-			return nil, unfit(400, "unknown tenant")
-		}
-	}
-	ms, err := strconv.ParseInt(r.Header.Get("X-Timeout-Ms"), 10, 32)
-	if err != nil || ms <= 0 {
-		return nil, unfit(400, "time-out")
-	}
-	q.Due = at.Add(time.Duration(ms) * time.Millisecond)
-	q.Retry = r.Header.Get("X-Retried") == "1"
-	if !utf8.Valid(r.Body) {
-		return nil, unfit(400, "body is not text")
-	}
-	var b body
-	if err := json.Unmarshal(r.Body, &b); err != nil {
-		return nil, unfit(400, "body: "+err.Error())
-	}
-	if len(b.Buckets) == 0 || b.Body == nil {
-		return nil, unfit(400, "body lacks buckets or text")
-	}
-	q.Text = []byte(*b.Body)
-	seen := make(map[int]bool, len(b.Buckets))
-	sum := 0.0
-	for _, p := range b.Buckets {
-		switch {
-		case p.Bucket == nil || *p.Bucket < 0 || *p.Bucket >= s.shards || seen[*p.Bucket]:
-			return nil, unfit(400, "bucket unknown or twice")
-		case p.Part == nil || !(*p.Part > 0) || p.Effort < 0:
-			return nil, unfit(400, "part or effort of a bucket")
-		}
-		seen[*p.Bucket] = true
-		sum += *p.Part
-		q.Parts = append(q.Parts, exchange.Part{
-			Shard: *p.Bucket, Weight: *p.Part, Work: p.Effort * microsecond,
-		})
-	}
-	if sum > 1+partSlip {
-		return nil, unfit(400, "parts are more than a whole")
-	}
-	return q, nil
-}
-
-// validID tells whether an id can stand in a frame's line.
-func validID(id string, most int) bool {
-	if id == "" || len(id) > most {
-		return false
-	}
-	for i := range len(id) {
-		if id[i] <= ' ' || id[i] >= 0x7f {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/front/reply.go
+++ b/internal/front/reply.go
@@ -86,6 +86,9 @@
 		return buf, time.Time{}, errDone
 	case !c.partial.IsZero():
 		until := c.partial.Add(c.s.limits.RequestTime)
+		if first := c.began.Add(c.s.limits.FirstTime); !c.good && first.Before(until) {
+			until = first
+		}
 		if !now.Before(until) {
 			return buf, until, errSlow
 		}
@@ -96,6 +99,9 @@
 	}
 	c.spoke = false
 	until := c.idleAt.Add(c.s.limits.ClientIdle)
+	if !c.good {
+		until = c.began.Add(c.s.limits.FirstTime)
+	}
 	if !now.Before(until) {
 		return buf, until, errIdle
 	}
@@ -105,26 +111,48 @@
 // Wrote is told how much went out; answers need no count.
 func (c *client) Wrote(int) {}
 
-// idleSince tells whether the client may be asked to go, and since when: it has nothing open, and nothing half
-// sent but what has taken too long already.
-func (c *client) idleSince() (time.Time, bool) {
+// spare tells how well a connection can be spared; the first kinds go first.
+type spare int
+
+const (
+	silent spare = iota // has never sent a request that could be used, for some time
+	slow                // is in the middle of a request, for some time
+	idle                // between requests
+	needed
+)
+
+// spared tells whether the client may be asked to go, and since when that is so: it has nothing open, and nothing
+// half sent but what has taken too long already. A client that is new gets its time, too.
+func (c *client) spared() (spare, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.since()
+	return c.sparing()
 }
 
-func (c *client) since() (time.Time, bool) {
-	free := c.asked == nil && len(c.out) == 0 && !c.closing
-	if c.partial.IsZero() {
-		return c.idleAt, free
+func (c *client) sparing() (spare, time.Time) {
+	kind, since := idle, c.idleAt
+	switch {
+	case c.asked != nil || len(c.out) > 0 || c.closing:
+		return needed, since
+	case !c.good:
+		kind, since = silent, c.began
+	case !c.partial.IsZero():
+		kind, since = slow, c.partial
+	}
+	least := c.s.limits.SlowRequest
+	if kind == idle {
+		least = c.s.limits.IdleKeep
+	}
+	if time.Since(since) <= least {
+		return needed, since
 	}
-	return c.partial, free && time.Since(c.partial) > c.s.limits.SlowRequest
+	return kind, since
 }
 
-// hangUp closes the connection if it is idle still.
+// hangUp closes the connection if it can be spared still.
 func (c *client) hangUp() {
 	c.mu.Lock()
-	if _, free := c.since(); free {
+	if kind, _ := c.sparing(); kind != needed {
 		c.closing = true
 	}
 	c.mu.Unlock()
--- a/internal/h1/h1.go
+++ b/internal/h1/h1.go
@@ -41,6 +41,16 @@
 	return ""
 }
 
+// Count tells how often a name stands in the head.
+func (h Header) Count(name string) (n int) {
+	for i := range h {
+		if strings.EqualFold(h[i].Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
 // values calls f for each item of a comma-joined field.
 func (h Header) values(name string, f func(string)) {
 	for i := range h {
@@ -83,7 +93,7 @@
 	})
 	h.values("Content-Length", func(s string) {
 		n, ok := digits(s)
-		if !ok || f.length >= 0 && f.length != n {
+		if !ok || f.length >= 0 { // twice, even if alike: who is between us may read the other one
 			err = bad("content length %q", s)
 		}
 		f.length = n
--- a/internal/h1/request.go
+++ b/internal/h1/request.go
@@ -20,6 +20,7 @@
 
 	expects bool
 	seen    int // bytes that earlier looks went over
+	blanks  int // empty lines before the request
 	head    int // length of the head, 0 until it is there
 	how     framing
 	at      int    // chunks: where the next one starts
@@ -32,6 +33,9 @@
 	if s.head == 0 {
 		for n := blank(data); n > 0; n = blank(data[skip:]) { // passed over before a request (RFC 9112, 2.2)
 			skip += n
+			if s.blanks++; s.blanks > blanksMost {
+				return 0, nil, bad("nothing but empty lines")
+			}
 		}
 	}
 	n, token, err := s.split(data[skip:], atEOF)
@@ -66,7 +70,7 @@
 	if s.Request.Body = s.body; !s.how.chunked {
 		s.Request.Body = data[s.head:end]
 	}
-	s.seen, s.head, s.body, s.Expects = 0, 0, nil, false
+	s.seen, s.head, s.blanks, s.body, s.Expects = 0, 0, 0, nil, false
 	return end, data[:end], nil
 }
 
@@ -77,6 +81,9 @@
 	return 0, nil, nil
 }
 
+// blanksMost is how many empty lines may stand before a request.
+const blanksMost = 8
+
 func blank(data []byte) int {
 	if len(data) >= 2 && data[0] == '\r' && data[1] == '\n' {
 		return 2
