Tell a spoilt answer as its part's failure, not as a machine that went down

At fault: link.end (Broken for whatever ended it), collect (told before the rest of the buffer was looked at; a second copy ended the connection), ParseAnswer (a report with a blank spoilt a good answer), ParseReport (NaN, Inf, negative), Pull (a frame that stalls waited for Silence or the deadline), ghosts (a minute, walked at each write).

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -8,7 +8,9 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
+	"unicode/utf8"
 )
 
 // Letters of the frames.
@@ -125,35 +127,44 @@
 	Value   []byte
 }
 
-// ParseAnswer reads the rest of an answer: a line `ID END SCORE REPORT` and the value.
+// ParseAnswer reads the rest of an answer: a line `ID END SCORE REPORT` and the value. With an error the result
+// holds the id alone, if that could be read. What stands in place of a report is for ParseReport to judge: the
+// answer is good without one.
 func ParseAnswer(rest []byte) (Result, error) {
 	line, value, ok := bytes.Cut(rest, []byte{'\n'})
-	if !ok {
+	f := bytes.SplitN(line, []byte{' '}, 4)
+	if !ok || len(f) != 4 || len(f[0]) == 0 {
+		if len(f) > 1 {
+			return Result{ID: f[0]}, fmt.Errorf("frame: answer line of %d fields", len(f))
+		}
 		return Result{}, errors.New("frame: answer without a line")
 	}
-	f := bytes.Split(line, []byte{' '})
-	if len(f) != 4 || len(f[0]) == 0 {
-		return Result{}, fmt.Errorf("frame: answer line of %d fields", len(f))
-	}
 	r := Result{ID: f[0], End: f[1], Value: value}
 	switch string(r.End) {
 	case Hit, Fault, Overload:
 	default:
-		return Result{}, fmt.Errorf("frame: unknown end %q", r.End)
+		return Result{ID: f[0]}, fmt.Errorf("frame: unknown end %q", r.End)
 	}
 	if s := string(f[2]); s != "-" {
 		score, err := strconv.ParseInt(s, 10, 64)
 		if err != nil {
-			return Result{}, fmt.Errorf("frame: score %q", s)
+			return Result{ID: f[0]}, fmt.Errorf("frame: score %q", s)
 		}
 		r.Score = score
 	}
+	if !text(value) {
+		return Result{ID: f[0]}, errors.New("frame: value is no text")
+	}
 	if !bytes.Equal(f[3], []byte{'-'}) {
 		r.Report = f[3]
 	}
 	return r, nil
 }
 
+// text tells whether a value can be what it seems: a length that is too long takes in the frame behind, whose own
+// length begins with a byte that no text holds.
+func text(value []byte) bool { return bytes.IndexByte(value, 0) < 0 && utf8.Valid(value) }
+
 // reported gives the settings' names of what reports call otherwise.
 var reported = map[string]string{
 	"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms", "qps": "rps", "eps": "err_rps",
@@ -168,7 +179,7 @@
 	for item := range bytes.SplitSeq(report, []byte{','}) {
 		name, text, ok := bytes.Cut(item, []byte{'='})
 		v, err := strconv.ParseFloat(string(text), 64)
-		if !ok || err != nil {
+		if !ok || err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
 			return nil, fmt.Errorf("frame: report %q", item)
 		}
 		for i, n := range names {
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -37,7 +37,7 @@
 	if r, err = ParseAnswer([]byte("9b.3 overload - -\n")); err != nil || r.Report != nil || len(r.Value) != 0 {
 		t.Errorf("%+v %v", r, err)
 	}
-	for _, bad := range []string{"", "9b.3 hit 1 -", "9b.3 hit 1\n", " hit 1 -\n", "9b.3 maybe 1 -\n", "9b.3 hit x -\n", "9b.3 hit 1 - -\n"} {
+	for _, bad := range []string{"", "9b.3 hit 1 -", "9b.3 hit 1\n", " hit 1 -\n", "9b.3 maybe 1 -\n", "9b.3 hit x -\n", "9b.3 hit 1 -\na\x00b", "9b.3 hit 1 -\n\xff"} {
 		if _, err := ParseAnswer([]byte(bad)); err == nil {
 			t.Errorf("%q was taken", bad)
 		}
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -33,10 +33,12 @@
 		}
 	}
 	l.pulled += int64(len(buf) - start)
-	for id, until := range l.ghosts {
-		if now.After(until) {
-			delete(l.ghosts, id)
+	if !l.begun.IsZero() && !l.idle() { // what trickles counts from its first byte
+		until := l.begun.Add(p.limits.FrameTime)
+		if !now.Before(until) {
+			return buf, until, errStalled
 		}
+		return buf, until, nil
 	}
 	if !l.idle() {
 		return buf, time.Time{}, nil
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -24,7 +24,8 @@
 
 	queue   [][]*entry           // calls not yet written
 	parts   map[string]*entry    // by id: not ended, written or not
-	ghosts  map[string]time.Time // given up and perhaps still answered, until then
+	ghosts  map[string]time.Time // given up or answered, and perhaps answered still, until then
+	passing []string             // their ids, the oldest first
 	giveUps []string
 	probes  []*probe
 	pulled  int64 // bytes handed to the writer
@@ -32,6 +33,8 @@
 
 	heardAt  time.Time // last read, or when parts went out after a pause
 	idleAt   time.Time // when the last part ended
+	begun    time.Time // when an unfinished frame began to arrive, zero if none has
+	read     []*entry  // answered by frames that have been read and not yet told
 	silent   bool      // a part was given up after a silence, and nothing was read since
 	retired  bool      // gets no new part and is closed once idle
 	finished bool
@@ -73,6 +76,24 @@
 	return l.silent || l.conn != nil && len(l.parts) > 0 && now.Sub(l.heardAt) >= l.p.limits.Silence
 }
 
+// expect notes that an answer to a part that has ended may come: one that was given up is answered perhaps, and a
+// good answer may come twice. What is older than Remember is forgotten.
+func (l *link) expect(id string, now time.Time) {
+	if _, twice := l.ghosts[id]; !twice {
+		l.passing = append(l.passing, id)
+	}
+	l.ghosts[id] = now.Add(l.p.limits.Remember)
+	gone := 0
+	for _, old := range l.passing {
+		if !now.After(l.ghosts[old]) {
+			break
+		}
+		delete(l.ghosts, old)
+		gone++
+	}
+	l.passing = append(l.passing[:0], l.passing[gone:]...)
+}
+
 // wake makes the goroutine look at what is queued; while it dials, it will look by itself.
 func (l *link) wake() {
 	if l.conn != nil {
@@ -88,9 +109,9 @@
 		l.conn = duplex.New(nc, l, l.p.limits.WriteTime)
 		l.idleAt = time.Now()
 		l.p.mu.Unlock()
-		in := bufio.NewScanner(l.conn)
+		in := bufio.NewScanner(reader{l})
 		in.Buffer(nil, l.p.limits.FrameBytes+8)
-		in.Split(frame.Split(l.p.limits.FrameBytes))
+		in.Split(l.split(frame.Split(l.p.limits.FrameBytes)))
 		for err == nil && in.Scan() {
 			err = l.collect(in.Bytes())
 		}
@@ -98,11 +119,38 @@
 			err = in.Err()
 		}
 		nc.Close()
+		l.tell()
 	}
 	l.end(err)
 }
 
-var errIdle = errors.New("closed as idle")
+var (
+	errIdle    = errors.New("closed as idle")
+	errStalled = errors.New("a frame began and did not go on")
+)
+
+// spoilt is an answer that can't be used. Its part, where its id can be read, has failed and may have run. The
+// connection is ours to close then, so of the others on it only that is known: they were given up.
+type spoilt struct {
+	id  string // of the part, "" if it can't be told
+	why string
+}
+
+func (s *spoilt) Error() string { return s.why }
+
+// outcome is what the end of a connection means for a part whose frame went out whole.
+func (l *link) outcome(en *entry, err error) policy.Outcome {
+	var s *spoilt
+	switch {
+	case errors.Is(err, errStalled) || errors.Is(err, frame.ErrLength):
+		return policy.Failed // which one it was for can't be told
+	case !errors.As(err, &s):
+		return policy.Broken
+	case s.id == en.a.ID || l.parts[s.id] == nil:
+		return policy.Failed
+	}
+	return policy.Revoked
+}
 
 // end takes the connection out of the pool and tells what becomes of its parts: what was not wholly written
 // never ran, the rest may have.
@@ -125,7 +173,7 @@
 	for _, en := range l.parts {
 		o := policy.Unreachable
 		if en.written && en.end <= l.wrote {
-			o = policy.Broken
+			o = l.outcome(en, err)
 		}
 		delete(p.entries, en.a)
 		out = append(out, exchange.Result{Attempt: en.a, Outcome: o, At: now})
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -3,6 +3,7 @@
 package replica
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -44,8 +45,9 @@
 type entry struct {
 	a       *exchange.Attempt
 	l       *link
-	written bool  // handed to the connection's writer
-	end     int64 // then: where its frame ends among the bytes of the connection
+	written bool             // handed to the connection's writer
+	end     int64            // then: where its frame ends among the bytes of the connection
+	answer  *exchange.Result // read, and told once what came with it has been looked at
 }
 
 // New returns an empty pool.
@@ -121,7 +123,8 @@
 }
 
 // choose finds the connection for a call: an open one that is heard of, else one that is coming up, else a
-// new one, and a silent one only where no more may be opened.
+// new one, and a silent one only where no more may be opened. Among open ones the least loaded goes first, then
+// the one that has been idle longest: what comes late behind an answer shows by then.
 func (p *Pool) choose(t *target, call []*exchange.Attempt) *link {
 	now := time.Now()
 	var best *link
@@ -134,15 +137,23 @@
 		}
 		return 0
 	}
+	coming := false
 	for _, l := range t.links {
+		coming = coming || l.conn == nil
 		if !l.fits(call, now) {
 			continue
 		}
-		if best == nil || rank(l) < rank(best) || rank(l) == rank(best) && len(l.parts) < len(best.parts) {
+		if best == nil || cmp.Or(cmp.Compare(rank(l), rank(best)), cmp.Compare(len(l.parts), len(best.parts)),
+			l.idleAt.Compare(best.idleAt)) < 0 {
 			best = l
 		}
 	}
 	if best != nil && rank(best) < 2 {
+		// One answer that can't be read takes with it all that is out on its connection, so parts share one only
+		// while others are coming up.
+		if len(best.parts) > 0 && !coming && len(t.links) < p.spread() && p.links < p.limits.ReplicaLinks {
+			p.open(t)
+		}
 		return best
 	}
 	if len(t.links) < p.limits.PerReplica && (p.links < p.limits.ReplicaLinks || p.evict(now)) {
@@ -151,6 +162,11 @@
 	return best
 }
 
+// spread is how many connections a replica gets so that parts need not share one: its part of all of them.
+func (p *Pool) spread() int {
+	return min(p.limits.Spread, p.limits.ReplicaLinks/max(1, len(p.targets)))
+}
+
 // evict closes the connection that has stood idle longest, to make room for another.
 func (p *Pool) evict(now time.Time) bool {
 	var oldest *link
@@ -186,7 +202,7 @@
 		l.silent = true
 	}
 	p.forget(en)
-	l.ghosts[a.ID] = time.Now().Add(p.limits.Remember)
+	l.expect(a.ID, time.Now())
 	l.giveUps = append(l.giveUps, a.ID)
 	l.wake()
 	return true, true
