Forget replicas that are gone; keep a query's id while its parts may be out

Read: exchange.targets and ids and the module's list never shrank, so each replaced replica stayed for good, and each list change sorted all of them. An id was free at its query's end though its parts could still run under the same names. An id of which a part was sent is free at its deadline. Texts are dropped at the end, not with the timer.

--- a/internal/exchange/action.go
+++ b/internal/exchange/action.go
@@ -57,6 +57,7 @@
 		}
 	}
 	pt.attempts = append(pt.attempts, a)
+	pt.q.sent = true
 	e.sums.attempts++
 	e.after(a.Due.Sub(e.turned).Seconds(), timer{attempt: a})
 	for i := range e.calls {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -37,7 +37,7 @@
 	next    []policy.Event // for the next turn: second steps, and attempts that were withdrawn
 	lastID  uint64
 	queries map[uint64]*query
-	byID    map[string]*query
+	byID    map[string]*query // open, or of late with parts sent: till its end their ids may be at replicas
 	parts   map[uint64]*part
 	held    int // queries and parts open
 	targets map[string]*known
@@ -55,6 +55,7 @@
 	id    uint64 // of the query, and of its group
 	step  int
 	parts []*part
+	sent  bool // an attempt has gone
 	over  bool
 
 	opened time.Time // the turn in which the first part of the second step went
@@ -78,6 +79,7 @@
 type known struct {
 	Target
 	listed bool
+	goneAt time.Time // since when it is removed
 }
 
 // call is what one turn sends to one replica.
--- a/internal/exchange/list.go
+++ b/internal/exchange/list.go
@@ -29,6 +29,9 @@
 			e.log.WithFields(logrus.Fields{"replica": k.Name, "id": k.Replica, "address": entry.Address}).Info("a new replica")
 		}
 		k.listed = true
+		if entry.State == policy.Removed && k.State != policy.Removed {
+			k.goneAt = e.turned
+		}
 		if k.State = entry.State; entry.State != policy.Removed {
 			k.Address, k.Started = entry.Address, entry.Started
 		}
@@ -52,12 +55,20 @@
 	if l.Full {
 		for _, k := range e.targets {
 			if !k.listed && k.State != policy.Removed {
-				k.State = policy.Removed
+				k.State, k.goneAt = policy.Removed, e.turned
 				changed = append(changed, k.Target)
 			}
 		}
 		e.log.WithFields(logrus.Fields{"replicas": len(l.Entries), "stale": l.Stale}).Info("a whole list")
 	}
+	// Guards against growth where replicas are replaced all day under new names. One that comes again within the
+	// time is the same as before.
+	for name, k := range e.targets {
+		if k.State == policy.Removed && e.turned.Sub(k.goneAt) > e.limits.Forget {
+			delete(e.targets, name)
+			delete(e.ids, k.Replica)
+		}
+	}
 	e.events = append(e.events, ev)
 	e.replicas.Update(changed)
 }
--- a/internal/exchange/outcome.go
+++ b/internal/exchange/outcome.go
@@ -21,7 +21,7 @@
 
 // endOf closes an attempt and returns the event that tells of its end.
 func (e *Exchange) endOf(a *Attempt, o policy.Outcome, at time.Time, report []float64) policy.Event {
-	a.ended = true
+	a.ended, a.Text = true, nil // its timer lives on for a while
 	e.sums.outcomes[o]++
 	if pt := a.part; !pt.out() && (pt.q.over || pt.q.step == 2 && pt.from == nil) {
 		delete(e.parts, pt.id) // its step has ended
--- a/internal/exchange/query.go
+++ b/internal/exchange/query.go
@@ -10,7 +10,7 @@
 // arrived takes a query in, or turns it away before it reaches the decisions: what is full or malformed.
 func (e *Exchange) arrived(m *Query) {
 	e.sums.queries++
-	if e.byID[m.ID] != nil { // the ids of its parts would be the same on the frames
+	if e.byID[m.ID] != nil { // the ids of its parts are at replicas, or may be still
 		e.sums.replies[Conflict]++
 		m.Reply(Reply{Status: Conflict})
 		return
@@ -59,15 +59,19 @@
 }
 
 func (e *Exchange) left(m *Query) {
-	if q := e.byID[m.ID]; q != nil && q.Query == m {
+	if q := e.byID[m.ID]; q != nil && q.Query == m && !q.over {
 		e.events = append(e.events, policy.Event{Kind: policy.ClientLeft, Query: q.id})
 		e.sums.left++
 		e.close(q)
 	}
 }
 
-// overdue guards against a query that nobody ended: its client is told, and the decisions drop it.
+// overdue guards against a query that nobody ended: its client is told, and the decisions drop it. The id of one
+// that has ended is free from now on.
 func (e *Exchange) overdue(q *query) {
+	if e.byID[q.ID] == q {
+		delete(e.byID, q.ID)
+	}
 	if q.over {
 		return
 	}
@@ -82,9 +86,12 @@
 func (e *Exchange) close(q *query) {
 	q.over = true
 	delete(e.queries, q.id)
-	delete(e.byID, q.ID)
 	e.held--
 	e.closeStep(q)
+	if !q.sent {
+		delete(e.byID, q.ID)
+	}
+	q.Text = nil // its timers live on for a while
 }
 
 // closeStep ends the parts of a step. Those still out can be cancelled until their end is told.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -763,8 +763,11 @@
 // The list.
 
 func (p *Policy) listChanged(ev *Event) {
-	if ev.Full {
-		for _, r := range p.list {
+	for _, r := range p.list {
+		if r.state != Removed {
+			r.listedAt = p.now
+		}
+		if ev.Full {
 			r.state = Removed
 		}
 	}
@@ -785,6 +788,14 @@
 		}
 		r.state = e.State
 	}
+	// Guards against growth where replicas are replaced all day. One that comes back soon keeps its records.
+	p.list = slices.DeleteFunc(p.list, func(r *replica) bool {
+		gone := r.state == Removed && len(r.outs) == 0 && p.now-r.listedAt > memory*p.promise
+		if gone {
+			delete(p.replicas, r.id)
+		}
+		return gone
+	})
 	p.index()
 }
 
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1116,3 +1116,38 @@
 		}
 	}
 }
+
+// Guards against growth on days when replicas are replaced all the time. One with an attempt out, and one that is
+// back soon, keeps its records.
+func TestReplacedReplicasAreForgotten(t *testing.T) {
+	r := newRig(t, settings(Safe))
+	for id := uint64(10); id < 60; id++ {
+		for _, state := range []Readiness{Up, Draining, Removed} {
+			r.do(Event{Kind: ListChanged, List: []Entry{{Replica: id, Size: 1, State: state}}})
+		}
+		r.now++
+	}
+	if n := len(r.p.list); n > 4+9 || len(r.p.replicas) != n {
+		t.Errorf("%d replicas are held, %d by number", n, len(r.p.replicas))
+	}
+	_, parts, acts := r.ask(1, 3)
+	out := of(Send, acts)[0].Replica
+	away := func(state Readiness) {
+		r.do(Event{Kind: ListChanged, List: []Entry{{Replica: out, Size: 1, State: state}}})
+	}
+	was := r.p.replicas[out]
+	away(Removed)
+	r.now++
+	away(Up)
+	away(Removed)
+	r.now += 2 * memory
+	away(Removed)
+	if r.p.replicas[out] != was {
+		t.Error("a replica that is back, or has an attempt out, was forgotten")
+	}
+	r.end(parts[0], 0, out, OK)
+	away(Removed)
+	if r.p.replicas[out] != nil {
+		t.Error("it is held with nothing out")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -82,6 +82,8 @@
 	call    *call // the newest
 	outs    []*attempt
 
+	listedAt float64 // until when the list had it
+
 	heardAt float64 // last answer of any kind
 	classes []record
 	suspect bool // for a class at least
