Keep clients' connections through the drain, and end before SIGKILL may come

Tested with a line for each query: the first machine is ready again at 15.9 s and has its first query at 16.9; the other has SIGTERM at 15.5 and its last query at 16.2. In between there is nowhere to go. While draining every answer said 'Connection: close' (reply.go ends), so clients lost their connections up to 0.7 s before the listener closed. Tests: TestDrain.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"strconv"
 	"time"
 
 	"birchcart/internal/settings"
@@ -64,6 +65,7 @@
 	WriteTime time.Duration // for queued bytes to be taken by the peer's machine
 	AnswerBy  time.Duration // after a query's end, the latest that it is closed
 	DrainTime time.Duration // after SIGTERM, for how long clients still come
+	EndTime   time.Duration // after SIGTERM, until when all is answered: SIGKILL may follow
 	StepGap   time.Duration // between the part that opens a second step and the others
 	LogEvery  time.Duration // between log lines of one kind
 	TellEvery time.Duration // between lines that sum up the work
@@ -73,7 +75,10 @@
 	fixedSockets = 24   // standard streams, listener, discovery, epoll and what the runtime opens
 	idleShare    = 0.75 // of the replica's idle limit: closed well before, or a part crosses the close
 	unreadPart   = 8    // of the memory: with buffers that double and the collector's slack it is a quarter
-	silentDials  = 4    // connect times without a word: a healthy machine would have taken a new connection
+	drainTime    = 700 * time.Millisecond
+	longestKept  = 3   // s: a deadline that is longer does not put off the end after SIGTERM
+	endShare     = 0.9 // of the longest deadline: all is answered well before SIGKILL
+	silentDials  = 4   // connect times without a word: a healthy machine would have taken a new connection
 )
 
 func limits(m machine, s *settings.Reader) Limits {
@@ -92,6 +97,11 @@
 	if s.Bool("allowed.retry_after") { // the longest that clients heed: what is full empties slowly
 		comeBack = seconds(s.Float("allowed.max_retry_after_s", 0))
 	}
+	longest := 0.0 // that a client waits
+	for i := range s.Int("classes.count", 0) {
+		longest = max(longest, s.Float("classes."+strconv.Itoa(i)+".give_up_s", 0))
+	}
+	longest = min(longest, longestKept)
 	return Limits{
 		Cores: m.Cores, Memory: memory, Sockets: sockets,
 
@@ -114,7 +124,7 @@
 		RedialFirst: 50 * time.Millisecond, RedialMost: time.Second,
 
 		WriteTime: time.Second, AnswerBy: 40 * time.Millisecond,
-		DrainTime: 700 * time.Millisecond, LogEvery: time.Second, TellEvery: 10 * time.Second,
+		DrainTime: drainTime, EndTime: drainTime + seconds(longest*endShare), LogEvery: time.Second, TellEvery: 10 * time.Second,
 		StepGap: 3 * time.Millisecond,
 	}
 }
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -35,12 +35,14 @@
 	ready  func() bool
 	log    *logs.Limited
 
-	ln     net.Listener
-	mu     sync.Mutex
-	room   *sync.Cond // a connection has ended, or may be asked to by now
-	conns  map[*client]struct{}
-	ending atomic.Bool
-	unread atomic.Int64 // bytes of requests that are not yet whole
+	ln      net.Listener
+	mu      sync.Mutex
+	room    *sync.Cond // a connection has ended, or may be asked to by now
+	conns   map[*client]struct{}
+	ending  atomic.Bool               // told to end
+	leaving atomic.Bool               // past the time for clients to come: each answer closes its connection
+	lastBy  atomic.Pointer[time.Time] // once told to end: when the last answer goes
+	unread  atomic.Int64              // bytes of requests that are not yet whole
 }
 
 // New returns a server. ready tells whether a list has been had.
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -8,9 +8,13 @@
 // isReady tells whether clients should come.
 func (s *Server) isReady() bool { return !s.ending.Load() && s.ready() }
 
-// Drain ends the service: for a while it goes on accepting, since clients and their front learn of the end
-// late, and closes each connection with the answer on it. Then it stops listening and waits for what is open.
+// Drain ends the service. For a while it goes on accepting, since clients and their front learn of the end late, and
+// serves the connections that are there as before: whoever takes our place may be starting still, and a client that is
+// sent away has nowhere to go then. From then on each answer closes its connection, idle ones are closed, and what is
+// open is waited for. What comes during the drain is given up in time before the process may be killed.
 func (s *Server) Drain(ctx context.Context) {
+	end := time.Now().Add(s.limits.EndTime)
+	s.lastBy.Store(&end)
 	s.ending.Store(true)
 	s.mu.Lock()
 	s.room.Broadcast()
@@ -19,6 +23,7 @@
 	case <-ctx.Done():
 	case <-time.After(s.limits.DrainTime):
 	}
+	s.leaving.Store(true)
 	s.ln.Close()
 	for tick := time.NewTicker(drainTick); ; {
 		s.mu.Lock()
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -72,6 +72,9 @@
 		return nil, unfit(400, "time-out")
 	}
 	q.Due = at.Add(wait)
+	if end := s.lastBy.Load(); end != nil && q.Due.After(*end) {
+		q.Due = *end
+	}
 	q.Retry = r.Header.Get("X-Retried") == "1"
 	if err := s.readBody(q, r.Body); err != nil {
 		return nil, err
--- a/internal/front/reply.go
+++ b/internal/front/reply.go
@@ -62,7 +62,7 @@
 
 // ends tells whether the answer that is written now is the connection's last.
 func (c *client) ends() bool {
-	if c.s.ending.Load() && len(c.waiting) == 0 {
+	if c.s.leaving.Load() && len(c.waiting) == 0 {
 		c.closing = true
 	}
 	return c.closing && len(c.waiting) == 0
