See a connection's end before writing, and tell a cut one from a machine that went down

At fault: duplex.Read wrote what was queued before it looked at what waits, since the wake's deadline hides it from a read; link.end told Broken for a single cut connection, which the module takes for a machine that went down. Now: connections to replicas peek before they write, so such a part is Unreachable and goes again; a connection that ends with parts out looks after 5 ms whether another one to the replica is open, then its parts have Failed. Tests: TestReadFirst, TestOneConnectionOfSeveralIsCut, TestALongTimeOutIsCut, FuzzBody.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	go test -fuzz FuzzResponse -fuzztime 20s ./internal/h1
 	go test -fuzz FuzzSplit -fuzztime 20s ./internal/frame
 	go test -fuzz FuzzAnswer -fuzztime 20s ./internal/frame
+	go test -fuzz FuzzBody -fuzztime 20s ./internal/front
 	go test -fuzz FuzzSteps -fuzztime 20s ./internal/exchange
 
 lint:
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -44,6 +44,7 @@
 	FrameTime    time.Duration // from a frame's first byte to its last
 	ConnectTime  time.Duration // for a connection to come up
 	ReplicaIdle  time.Duration // after so long without a part a connection is closed
+	SiblingTime  time.Duration // after a connection's end, for that of the others to be heard
 	Silence      time.Duration // parts out and nothing heard for so long: no new part goes there
 	Remember     time.Duration // for how long answers to parts that were given up are expected
 	ProbeTime    time.Duration
@@ -115,7 +116,7 @@
 		ReplicaLinks: free * 2 / 5, PerReplica: max(8, 256/max(1, s.Int("allowed.streams_per_conn", 1))),
 		Streams:    max(1, s.Int("allowed.streams_per_conn", 1)),
 		CallParts:  max(1, s.Int("family_info.per_call", 1)),
-		FrameBytes: 68 << 10, FrameTime: connect, ConnectTime: connect, Spread: 4,
+		FrameBytes: 68 << 10, FrameTime: connect, ConnectTime: connect, Spread: 4, SiblingTime: 5 * time.Millisecond,
 		ReplicaIdle: time.Duration(idleShare * float64(idle)),
 		Silence:     silentDials * connect, Remember: 15 * time.Second, ProbeTime: connect,
 
--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -25,6 +25,7 @@
 	nc        net.Conn
 	src       Source
 	writeTime time.Duration
+	readFirst bool
 	buf       []byte
 	readAt    time.Time
 
@@ -44,6 +45,14 @@
 	return &Conn{nc: nc, src: src, writeTime: writeTime, woken: make(chan struct{}, 1)}
 }
 
+// ReadFirst has the connection read what waits, and see its end, before it writes: what is not written to a
+// connection that its peer has closed is known never to have arrived. It is for peers that only answer, or a peer that
+// does not stop would have the last word.
+func (c *Conn) ReadFirst() *Conn {
+	c.readFirst = true
+	return c
+}
+
 // Wake makes the goroutine ask its source. It may be called from anywhere and does not block.
 func (c *Conn) Wake() {
 	c.mu.Lock()
@@ -92,9 +101,12 @@
 		c.mu.Lock()
 		c.awake = false
 		c.mu.Unlock()
-		until, err := c.Flush()
-		if err != nil {
-			return 0, err
+		var until time.Time
+		if !c.readFirst || !waits(c.nc) {
+			var err error
+			if until, err = c.Flush(); err != nil {
+				return 0, err
+			}
 		}
 		c.mu.Lock()
 		if !c.awake { // else it is in the past and stays there
--- a/internal/duplex/duplex_test.go
+++ b/internal/duplex/duplex_test.go
@@ -115,3 +115,31 @@
 		t.Errorf("took %v, wrote %d", d, q.wrote)
 	}
 }
+
+// Guards against requests that are written to a connection whose peer has closed it, which then may have run for all
+// that is known: the end is read before anything is written. Bytes that wait are read first, too, and what is queued
+// goes out after them.
+func TestReadFirst(t *testing.T) {
+	peer, mine := pair(t)
+	q := &queue{out: []byte("bye")}
+	io.WriteString(peer, "x")
+	time.Sleep(20 * time.Millisecond)
+	c := New(mine, q, time.Second).ReadFirst()
+	c.Wake()
+	var b [10]byte
+	if n, err := c.Read(b[:]); n != 1 || err != nil || q.wrote != 0 {
+		t.Fatalf("read %d bytes, %v, wrote %d", n, err, q.wrote)
+	}
+	go func() {
+		io.ReadFull(peer, b[:3])
+		peer.Close()
+	}()
+	if _, err := c.Read(b[5:]); err != io.EOF || q.wrote != 3 {
+		t.Fatalf("%v, wrote %d", err, q.wrote)
+	}
+	q.out = []byte("more")
+	c.Wake()
+	if _, err := c.Read(b[:]); err != io.EOF || q.wrote != 3 {
+		t.Fatalf("%v, wrote %d", err, q.wrote)
+	}
+}
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -82,6 +82,7 @@
 // However the bytes are cut the frames are the same, and no frame passes the limit.
 func FuzzSplit(f *testing.F) {
 	f.Add("\x00\x00\x00\x01C\x00\x00\x00\x04Eabc")
+	f.Add("\xb2\xd0\x5e\x00Ev\x00\x00\x00\x00")
 	f.Fuzz(func(t *testing.T, text string) {
 		a, e1 := frames(text, false)
 		b, e2 := frames(text, true)
@@ -98,6 +99,8 @@
 
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte("9b.3 hit 1840277719 inflight=7,util=0.61\nvalue"))
+	f.Add([]byte("9b.3 hit 1 util=nan,=,%%%\nv\x00\x00\x00\x109b.4 hit 1 -\nv"))
+	f.Add([]byte("9b.3 ? -99999999999999999999 -\n\xff"))
 	f.Fuzz(func(t *testing.T, rest []byte) {
 		r, err := ParseAnswer(rest)
 		if err != nil {
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -30,7 +30,8 @@
 	limits config.Limits
 	names  *settings.Names
 	shards int
-	keyed  []bool // by class
+	keyed  []bool          // by class
+	giveUp []time.Duration // by class: the longest that its clients wait, 0 if that is not told
 	sink   Sink
 	ready  func() bool
 	log    *logs.Limited
@@ -53,6 +54,7 @@
 	}
 	for _, c := range cfg.Policy.Classes {
 		s.keyed = append(s.keyed, c.Effect == policy.Keyed)
+		s.giveUp = append(s.giveUp, time.Duration(c.GiveUp*float64(time.Second)))
 	}
 	s.room = sync.NewCond(&s.mu)
 	return s
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -440,6 +440,17 @@
 	}
 }
 
+// A query is not held for longer than the clients of its class wait, whatever its own says.
+func TestALongTimeOutIsCut(t *testing.T) {
+	st := newStand(t, nil)
+	st.s.giveUp[0] = time.Second
+	c := st.dial()
+	c.write(strings.Replace(query("a", "", goodBody), "480", "3000000", 1))
+	if q := st.next(); q.Due.Sub(q.Received) != time.Second {
+		t.Errorf("due after %v", q.Due.Sub(q.Received))
+	}
+}
+
 // Once a request was the last one, what its client sends on is left where it is; its leaving is still seen.
 func TestAfterTheLastRequest(t *testing.T) {
 	st := newStand(t, nil)
@@ -624,3 +635,29 @@
 		t.Fatal("not done")
 	}
 }
+
+// Whatever a body holds, what is taken of it is of the form.
+func FuzzBody(f *testing.F) {
+	f.Add([]byte(goodBody))
+	f.Add([]byte(`{"buckets":[{"bucket":1,"part":0.9},{"bucket":1,"part":0.1}],"body":"x"}`))
+	f.Add([]byte(`{"buckets":[{"bucket":-0,"part":1e0,"effort":null}],"body":"\ud83d\ude00","Body":1}`))
+	f.Add([]byte(`[[[[{"a":[{}],"b":{"a":1}}]]]]`))
+	s := &Server{shards: 10, limits: config.Limits{MostWork: 3600}}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var q exchange.Query
+		if s.readBody(&q, raw) != nil {
+			return
+		}
+		sum, seen := 0.0, map[int]bool{}
+		for _, p := range q.Parts {
+			if p.Shard < 0 || p.Shard >= 10 || seen[p.Shard] || !(p.Weight > 0) || !(p.Work >= 0 && p.Work <= 3600) {
+				t.Errorf("%q: %+v", raw, p)
+			}
+			seen[p.Shard] = true
+			sum += p.Weight
+		}
+		if !(sum > 0.99 && sum < 1.01) {
+			t.Errorf("%q: shares of %v", raw, sum)
+		}
+	})
+}
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -71,6 +71,9 @@
 	if err != nil || ms == 0 || wait > s.limits.Longest {
 		return nil, unfit(400, "time-out")
 	}
+	if most := s.giveUp[class]; most > 0 { // guards against queries that are held for an hour
+		wait = min(wait, most)
+	}
 	q.Due = at.Add(wait)
 	if end := s.lastBy.Load(); end != nil && q.Due.After(*end) {
 		q.Due = *end
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -205,6 +205,9 @@
 	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
 	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
 	f.Add("\r\nGET / HTTP/1.0\r\n\r\n")
+	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\n\r\n")
+	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\nContent-Length: +3\r\n\r\nabc")
+	f.Add("\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		whole, e1 := read(text, false)
 		bytes, e2 := read(text, true)
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,6 +36,7 @@
 	idleAt   time.Time // when the last part ended
 	begun    time.Time // when an unfinished frame began to arrive, zero if none has
 	read     []*entry  // answered by frames that have been read and not yet told
+	alone    bool      // it ended, and no other connection to the replica is open
 	silent   bool      // a part was given up after a silence, and nothing was read since
 	retired  bool      // gets no new part and is closed once idle
 	finished bool
@@ -106,7 +108,7 @@
 	nc, err := net.DialTimeout("tcp", l.address, l.p.limits.ConnectTime)
 	if err == nil {
 		l.p.mu.Lock()
-		l.conn = duplex.New(nc, l, l.p.limits.WriteTime)
+		l.conn = duplex.New(nc, l, l.p.limits.WriteTime).ReadFirst()
 		l.idleAt = time.Now()
 		l.p.mu.Unlock()
 		in := bufio.NewScanner(reader{l})
@@ -120,6 +122,10 @@
 		}
 		nc.Close()
 		l.tell()
+		if l.alone = true; l.anyOut() { // else nobody asks
+			time.Sleep(l.p.limits.SiblingTime)
+			l.alone = !l.siblings()
+		}
 	}
 	l.end(err)
 }
@@ -138,14 +144,33 @@
 
 func (s *spoilt) Error() string { return s.why }
 
+// anyOut tells whether parts are out, with the lock taken.
+func (l *link) anyOut() bool {
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	return l.anyWritten()
+}
+
+// siblings tells whether another connection to the replica is open still. A process that ends takes all of them with
+// it, so then only this one was cut and the machine is none that went down.
+func (l *link) siblings() bool {
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	return slices.ContainsFunc(l.t.links, func(o *link) bool {
+		return o != l && o.conn != nil && !o.finished && o.address == l.address && o.conn.Open()
+	})
+}
+
 // outcome is what the end of a connection means for a part whose frame went out whole.
 func (l *link) outcome(en *entry, err error) policy.Outcome {
 	var s *spoilt
 	switch {
 	case errors.Is(err, errStalled) || errors.Is(err, frame.ErrLength):
 		return policy.Failed // which one it was for can't be told
-	case !errors.As(err, &s):
+	case !errors.As(err, &s) && l.alone:
 		return policy.Broken
+	case s == nil:
+		return policy.Failed
 	case s.id == en.a.ID || l.parts[s.id] == nil:
 		return policy.Failed
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -478,6 +478,41 @@
 	}
 }
 
+// Guards against taking a connection that was cut for a machine that went down: while another one is open still its
+// parts have failed and may have run. A process that ends takes all of them.
+func TestOneConnectionOfSeveralIsCut(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		l := testLimits()
+		l.Spread, l.SiblingTime = 2, 20*time.Millisecond
+		s := newStand(t, l)
+		s.pool.Send(1, []*exchange.Attempt{attempt("q.1")})
+		first := s.accept()
+		first.frame()
+		s.pool.Send(1, []*exchange.Attempt{attempt("q.2")})
+		first.frame()
+		second := s.accept()
+		s.eventually("the second is not up", func() bool {
+			s.pool.mu.Lock()
+			defer s.pool.mu.Unlock()
+			return len(s.pool.targets[1].links) == 2 && s.pool.targets[1].links[1].conn != nil
+		})
+		s.pool.Send(1, []*exchange.Attempt{attempt("q.3")})
+		second.frame()
+		first.nc.(*net.TCPConn).SetLinger(0)
+		first.nc.Close()
+		want, n := policy.Failed, 2
+		if all {
+			second.nc.Close()
+			want, n = policy.Broken, 3
+		}
+		for range n {
+			if r := s.sink.next(t); r.Outcome != want {
+				t.Errorf("all %v: %+v", all, r)
+			}
+		}
+	}
+}
+
 // Parts share a connection only while others come up: one spoilt answer takes along all that is out beside it.
 func TestPartsAreSpreadOverConnections(t *testing.T) {
 	l := testLimits()
