Keep idle connections to a sixth of the descriptors; only a query makes a usual client

Seen: 384 of 384 descriptors, all connections taken, 10 queries open; of 216 connections 207 between requests. Probed: how each connection ended. 1,846 asked for readiness once and stayed (read.go set good for them, and idle ones had 1 s before they made room); the usual clients, which ask once and stay, then stop at 128 idle connections, a third of the descriptors. Ruled out: decisions and replicas (35 ms, no refusal), bad requests, processor, places. At fault: read.go take (good by /-/ready), reply.go sparing (IdleKeep), accept.go Serve (no limit while ending), nothing that closed idle connections but ClientIdle. Tests: TestIdleConnectionsHaveALimit, TestWhoMakesRoom.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -25,8 +25,9 @@
 	FirstTime   time.Duration // from a connection's start to the last byte of its first request
 	RequestTime time.Duration // from the first byte of a request to its last
 	SlowRequest time.Duration // after so long a silent start or an unfinished request makes room for other clients
-	IdleKeep    time.Duration // between requests, before it makes room for others
-	ClientIdle  time.Duration // between requests, the most
+	ClientIdle  time.Duration // between requests
+	IdleMost    int           // connections between requests
+	TidyEvery   time.Duration // between looks for connections over that
 	Linger      time.Duration // after a connection's last answer, for the client to close
 	LingerBytes int           // read meanwhile, and after a connection's last request
 	Longest     time.Duration // of the times that clients say they wait; over it is a mistake
@@ -108,8 +109,8 @@
 
 		Clients: free / 2, ClientsOver: free / 10, UnreadBytes: memory / unreadPart,
 		HeadBytes: 16 << 10, BodyBytes: 64 << 10, IDBytes: 128, Pipelined: 4,
-		FirstTime: 2 * time.Second, RequestTime: 2 * time.Second, SlowRequest: 250 * time.Millisecond,
-		IdleKeep: time.Second, ClientIdle: 5 * time.Second, Linger: 200 * time.Millisecond, LingerBytes: 64 << 10,
+		FirstTime: 2 * time.Second, RequestTime: 2 * time.Second, SlowRequest: 100 * time.Millisecond,
+		ClientIdle: 5 * time.Second, IdleMost: free / 6, TidyEvery: 50 * time.Millisecond, Linger: 200 * time.Millisecond, LingerBytes: 64 << 10,
 		Longest: time.Hour, MostWork: 3600,
 		Held: s.Int("allowed.open_cap", 0), ComeBack: comeBack,
 
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,7 @@
 	leaving atomic.Bool               // past the time for clients to come: each answer closes its connection
 	lastBy  atomic.Pointer[time.Time] // once told to end: when the last answer goes
 	unread  atomic.Int64              // bytes of requests that are not yet whole
+	toldAt  time.Time                 // of the last line on all connections being taken
 }
 
 // New returns a server. ready tells whether a list has been had.
@@ -74,12 +76,20 @@
 // spared makes room; where there is none the new one gets a refusal, and past ClientsOver of those the rest wait
 // with the machine, so that descriptors never run out.
 func (s *Server) Serve(ctx context.Context) error {
+	go s.tidy(ctx)
 	for {
 		s.mu.Lock()
-		for len(s.conns) >= s.limits.Clients+s.limits.ClientsOver && !s.ending.Load() {
-			s.log.Warn("all connections are taken", logrus.Fields{"connections": len(s.conns)})
+		for len(s.conns) >= s.limits.Clients+s.limits.ClientsOver && !s.leaving.Load() {
+			if now := time.Now(); now.Sub(s.toldAt) >= s.limits.LogEvery {
+				s.toldAt = now
+				s.log.Warn("all connections are taken", s.census())
+			}
 			s.evict()
-			look := time.AfterFunc(s.limits.SlowRequest/4, s.room.Broadcast) // one may be spared by then
+			look := time.AfterFunc(s.limits.SlowRequest/4, func() { // one may be spared by then
+				s.mu.Lock()
+				s.room.Broadcast()
+				s.mu.Unlock()
+			})
 			s.room.Wait()
 			look.Stop()
 		}
@@ -121,6 +131,65 @@
 	return true
 }
 
+// census tells what the connections are, for the log.
+func (s *Server) census() logrus.Fields {
+	f := logrus.Fields{"connections": len(s.conns)}
+	n := map[string]int{}
+	for c := range s.conns {
+		c.mu.Lock()
+		switch {
+		case c.asked != nil:
+			n["open"]++
+		case c.closing:
+			n["closing"]++
+		case !c.partial.IsZero():
+			n["unfinished"]++
+		case !c.good:
+			n["silent"]++
+		default:
+			n["idle"]++
+		}
+		c.mu.Unlock()
+	}
+	for kind, count := range n {
+		f[kind] = count
+	}
+	return f
+}
+
+// tidy closes connections that are between requests, the longest first, while there are too many. Guards against
+// clients that ask once and keep their connections: each may hold only so many, and with those kept for nothing it
+// has none left to ask on, however few of ours are in use.
+func (s *Server) tidy(ctx context.Context) {
+	tick := time.NewTicker(s.limits.TidyEvery)
+	defer tick.Stop()
+	type kept struct {
+		c     *client
+		since time.Time
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		var between []kept
+		s.mu.Lock()
+		for c := range s.conns {
+			if kind, since := c.spared(); kind == idle {
+				between = append(between, kept{c, since})
+			}
+		}
+		s.mu.Unlock()
+		if over := len(between) - s.limits.IdleMost; over > 0 {
+			slices.SortFunc(between, func(a, b kept) int { return a.since.Compare(b.since) })
+			for _, k := range between[:over] {
+				k.c.hangUp()
+			}
+		}
+	}
+}
+
 // relieve looks once more for room for a client that came past the limit and has asked for something: there may be
 // some by now. Without it the client is refused.
 func (s *Server) relieve(c *client) bool {
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -16,15 +16,15 @@
 	end := time.Now().Add(s.limits.EndTime)
 	s.lastBy.Store(&end)
 	s.ending.Store(true)
-	s.mu.Lock()
-	s.room.Broadcast()
-	s.mu.Unlock()
 	select {
 	case <-ctx.Done():
 	case <-time.After(s.limits.DrainTime):
 	}
 	s.leaving.Store(true)
 	s.ln.Close()
+	s.mu.Lock()
+	s.room.Broadcast()
+	s.mu.Unlock()
 	for tick := time.NewTicker(drainTick); ; {
 		s.mu.Lock()
 		left := len(s.conns)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -43,6 +43,7 @@
 	l := config.Limits{
 		Clients: 20, ClientsOver: 4, HeadBytes: 2000, BodyBytes: 64 << 10, IDBytes: 64, Pipelined: 2,
 		RequestTime: 5 * time.Second, SlowRequest: 50 * time.Millisecond, ClientIdle: time.Minute, FirstTime: 5 * time.Second,
+		IdleMost: 20, TidyEvery: 10 * time.Millisecond,
 		Linger: 20 * time.Millisecond, LingerBytes: 4 << 10, UnreadBytes: 1 << 20, Longest: time.Hour, MostWork: 3600,
 		WriteTime: time.Second, DrainTime: 100 * time.Millisecond, EndTime: 300 * time.Millisecond, LogEvery: time.Second,
 	}
@@ -391,10 +392,39 @@
 	}
 }
 
+// Connections between requests are kept up to a number; past that the one idle longest is closed, though there is
+// room for more. One with a request open is not counted.
+func TestIdleConnectionsHaveALimit(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.IdleMost = 2 })
+	var all []*conn
+	for range 5 {
+		c := st.dial()
+		c.write(query("a", "", goodBody))
+		st.next().Reply(exchange.Reply{})
+		c.status(200)
+		all = append(all, c)
+		time.Sleep(2 * time.Millisecond)
+	}
+	open := st.dial()
+	open.write(query("b", "", goodBody))
+	q := st.next()
+	for _, c := range all[:3] {
+		c.ended()
+	}
+	time.Sleep(30 * time.Millisecond)
+	for _, c := range all[3:] {
+		c.write(query("c", "", goodBody))
+		st.next().Reply(exchange.Reply{})
+		c.status(200)
+	}
+	q.Reply(exchange.Reply{})
+	open.status(200)
+}
+
 // Silent connections and those that only sent what could not be used make room for new ones before a client's that
 // is between requests; a new one has its time to speak first.
 func TestWhoMakesRoom(t *testing.T) {
-	st := newStand(t, func(l *config.Limits) { l.Clients, l.ClientsOver, l.IdleKeep = 3, 1, time.Minute })
+	st := newStand(t, func(l *config.Limits) { l.Clients, l.ClientsOver = 3, 1 })
 	usual := st.dial()
 	usual.write(query("a", "", goodBody))
 	st.next().Reply(exchange.Reply{})
@@ -406,6 +436,7 @@
 	quiet[0].ended()
 	for range 6 { // far more than there are places
 		st.dial()
+		time.Sleep(60 * time.Millisecond)
 	}
 	quiet[1].ended()
 	late := st.dial()
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -192,9 +192,6 @@
 		case !c.s.isReady():
 			c.say(503, nil)
 		default:
-			c.mu.Lock()
-			c.good = true
-			c.mu.Unlock()
 			c.say(200, nil)
 		}
 		return
--- a/internal/front/reply.go
+++ b/internal/front/reply.go
@@ -139,11 +139,7 @@
 	case !c.partial.IsZero():
 		kind, since = slow, c.partial
 	}
-	least := c.s.limits.SlowRequest
-	if kind == idle {
-		least = c.s.limits.IdleKeep
-	}
-	if time.Since(since) <= least {
+	if kind != idle && time.Since(since) <= c.s.limits.SlowRequest {
 		return needed, since
 	}
 	return kind, since
