Bound a line of the list by the memory; test that limits hold while draining

A line of 8 MiB beside what is read of it does not fit into 32 MB; it is a sixteenth of the memory now (TestBuffersFitASmallMachine).

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// What a small machine buffers at the most leaves room for the rest.
+func TestBuffersFitASmallMachine(t *testing.T) {
+	l := limits(machine{Sockets: 256, MemoryMB: 32}, nothing())
+	links := int64(l.ReplicaLinks) * int64(l.FrameBytes)
+	if sum := 2*l.UnreadBytes + 2*int64(l.ListBytes) + links; sum > l.Memory*3/4 {
+		t.Errorf("%d of %d bytes", sum, l.Memory)
+	}
+	if l.IdleMost < 8 || l.IdleMost > l.Clients/2 || l.Clients < l.Sockets/3 {
+		t.Errorf("%d idle of %d connections", l.IdleMost, l.Clients)
+	}
+}
+
 func TestBadConfigurations(t *testing.T) {
 	for want, text := range map[string]string{
 		"unexpected end":        full[:40],
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -76,6 +76,7 @@
 const (
 	fixedSockets = 24   // standard streams, listener, discovery, epoll and what the runtime opens
 	idleShare    = 0.75 // of the replica's idle limit: closed well before, or a part crosses the close
+	listPart     = 16   // of the memory: the line and what is read of it stand side by side
 	unreadPart   = 8    // of the memory: with buffers that double and the collector's slack it is a quarter
 	drainTime    = 700 * time.Millisecond
 	longestKept  = 3   // s: a deadline that is longer does not put off the end after SIGTERM
@@ -121,7 +122,7 @@
 		ReplicaIdle: time.Duration(idleShare * float64(idle)),
 		Silence:     silentDials * connect, Remember: 15 * time.Second, ProbeTime: connect,
 
-		ListBytes: 8 << 20, WatchSilence: 3 * time.Second, AgentTime: time.Second, Forget: 30 * time.Second,
+		ListBytes: int(min(8<<20, memory/listPart)), WatchSilence: 3 * time.Second, AgentTime: time.Second, Forget: 30 * time.Second,
 		ReloadWait: 100 * time.Millisecond, ReloadTries: 6,
 		RedialFirst: 50 * time.Millisecond, RedialMost: time.Second,
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -392,6 +392,38 @@
 	}
 }
 
+// The limit on connections holds while draining, too, or descriptors run out where clients come by hundreds.
+func TestTheLimitHoldsWhileDraining(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) {
+		l.Clients, l.ClientsOver, l.SlowRequest, l.FirstTime = 2, 1, time.Minute, 300*time.Millisecond
+	})
+	done := make(chan struct{})
+	go func() { st.s.Drain(context.Background()); close(done) }()
+	for !st.s.ending.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	for range 10 {
+		st.dial()
+	}
+	time.Sleep(50 * time.Millisecond)
+	st.s.mu.Lock()
+	n := len(st.s.conns)
+	st.s.mu.Unlock()
+	if n != 3 {
+		t.Errorf("%d connections", n)
+	}
+	st.s.mu.Lock()
+	for c := range st.s.conns {
+		c.conn.Close()
+	}
+	st.s.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("not done")
+	}
+}
+
 // Connections between requests are kept up to a number; past that the one idle longest is closed, though there is
 // room for more. One with a request open is not counted.
 func TestIdleConnectionsHaveALimit(t *testing.T) {
