Use a connection last on which a given-up part was never answered

Found by reading: a connection is taken for silent only after four connect times with a part out (isSilent, 1 s), but parts are given up long before that when another copy answers, and the connection then looks idle. The choice of the one idle longest came back to it again and again, and each time a part was lost; one of tally-submit for good. Ruled out: stalled frames (end after one connect time), late answers (dropped by id). Test: TestAnUnansweredConnectionGoesLast.

--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -44,6 +44,9 @@
 		return buf, time.Time{}, nil
 	}
 	until := l.idleAt.Add(p.limits.ReplicaIdle)
+	if l.doubt() > 0 {
+		until = l.doubtAt.Add(p.limits.Silence)
+	}
 	if l.retired || l.silent || !now.Before(until) {
 		l.finished = true // chosen no more; a part that came first is seen above
 		return buf, until, errIdle
@@ -81,7 +84,7 @@
 		l.heardAt = now // until now it had nothing to say
 	}
 	for _, en := range live {
-		en.written, en.end = true, l.pulled+int64(len(buf)-start)
+		en.written, en.end, en.at = true, l.pulled+int64(len(buf)-start), now
 	}
 	return buf
 }
--- a/internal/replica/collect.go
+++ b/internal/replica/collect.go
@@ -41,7 +41,7 @@
 // collect takes in one frame from the replica. An error ends the connection.
 func (l *link) collect(f []byte) error {
 	l.p.mu.Lock()
-	l.heardAt, l.silent = l.conn.ReadAt(), false
+	l.heardAt, l.silent, l.doubtAt = l.conn.ReadAt(), false, time.Time{}
 	l.p.mu.Unlock()
 	switch letter, rest := f[0], f[1:]; letter {
 	case frame.Answer:
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -37,6 +37,7 @@
 	begun    time.Time // when an unfinished frame began to arrive, zero if none has
 	read     []*entry  // answered by frames that have been read and not yet told
 	alone    bool      // it ended, and no other connection to the replica is open
+	doubtAt  time.Time // a part was given up then with nothing read since it went out; zero once something is
 	silent   bool      // a part was given up after a silence, and nothing was read since
 	retired  bool      // gets no new part and is closed once idle
 	finished bool
@@ -78,6 +79,16 @@
 	return l.silent || l.conn != nil && len(l.parts) > 0 && now.Sub(l.heardAt) >= l.p.limits.Silence
 }
 
+// doubt is 1 where a part was given up and nothing has been read since it went out. Guards against connections that
+// have fallen silent: they look idle as soon as their parts are given up, and would take one part after the other.
+// Most are in order, the part was just one too many; so they are only used last, and left if nothing clears them.
+func (l *link) doubt() int {
+	if l.doubtAt.IsZero() {
+		return 0
+	}
+	return 1
+}
+
 // expect notes that an answer to a part that has ended may come: one that was given up is answered perhaps, and a
 // good answer may come twice. What is older than Remember is forgotten.
 func (l *link) expect(id string, now time.Time) {
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -47,6 +47,7 @@
 	l       *link
 	written bool             // handed to the connection's writer
 	end     int64            // then: where its frame ends among the bytes of the connection
+	at      time.Time        // and when
 	answer  *exchange.Result // read, and told once what came with it has been looked at
 }
 
@@ -123,8 +124,9 @@
 }
 
 // choose finds the connection for a call: an open one that is heard of, else one that is coming up, else a
-// new one, and a silent one only where no more may be opened. Among open ones the least loaded goes first, then
-// the one that has been idle longest: what comes late behind an answer shows by then.
+// new one, and a silent one only where no more may be opened. Among open ones those go first that have answered
+// since, then the least loaded, then the one that has been idle longest: what comes late behind an answer shows by
+// then.
 func (p *Pool) choose(t *target, call []*exchange.Attempt) *link {
 	now := time.Now()
 	var best *link
@@ -143,15 +145,15 @@
 		if !l.fits(call, now) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(rank(l), rank(best)), cmp.Compare(len(l.parts), len(best.parts)),
-			l.idleAt.Compare(best.idleAt)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(rank(l), rank(best)), cmp.Compare(l.doubt(), best.doubt()),
+			cmp.Compare(len(l.parts), len(best.parts)), l.idleAt.Compare(best.idleAt)) < 0 {
 			best = l
 		}
 	}
 	if best != nil && rank(best) < 2 {
 		// One answer that can't be read takes with it all that is out on its connection, so parts share one only
 		// while others are coming up.
-		if len(best.parts) > 0 && !coming && len(t.links) < p.spread() && p.links < p.limits.ReplicaLinks {
+		if (len(best.parts) > 0 || best.doubt() > 0) && !coming && len(t.links) < p.spread() && p.links < p.limits.ReplicaLinks {
 			p.open(t)
 		}
 		return best
@@ -200,6 +202,8 @@
 	l := en.l
 	if now := time.Now(); l.isSilent(now) {
 		l.silent = true
+	} else if !l.heardAt.After(en.at) && l.doubtAt.IsZero() {
+		l.doubtAt = now
 	}
 	p.forget(en)
 	l.expect(a.ID, time.Now())
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -513,6 +513,44 @@
 	}
 }
 
+// Guards against connections that have fallen silent and look idle, since their parts are given up early: one that has
+// answered goes first, a new one is opened beside, and in the end it is left. An answer clears it.
+func TestAnUnansweredConnectionGoesLast(t *testing.T) {
+	l := testLimits()
+	l.Spread, l.Silence = 2, 200*time.Millisecond
+	s := newStand(t, l)
+	a := attempt("q.1")
+	s.pool.Send(1, []*exchange.Attempt{a})
+	first := s.accept()
+	first.frame()
+	s.pool.Withdraw(a)
+	first.frame()
+	s.pool.Send(1, []*exchange.Attempt{attempt("q.2")}) // there is no other yet
+	first.frame()
+	second := s.accept()
+	first.say("Eq.2 hit 1 -\nv") // in order after all
+	s.sink.next(t)
+	b := attempt("q.3")
+	s.pool.Send(1, []*exchange.Attempt{b})
+	peers := [2]*peer{first, second}
+	if second.nc.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); second.in.Scan() {
+		peers = [2]*peer{second, first}
+	} else {
+		second.in = bufio.NewScanner(second.nc)
+		second.in.Split(frame.Split(1000))
+		first.frame()
+	}
+	s.pool.Withdraw(b)
+	peers[0].frame()
+	for i := range 3 { // the one that said nothing has been idle longest, and stays unused
+		s.pool.Send(1, []*exchange.Attempt{attempt(fmt.Sprint("r.", i))})
+		peers[1].frame()
+		peers[1].say(fmt.Sprint("Er.", i, " hit 1 -\nv"))
+		s.sink.next(t)
+	}
+	peers[0].ended()
+}
+
 // Parts share a connection only while others come up: one spoilt answer takes along all that is out beside it.
 func TestPartsAreSpreadOverConnections(t *testing.T) {
 	l := testLimits()
