Do not prefer a busy connection to one in doubt

Cause: a connection in doubt ranked behind busy ones, so parts shared connections, and each reset took more with it (pool.go choose).

--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -124,9 +124,9 @@
 }
 
 // choose finds the connection for a call: an open one that is heard of, else one that is coming up, else a
-// new one, and a silent one only where no more may be opened. Among open ones those go first that have answered
-// since, then the least loaded, then the one that has been idle longest: what comes late behind an answer shows by
-// then.
+// new one, and a silent one only where no more may be opened. Among open ones those go first on which nothing is
+// out, of these the ones that have answered since, then the least loaded, then the one that has been idle longest:
+// what comes late behind an answer shows by then.
 func (p *Pool) choose(t *target, call []*exchange.Attempt) *link {
 	now := time.Now()
 	var best *link
@@ -145,8 +145,9 @@
 		if !l.fits(call, now) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(rank(l), rank(best)), cmp.Compare(l.doubt(), best.doubt()),
-			cmp.Compare(len(l.parts), len(best.parts)), l.idleAt.Compare(best.idleAt)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(rank(l), rank(best)), cmp.Compare(min(1, len(l.parts)), min(1, len(best.parts))),
+			cmp.Compare(l.doubt(), best.doubt()), cmp.Compare(len(l.parts), len(best.parts)),
+			l.idleAt.Compare(best.idleAt)) < 0 {
 			best = l
 		}
 	}
