--- a/policy/policy.go
+++ b/policy/policy.go
@@ -65,7 +65,7 @@
 	rateSpan   = 2.0 // promises: window of one replica's rate
 
 	// Answers.
-	weightSlip = 1e-6 // of a whole: a sum of weights may miss by rounding
+	weightSlip = 1e-6 // of a whole: a sum of weights may miss by so much in adding them up
 )
 
 // model is what a class's recent part latencies say.
@@ -252,6 +252,14 @@
 	}
 	q.need = len(q.parts)
 	if q.step == 1 {
+		// Guards against weights that travel rounded: those of 59 parts sum to 0.999991, and no answer is whole.
+		sum := 0.0
+		for _, pt := range q.parts {
+			sum += pt.weight
+		}
+		for _, pt := range q.parts {
+			pt.weight /= math.Max(sum, weightSlip)
+		}
 		q.need = needOf(&p.cfg.Classes[q.class], q.need)
 		if p.turnedAway(q) {
 			p.giveUp(q)
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -334,6 +334,30 @@
 	}
 }
 
+// Weights travel with six decimals. Their slips add up over many parts; what is asked is the whole all the same.
+func TestRoundedWeightsMakeAWhole(t *testing.T) {
+	for _, n := range []int{3, 7, 12, 59, 140, 200} {
+		cfg := settings(Safe)
+		cfg.Shards = n
+		r := newRig(t, cfg)
+		weight := math.Round(1e6/float64(n)) / 1e6
+		events := []Event{{Kind: QueryArrived, Query: 1, Group: 1, Tenant: -1, Due: r.now + 4, Count: n}}
+		for i := range n {
+			events = append(events, Event{Kind: PartArrived, Part: uint64(10 + i), Group: 1, Shard: i, Weight: weight})
+		}
+		r.do(events...)
+		for i := range n {
+			acts := r.end(uint64(10+i), 0, 1, OK)
+			if i < n-1 && len(acts) > 0 {
+				t.Fatalf("%d parts: after answer %d %v", n, i+1, acts)
+			}
+			if last := of(Answer, acts); i == n-1 && (len(last) != 1 || !last[0].Full) {
+				t.Errorf("%d parts, all in: %v", n, acts)
+			}
+		}
+	}
+}
+
 func TestNoAnswerUnderFloor(t *testing.T) {
 	cfg := settings(Safe)
 	cfg.Classes[0].Need, cfg.Classes[0].Floor = 0.75, 0.75
