--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,22 @@
-.PHONY: build test race fuzz lint run clean expect search faults scripts routes bench
+.PHONY: build test size linked race fuzz lint run clean expect search faults scripts routes bench
 
+# As the operators build it: the line in deploy/balancer.toml.
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	$(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)
 
-test:
-	bash .ci/run
+# All that a landing needs: format, vet, build, linking, the module's size, tests, those of the sockets with -race too.
+test: lint build linked size
+	go test -count=1 -timeout 10m ./...
+	go test -race -short -count=1 -timeout 20m ./internal/... ./cmd/...
+
+# The fleet's bench loads a library of its own into the program, which needs the C library's loader.
+linked:
+	ldd bin/birchcart | grep -q 'libc\.so' || { echo "bin/birchcart is not linked against the C library: see build in deploy/balancer.toml"; exit 1; }
+	bin/birchcart check --config deploy/example.json
+
+size:
+	@lines=$$(grep -cv '^[[:space:]]*$$' policy/policy.go); echo "policy/policy.go: $$lines lines that are not blank (1,040 at most)"; [ $$lines -le 1040 ]
+	@! expand -t 4 policy/policy.go policy/state.go policy/api.go | grep -nE '^.{111,}' || { echo "lines over 110 characters"; exit 1; }
 
 race:
 	go test -race -timeout 5m ./...
