--- a/policy/policy.go
+++ b/policy/policy.go
@@ -106,7 +106,8 @@
 	arrivals, done     window   // queries but retries, answers of parts
 	tenants            []window // queries but retries
 	trials             float64  // that may go now
-	stress             ewma     // latency over promise
+	stress             ewma     // latency over promise, 1 for a part turned away
+	stressAt           float64  // its newest sample
 	drag               ewma     // latest latencies over the estimates
 	promise, tick      float64  // the least promise; the period of a look
 	watchAt, refreshAt float64
@@ -528,7 +529,12 @@
 		p.done.add(p.now)
 		a.r.done.add(p.now)
 	}
+	if ev.Outcome == Rejected { // a full queue's wait: no promise would hold
+		p.stress.add(1, freshShare)
+		p.stressAt = p.now
+	}
 	if ev.Outcome == OK && a.sentAt >= p.stalledAt {
+		p.stressAt = p.now
 		p.models[q.class].seen.add(p.now, ev.Took)
 		p.drag.add(ev.Took/p.models[q.class].mean, freshShare)
 		p.stress.add(ev.Took/p.cfg.Classes[q.class].Promise, freshShare)
@@ -902,6 +908,12 @@
 	slow := p.stress.value*c.Promise > slowShare*waitShare*time/over
 	room := wait * float64(p.done.count(p.now-p.promise)) / p.promise
 	room = math.Max(leastRoom*p.share(q.need)/over, room)
+	// Guards against many co-ordinators with little traffic each: what one may always have out is, from all of
+	// them, more than the fleet holds, and it spends itself on parts of queries that are given up. What the
+	// latest parts took tells the queues without any of ours out. It fades, so that a query goes and sees.
+	if p.stress.value*math.Exp((p.stressAt-p.now)/(memory*p.promise))*c.Promise > wait*over {
+		return true
+	}
 	return p.full() && (over > 1 || q.lim.Yield) || slow && float64(p.inFlight-p.stuck) > room
 }
 
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1176,3 +1176,57 @@
 		t.Error("it is held with nothing out")
 	}
 }
+
+// Guards against the collapse of a fleet of many co-ordinators with little traffic each: with nothing of its own out,
+// one still knows from its latest parts that the queues are long, refuses the queries that would wait in vain, and
+// goes and sees again after a while without news.
+func TestLongQueuesRefuseWithNothingOut(t *testing.T) {
+	crowd := map[string]func(r *rig){
+		"slow answers": func(r *rig) {
+			for range 4 {
+				_, parts, _ := r.ask(6, 4)
+				for _, id := range parts {
+					r.do(Event{Kind: AttemptEnded, Part: id, Outcome: OK, Took: 0.4})
+				}
+			}
+		},
+		"full queues": func(r *rig) {
+			for range 4 {
+				q, parts, _ := r.ask(6, 4)
+				for _, id := range parts {
+					r.end(id, 0, 1, Rejected)
+				}
+				r.do(Event{Kind: ClientLeft, Query: q})
+				for _, id := range parts {
+					r.end(id, 1, 2, Revoked)
+				}
+			}
+		},
+	}
+	for name, fill := range crowd {
+		cfg := settings(Safe)
+		cfg.Aggregators, cfg.Shards = 300, 60
+		steps := cfg.Classes[0]
+		steps.FollowUp = 5
+		cfg.Classes = append(cfg.Classes, steps)
+		r := newRig(t, cfg)
+		wide := func(id uint64) []Action {
+			events := []Event{{Kind: QueryArrived, Query: id, Group: id, Class: 1, Tenant: -1, Due: r.now + 4, Count: 60}}
+			for i := range 60 {
+				events = append(events, Event{Kind: PartArrived, Part: id + uint64(i) + 1, Group: id, Shard: i, Weight: 1.0 / 60})
+			}
+			return r.do(events...)
+		}
+		fill(r)
+		if r.p.inFlight > 0 {
+			t.Fatalf("%s: %d parts are out", name, r.p.inFlight)
+		}
+		if acts := wide(100000); len(of(Refuse, acts)) != 1 || len(of(Send, acts)) > 0 {
+			t.Errorf("%s: not refused at once: %d sent", name, len(of(Send, acts)))
+		}
+		r.run(2 * memory)
+		if acts := wide(200000); len(of(Send, acts)) == 0 {
+			t.Errorf("%s: still refused after %v promises without news", name, 2*memory)
+		}
+	}
+}
