--- a/policy/policy.go
+++ b/policy/policy.go
@@ -911,7 +911,11 @@
 	// Guards against many co-ordinators with little traffic each: what one may always have out is, from all of
 	// them, more than the fleet holds, and it spends itself on parts of queries that are given up. What the
 	// latest parts took tells the queues without any of ours out. It fades, so that a query goes and sees.
-	if p.stress.value*math.Exp((p.stressAt-p.now)/(memory*p.promise))*c.Promise > wait*over {
+	bound := wait * over
+	if p.up < p.cfg.Aggregators { // not one replica's worth each: queues grow for all before one has seen it
+		bound *= slowShare
+	}
+	if p.stress.value*math.Exp((p.stressAt-p.now)/(memory*p.promise))*c.Promise > bound {
 		return true
 	}
 	return p.full() && (over > 1 || q.lim.Yield) || slow && float64(p.inFlight-p.stuck) > room
