--- a/policy/policy.go
+++ b/policy/policy.go
@@ -253,7 +253,7 @@
 	}
 	q.need = len(q.parts)
 	if q.step == 1 {
-		// Guards against weights that travel rounded: those of 59 parts sum to 0.999991, and no answer is whole.
+		// Guards against weights that travel rounded: those of 59 parts sum to 0.999991, never to a whole.
 		sum := 0.0
 		for _, pt := range q.parts {
 			sum += pt.weight
@@ -908,8 +908,8 @@
 	slow := p.stress.value*c.Promise > slowShare*waitShare*time/over
 	room := wait * float64(p.done.count(p.now-p.promise)) / p.promise
 	room = math.Max(leastRoom*p.share(q.need)/over, room)
-	// Guards against many co-ordinators with little traffic each: what one may always have out is, from all of
-	// them, more than the fleet holds, and it spends itself on parts of queries that are given up. What the
+	// Guards against many co-ordinators with little traffic each: what one may always have out is, from all
+	// of them, more than the fleet holds, and it spends itself on parts of queries that are given up. What the
 	// latest parts took tells the queues without any of ours out. It fades, so that a query goes and sees.
 	bound := wait * over
 	if p.up < p.cfg.Aggregators { // not one replica's worth each: queues grow for all before one has seen it
