--- a/policy/policy.go
+++ b/policy/policy.go
@@ -909,8 +909,9 @@
 	room := wait * float64(p.done.count(p.now-p.promise)) / p.promise
 	room = math.Max(leastRoom*p.share(q.need)/over, room)
 	// Guards against many co-ordinators with little traffic each: what one may always have out is, from all
-	// of them, more than the fleet holds, and it spends itself on parts of queries that are given up. What the
-	// latest parts took tells the queues without any of ours out. It fades, so that a query goes and sees.
+	// of them, more than the fleet holds, and it spends itself on parts of queries that are given up.
+	// What the latest parts took tells the queues with none of ours out. It fades, so that a query goes and
+	// sees.
 	bound := wait * over
 	if p.up < p.cfg.Aggregators { // not one replica's worth each: queues grow for all before one has seen it
 		bound *= slowShare
