Give co-ordinators their messages: polls, words and asks, versioned and bounded

Followers without a vote learn what was agreed by polling; nothing said yet how. Another version or kind, torn bytes and what is over a bound are refused in words. Entries carry their own index, as the log's indices have gaps, and a Word says what it follows on, so that one that missed some does not apply the rest.

--- /dev/null
+++ b/internal/fleet/talk/talk_test.go
@@ -0,0 +1,140 @@
+package talk
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+
+	"birchcart/internal/fleet/takeout"
+)
+
+var good = []Message{
+	Poll{From: "a", No: math.MaxUint64, Index: 3, Laid: []Laid{{"r1", 4, false, ""}, {"r2", 5, true, "alone"}}, Load: 1.5, LoadKnown: true},
+	Word{No: 9, From: "b", Leader: "b", Term: 2, Led: true, Since: 3, Index: 9, Entries: []Entry{{5, []byte{0, 255}}, {9, []byte("x")}}},
+	Word{No: 9, From: "c", Leader: "b", Index: 1},
+	Word{No: 9, From: "b", Leader: "b", Led: true, Index: 7, Snapshot: []byte("whole")},
+	Ask{From: "a", Limits: takeout.LimitsBody{Revision: 1}, Asks: takeout.AsksBody{Revision: 2,
+		Requests: []takeout.Request{{ID: "q", Names: []string{"r1"}, Reason: "disk"}}}},
+}
+
+func TestWhatIsEncodedIsReadBack(t *testing.T) {
+	for _, m := range good {
+		raw, err := Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := Decode(raw)
+		if err != nil || !reflect.DeepEqual(back, m) {
+			t.Errorf("%+v came back as %+v, %v", m, back, err)
+		}
+	}
+}
+
+func TestBoundsAreKeptByBothSides(t *testing.T) {
+	long := strings.Repeat("x", NameMost+1)
+	for _, c := range []struct {
+		says string
+		m    Message
+	}{
+		{"no number", Poll{From: "a"}},
+		{"the sender has no name", Poll{No: 1}},
+		{"1024 at most", Poll{No: 1, From: long}},
+		{"drains, 4096", Poll{No: 1, From: "a", Laid: make([]Laid, LaidMost+1)}},
+		{"no fence", Poll{No: 1, From: "a", Laid: []Laid{{Machine: "r"}}}},
+		{"a load of -1", Poll{No: 1, From: "a", Load: -1}},
+		{"a load of NaN", Poll{No: 1, From: "a", Load: math.NaN()}},
+		{"answers no poll", Word{From: "a"}},
+		{"both entries", Word{No: 1, From: "a", Led: true, Index: 1, Entries: []Entry{{1, nil}}, Snapshot: []byte{1}}},
+		{"does not lead", Word{No: 1, From: "a", Index: 1, Entries: []Entry{{1, nil}}}},
+		{"entry 3 does not lie after 3", Word{No: 1, From: "a", Led: true, Since: 3, Index: 3, Entries: []Entry{{3, nil}}}},
+		{"entry 2 does not lie after 2", Word{No: 1, From: "a", Led: true, Index: 3, Entries: []Entry{{2, nil}, {2, nil}}}},
+		{"up to 1", Word{No: 1, From: "a", Led: true, Index: 1, Entries: []Entry{{2, nil}}}},
+		{"entries, 4096", Word{No: 1, From: "a", Led: true, Entries: make([]Entry, EntryCount+1)}},
+		{"524288 at most", Word{No: 1, From: "a", Led: true, Index: 1, Entries: []Entry{{1, make([]byte, EntriesMost+1)}}}},
+		{"16777216 at most", Word{No: 1, From: "a", Led: true, Index: 1, Snapshot: make([]byte, SnapshotMost+1)}},
+		{"requests, 1024", Ask{From: "a", Asks: takeout.AsksBody{Requests: make([]takeout.Request, RequestsMost+1)}}},
+		{"names, 16384", Ask{From: "a", Asks: takeout.AsksBody{Requests: []takeout.Request{{ID: "q", Names: make([]string, NamesMost+1)}}}}},
+		{"a reason has 1025", Ask{From: "a", Asks: takeout.AsksBody{Requests: []takeout.Request{{ID: "q", Reason: long}}}}},
+	} {
+		if _, err := Encode(c.m); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%T was to say %q, said %v", c.m, c.says, err)
+		}
+	}
+	for raw, says := range map[string]string{
+		"":                                      "0 bytes",
+		"\x01z{}":                               "unknown kind",
+		"\x01p{":                                "could not be read",
+		"\x01p" + `{"from":"a","no":1}x`:        "1 bytes too many",
+		"\x01p" + `{"from":"a"}`:                "no number",
+		"\x01p" + `{"from":"a","no":1,"b":1}`:   "unknown field",
+		"\x01p" + strings.Repeat(" ", PollMost): "at most",
+	} {
+		if _, err := Decode([]byte(raw)); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%.30q was to say %q, said %v", raw, says, err)
+		}
+	}
+	raw, _ := Encode(good[0])
+	raw[0] = Version + 1
+	if _, err := Decode(raw); !errors.Is(err, ErrVersion) || !strings.Contains(err.Error(), "known is 1") {
+		t.Errorf("a newer version gave %v", err)
+	}
+}
+
+func TestAWordIsCutShortInOrder(t *testing.T) {
+	var all []Entry
+	for i := range 10 {
+		all = append(all, Entry{uint64(i + 1), make([]byte, EntriesMost/4)})
+	}
+	w := Word{No: 1, From: "a", Led: true, Index: 10}
+	var got []uint64
+	for rounds := 0; len(got) < 10 && rounds < 4; rounds++ {
+		if err := w.Fill(all[len(got):]); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Encode(w); err != nil || w.More != (len(got)+len(w.Entries) < 10) {
+			t.Fatalf("%d entries after %d, more %v, %v", len(w.Entries), len(got), w.More, err)
+		}
+		for _, e := range w.Entries {
+			got = append(got, e.Index)
+		}
+		w.Since = got[len(got)-1]
+	}
+	if fmt.Sprint(got) != "[1 2 3 4 5 6 7 8 9 10]" {
+		t.Error(got)
+	}
+	if w.Fill([]Entry{{1, make([]byte, EntriesMost+1)}}) == nil {
+		t.Error("an entry that can't be sent was taken")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range good {
+		raw, _ := Encode(m)
+		f.Add(raw)
+	}
+	f.Add([]byte("\x02p{}"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := Decode(raw)
+		if err != nil {
+			if m != nil || err.Error() == "" {
+				t.Fatalf("refused without words, or with a message: %v, %v", m, err)
+			}
+			return
+		}
+		again, err := Encode(m)
+		if err != nil {
+			t.Fatalf("what was read can't be sent: %v", err)
+		}
+		back, err := Decode(again)
+		if err != nil {
+			t.Fatalf("what was sent can't be read: %v", err)
+		}
+		if third, err := Encode(back); err != nil || !bytes.Equal(again, third) {
+			t.Fatalf("%+v came back as %+v, %v", m, back, err)
+		}
+	})
+}
