--- /dev/null
+++ b/internal/fleet/view/check.go
@@ -0,0 +1,79 @@
+package view
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"birchcart/internal/fleet/takeout"
+)
+
+// evidence is kept beside the deciding, from what goes out and what the agreed state says, so that Check does not
+// rest on what the decisions rest on.
+type evidence struct {
+	since map[string]time.Duration // when the set that goes out first had a name; as long as it has
+	wrong error                    // the first thing that was wrong
+}
+
+func (e *evidence) fail(format string, a ...any) {
+	if e.wrong == nil {
+		e.wrong = fmt.Errorf(format, a...)
+	}
+}
+
+// changed looks at a new set of drains that goes out.
+func (v *View) changed(now time.Duration, names []string) {
+	for _, n := range v.drains {
+		if slices.Contains(names, n) {
+			continue
+		}
+		delete(v.seen.since, n)
+		if i := v.grantOf(n); i >= 0 && !(v.CutOff(now) && now >= v.end(v.live[i].Until)) {
+			v.seen.fail("V1: the drain of %s was lifted at %v while its grant %d lives", n, now, v.live[i].Fence)
+		}
+	}
+	for _, n := range names {
+		if slices.Contains(v.drains, n) {
+			continue
+		}
+		v.seen.since[n] = now
+		if v.grantOf(n) < 0 {
+			v.seen.fail("V3: %s was drained at %v without a live grant", n, now)
+		}
+		if v.CutOff(now) && v.polls.answered {
+			v.seen.fail("V4: %s was drained at %v while cut off", n, now)
+		}
+	}
+}
+
+func (v *View) grantOf(name string) int {
+	return slices.IndexFunc(v.live, func(it takeout.Item) bool { return it.Machine == name })
+}
+
+// saw looks at a drain that is said as laid.
+func (v *View) saw(now time.Duration, l lay) {
+	if v.kinds[l.machine].Kind == takeout.Coordinator {
+		return
+	}
+	if since, ok := v.seen.since[l.machine]; !ok || now-since < v.limits.Grace {
+		v.seen.fail("V2: the drain of %s was said as laid at %v; laid %t at %v, Grace %v", l.machine, now, ok, since, v.limits.Grace)
+	}
+}
+
+// Check names what does not hold, or ever did not:
+// V1 a drain was lifted while its grant lives (cut off: before the grant's end by the own clock and the drift),
+// V2 one was said as laid before a Grace had passed since it went out, V3 a machine was drained without a live grant,
+// V4 one was newly drained while cut off (but by a process never answered yet), V5 what is remembered is over its bound or out of order.
+func (v *View) Check() error {
+	if v.seen.wrong != nil {
+		return v.seen.wrong
+	}
+	if len(v.polls.sent) > SentMost {
+		return fmt.Errorf("V5: %d polls are remembered, %d at most", len(v.polls.sent), SentMost)
+	}
+	if !slices.IsSortedFunc(v.lays, byFence) {
+		return errors.New("V5: what is laid is out of order")
+	}
+	return nil
+}
