Check histories of a fleet by code that knows none of the deciding packages

What a fleet promises (W1 to W7, nothing new to a told machine while a lease holds) has to be judged from outside: by who truly was up and warm, whose lease truly held and what the agreed log truly held.

--- /dev/null
+++ b/internal/fleet/world/history/check.go
@@ -0,0 +1,250 @@
+package history
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Checker follows one history. Add gives the first promise that is broken, with the evidence.
+type Checker struct {
+	now      time.Duration
+	rules    Rules
+	machines map[string]*truth
+	names    []string // sorted
+	items    map[string]*standing
+	order    []string // of items, by asking
+	fence    uint64
+	peers    map[string]*peer
+	majority bool
+	lostAt   time.Duration // when the majority was lost
+	Figures  Figures
+}
+
+// Figures are what a history came to.
+type Figures struct {
+	Grants, Told, Went, Lapsed, Failures, Unplanned int
+	CutOffSends                                     int // machines a co-ordinator without a lease went on sending to, though told
+	GrantToTold                                     []time.Duration
+	WentAt                                          []time.Duration
+	Waves                                           int // goes that began while none was out
+}
+
+type truth struct {
+	Machine
+	up       bool
+	warm     time.Duration
+	failedAt time.Duration // newest end without a plan; -1: never
+	planned  bool          // out, or cold after it, by the plan
+	goes     time.Duration // when it was taken
+	overdue  time.Duration // planned until here
+}
+
+type standing struct {
+	Item
+	granted, told time.Duration
+	passed        int
+	went          bool
+}
+
+type peer struct {
+	skips map[string]bool // machines that it does not send to
+	lease time.Duration
+	on    bool
+}
+
+// New is a checker that knows of nothing yet.
+func New() *Checker {
+	return &Checker{machines: map[string]*truth{}, items: map[string]*standing{}, peers: map[string]*peer{}, majority: true}
+}
+
+// Add takes the next event.
+func (c *Checker) Add(e Event) error {
+	if e.At < c.now {
+		return fmt.Errorf("history: an event of %v after one of %v", e.At, c.now)
+	}
+	c.now = e.At
+	switch e.Kind {
+	case Limits:
+		c.rules = e.Rules
+	case Joined:
+		c.machines[e.Name] = &truth{Machine: e.Machine, up: true, warm: e.Warm, failedAt: -1}
+		c.names = append(c.names, e.Name)
+		sort.Strings(c.names)
+	case Taken:
+		return c.taken(e)
+	case Failed:
+		c.Figures.Failures++
+		m := c.machines[e.Name]
+		m.up, m.planned, m.failedAt = false, false, e.At
+	case Risen:
+		m := c.machines[e.Name]
+		m.up, m.warm = true, e.Warm
+		if m.planned && e.At > m.overdue {
+			m.planned, m.failedAt = false, m.overdue
+		}
+	case Committed:
+		return c.committed(e)
+	case Sends:
+		p := c.peer(e.By)
+		p.skips[e.Name] = !e.On
+		return c.sends(e.By, e.Name)
+	case Leased:
+		p := c.peer(e.By)
+		p.lease = max(p.lease, e.Until)
+		for _, name := range c.order {
+			if err := c.sends(e.By, c.items[name].Machine); err != nil {
+				return err
+			}
+		}
+	case Serving:
+		c.peer(e.By).on = e.On
+		if !e.On { // its process ended: whatever it starts with, it has no lease yet
+			c.peer(e.By).lease = 0
+		}
+	case Majority:
+		if c.majority && !e.On {
+			c.lostAt = e.At
+		}
+		c.majority = e.On
+	case Ended:
+		return c.ended(e)
+	default:
+		return fmt.Errorf("history: unknown kind of event %q", e.Kind)
+	}
+	return nil
+}
+
+func (c *Checker) peer(name string) *peer {
+	p := c.peers[name]
+	if p == nil {
+		p = &peer{skips: map[string]bool{}}
+		c.peers[name] = p
+	}
+	return p
+}
+
+// live is the item of a machine that has not ended.
+func (c *Checker) live(machine string) *standing {
+	for _, key := range c.order {
+		if s := c.items[key]; s.Machine == machine && running(s.Phase) {
+			return s
+		}
+	}
+	return nil
+}
+
+func running(phase string) bool {
+	return phase == "granted" || phase == "told" || phase == "out" || phase == "back"
+}
+
+// committed checks one change of the agreed state: W4, W7 and the count for W5.
+func (c *Checker) committed(e Event) error {
+	key := fmt.Sprint(e.Item.Request, "\x00", e.Item.Machine, "\x00", e.Item.Asked)
+	old := c.items[key]
+	if old == nil {
+		old = &standing{Item: e.Item}
+		old.Phase = "asked"
+		c.items[key] = old
+		c.order = append(c.order, key)
+		sort.SliceStable(c.order, func(i, j int) bool { return c.items[c.order[i]].Order < c.items[c.order[j]].Order })
+	}
+	was := old.Phase
+	if !follows(was, e.Item.Phase) {
+		return fmt.Errorf("W4: %s of %s went from %s to %s in entry %d", old.Machine, old.Request, was, e.Item.Phase, e.Index)
+	}
+	if running(was) && e.Item.Fence != old.Fence {
+		return fmt.Errorf("W4: the live grant of %s changed its number from %d to %d", old.Machine, old.Fence, e.Item.Fence)
+	}
+	if was == "asked" && e.Item.Phase == "granted" {
+		if other := c.live(old.Machine); other != nil {
+			return fmt.Errorf("W4: %s was granted to %s while it is %s for %s", old.Machine, old.Request, other.Phase, other.Request)
+		}
+		if e.Item.Fence <= c.fence {
+			return fmt.Errorf("W4: the grant of %s has number %d after %d", old.Machine, e.Item.Fence, c.fence)
+		}
+		c.fence = e.Item.Fence
+		if e.Voters*2 <= e.Of {
+			return fmt.Errorf("W7: the grant of %s in entry %d was stored by %d of %d voters", old.Machine, e.Index, e.Voters, e.Of)
+		}
+		if !c.majority && e.Stored > c.lostAt+time.Second {
+			return fmt.Errorf("W7: %s was granted %v after the majority was lost", old.Machine, e.At-c.lostAt)
+		}
+	}
+	old.Item = e.Item
+	switch {
+	case was == e.Item.Phase:
+	case e.Item.Phase == "granted":
+		old.granted = e.At
+		c.Figures.Grants++
+		if err := c.room(old); err != nil {
+			return err
+		}
+		return c.passed(old)
+	case e.Item.Phase == "told":
+		old.told = e.At
+		c.Figures.Told++
+		c.Figures.GrantToTold = append(c.Figures.GrantToTold, e.At-old.granted)
+		for _, by := range c.peerNames() {
+			if err := c.sends(by, old.Machine); err != nil {
+				return err
+			}
+		}
+	case e.Item.Phase == "lapsed":
+		c.Figures.Lapsed++
+	}
+	return nil
+}
+
+func follows(from, to string) bool {
+	if from == to {
+		return true
+	}
+	next := map[string]string{
+		"asked": "granted withdrawn refused lapsed", "granted": "told lapsed withdrawn",
+		"told": "out lapsed withdrawn", "out": "back done lapsed", "back": "done out lapsed",
+	}
+	for _, name := range split(next[from]) {
+		if name == to {
+			return true
+		}
+	}
+	return false
+}
+
+func split(s string) (words []string) {
+	for start, i := 0, 0; i <= len(s); i++ {
+		if i == len(s) || s[i] == ' ' {
+			if i > start {
+				words = append(words, s[start:i])
+			}
+			start = i + 1
+		}
+	}
+	return words
+}
+
+func (c *Checker) peerNames() []string {
+	names := make([]string, 0, len(c.peers))
+	for name := range c.peers {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// sends checks that no co-ordinator whose lease holds sends anything new to a machine that was told and may be out.
+func (c *Checker) sends(by, machine string) error {
+	p, s := c.peer(by), c.live(machine)
+	if s == nil || s.Phase == "granted" || s.Phase == "back" || !p.on || p.skips[machine] || by == machine {
+		return nil
+	}
+	if m := c.machines[machine]; m == nil || !m.Replica || s.Phase == "out" && m.up {
+		return nil
+	}
+	if c.now < p.lease {
+		return fmt.Errorf("told: %s sends to %s, whose grant %d was told at %v, and its lease holds until %v", by, machine, s.Fence, s.told, p.lease)
+	}
+	c.Figures.CutOffSends++
+	return nil
+}
