Keep the council's log and votes on disk: raft's stores on bbolt, fsynced, summed, fail-stop

Change: one bbolt file with version, sums for each entry and value, the ends of the log noted in the same write; after a failed write nothing more is written until it is opened again. On opening, everything is read, checked and written anew, because bbolt's own check panics in a goroutine that cannot be guarded. A bounded logger carries the engines' lines.

--- /dev/null
+++ b/internal/fleet/enginelog/enginelog.go
@@ -0,0 +1,112 @@
+// Package enginelog carries what the libraries of the fleet (consensus, gossip) write about themselves into our own log:
+// one line each, at its own level, and never more than a stated number, since a library that meets a fault says so
+// at each attempt.
+package enginelog
+
+import (
+	"bytes"
+	"fmt"
+	"log"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// Window and Most: at most Most lines in a Window; what is over is counted and told with the first line of the
+	// next window. Twice as many: a broken link fills the log; half: the line that explains may be left out.
+	Window = 10 * time.Second
+	Most   = 20
+
+	// longest is the most of one line, in bytes, that is kept.
+	longest = 512
+)
+
+// Writer is an io.Writer of whole lines, as the libraries' loggers write them.
+type Writer struct {
+	to *logrus.Entry
+
+	mu     sync.Mutex
+	opened time.Time // the window
+	lines  int
+	over   int
+}
+
+// New writes to an entry; a nil one drops everything.
+func New(to *logrus.Entry) *Writer { return &Writer{to: to} }
+
+// Write takes a line that says its level itself, as "[WARN] memberlist: ...".
+func (w *Writer) Write(line []byte) (int, error) {
+	level := hclog.Info
+	for _, l := range []struct {
+		word  string
+		level hclog.Level
+	}{{"[DEBUG]", hclog.Debug}, {"[WARN]", hclog.Warn}, {"[ERR", hclog.Error}, {"[TRACE]", hclog.Trace}} {
+		if bytes.Contains(line, []byte(l.word)) {
+			level = l.level
+			break
+		}
+	}
+	return w.LevelWrite(level, line)
+}
+
+// LevelWrite takes a line and its level.
+func (w *Writer) LevelWrite(level hclog.Level, line []byte) (int, error) {
+	out := logrus.DebugLevel
+	switch level {
+	case hclog.Warn:
+		out = logrus.WarnLevel
+	case hclog.Error:
+		out = logrus.ErrorLevel
+	}
+	if w.to == nil || !w.to.Logger.IsLevelEnabled(out) {
+		return len(line), nil
+	}
+	text := string(line[:min(len(line), longest)])
+	if i := strings.Index(text, "] "); i >= 0 && strings.HasPrefix(text, "[") {
+		text = text[i+2:]
+	}
+	w.mu.Lock()
+	now := time.Now()
+	over := 0
+	if now.Sub(w.opened) >= Window {
+		w.opened, w.lines, over, w.over = now, 0, w.over, 0
+	}
+	w.lines++
+	drop := w.lines > Most
+	if drop {
+		w.over++
+	}
+	w.mu.Unlock()
+	if over > 0 {
+		w.to.Warnf("%d lines of the engine left out", over)
+	}
+	if !drop {
+		w.to.Log(out, strings.TrimSpace(text))
+	}
+	return len(line), nil
+}
+
+// Hclog is a logger for libraries that want hclog's interface.
+func (w *Writer) Hclog(name string) hclog.Logger {
+	level := hclog.Info
+	if w.to == nil {
+		level = hclog.Off
+	} else if w.to.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		level = hclog.Debug
+	}
+	return hclog.New(&hclog.LoggerOptions{Name: name, Level: level, Output: w, DisableTime: true})
+}
+
+// Standard is a logger for libraries that want the standard library's.
+func (w *Writer) Standard() *log.Logger { return log.New(w, "", 0) }
+
+// String tells how many lines of this window were left out.
+func (w *Writer) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return fmt.Sprintf("%d lines, %d left out", w.lines, w.over)
+}
--- /dev/null
+++ b/internal/fleet/store/log.go
@@ -0,0 +1,192 @@
+package store
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"time"
+
+	"github.com/hashicorp/raft"
+	bolt "go.etcd.io/bbolt"
+)
+
+// An entry on disk, under its index (8 bytes, big endian, so that bbolt's order is the log's):
+//
+//	version 1 | type 1 | term 8 | appended at, ns since the Unix epoch, 8 | extensions' length 4 | extensions | data | sum 4
+//
+// The sum covers key and value, so an entry under another's index is refused as well.
+const headSize = 1 + 1 + 8 + 8 + 4
+
+func key(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+func encode(l *raft.Log) []byte {
+	b := make([]byte, 0, headSize+len(l.Extensions)+len(l.Data)+4)
+	b = append(b, Version, byte(l.Type))
+	b = binary.BigEndian.AppendUint64(b, l.Term)
+	at := int64(0)
+	if !l.AppendedAt.IsZero() {
+		at = l.AppendedAt.UnixNano()
+	}
+	b = binary.BigEndian.AppendUint64(b, uint64(at))
+	b = binary.BigEndian.AppendUint32(b, uint32(len(l.Extensions)))
+	b = append(b, l.Extensions...)
+	b = append(b, l.Data...)
+	return binary.BigEndian.AppendUint32(b, crc32.Update(crc32.Checksum(key(l.Index), table), table, b))
+}
+
+// decode copies: what bbolt hands out is its mapped file.
+func decode(k, v []byte, l *raft.Log) error {
+	if len(k) != 8 || len(v) < headSize+4 {
+		return fmt.Errorf("%w: an entry of %d bytes", ErrTorn, len(v))
+	}
+	index, body := binary.BigEndian.Uint64(k), v[:len(v)-4]
+	if crc32.Update(crc32.Checksum(k, table), table, body) != binary.BigEndian.Uint32(v[len(v)-4:]) {
+		return fmt.Errorf("%w: the sum of entry %d is wrong", ErrTorn, index)
+	}
+	if v[0] != Version {
+		return fmt.Errorf("%w: entry %d has %d, this program knows %d", ErrNewer, index, v[0], Version)
+	}
+	ext := int(binary.BigEndian.Uint32(body[18:]))
+	if ext > len(body)-headSize {
+		return fmt.Errorf("%w: extensions of entry %d", ErrTorn, index)
+	}
+	*l = raft.Log{Index: index, Term: binary.BigEndian.Uint64(body[2:]), Type: raft.LogType(body[1])}
+	if at := int64(binary.BigEndian.Uint64(body[10:])); at != 0 {
+		l.AppendedAt = time.Unix(0, at)
+	}
+	l.Extensions = append(l.Extensions, body[headSize:headSize+ext]...)
+	l.Data = append(l.Data, body[headSize+ext:]...)
+	return nil
+}
+
+func (s *Store) end(first bool) (index uint64, err error) {
+	err = s.read(func(tx *bolt.Tx) error {
+		c := tx.Bucket(bucketLog).Cursor()
+		var k []byte
+		if first {
+			k, _ = c.First()
+		} else {
+			k, _ = c.Last()
+		}
+		if len(k) == 8 {
+			index = binary.BigEndian.Uint64(k)
+		}
+		return nil
+	})
+	return index, err
+}
+
+// FirstIndex of the log, 0 for none.
+func (s *Store) FirstIndex() (uint64, error) { return s.end(true) }
+
+// LastIndex of the log, 0 for none.
+func (s *Store) LastIndex() (uint64, error) { return s.end(false) }
+
+// GetLog reads one entry; raft.ErrLogNotFound if there is none, ErrTorn if its sum is wrong.
+func (s *Store) GetLog(index uint64, l *raft.Log) error {
+	return s.read(func(tx *bolt.Tx) error {
+		k := key(index)
+		v := tx.Bucket(bucketLog).Get(k)
+		if v == nil {
+			return raft.ErrLogNotFound
+		}
+		return decode(k, v, l)
+	})
+}
+
+// StoreLog writes one entry.
+func (s *Store) StoreLog(l *raft.Log) error { return s.StoreLogs([]*raft.Log{l}) }
+
+// StoreLogs writes all of the entries or none; they are on disk when it returns nil.
+func (s *Store) StoreLogs(logs []*raft.Log) error {
+	return s.write(func(tx *bolt.Tx) error {
+		b := tx.Bucket(bucketLog)
+		b.FillPercent = 0.9 // indexes only grow
+		last := uint64(0)
+		if k, _ := b.Cursor().Last(); len(k) == 8 {
+			last = binary.BigEndian.Uint64(k)
+		}
+		for _, l := range logs {
+			if last != 0 && l.Index != last+1 {
+				return fmt.Errorf("entry %d does not follow %d", l.Index, last)
+			}
+			if err := b.Put(key(l.Index), encode(l)); err != nil {
+				return err
+			}
+			last = l.Index
+		}
+		return noteEnds(tx)
+	})
+}
+
+// DeleteRange removes entries, both ends included: compaction, or a tail that another leader overrules.
+func (s *Store) DeleteRange(low, high uint64) error {
+	return s.write(func(tx *bolt.Tx) error {
+		c := tx.Bucket(bucketLog).Cursor()
+		for k, _ := c.Seek(key(low)); len(k) == 8 && binary.BigEndian.Uint64(k) <= high; k, _ = c.Seek(key(low)) {
+			if err := c.Delete(); err != nil {
+				return err
+			}
+		}
+		return noteEnds(tx)
+	})
+}
+
+// IsMonotonic tells raft that the log has no gaps: after a snapshot from the leader it empties the log.
+func (s *Store) IsMonotonic() bool { return true }
+
+// Set writes one value of raft's (its votes).
+func (s *Store) Set(k, v []byte) error {
+	sum := crc32.Update(crc32.Checksum(k, table), table, v)
+	return s.write(func(tx *bolt.Tx) error {
+		if err := tx.Bucket(bucketStable).Put(k, binary.BigEndian.AppendUint32(append([]byte{Version}, v...), sum)); err != nil {
+			return err
+		}
+		return noteEnds(tx)
+	})
+}
+
+// Get reads one value; an empty one if there is none, which is how raft asks.
+func (s *Store) Get(k []byte) (out []byte, err error) {
+	err = s.read(func(tx *bolt.Tx) error {
+		v := tx.Bucket(bucketStable).Get(k)
+		if v == nil {
+			return nil
+		}
+		out, err = value(k, v)
+		return err
+	})
+	return out, err
+}
+
+// value checks and copies what Set wrote.
+func value(k, v []byte) ([]byte, error) {
+	if len(v) < 5 {
+		return nil, fmt.Errorf("%w: value %q", ErrTorn, k)
+	}
+	body := v[1 : len(v)-4]
+	if crc32.Update(crc32.Checksum(k, table), table, body) != binary.BigEndian.Uint32(v[len(v)-4:]) {
+		return nil, fmt.Errorf("%w: the sum of value %q is wrong", ErrTorn, k)
+	}
+	if v[0] != Version {
+		return nil, fmt.Errorf("%w: value %q has %d", ErrNewer, k, v[0])
+	}
+	return append([]byte{}, body...), nil
+}
+
+// SetUint64 writes one number of raft's (its term).
+func (s *Store) SetUint64(k []byte, n uint64) error {
+	return s.Set(k, binary.BigEndian.AppendUint64(nil, n))
+}
+
+// GetUint64 reads one number, 0 if there is none.
+func (s *Store) GetUint64(k []byte) (uint64, error) {
+	v, err := s.Get(k)
+	if err != nil || len(v) == 0 {
+		return 0, err
+	}
+	if len(v) != 8 {
+		return 0, fmt.Errorf("%w: number %q has %d bytes", ErrTorn, k, len(v))
+	}
+	return binary.BigEndian.Uint64(v), nil
+}
--- /dev/null
+++ b/internal/fleet/store/store_test.go
@@ -0,0 +1,298 @@
+package store
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"math/rand"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+	bolt "go.etcd.io/bbolt"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	if dir := os.Getenv("STORE_CHILD"); dir != "" {
+		child(dir)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+func entry(i uint64) *raft.Log {
+	return &raft.Log{Index: i, Term: 1 + i/100, Data: []byte(strings.Repeat(strconv.FormatUint(i, 10)+" ", int(i%40)))}
+}
+
+// child writes until it is killed and says what was acknowledged: "last first term". With a limit, it says each
+// error, and ends at a success after one.
+func child(dir string) {
+	o := Options{}
+	limit := os.Getenv("STORE_LIMIT")
+	var file *os.File
+	o.OpenFile = func(name string, flag int, mode os.FileMode) (*os.File, error) {
+		f, err := os.OpenFile(name, flag, mode)
+		file = f
+		return f, err
+	}
+	s, err := Open(dir, o)
+	if err != nil {
+		fmt.Println("open", err)
+		return
+	}
+	first, _ := s.FirstIndex()
+	last, _ := s.LastIndex()
+	term, _ := s.GetUint64([]byte("term"))
+	if first == 0 {
+		first = 1
+	}
+	kind, at, _ := strings.Cut(limit, ":")
+	n, _ := strconv.Atoi(at)
+	if kind == "size" {
+		_ = syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: uint64(n), Max: 1 << 40})
+	}
+	rng := rand.New(rand.NewSource(time.Now().UnixNano()))
+	for step := 0; ; step++ {
+		if kind == "step" && step == n { // from here on each write of the file fails
+			null, _ := os.Open(os.DevNull)
+			_ = syscall.Dup3(int(null.Fd()), int(file.Fd()), 0)
+		}
+		nowLast, nowFirst, nowTerm := last, first, term
+		switch {
+		case step%4 == 3:
+			nowTerm++
+			err = s.SetUint64([]byte("term"), nowTerm)
+		case step%8 == 6 && last > first+20:
+			nowFirst = last - 10
+			err = s.DeleteRange(first, nowFirst-1)
+		default:
+			var batch []*raft.Log
+			for range 1 + rng.Intn(30) {
+				nowLast++
+				batch = append(batch, entry(nowLast))
+			}
+			err = s.StoreLogs(batch)
+		}
+		if err == nil {
+			if s.Failed() != nil {
+				fmt.Println("wrong success after a failure")
+				return
+			}
+			last, first, term = nowLast, nowFirst, nowTerm
+			fmt.Println("acked", last, first, term)
+			continue
+		}
+		fmt.Println("failed", err)
+		_ = syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: 1 << 40, Max: 1 << 40})
+		if err := s.StoreLog(entry(last + 1)); !errors.Is(err, ErrFailed) {
+			fmt.Println("wrong success after a failure", err)
+		}
+		return
+	}
+}
+
+// play runs a child, kills it after a time, and gives what it acknowledged last.
+func play(t *testing.T, dir, limit string, after time.Duration) (last, first, term uint64, said string) {
+	t.Helper()
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "STORE_CHILD="+dir, "STORE_LIMIT="+limit)
+	c.Stderr = os.Stderr
+	out, err := c.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(out)
+	var kill *time.Timer
+	for lines.Scan() {
+		if kill == nil { // the time counts from its first word
+			kill = time.AfterFunc(after, func() { _ = c.Process.Kill() })
+		}
+		if _, err := fmt.Sscanf(lines.Text(), "acked %d %d %d", &last, &first, &term); err != nil {
+			said += lines.Text() + "\n"
+		}
+	}
+	_ = c.Wait()
+	if kill != nil {
+		kill.Stop()
+	}
+	return last, first, term, said
+}
+
+func check(t *testing.T, dir string, last, first, term uint64) {
+	t.Helper()
+	s, err := Open(dir, Options{})
+	if err != nil {
+		t.Fatalf("after a crash: %v", err)
+	}
+	defer s.Close()
+	f, _ := s.FirstIndex()
+	l, _ := s.LastIndex()
+	n, err := s.GetUint64([]byte("term"))
+	if l < last || f < first || n < term || err != nil {
+		t.Fatalf("acknowledged %d to %d, term %d; found %d to %d, term %d, %v", first, last, term, f, l, n, err)
+	}
+	for i := f; i <= l && i > 0; i++ {
+		var got raft.Log
+		if err := s.GetLog(i, &got); err != nil || string(got.Data) != string(entry(i).Data) || got.Term != entry(i).Term {
+			t.Fatalf("entry %d: %+v, %v", i, got, err)
+		}
+	}
+}
+
+func TestKilledAtAnyMoment(t *testing.T) {
+	dir := t.TempDir()
+	rounds := 8
+	if testing.Short() {
+		rounds = 4
+	}
+	acked := uint64(0)
+	for range rounds {
+		last, first, term, said := play(t, dir, "", time.Duration(rand.Intn(60_000))*time.Microsecond)
+		if said != "" {
+			t.Fatal(said)
+		}
+		acked = max(acked, last)
+		check(t, dir, last, first, term)
+	}
+	if acked < 20 {
+		t.Errorf("only %d entries were written", acked)
+	}
+	t.Logf("%d kills, %d entries", rounds, acked)
+}
+
+func TestFullDiskAndFailedWrites(t *testing.T) {
+	failures := 0
+	limits := []string{"size:1", "size:8192", "size:32768", "size:36864", "size:49152"}
+	for step := range 8 {
+		limits = append(limits, fmt.Sprint("step:", step))
+	}
+	for _, limit := range limits {
+		dir := t.TempDir()
+		last, first, term, said := play(t, dir, limit, 10*time.Second)
+		if strings.Contains(said, "wrong") {
+			t.Errorf("%s: %s", limit, said)
+		}
+		if strings.Contains(said, "failed") {
+			failures++
+		} else {
+			t.Errorf("%s: no write failed: %s", limit, said)
+		}
+		check(t, dir, last, first, term)
+	}
+	t.Logf("%d failures", failures)
+}
+
+func TestBounded(t *testing.T) {
+	s, err := Open(t.TempDir(), Options{SizeMost: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for i := uint64(1); ; i++ {
+		if err := s.StoreLog(&raft.Log{Index: i, Data: make([]byte, 64<<10)}); err != nil {
+			break
+		}
+		if i > 16 {
+			t.Fatal("over its most")
+		}
+	}
+	if s.Failed() == nil || s.Size() > 1<<20 {
+		t.Errorf("%v, %d bytes", s.Failed(), s.Size())
+	}
+}
+
+func filled(t *testing.T) (dir string, whole []byte) {
+	dir = t.TempDir()
+	s, err := Open(dir, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := uint64(1); i <= 200; i++ {
+		if err := s.StoreLog(entry(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := errors.Join(s.SetUint64([]byte("term"), 7), s.Close()); err != nil {
+		t.Fatal(err)
+	}
+	whole, err = os.ReadFile(filepath.Join(dir, File))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dir, whole
+}
+
+func TestTornAndDamaged(t *testing.T) {
+	dir, whole := filled(t)
+	path := filepath.Join(dir, File)
+	for _, n := range []int{0, 1, 100, 4095, 4096, 8192, 12288, len(whole) / 2} {
+		if err := os.WriteFile(path, whole[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if s, err := Open(dir, Options{}); err == nil && n == len(whole)/2 { // only pages that nothing used are gone
+			s.Close()
+			check(t, dir, 200, 1, 7)
+		} else if !errors.Is(err, ErrTorn) {
+			t.Errorf("cut to %d bytes: %v", n, err)
+		}
+	}
+	rng := rand.New(rand.NewSource(1))
+	refused := 0
+	for range 60 {
+		bad := append([]byte{}, whole...)
+		for range 1 + rng.Intn(3) {
+			bad[rng.Intn(len(bad))] ^= byte(1 + rng.Intn(255))
+		}
+		if err := os.WriteFile(path, bad, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Open(dir, Options{})
+		if err != nil {
+			refused++
+			continue
+		}
+		s.Close()
+		check(t, dir, 200, 1, 7) // in pages that nothing uses, or refused: nothing else
+	}
+	t.Logf("%d of 60 damaged files refused, the others whole", refused)
+	if refused < 8 {
+		t.Error("too few refused for the test to mean something")
+	}
+}
+
+func TestNewerVersion(t *testing.T) {
+	dir, _ := filled(t)
+	db, err := bolt.Open(filepath.Join(dir, File), 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyVersion, []byte{0, 0, 0, 0, 0, 0, 0, 2}) })
+	if err := errors.Join(err, db.Close()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(dir, Options{}); !errors.Is(err, ErrNewer) || !strings.Contains(err.Error(), "2, this program knows 1") {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestInUse(t *testing.T) {
+	dir, _ := filled(t)
+	s, err := Open(dir, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := Open(dir, Options{LockWait: 100 * time.Millisecond}); err == nil || !strings.Contains(err.Error(), "in use by another process") {
+		t.Errorf("%v", err)
+	}
+}
