Move the serving out of the command into internal/serve, for programs to share

Need: the fleet becomes a program of its own that serves as birchcart does; what `run` starts must not carry raft, gossip or a store.

Change: serve, reload, process, rehearsal and check move as they were into internal/serve; cmd/birchcart keeps the command line, main and its tests.

Result: help, check, errors and the log of a start and an end are the same text as before the move.

--- a/cmd/birchcart/process.go
+++ b/internal/serve/process.go
@@ -1,4 +1,4 @@
-package main
+package serve
 
 import (
 	"fmt"
@@ -17,15 +17,16 @@
 	timeForm = "15:04:05.000"
 )
 
-// process is what belongs to the process and not to the service: today its log.
-type process struct {
+// Process is what belongs to the process and not to the service: today its log.
+type Process struct {
 	log   *logrus.Logger
 	logs  *logs.Queue
 	level string // given by flag or variable, over the operators' file's
 }
 
-func newProcess(level string) *process {
-	p := &process{log: logrus.New(), level: level}
+// NewProcess returns one that logs at a level, "" for what the operators' file says.
+func NewProcess(level string) *Process {
+	p := &Process{log: logrus.New(), level: level}
 	p.logs = logs.NewQueue(os.Stderr, logQueue, func(n int) []byte {
 		e := p.log.WithField("lines", n)
 		e.Time, e.Level, e.Message = time.Now(), logrus.WarnLevel, "log lines were dropped: the log is not read fast enough"
@@ -40,8 +41,11 @@
 	return p
 }
 
+// Close ends the log once it is written, or after a moment if nobody reads it.
+func (p *Process) Close() { p.logs.Close(logFlush) }
+
 // apply puts into force what the operators' file says, nil for none.
-func (p *process) apply(op *operator.File) {
+func (p *Process) apply(op *operator.File) {
 	said := operator.Log{}
 	if op != nil {
 		said = op.Process.Log
--- a/cmd/birchcart/rehearse.go
+++ b/internal/serve/rehearse.go
@@ -1,4 +1,4 @@
-package main
+package serve
 
 import (
 	"errors"
--- a/cmd/birchcart/reload.go
+++ b/internal/serve/reload.go
@@ -1,4 +1,4 @@
-package main
+package serve
 
 import (
 	"context"
@@ -16,9 +16,9 @@
 // reloader reads the configuration again at each SIGHUP, for as long as the process lives.
 type reloader struct {
 	cfg  *config.Config // as it was at the start
-	src  source
+	src  Source
 	disc interface{ Move(address string) }
-	*process
+	*Process
 	features *ogc.Server // nil if there is none
 	ex       *exchange.Exchange
 	log      *logrus.Entry
--- a/cmd/birchcart/serve.go
+++ b/internal/serve/serve.go
@@ -1,4 +1,6 @@
-package main
+// Package serve runs a co-ordinator: it puts the sides together, serves until it is told to end, drains, and reads its
+// files again on SIGHUP. Programs share it; each has its own command line, and what it runs beside the serving.
+package serve
 
 import (
 	"context"
@@ -31,20 +33,15 @@
 	gcPercent   = 200                    // the heap is small: collect less often, and harder only near the limit
 )
 
-type serveCommand struct {
-	source
-	Rehearse string `help:"A configuration whose settings are watched beside those in force: counts where they would decide otherwise, does nothing else." env:"EDGE_REHEARSE" type:"path" placeholder:"FILE"`
-	Record   string `help:"Write what comes and how it ends there, in the format of docs/formats/record.md; the file must not exist." type:"path" placeholder:"FILE"`
-}
-
-func (c *serveCommand) Run(p *process, hangups chan os.Signal) error {
+// Run serves until SIGTERM or an interrupt, and reads the files again at each hangup.
+func Run(args Args, p *Process, hangups <-chan os.Signal) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := c.load()
+	cfg, err := args.Load()
 	if err != nil {
 		return err
 	}
-	op, err := readOperator(c.Operator)
+	op, err := readOperator(args.Operator)
 	if err != nil {
 		return err
 	}
@@ -53,12 +50,12 @@
 			return fmt.Errorf("operators' file: %w", err)
 		}
 	}
-	other, err := loadRehearsal(c.Rehearse, cfg)
+	other, err := loadRehearsal(args.Rehearse, cfg)
 	if err != nil {
 		return err
 	}
 	p.apply(op)
-	return serve(ctx, cfg, other, op, c.source, c.Record, hangups, p)
+	return serve(ctx, cfg, other, op, args, hangups, p)
 }
 
 // fit keeps the runtime within the machine: one thread for each whole core, and a heap below the limit.
@@ -72,7 +69,7 @@
 
 // serve runs a co-ordinator until ctx ends, and then until all that it took is answered. The settings of other, nil
 // for none, are watched.
-func serve(ctx context.Context, cfg, other *config.Config, op *operator.File, src source, recordTo string, hangups <-chan os.Signal, p *process) error {
+func serve(ctx context.Context, cfg, other *config.Config, op *operator.File, args Args, hangups <-chan os.Signal, p *Process) error {
 	log := p.log.WithField("node", cfg.Name)
 	given := cfg
 	withFeatures := op != nil && op.Fronts.OGC != nil
@@ -131,8 +128,8 @@
 			ex.Routes(table)
 		}
 	}
-	if recordTo != "" {
-		f, err := os.OpenFile(recordTo, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600) // what was recorded before is kept
+	if args.Record != "" {
+		f, err := os.OpenFile(args.Record, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600) // what was recorded before is kept
 		if err != nil {
 			return fmt.Errorf("recording: %w", err)
 		}
@@ -155,7 +152,7 @@
 	defer end()
 	go ex.Run(running)
 	go disc.Run(running)
-	go (&reloader{cfg: given, src: src, disc: disc, process: p, features: features, ex: ex, log: log}).run(running, hangups)
+	go (&reloader{cfg: given, src: args.Source, disc: disc, Process: p, features: features, ex: ex, log: log}).run(running, hangups)
 	served := make(chan error, 2)
 	go func() { served <- server.Serve(running) }()
 	if withFeatures {
