--- a/policy/fuzz_test.go
+++ b/policy/fuzz_test.go
@@ -22,6 +22,7 @@
 	ids   uint64
 	steps []followUp
 	alter func(Action) Action // breaks an action on purpose
+	dress func(*Event)        // adds to what the world tells, nil for nothing
 	list  []Entry
 	fails map[uint64]int  // replica to the class that it fails or swallows
 	fatal map[uint64]bool // queries that bring down each replica that takes a part of them
@@ -86,8 +87,11 @@
 }
 
 func (w *world) turn(events []Event) {
-	for _, ev := range events {
-		w.chk.Event(w.now, ev)
+	for i := range events {
+		if w.dress != nil {
+			w.dress(&events[i])
+		}
+		w.chk.Event(w.now, events[i])
 	}
 	for _, a := range w.p.Handle(w.now, events) {
 		if w.alter != nil {
