Split the module's decisions into a file for each stage

Need: policy/policy.go was one file of 1,146 lines, read whole to find one decision. Change: constants, turn and arrivals stay; count, choice, sending, outcomes, time, health, list, guards (with admission) and answers are files of their own, all listed under policy in deploy/balancer.toml. make size counts what is listed there.

--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,12 @@
 	ldd bin/birchcart | grep -q 'libc\.so' || { echo "bin/birchcart is not linked against the C library: see build in deploy/balancer.toml"; exit 1; }
 	bin/birchcart check --config deploy/example.json
 
+# The files that hold the decisions, as the deploy file lists them.
+DECISIONS = $(shell sed -n 's/^policy = \[\(.*\)\]$$/\1/p' deploy/balancer.toml | tr -d '",')
+
 size:
-	@lines=$$(grep -cv '^[[:space:]]*$$' policy/policy.go); echo "policy/policy.go: $$lines lines that are not blank (1,070 at most)"; [ $$lines -le 1070 ]
-	@! expand -t 4 policy/policy.go policy/state.go policy/api.go | grep -nE '^.{111,}' || { echo "lines over 110 characters"; exit 1; }
+	@lines=$$(cat $(DECISIONS) | grep -cv '^[[:space:]]*$$'); echo "$(words $(DECISIONS)) files of decisions: $$lines lines that are not blank (1,070 at most)"; [ "$(words $(DECISIONS))" -gt 1 ] && [ $$lines -le 1070 ]
+	@! expand -t 4 $(DECISIONS) policy/state.go policy/api.go | grep -nE '^.{111,}' || { echo "lines over 110 characters"; exit 1; }
 
 race:
 	go test -race -timeout 5m ./...
--- a/policy/api.go
+++ b/policy/api.go
@@ -2,7 +2,8 @@
 // when the query is answered, refused or failed.
 //
 // It is a pure state machine: Handle takes the clock and what happened and returns what to do. This file
-// is its interface; policy.go holds every decision and state.go the records that the decisions read.
+// is its interface and state.go the records that the decisions read. Every decision is in the files that
+// deploy/balancer.toml lists under policy, one for each stage; policy.go begins them.
 package policy
 
 // Effect says what a repeated part does.
--- /dev/null
+++ b/policy/choice.go
@@ -0,0 +1,45 @@
+package policy
+
+// Replica choice.
+
+import "math"
+
+// pick returns the holder with fewest of our calls out among the fittest, ties at random but the likelier the
+// sooner it has answered of late, and how unfit it is: 0 sound, 1 suspect, 2 tried for this part before, 3
+// both. Parts that share a call count once.
+func (p *Policy) pick(pt *part) (best *replica, rank int) {
+	load, ties, holders := 0, 0.0, p.holders(pt.shard)
+	for _, r := range holders {
+		rk, busy := 0, p.coldShut(r)
+		if p.doubted(r, pt.q.class) && !p.trialDue(r, pt) {
+			rk = 1
+		}
+		for _, a := range pt.attempts {
+			if a.r == r {
+				busy = busy || !a.ended
+				rk |= 2
+			}
+		}
+		w, even := 1.0, len(holders) <= fewHolders
+		if !even {
+			w = math.Pow(max(paceLeast, p.pace(r)), -paceSharp)
+		}
+		switch n := r.calls; {
+		case busy:
+		case best == nil || rk < rank || rk == rank && n < load:
+			best, rank, load, ties = r, rk, n, w
+		case rk == rank && n == load:
+			if ties += w; even && p.rng.IntN(int(ties)) == 0 || !even && p.rng.Float64()*ties < w {
+				best = r
+			}
+		}
+	}
+	return best, rank
+}
+
+// pace is how long a replica's latest answers took, in means of their classes. What is known of it fades.
+// Guards against thin traffic, in which nearly all choices are ties: slow machines, cold ones, and those to
+// which the way is long would get as much as the others. With few holders the other has no room for that.
+func (p *Policy) pace(r *replica) float64 {
+	return 1 + (r.pace-1)*math.Exp((r.paceAt-p.now)/(memory*p.promise))
+}
--- /dev/null
+++ b/policy/count.go
@@ -0,0 +1,77 @@
+package policy
+
+// Part count (DESIGN; FAST CLOUD sec. IV and V).
+
+import "math"
+
+// model is what a class's recent part latencies say.
+type model struct {
+	delta, spread float64 // Δ and 1/μ
+	mean          float64
+	swift, middle float64 // quantiles: about the work alone, and the median
+	tail          float64 // the latency from which a part is late
+	seen          samples
+	work          ewma // hints of parts
+}
+
+// share is L: the instance's share of the servers that hold the class's shards, at least m.
+func (p *Policy) share(m int) float64 {
+	return max(float64(m), float64(p.up)/float64(p.cfg.Aggregators))
+}
+
+// threshold is Q_s: the backlog, in queries, at which s and s+1 parts have the same modelled delay.
+func (md *model) threshold(m, s int, l float64) float64 {
+	capacity := func(s int) float64 { return l / (float64(s)*md.delta + float64(m)*md.spread) }
+	queue := func(s int, c float64) float64 { return float64(s+1) / (2 * float64(s) * c) } // times λ/(C−λ)
+	c1, c2 := capacity(s), capacity(s+1)
+	b1, b2 := queue(s, c1), queue(s+1, c2)
+	gain := md.spread * (1/float64(s-m+1) - 1/float64(s+1)) // service time that one more part saves
+	// λ·b2/(C2−λ) − λ·b1/(C1−λ) = gain, as a quadratic in λ.
+	qa := gain + b2 - b1
+	qb := -(gain*(c1+c2) + b2*c1 - b1*c2)
+	qc := gain * c1 * c2
+	disc := qb*qb - 4*qa*qc
+	if disc < 0 {
+		return math.Inf(1)
+	}
+	// The smaller root in a form that holds for qa near zero.
+	root := 2 * qc / (-qb + math.Sqrt(disc))
+	if md.delta <= 0 || !(root > 0 && root < c2) { // without Δ one more part never costs capacity
+		return math.Inf(1)
+	}
+	return root * root * b1 / (c1 - root)
+}
+
+// needOf is m: how many of k parts of equal weight make a whole answer.
+func needOf(c *Class, k int) int { return min(k, max(1, int(math.Ceil(c.Need*float64(k)-weightSlip)))) }
+
+// backlog is that of own parts beyond L, in queries of m parts.
+func (p *Policy) backlog(m int) float64 { return max(0, float64(p.inFlight)-p.share(m)) / float64(m) }
+
+// partCount is s: k on an empty backlog, m on a long one.
+func (p *Policy) partCount(class, m, k int) int {
+	l, backlog := p.share(m), p.backlog(m)
+	if backlog == 0 {
+		return k
+	}
+	s := m
+	for s < k && backlog < p.models[class].threshold(m, s, l) {
+		s++
+	}
+	return s
+}
+
+// learn refreshes the estimates.
+func (p *Policy) learn() {
+	for i := range p.models {
+		md := &p.models[i]
+		x := md.seen.recent(p.now - memory*p.cfg.Classes[i].Promise)
+		if len(x) < leastSeen {
+			continue
+		}
+		md.swift, md.middle, md.tail = quantile(x, swiftShare), quantile(x, 0.5), quantile(x, tailShare)
+		x = x[:len(x)-int(cutWorst*float64(len(x)))]
+		md.mean, md.spread = moments(x)
+		md.delta = max(0, md.mean-md.spread)
+	}
+}
--- /dev/null
+++ b/policy/guards.go
@@ -0,0 +1,111 @@
+package policy
+
+// Guards and admission.
+
+import "math"
+import "slices"
+
+// phase spreads the co-ordinators evenly over 0 to 1, in another order for each replica: its common number
+// reads the same for all of them, as their ids of it may not.
+func (p *Policy) phase(common uint64) float64 {
+	_, f := math.Modf(float64(uint32(common))*math.Phi + float64(p.cfg.Ordinal)/float64(p.cfg.Aggregators))
+	return f
+}
+
+// coldRate is how many parts a second this instance may send to a cold replica (rule 4), and false for a
+// warm one. Capacity is not told. Two lower bounds on it: the answers that a replica gives us on average,
+// times the co-ordinators, and one core at the swift latency of the slowest class: little of it is waiting.
+// How cold it is, is the coldest that the settings allow in the middle of the limit's window. When the peers
+// use their share is left to chance, so its mean must lie so far under the limit that chance is borne.
+func (p *Policy) coldRate(r *replica) (float64, bool) {
+	age, peers := p.now-r.started, float64(p.cfg.Aggregators)
+	if r.started <= 0 || age >= p.cfg.WarmUp || p.cfg.FallMultiple*p.cfg.TipAfter <= 0 {
+		return 0, false
+	}
+	level := p.cfg.ColdFrom + (1-p.cfg.ColdFrom)*max(0, age-p.cfg.TipAfter/2)/p.cfg.WarmUp
+	longest := 0.0
+	for i := range p.models {
+		longest = max(longest, p.models[i].swift)
+	}
+	span := coldMemory * p.cfg.TipAfter
+	seen := float64(p.done.count(p.now-span)) / span / float64(max(1, p.up)) * peers
+	limit := p.cfg.FallMultiple * level * max(seen, 1/longest) * p.cfg.TipAfter
+	root := (math.Sqrt(coldChance*coldChance+4*limit) - coldChance) / 2 // root² + coldChance·root = limit
+	return root * root / p.cfg.TipAfter / peers, true
+}
+
+// coldShut tells whether a replica is cold and has had what it may take by now. Credit counts from its start,
+// not from the news of it, and a window's worth may go at once. Each co-ordinator's begins at another point
+// (phase), or all would send their first part at once. Where a window earns less than a part a second one is
+// kept: with so little traffic of one's own, parts for a replica come seldom and then by twos.
+func (p *Policy) coldShut(r *replica) bool {
+	rate, cold := p.coldRate(r)
+	most := 1.0
+	if rate*p.cfg.TipAfter < 1 {
+		most = 2
+	}
+	r.credit, r.creditAt = min(most, r.credit+rate*(p.now-r.creditAt)), p.now
+	return cold && r.credit < 1
+}
+
+// turnedAway decides on a query at its arrival. By Little's law the parts out, over the rate at which parts
+// come back, are the time that a new part will take. Where that leaves too little of the promise the query is
+// refused, earlier if its tenant is over its share. It is asked of all replicas together and of each shard's
+// holders. Guards against queues that make every answer late, whatever filled them, and against work for
+// queries that cannot be whole.
+func (p *Policy) turnedAway(q *query) bool {
+	c := &p.cfg.Classes[q.class]
+	time := min(c.Promise, q.due-p.now) // clients that leave early set the pace
+	wait := waitShare * time
+	if c.FollowUp > 0 {
+		wait /= 2 // the promise holds for both steps
+	}
+	over := p.overShare(q)
+	wait /= over
+	blind := p.now-p.stalledAt < p.promise // our own standstill tells no rate
+	hope, least := len(q.parts), max(1, leastOut/float64(p.cfg.Aggregators))
+	for _, pt := range q.parts {
+		if !slices.ContainsFunc(p.holders(pt.shard), func(r *replica) bool {
+			rate := float64(r.done.count(p.now-rateSpan*p.promise)) / (rateSpan * p.promise)
+			rec := &r.classes[q.class]
+			return (p.now >= r.trialAt || !r.down && !(rec.suspect && rec.failing)) &&
+				(blind || float64(len(r.outs)) <= max(least, wait*rate))
+		}) {
+			hope--
+		}
+	}
+	if hope < q.need {
+		return true
+	}
+	// A rate seen in a lull says little, so latencies must show the queues as well.
+	slow := p.stress.value*c.Promise > slowShare*waitShare*time/over
+	room := max(leastRoom*p.share(q.need)/over, wait*float64(p.done.count(p.now-p.promise))/p.promise)
+	// Guards against many co-ordinators with little traffic each: what one may always have out is, from all
+	// of them, more than the fleet holds, and it spends itself on parts of queries that are given up.
+	// What the latest parts took tells the queues with none of ours out. It fades: a query goes and sees.
+	bound := wait * over
+	if p.up < p.cfg.Aggregators { // not one replica's worth each: queues grow for all before one has seen it
+		bound *= slowShare
+	}
+	if p.stress.value*math.Exp((p.stressAt-p.now)/(memory*p.promise))*c.Promise > bound {
+		return true
+	}
+	return p.full() && (over > 1 || q.lim.Yield) || slow && float64(p.inFlight-p.stuck) > room
+}
+
+// full tells that queries will soon be turned away before they reach this instance.
+func (p *Policy) full() bool {
+	return p.cfg.MaxOpen > 0 && float64(len(p.queries)+len(p.parts)) > fullOpen*float64(p.cfg.MaxOpen)
+}
+
+// overShare tells how many times over its share a query's tenant is, at least 1: over both its part of the
+// quota and its share of what comes here, since only our own traffic is known.
+func (p *Policy) overShare(q *query) float64 {
+	if q.tenant < 0 || p.cfg.OverShareKeep >= 1 {
+		return 1
+	}
+	t, span := &p.cfg.Tenants[q.tenant], shareSpan*p.promise
+	mine, all := float64(p.tenants[q.tenant].count(p.now-span)), float64(p.arrivals.count(p.now-span))
+	fair := max(span*t.Quota/float64(p.cfg.Aggregators), t.Share*all)
+	return max(1, mine/max(1, fair+shareSlack*math.Sqrt(fair)))
+}
