Fleet harness: seeded schedules, an open-loop stream, the site's tools and a checker from outside

What the processes do is judged outside of them: clients count answers, stand-in replicas count parts with their times, and all grants files that were ever seen are checked for W1, W2 and W4.

--- /dev/null
+++ b/internal/fleet/harness/cluster.go
@@ -0,0 +1,310 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/standin"
+)
+
+// Shape of the fleets here: twelve replicas on a ring of six cells, two of them for each shard.
+const (
+	replicas = 12
+	cells    = 6
+	reach    = 2
+	shards   = 6
+	voters   = 5 // so that one may go: a majority and one to spare stay
+
+	warmUp     = 1500 * time.Millisecond
+	answerTime = 5 * time.Millisecond // of a stand-in replica
+	streamRate = 100.0                // queries/s, to all co-ordinators together
+	startTime  = 20 * time.Second     // limit for a process to be ready, on a busy machine
+	leadTime   = 20 * time.Second     // limit for a first leader
+	endTime    = 15 * time.Second     // limit for a process to end when it is asked to
+)
+
+var zones = standin.DataCentres
+
+// Options of a run.
+type Options struct {
+	Program  string // path of the co-ordinator with the fleet in it
+	Dir      string // for logs, disks and files; must exist
+	Replicas bool   // swap the replicas
+	Also     bool   // and the co-ordinators
+	Limit    time.Duration
+}
+
+// Cluster is a fleet of processes with its stand-ins.
+type Cluster struct {
+	opt    Options
+	site   Site
+	net    *Net
+	procs  []*Process
+	fleet  *standin.Fleet
+	files  *Files
+	stream *Stream
+	limits takeout.Limits
+	began  time.Time
+	rng    *rand.Rand
+
+	mu       sync.Mutex
+	h        History
+	wanted   map[string]bool // asked for, and to be done in the end
+	handled  map[uint64]bool // fences by which a machine went
+	expected []bool          // to run
+	last     map[string][]int
+	pending  map[Act]int
+	events   []string
+	revision int
+	dead     chan struct{}
+	work     sync.WaitGroup
+}
+
+// NewCluster starts the stand-ins and puts up relays and files; no process runs yet.
+func NewCluster(opt Options, processes int, seed uint64) (*Cluster, error) {
+	site, err := FreeSite(processes)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{
+		opt: opt, site: site, net: NewNet(seed), began: time.Now(), rng: rand.New(rand.NewPCG(seed, 0xc1)), wanted: map[string]bool{},
+		handled: map[uint64]bool{}, expected: make([]bool, processes), last: map[string][]int{}, pending: map[Act]int{},
+		dead: make(chan struct{}), limits: siteLimits(),
+	}
+	h := &c.h
+	h.Limits = c.limits
+	h.Disturbed, h.Down, h.Ending, h.Stopped = make([][]Span, processes), make([][]Span, processes), make([][]Span, processes), make([][]Span, processes)
+	if c.fleet, err = standin.NewFleet(standin.FleetShape{
+		Replicas: replicas, Cells: cells, Reach: reach, Shards: shards,
+		Classes: []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: 2.5, Semantics: "repeatable", Need: 1, Floor: 1}},
+	}, nil); err != nil {
+		site.Leave()
+		return nil, err
+	}
+	for i, r := range c.fleet.Replicas {
+		c.fleet.SetScript(i, c.script(r.Name))
+		h.Machines = append(h.Machines, takeout.Machine{Name: r.Name, Kind: takeout.Replica, Zone: zones[i%3], Cell: i % cells})
+	}
+	var paths, serving []string
+	for i := range processes {
+		name := fmt.Sprintf("n%d", i)
+		h.Machines = append(h.Machines, takeout.Machine{Name: name, Kind: takeout.Coordinator, Zone: zones[i%3], Voter: i < voters})
+		for _, port := range []int{GossipPort, CouncilPort} {
+			if _, err := c.net.Relay(name, site.Relay(i, port), site.Bind(i, port), port == GossipPort); err != nil {
+				return nil, errors.Join(err, c.Close())
+			}
+		}
+		dir := filepath.Join(opt.Dir, name)
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
+		config, err := c.config(i, processes)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, "config.json"), config, 0o600)
+		}
+		if err == nil {
+			err = c.operator(i, "")
+		}
+		if err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
+		c.procs = append(c.procs, &Process{
+			Name: name, Path: opt.Program, Dir: filepath.Join(dir, "disk"), Log: filepath.Join(dir, "log"), Runs: c.net.Runs,
+			Args: []string{"serve", "--config", filepath.Join(dir, "config.json"), "--operator", filepath.Join(dir, "operator.json")},
+		})
+		paths = append(paths, c.grants(i))
+		serving = append(serving, site.Bind(i, ServePort).String())
+	}
+	c.files = WatchFiles(paths)
+	c.stream = &Stream{Addresses: serving, Shards: shards, Rate: streamRate, Seed: seed}
+	return c, nil
+}
+
+// script answers each part with its id, and notes it.
+func (c *Cluster) script(machine string) standin.Script {
+	return func(a standin.Asked) standin.Does {
+		c.mu.Lock()
+		c.h.Parts = append(c.h.Parts, Part{a.At, QueryOf(a.ID), machine})
+		c.mu.Unlock()
+		return standin.Does{After: answerTime, Value: []byte("v-" + a.ID)}
+	}
+}
+
+func (c *Cluster) grants(i int) string {
+	return filepath.Join(c.opt.Dir, fmt.Sprintf("n%d", i), "grants.json")
+}
+
+// config is the platform's file of a process.
+func (c *Cluster) config(i, processes int) ([]byte, error) {
+	var f map[string]any
+	if err := json.Unmarshal(c.fleet.Config(c.site.Bind(i, ServePort).String()), &f); err != nil {
+		return nil, err
+	}
+	f["name"] = fmt.Sprintf("n%d", i)
+	f["seed"] = fmt.Sprintf("5eed5eed5eed5e%02x", i)
+	settings := f["settings"].(map[string]any)
+	settings["fleet_size"], settings["ordinal"], settings["zone"] = processes, i, zones[i%3]
+	settings["invariants"].(map[string]any)["warm_up_s"] = warmUp.Seconds()
+	return json.MarshalIndent(f, "", "  ")
+}
+
+// Close ends all that runs and all stand-ins.
+func (c *Cluster) Close() error {
+	select {
+	case <-c.dead:
+	default:
+		close(c.dead)
+	}
+	var wg sync.WaitGroup
+	for _, p := range c.procs {
+		wg.Go(func() { p.Kill() })
+	}
+	wg.Wait()
+	c.work.Wait()
+	if c.stream != nil && c.stream.ended != nil {
+		c.stream.Stop()
+	}
+	if c.files != nil {
+		c.files.Close()
+	}
+	c.net.Close()
+	c.fleet.Close()
+	c.site.Leave()
+	return nil
+}
+
+// note keeps a line of what was done, for a failure's report.
+func (c *Cluster) note(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, fmt.Sprintf("%8.3f ", time.Since(c.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// wrong notes what breaks a promise at once.
+func (c *Cluster) wrong(format string, args ...any) {
+	c.note("WRONG: "+format, args...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.h.Wrong = append(c.h.Wrong, fmt.Sprintf(format, args...))
+}
+
+// StartAll starts all processes and waits till each is ready and one leads.
+func (c *Cluster) StartAll() error {
+	for i := range c.procs {
+		if err := c.start(i); err != nil {
+			return err
+		}
+	}
+	for i := range c.procs {
+		if !c.ready(i, startTime) {
+			return fmt.Errorf("%s is not ready after %v:\n%s", c.procs[i].Name, startTime, c.tail(i))
+		}
+	}
+	if !c.until(leadTime, func() bool { return c.Leader() >= 0 }) {
+		return fmt.Errorf("nobody leads after %v:\n%s", leadTime, c.tail(0))
+	}
+	return nil
+}
+
+func (c *Cluster) start(i int) error {
+	c.mu.Lock()
+	c.expected[i] = true
+	c.mu.Unlock()
+	return c.procs[i].Start()
+}
+
+var client = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (c *Cluster) ready(i int, limit time.Duration) bool {
+	return c.until(limit, func() bool {
+		r, err := client.Get("http://" + c.stream.Addresses[i] + "/-/ready")
+		if err != nil {
+			return false
+		}
+		r.Body.Close()
+		return r.StatusCode == 200
+	})
+}
+
+// until looks often until a condition holds; false at the limit or when the cluster is closed.
+func (c *Cluster) until(limit time.Duration, holds func() bool) bool {
+	end := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(end) || !c.sleep(25*time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
+// sleep is false if the cluster is closed meanwhile.
+func (c *Cluster) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-c.dead:
+		return false
+	}
+}
+
+// luck is a time below most, by the run's seed.
+func (c *Cluster) luck(most time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.rng.Int64N(int64(most)))
+}
+
+// tail is the end of a process's log.
+func (c *Cluster) tail(i int) string {
+	raw, err := os.ReadFile(c.procs[i].Log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := bytes.Split(raw, []byte("\n"))
+	return string(bytes.Join(lines[max(0, len(lines)-25):], []byte("\n")))
+}
+
+var leads = regexp.MustCompile(leadsLine + `|` + yieldsLine + `|--- start `)
+
+// Leader is the place of the process that leads, by what each says in its log last; the latest to say so counts. -1
+// where none does. It only directs faults; no check believes it.
+func (c *Cluster) Leader() int {
+	out, latest := -1, ""
+	for i, p := range c.procs {
+		if !p.Running() {
+			continue
+		}
+		raw, err := os.ReadFile(p.Log)
+		if err != nil {
+			continue
+		}
+		all := leads.FindAllIndex(raw, -1)
+		if len(all) == 0 {
+			continue
+		}
+		at := all[len(all)-1]
+		if !regexp.MustCompile(leadsLine).Match(raw[at[0]:at[1]]) {
+			continue
+		}
+		line := string(raw[bytes.LastIndexByte(raw[:at[0]], '\n')+1 : at[1]])
+		when := regexp.MustCompile(`time="?([^" ]+)`).FindStringSubmatch(line)
+		if key := strings.Join(slices.Concat(when, []string{""})[1:], ""); out < 0 || key > latest {
+			out, latest = i, key
+		}
+	}
+	return out
+}
--- a/internal/fleet/harness/relay_test.go
+++ b/internal/fleet/harness/relay_test.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(site.Leave)
 	p := &pair{net: NewNet(7), viaA: site.Relay(0, GossipPort), viaB: site.Relay(1, GossipPort)}
 	listen := func(i int) *net.UDPConn {
 		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(site.Bind(i, GossipPort)))
--- a/internal/fleet/harness/site.go
+++ b/internal/fleet/harness/site.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 )
 
 // Ports of each co-ordinator, below those that the kernel deals out. All addresses are the process's own.
@@ -18,6 +19,19 @@
 // Site is a stretch of loopback addresses that nobody else uses: for each process one of its own and one of its relay.
 type Site struct{ block byte }
 
+// taken are the stretches in use by this process.
+var taken = struct {
+	mu     sync.Mutex
+	blocks map[byte]bool
+}{blocks: map[byte]bool{}}
+
+// Leave gives the stretch back.
+func (s Site) Leave() {
+	taken.mu.Lock()
+	defer taken.mu.Unlock()
+	delete(taken.blocks, s.block)
+}
+
 // ProcessesMost bounds the processes of a site.
 const ProcessesMost = 60
 
@@ -27,9 +41,12 @@
 	if processes < 1 || processes > ProcessesMost {
 		return Site{}, fmt.Errorf("%d processes; 1 to %d have addresses", processes, ProcessesMost)
 	}
-	for i := range 200 {
+	taken.mu.Lock()
+	defer taken.mu.Unlock()
+	for i := range 250 {
 		s := Site{byte(1 + (os.Getpid()*7+i)%250)}
-		if s.free(processes) {
+		if !taken.blocks[s.block] && s.free(processes) {
+			taken.blocks[s.block] = true
 			return s, nil
 		}
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// Add puts a further line on the list and tells all who watch.
+func (d *Discovery) Add(e Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list.Index++
+	d.list.Endpoints = append(d.list.Endpoints, e)
+	d.changes = append(d.changes, List{Index: d.list.Index, Endpoints: []Endpoint{e}})
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
 func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get("watch") == "" {
 		json.NewEncoder(w).Encode(d.List())
