Add the agreed ledger and the order of work with its rules W1 to W7

Co-ordinators need one state that the agreed log is applied to, alike at each of them, and the first decision on it: which machine may go out for work.

--- /dev/null
+++ b/internal/fleet/ledger/ledger.go
@@ -0,0 +1,165 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Part is one agreed state machine in the ledger. It gets time and fencing numbers from outside and has none itself.
+type Part interface {
+	// Tick moves agreed time on; it comes before each Apply and may end what is over by its time.
+	Tick(now time.Duration)
+	// Apply changes the state, or refuses with words and changes nothing. It wraps ErrUnknown for a kind that it does
+	// not know. fence gives the next fencing number; what a refused command took is given back.
+	Apply(now time.Duration, fence func() uint64, kind string, body []byte) error
+	// Check names the invariant that does not hold, with the evidence.
+	Check() error
+	// Save gives the same bytes for the same state; Load takes nothing over unless it takes all.
+	Save() ([]byte, error)
+	Load(raw []byte) error
+}
+
+// Ledger is the envelope. The zero value is of no use; New makes one.
+type Ledger struct {
+	parts  map[string]Part
+	names  []string // of the parts, sorted
+	index  uint64
+	now    time.Duration
+	fence  uint64
+	halted error
+
+	ids  map[string]bool
+	seen []id          // in the order of application, so by time
+	over time.Duration // commands of this time and before are refused, since an id was dropped for room
+}
+
+// id is a remembered command and the agreed time at which it was applied, never before its own At.
+type id struct {
+	ID string        `json:"id"`
+	At time.Duration `json:"at"`
+}
+
+// New makes an empty ledger over the parts by name.
+func New(parts map[string]Part) *Ledger {
+	l := &Ledger{parts: make(map[string]Part, len(parts)), ids: map[string]bool{}, over: -1}
+	for name, p := range parts {
+		l.parts[name] = p
+		l.names = append(l.names, name)
+	}
+	sort.Strings(l.names)
+	return l
+}
+
+// Index is that of the last entry applied, whatever came of it.
+func (l *Ledger) Index() uint64 { return l.index }
+
+// Now is the agreed time.
+func (l *Ledger) Now() time.Duration { return l.now }
+
+// Fence is the highest fencing number given out.
+func (l *Ledger) Fence() uint64 { return l.fence }
+
+// Halted says why nothing more is applied here; nil while all is well.
+func (l *Ledger) Halted() error { return l.halted }
+
+// Apply applies one entry of the log. index must be past Index, else ErrIndex and nothing happens. ErrTwice, ErrStale
+// and ErrRefused are the same at every co-ordinator and no fault of this one. ErrVersion halts: the entry is not
+// counted as applied, and each later call gives the same error. A command that was refused is remembered like any
+// other: repeated, it does not act either.
+func (l *Ledger) Apply(index uint64, raw []byte) error {
+	if l.halted != nil {
+		return l.halted
+	}
+	if index <= l.index {
+		return fmt.Errorf("%w: %d, applied up to %d", ErrIndex, index, l.index)
+	}
+	c, err := Decode(raw)
+	if errors.Is(err, ErrVersion) {
+		return l.halt(index, err)
+	}
+	if err != nil { // unreadable for every copy alike
+		l.index = index
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	part := l.parts[c.Part]
+	if part == nil {
+		return l.halt(index, fmt.Errorf("%w: part %q", ErrVersion, c.Part))
+	}
+	if c.At < l.now-Remember || c.At <= l.over {
+		l.index = index
+		return fmt.Errorf("%w: %s is %v behind agreed time", ErrStale, c.ID, l.now-c.At)
+	}
+	l.now = max(l.now, c.At)
+	for _, name := range l.names {
+		l.parts[name].Tick(l.now)
+	}
+	l.forget()
+	if l.ids[c.ID] {
+		l.index = index
+		return fmt.Errorf("%w: %s", ErrTwice, c.ID)
+	}
+	next := l.fence
+	err = part.Apply(l.now, func() uint64 { next++; return next }, c.Kind, c.Body)
+	if errors.Is(err, ErrUnknown) {
+		return l.halt(index, fmt.Errorf("%w: %w", ErrVersion, err))
+	}
+	l.index = index
+	if len(l.seen) >= RememberMost {
+		l.over = l.seen[0].At
+		l.drop(1)
+	}
+	l.ids[c.ID] = true
+	l.seen = append(l.seen, id{c.ID, l.now})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	l.fence = next
+	return nil
+}
+
+// halt keeps the index where it was, so that a program which knows the entry applies it after a restart.
+func (l *Ledger) halt(index uint64, err error) error {
+	l.halted = fmt.Errorf("entry %d: %w", index, err)
+	return l.halted
+}
+
+// forget drops ids that are older than Remember.
+func (l *Ledger) forget() {
+	n := 0
+	for n < len(l.seen) && l.seen[n].At < l.now-Remember {
+		n++
+	}
+	l.drop(n)
+}
+
+func (l *Ledger) drop(n int) {
+	for _, old := range l.seen[:n] {
+		delete(l.ids, old.ID)
+	}
+	l.seen = l.seen[n:]
+}
+
+// Check names the first invariant that does not hold: the envelope's own (L1 ids, L2 time), then those of the parts.
+func (l *Ledger) Check() error {
+	if len(l.seen) != len(l.ids) || len(l.seen) > RememberMost {
+		return fmt.Errorf("L1: %d ids in order, %d by name, %d allowed", len(l.seen), len(l.ids), RememberMost)
+	}
+	last := time.Duration(-1)
+	for _, s := range l.seen {
+		if !l.ids[s.ID] {
+			return fmt.Errorf("L1: id %s is kept in order but not by name", s.ID)
+		}
+		if s.At < last || s.At > l.now {
+			return fmt.Errorf("L2: id %s was applied at %v, after one of %v, now %v", s.ID, s.At, last, l.now)
+		}
+		last = s.At
+	}
+	for _, name := range l.names {
+		if err := l.parts[name].Check(); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/ledger/ledger_test.go
@@ -0,0 +1,210 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// book is a part that writes down what acted, in order.
+type book struct {
+	Now   time.Duration
+	Lines []string
+}
+
+func (b *book) Tick(now time.Duration) { b.Now = now }
+
+func (b *book) Apply(now time.Duration, fence func() uint64, kind string, body []byte) error {
+	if now != b.Now {
+		return fmt.Errorf("no tick before %v", now)
+	}
+	n := fence()
+	switch kind {
+	case "put":
+		b.Lines = append(b.Lines, fmt.Sprintf("%s %d %v", body, n, now))
+		return nil
+	case "refuse":
+		return errors.New("not now")
+	}
+	return fmt.Errorf("kind %q: %w", kind, ErrUnknown)
+}
+
+func (b *book) Check() error                       { return nil }
+func (b *book) Save() ([]byte, error)              { return json.Marshal(b) }
+func (b *book) Load(raw []byte) error              { *b = book{}; return json.Unmarshal(raw, b) }
+func one() (*Ledger, *book)                        { b := &book{}; return New(map[string]Part{"book": b}), b }
+func put(id, kind string, at time.Duration) []byte { return raw(Version, id, "book", kind, at) }
+
+func raw(v int, id, part, kind string, at time.Duration) []byte {
+	b, err := json.Marshal(Command{V: v, ID: id, Part: part, Kind: kind, At: at, Body: json.RawMessage(`"` + id + `"`)})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// The same commands, with any repetition and with snapshots at any point, leave the same state.
+func TestRepetitionAndSnapshots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plain, _ := one()
+		other, _ := one()
+		var log [][]byte
+		now, at := time.Hour, uint64(0)
+		for i := range rapid.IntRange(1, 60).Draw(t, "commands") {
+			now += time.Duration(rapid.Int64Range(-int64(time.Minute), int64(3*time.Minute)).Draw(t, "step"))
+			kind := rapid.SampledFrom([]string{"put", "put", "refuse"}).Draw(t, "kind")
+			log = append(log, put(fmt.Sprint(i), kind, now))
+			want := plain.Apply(uint64(i+1), log[i])
+			at++
+			got := other.Apply(at, log[i])
+			if fmt.Sprint(want) != fmt.Sprint(got) {
+				t.Fatalf("command %d: %v and %v", i, want, got)
+			}
+			fence, before := other.Fence(), other.Now()
+			for range rapid.IntRange(0, 3).Draw(t, "again") {
+				at++
+				j := rapid.IntRange(0, i).Draw(t, "which")
+				if err := other.Apply(at, log[j]); !errors.Is(err, ErrTwice) && !errors.Is(err, ErrStale) {
+					t.Fatalf("command %d once more: %v", j, err)
+				}
+			}
+			if other.Fence() != fence || other.Now() != before {
+				t.Fatalf("a repetition moved the fence from %d to %d or time", fence, other.Fence())
+			}
+			if rapid.Bool().Draw(t, "snapshot") {
+				b, err := other.Save()
+				if err != nil {
+					t.Fatal(err)
+				}
+				other, _ = one()
+				if err := other.Load(b); err != nil {
+					t.Fatal(err)
+				}
+				if again, _ := other.Save(); !bytes.Equal(again, b) || other.Index() != at {
+					t.Fatalf("%s\nloaded and saved is\n%s", b, again)
+				}
+			}
+			if err := errors.Join(plain.Check(), other.Check()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if plain.Digest() != other.Digest() {
+			t.Fatal("the states differ")
+		}
+	})
+}
+
+func want(t *testing.T, err error, is error, words string) {
+	t.Helper()
+	if !errors.Is(err, is) || !strings.Contains(err.Error(), words) {
+		t.Fatalf("%v, want %v with %q", err, is, words)
+	}
+}
+
+func TestOrderTimeAndFence(t *testing.T) {
+	l, b := one()
+	if err := l.Apply(3, put("a", "put", time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	want(t, l.Apply(3, put("b", "put", time.Hour)), ErrIndex, "3, applied up to 3")
+	want(t, l.Apply(4, put("c", "refuse", 2*time.Hour)), ErrRefused, "not now")
+	if l.Index() != 4 || l.Now() != 2*time.Hour || l.Fence() != 1 {
+		t.Fatalf("index %d, now %v, fence %d", l.Index(), l.Now(), l.Fence())
+	}
+	if err := l.Apply(5, put("d", "put", 2*time.Hour-Remember)); err != nil { // late, not stale
+		t.Fatal(err)
+	}
+	want(t, l.Apply(6, put("e", "put", 2*time.Hour-Remember-1)), ErrStale, "e is 10m0.000000001s behind")
+	want(t, l.Apply(7, []byte("{")), ErrRefused, "can not be read")
+	want(t, l.Apply(8, put("", "put", 3*time.Hour)), ErrRefused, "id has 1 to")
+	if got := strings.Join(b.Lines, ", "); got != `"a" 1 1h0m0s, "d" 2 2h0m0s` || l.Index() != 8 {
+		t.Fatal(got)
+	}
+}
+
+// Full of ids, the oldest goes, and nothing as old as it can act again.
+func TestRoomForIDs(t *testing.T) {
+	l, _ := one()
+	for i := range RememberMost + 1 {
+		if err := l.Apply(uint64(i+1), put(fmt.Sprint(i), "put", time.Hour+time.Duration(i/2))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.Check(); err != nil {
+		t.Fatal(err)
+	}
+	want(t, l.Apply(1<<20, put("0", "put", time.Hour)), ErrStale, "")
+	want(t, l.Apply(1<<20+1, put("2", "put", time.Hour+1)), ErrTwice, "")
+}
+
+func TestUnknownHalts(t *testing.T) {
+	for words, entry := range map[string][]byte{
+		"command version 2, this program reads 1": raw(2, "x", "book", "put", 1),
+		`part "pool"`:              raw(1, "x", "pool", "put", 1),
+		`kind "new"`:               raw(1, "x", "book", "new", 1),
+		`unknown field "deadline"`: []byte(`{"v":1,"id":"x","part":"book","kind":"put","at":1,"deadline":2}`),
+	} {
+		l, _ := one()
+		kept, _ := l.Save()
+		want(t, l.Apply(1, entry), ErrVersion, words)
+		want(t, l.Apply(2, put("y", "put", 1)), ErrVersion, "entry 1")
+		if l.Halted() == nil || l.Index() != 0 {
+			t.Fatalf("halted: %v at %d", l.Halted(), l.Index())
+		}
+		if _, err := l.Save(); err == nil {
+			t.Fatal("a halted ledger gives a snapshot")
+		}
+		if err := l.Load(kept); err != nil || l.Halted() != nil {
+			t.Fatal(err, l.Halted())
+		}
+	}
+}
+
+func TestTornSnapshots(t *testing.T) {
+	l, b := one()
+	if err := l.Apply(1, put("a", "put", 1)); err != nil {
+		t.Fatal(err)
+	}
+	good, _ := l.Save()
+	into, kept := one()
+	*kept = *b
+	before := into.Digest()
+	for n := range good {
+		if into.Load(good[:n]) == nil {
+			t.Fatalf("taken with %d of %d bytes", n, len(good))
+		}
+		bad := bytes.Clone(good)
+		bad[n] ^= 1
+		if into.Load(bad) == nil {
+			t.Fatalf("taken with byte %d changed", n)
+		}
+	}
+	newer := bytes.Replace(good, []byte("birchcart-ledger 1 "), []byte("birchcart-ledger 2 "), 1)
+	want(t, into.Load(newer), ErrVersion, "snapshot version 2, this program reads 1")
+	two := New(map[string]Part{"book": &book{}, "pool": &book{}})
+	want(t, two.Load(good), ErrVersion, "snapshot of 1 parts, this program has 2")
+	if into.Digest() != before {
+		t.Fatal("a refused snapshot changed the state")
+	}
+}
+
+// A part that refuses its bytes leaves all parts as they were.
+func TestLoadTakesAllOrNothing(t *testing.T) {
+	from := New(map[string]Part{"a": &book{Lines: []string{"new"}}, "b": &book{}})
+	kept := &book{Lines: []string{"old"}}
+	into := New(map[string]Part{"a": kept, "b": &picky{}})
+	b, _ := from.Save()
+	if into.Load(b) == nil || kept.Lines[0] != "old" {
+		t.Fatalf("kept %v", kept.Lines)
+	}
+}
+
+type picky struct{ book }
+
+func (*picky) Load([]byte) error { return errors.New("not this") }
--- /dev/null
+++ b/internal/fleet/ledger/snapshot.go
@@ -0,0 +1,145 @@
+package ledger
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// magic begins the one line before a snapshot's body: magic, version, length of the body in bytes, its SHA-256.
+const magic = "birchcart-ledger"
+
+type snapshot struct {
+	Index uint64 `json:"index"`
+	state
+}
+
+type state struct {
+	Now   time.Duration `json:"now"`
+	Fence uint64        `json:"fence"`
+	Over  time.Duration `json:"over"`
+	Seen  []id          `json:"seen,omitempty"`
+	Parts []saved       `json:"parts"`
+}
+
+type saved struct {
+	Name string          `json:"name"`
+	Raw  json.RawMessage `json:"raw"`
+}
+
+func (l *Ledger) state() (state, error) {
+	st := state{Now: l.now, Fence: l.fence, Over: l.over, Seen: l.seen}
+	for _, name := range l.names {
+		raw, err := l.parts[name].Save()
+		if err != nil {
+			return state{}, fmt.Errorf("ledger: part %s: %w", name, err)
+		}
+		st.Parts = append(st.Parts, saved{name, raw})
+	}
+	return st, nil
+}
+
+// Save gives the whole state with version and checksum. A halted ledger gives none: the log would be cut behind an
+// entry that was not applied.
+func (l *Ledger) Save() ([]byte, error) {
+	if l.halted != nil {
+		return nil, fmt.Errorf("ledger: halted, no snapshot: %w", l.halted)
+	}
+	st, err := l.state()
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(snapshot{l.index, st})
+	if err != nil {
+		return nil, fmt.Errorf("ledger: snapshot: %w", err)
+	}
+	sum := sha256.Sum256(body)
+	head := fmt.Sprintf("%s %d %d %s\n", magic, Version, len(body), hex.EncodeToString(sum[:]))
+	return append([]byte(head), body...), nil
+}
+
+// Load takes a snapshot's state in place of its own and ends a halt. One that is torn, not one, or of another version is
+// refused in words and changes nothing.
+func (l *Ledger) Load(raw []byte) error {
+	body, err := open(raw)
+	if err != nil {
+		return err
+	}
+	var snap snapshot
+	if err := Strict(body, &snap); err != nil {
+		return fmt.Errorf("ledger: snapshot can not be read: %w", err)
+	}
+	if len(snap.Parts) != len(l.names) {
+		return fmt.Errorf("%w: snapshot of %d parts, this program has %d", ErrVersion, len(snap.Parts), len(l.names))
+	}
+	if len(snap.Seen) > RememberMost {
+		return fmt.Errorf("ledger: snapshot with %d ids, %d are allowed", len(snap.Seen), RememberMost)
+	}
+	ids := make(map[string]bool, len(snap.Seen))
+	for _, s := range snap.Seen {
+		ids[s.ID] = true
+	}
+	before, err := l.state()
+	if err != nil {
+		return err
+	}
+	for i, name := range l.names {
+		if snap.Parts[i].Name != name {
+			err = fmt.Errorf("%w: snapshot of part %q, this program has %q", ErrVersion, snap.Parts[i].Name, name)
+		} else if err = l.parts[name].Load(snap.Parts[i].Raw); err != nil {
+			err = fmt.Errorf("ledger: part %s: %w", name, err)
+		}
+		if err != nil {
+			for j := range i {
+				err = errors.Join(err, l.parts[l.names[j]].Load(before.Parts[j].Raw))
+			}
+			return err
+		}
+	}
+	l.index, l.now, l.fence, l.over, l.seen, l.ids = snap.Index, snap.Now, snap.Fence, snap.Over, snap.Seen, ids
+	l.halted = nil
+	return nil
+}
+
+// open checks the line before the body.
+func open(raw []byte) ([]byte, error) {
+	line, body, ok := bytes.Cut(raw, []byte("\n"))
+	words := strings.Fields(string(line[:min(len(line), 256)]))
+	if !ok || len(words) != 4 || words[0] != magic {
+		return nil, errors.New("ledger: not a snapshot, or one torn in its first line")
+	}
+	if words[1] != strconv.Itoa(Version) {
+		return nil, fmt.Errorf("%w: snapshot version %s, this program reads %d", ErrVersion, words[1], Version)
+	}
+	if words[2] != strconv.Itoa(len(body)) {
+		return nil, fmt.Errorf("ledger: snapshot is torn: %d bytes, %s were written", len(body), words[2])
+	}
+	sum := sha256.Sum256(body)
+	if hex.EncodeToString(sum[:]) != words[3] {
+		return nil, errors.New("ledger: snapshot is damaged: its checksum is another")
+	}
+	return body, nil
+}
+
+// Digest of all that is agreed but the index, which repetitions move: equal for equal states. 0 if a part can not be
+// saved.
+func (l *Ledger) Digest() uint64 {
+	st, err := l.state()
+	if err != nil {
+		return 0
+	}
+	body, err := json.Marshal(st)
+	if err != nil {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/fleet/takeout/check.go
@@ -0,0 +1,137 @@
+package takeout
+
+import (
+	"fmt"
+	"sort"
+)
+
+// Check names the first of W1 to W7 that does not hold, with the evidence. W1, W3 and W6 are read from what each grant
+// wrote down of its moment: later failures may leave less, and are no fault of the plan.
+func (s *State) Check() error {
+	for _, check := range []func() error{s.checkGrants, s.checkPlaces, s.checkNumbers, s.checkTurns, s.checkTimes} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkGrants is W1, W3 and W6, by the evidence of each grant.
+func (s *State) checkGrants() error {
+	for _, list := range [][]*entry{s.open, s.ended} {
+		for _, e := range list {
+			switch {
+			case e.Fence == 0:
+			case e.Left < e.Wanted:
+				return fmt.Errorf("W1: the grant %d of %s left %d holders to a shard, %d were wanted",
+					e.Fence, e.Machine, e.Left, e.Wanted)
+			case e.Room < 0:
+				return fmt.Errorf("W3: the grant %d of %s left %.2f under the load with headroom", e.Fence, e.Machine, -e.Room)
+			case e.GrantedAt > s.pauseFrom && e.GrantedAt < s.pauseUntil:
+				return fmt.Errorf("W6: the grant %d of %s at %v is in the pause from %v to %v: %s",
+					e.Fence, e.Machine, e.GrantedAt, s.pauseFrom, s.pauseUntil, s.pauseWhy)
+			}
+		}
+	}
+	return nil
+}
+
+// checkPlaces is W2, for what was granted by the limits in force: lowered limits end no grant.
+func (s *State) checkPlaces() error {
+	zones, voters, all := map[string]int{}, 0, 0
+	for _, e := range s.open {
+		if !e.Phase.live() || e.Revision != s.revision {
+			continue
+		}
+		all++
+		zones[e.Zone]++
+		if e.Voter {
+			voters++
+		}
+		if zones[e.Zone] > s.limits.OutByZone {
+			return fmt.Errorf("W2: %d are out in zone %q, %d are allowed", zones[e.Zone], e.Zone, s.limits.OutByZone)
+		}
+		if voters > 1 {
+			return fmt.Errorf("W2: %d voters are out at once, the last is %s", voters, e.Machine)
+		}
+	}
+	if all > s.limits.OutMost {
+		return fmt.Errorf("W2: %d are out in all, %d are allowed", all, s.limits.OutMost)
+	}
+	return nil
+}
+
+// checkNumbers is W4: one live grant for a machine, each number once, and numbers that grow with time.
+func (s *State) checkNumbers() error {
+	live := map[string]uint64{}
+	var grants []*entry
+	for _, e := range s.open {
+		if !e.Phase.open() {
+			return fmt.Errorf("W4: %s of request %s is %s and still among the open", e.Machine, e.Request, e.Phase)
+		}
+		if !e.Phase.live() {
+			continue
+		}
+		if other, two := live[e.Machine]; two {
+			return fmt.Errorf("W4: %s has two live grants, %d and %d", e.Machine, other, e.Fence)
+		}
+		live[e.Machine] = e.Fence
+		if m := s.machines[e.Machine]; m == nil || m.live != e {
+			return fmt.Errorf("W4: the live grant %d of %s is not that of its machine", e.Fence, e.Machine)
+		}
+	}
+	for _, list := range [][]*entry{s.open, s.ended} {
+		for _, e := range list {
+			if e.Fence > 0 {
+				grants = append(grants, e)
+			}
+			if e.Phase.live() != (e.Fence > 0 && e.Phase.open()) {
+				return fmt.Errorf("W4: %s is %s with number %d", e.Machine, e.Phase, e.Fence)
+			}
+		}
+	}
+	sort.Slice(grants, func(i, j int) bool { return grants[i].Fence < grants[j].Fence })
+	for i, e := range grants {
+		if e.Fence > s.fence {
+			return fmt.Errorf("W4: number %d of %s is over the highest given, %d", e.Fence, e.Machine, s.fence)
+		}
+		if i == 0 {
+			continue
+		}
+		b := grants[i-1]
+		if b.Fence == e.Fence {
+			return fmt.Errorf("W4: number %d is of %s and of %s", e.Fence, b.Machine, e.Machine)
+		}
+		if b.GrantedAt > e.GrantedAt {
+			return fmt.Errorf("W4: number %d of %s at %v is later than %d of %s at %v",
+				b.Fence, b.Machine, b.GrantedAt, e.Fence, e.Machine, e.GrantedAt)
+		}
+	}
+	return nil
+}
+
+// checkTurns is W5: nothing took what a request had reserved.
+func (s *State) checkTurns() error {
+	for _, e := range s.open {
+		if e.Passed > s.limits.PassedMost {
+			return fmt.Errorf("W5: %s of request %s was passed over %d times, %d are allowed",
+				e.Machine, e.Request, e.Passed, s.limits.PassedMost)
+		}
+	}
+	return nil
+}
+
+// checkTimes is W7: nothing that was granted outlives its time.
+func (s *State) checkTimes() error {
+	for _, e := range s.open {
+		if (e.Phase == Granted || e.Phase == Told || e.Phase == Out) && e.Until <= s.now {
+			return fmt.Errorf("W7: %s is %s past its time, %v, at %v", e.Machine, e.Phase, e.Until, s.now)
+		}
+	}
+	for i, e := range s.ended {
+		if i > 0 && s.ended[i-1].EndedAt > e.EndedAt || e.EndedAt > s.now {
+			return fmt.Errorf("W7: %s ended at %v, out of order at %v", e.Machine, e.EndedAt, s.now)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/takeout/rules.go
@@ -0,0 +1,259 @@
+package takeout
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+)
+
+// sums are what the rules read of the inventory at one time.
+type sums struct {
+	at        time.Duration
+	ready     []int   // by cell: replicas up, warm and not in the plan
+	stay      []int   // by cell: replicas that are not gone
+	size      float64 // of the ready, in mean replicas
+	out       int     // in the plan: a live item, or one that settles
+	zones     map[string]int
+	voters    int // up and not in the plan
+	votersOut int // in the plan
+	votersAll int // not gone
+	reserved  []*entry
+}
+
+// busyAt: a machine has a live item or an ended grant that still counts.
+func (m *machine) busyAt(now time.Duration) bool { return m.live != nil || m.Settle > now }
+
+// ready: counts as serving: up, warm, and nothing of the plan is on it.
+func (s *State) ready(m *machine, now time.Duration) bool {
+	return m.Kind == Replica && m.Status == Up && now >= m.Started+s.limits.WarmUp && !m.busyAt(now)
+}
+
+func (m *machine) size() float64 {
+	if m.Size == 0 {
+		return 1
+	}
+	return m.Size
+}
+
+// sum adds up the inventory, once for each time and change.
+func (s *State) sum(now time.Duration) *sums {
+	t := &s.sums
+	if s.fresh && t.at == now {
+		return t
+	}
+	n := s.limits.Cells
+	if len(t.ready) != n {
+		t.ready, t.stay = make([]int, n), make([]int, n)
+	}
+	clear(t.ready)
+	clear(t.stay)
+	*t = sums{at: now, ready: t.ready, stay: t.stay, zones: map[string]int{}}
+	for _, m := range s.list {
+		in := m.Kind == Replica && m.Cell >= 0 && m.Cell < n
+		if in && m.Status != Gone {
+			t.stay[m.Cell]++
+		}
+		if s.ready(m, now) {
+			t.size += m.size()
+			if in {
+				t.ready[m.Cell]++
+			}
+		}
+		busy := m.busyAt(now)
+		if busy {
+			t.out++
+			t.zones[m.zone()]++
+		}
+		if m.Voter || m.live != nil && m.live.Voter {
+			switch {
+			case busy:
+				t.votersOut++
+			case m.Status == Up:
+				t.voters++
+			}
+			if m.Status != Gone {
+				t.votersAll++
+			}
+		}
+	}
+	for _, e := range s.open {
+		if e.Phase == Asked && e.Passed >= s.limits.PassedMost {
+			t.reserved = append(t.reserved, e)
+		}
+	}
+	s.fresh = true
+	return t
+}
+
+// zone of a machine: while it has a live item, the one that it was granted in.
+func (m *machine) zone() string {
+	if m.live != nil {
+		return m.live.Zone
+	}
+	return m.Zone
+}
+
+// fewest gives the fewest of count that are left to a shard of a cell without `without` of them, and that shard. ok is
+// false if the cell holds no shard.
+func (l *Limits) fewest(count []int, cell, without int) (left, shard int, ok bool) {
+	wrap := func(c int) int { return ((c % l.Cells) + l.Cells) % l.Cells }
+	n := 0
+	for k := 0; k < l.Reach; k++ {
+		n += count[wrap(cell+k)]
+	}
+	left = math.MaxInt
+	for j := 0; j < l.Reach; j++ { // shard cell-j is held by the cells from it on, so one comes in and one goes
+		r := wrap(cell - j)
+		if j > 0 {
+			n += count[r] - count[wrap(r+l.Reach)]
+		}
+		if r < l.Shards && n-without < left {
+			left, shard, ok = n-without, r, true
+		}
+	}
+	return left, shard, ok
+}
+
+// MayGo says whether one more grant, of this machine, is allowed: the same check as that of the command "grant", by
+// W1 to W6. left is the fewest holders left to a shard of its; the error names the rule. Of several requests for one
+// machine the first that may go is meant, urgent ones first. now before the agreed time counts as that; later, it
+// still counts what a tick would end.
+func (s *State) MayGo(now time.Duration, name string) (left int, err error) {
+	now = max(now, s.now)
+	m := s.machines[name]
+	if m == nil {
+		return 0, fmt.Errorf("W4: %s is not in the inventory", name)
+	}
+	err = fmt.Errorf("W4: no request asks for %s", name)
+	for _, p := range []Priority{Urgent, Routine} {
+		for _, e := range m.asked {
+			if e.req.Priority == p {
+				if left, _, err = s.mayGo(now, e); err == nil {
+					return left, nil
+				}
+			}
+		}
+	}
+	return 0, err
+}
+
+// mayGo is the one choke point of a grant.
+func (s *State) mayGo(now time.Duration, e *entry) (left int, room float64, err error) {
+	m := s.machines[e.Machine]
+	if m == nil {
+		return 0, 0, fmt.Errorf("W4: %s is not in the inventory", e.Machine)
+	}
+	if err := s.paused(now); err != nil {
+		return 0, 0, err
+	}
+	if now < e.req.Earliest {
+		return 0, 0, fmt.Errorf("not before its earliest time, %v", e.req.Earliest)
+	}
+	if e.req.Latest > 0 && now > e.req.Latest {
+		return 0, 0, fmt.Errorf("its latest time, %v, has passed", e.req.Latest)
+	}
+	if m.live != nil {
+		return 0, 0, fmt.Errorf("W4: %s is %s by number %d", e.Machine, m.live.Phase, m.live.Fence)
+	}
+	if m.Settle > now {
+		return 0, 0, fmt.Errorf("W4: an ended grant of %s settles until %v", e.Machine, m.Settle)
+	}
+	t := s.sum(now)
+	if err := s.places(t, m); err != nil {
+		return 0, 0, err
+	}
+	if m.Kind == Replica {
+		if left, err = s.holders(t, m, now); err != nil {
+			return 0, 0, err
+		}
+		if room, err = s.capacity(t, m, now); err != nil {
+			return 0, 0, err
+		}
+	}
+	if h := s.head(now, e); h != nil {
+		if err := s.yields(now, e, h); err != nil {
+			return 0, 0, err
+		}
+	}
+	return left, room, nil
+}
+
+// paused says why nothing at all is granted.
+func (s *State) paused(now time.Duration) error {
+	switch {
+	case s.revision == 0:
+		return errors.New("no limits are in force yet")
+	case s.asks.Paused:
+		return errors.New("paused by the operators")
+	case s.stale:
+		return errors.New("W1: the limits changed, and no whole inventory has come since")
+	case !s.listed || now-s.listAt > s.limits.ListAge:
+		return fmt.Errorf("W3: the inventory is %v old, %v is allowed", now-s.listAt, s.limits.ListAge)
+	case now < s.pauseUntil:
+		return fmt.Errorf("W6: paused until %v: %s", s.pauseUntil, s.pauseWhy)
+	}
+	return nil
+}
+
+// holders is W1: each shard of the machine keeps HoldersLeast that are up, warm and not in the plan.
+func (s *State) holders(t *sums, m *machine, now time.Duration) (int, error) {
+	if m.Cell < 0 || m.Cell >= s.limits.Cells {
+		return 0, fmt.Errorf("W1: cell %d of %s is not in a ring of %d", m.Cell, m.Name, s.limits.Cells)
+	}
+	own := 0
+	if s.ready(m, now) {
+		own = 1
+	}
+	left, shard, ok := s.limits.fewest(t.ready, m.Cell, own)
+	if ok && left < s.limits.HoldersLeast {
+		return 0, fmt.Errorf("W1: shard %d would be left with %d holders up and warm, %d wanted",
+			shard, left, s.limits.HoldersLeast)
+	}
+	if !ok {
+		left = s.limits.HoldersLeast // it holds nothing, so nothing is left with fewer
+	}
+	return left, nil
+}
+
+// places is W2: in the zone, in all, and among the voters.
+func (s *State) places(t *sums, m *machine) error {
+	l := &s.limits
+	switch {
+	case t.out >= l.OutMost:
+		return fmt.Errorf("W2: %d are out in all, %d are allowed", t.out, l.OutMost)
+	case t.zones[m.Zone] >= l.OutByZone:
+		return fmt.Errorf("W2: %d are out in zone %q, %d are allowed", t.zones[m.Zone], m.Zone, l.OutByZone)
+	case !m.Voter:
+		return nil
+	case t.votersOut > 0:
+		return fmt.Errorf("W2: %d voter is out already", t.votersOut)
+	}
+	left := t.voters
+	if m.Status == Up {
+		left--
+	}
+	if left < l.VotersLeast {
+		return fmt.Errorf("W2: %d voters would be left up, %d wanted", left, l.VotersLeast)
+	}
+	return nil
+}
+
+// capacity is W3: what is left, warm, covers the load with the headroom.
+func (s *State) capacity(t *sums, m *machine, now time.Duration) (room float64, err error) {
+	if !s.loadKnown {
+		return 0, errors.New("W3: the load is not known")
+	}
+	if age := now - s.loadAt; age > s.limits.LoadAge {
+		return 0, fmt.Errorf("W3: the load is %v old, %v is allowed", age, s.limits.LoadAge)
+	}
+	left := t.size
+	if s.ready(m, now) {
+		left -= m.size()
+	}
+	need := s.load * (1 + s.limits.Headroom)
+	if left < need {
+		return 0, fmt.Errorf("W3: %.2f would be left warm, the load with headroom is %.2f", left, need)
+	}
+	return left - need, nil
+}
--- /dev/null
+++ b/internal/fleet/takeout/turn.go
@@ -0,0 +1,126 @@
+package takeout
+
+import (
+	"fmt"
+	"time"
+)
+
+// W5. A request that waits while later ones of others are granted is passed over. Passed over PassedMost times, it
+// reserves its turn: of all who wait so, the first (urgent before routine, then by asking) is the head, and no grant
+// takes what the head needs: a shard, the last place in its zone, the last place in all, capacity, the voters' one.
+// What shares none of these goes on.
+//
+// An urgent request does not pass the head: with a steady stream of urgent ones a routine one would wait for ever. It
+// gives up little, since the head only holds what it needs itself, and the head can not hold it for ever: it gives up
+// its turn as long as it can not go by anything that is granted or ended, as with its machine gone, or too few holders
+// of its shard left for good. Machines of one request do not count as passing each other, nor do they yield to each other:
+// there is an end to them, and the planner is free to order them in waves. Since heads are ordered, no two wait for
+// each other.
+
+// waits: e could be granted as far as its own times go.
+func (s *State) waits(now time.Duration, e *entry) bool {
+	return e.Phase == Asked && now >= e.req.Earliest && (e.req.Latest == 0 || now <= e.req.Latest)
+}
+
+func (s *State) reserved(e *entry) bool { return e.Passed >= s.limits.PassedMost }
+
+// before: by rank, urgent first, then in the order of asking.
+func before(a, b *entry) bool {
+	if a.req.Priority != b.req.Priority {
+		return a.req.Priority > b.req.Priority
+	}
+	return a.seq < b.seq
+}
+
+// head is the reserved item that e has to leave room for; nil if there is none.
+func (s *State) head(now time.Duration, e *entry) *entry {
+	var h *entry
+	for _, o := range s.sum(now).reserved {
+		if o.Request == e.Request || !s.waits(now, o) || s.reserved(e) && !before(o, e) ||
+			h != nil && !before(o, h) {
+			continue
+		}
+		if s.canGo(now, o) {
+			h = o
+		}
+	}
+	return h
+}
+
+// canGo: the end of what is in the plan now could let it go. While that is not so it holds no turn.
+func (s *State) canGo(now time.Duration, e *entry) bool {
+	m, l := s.machines[e.Machine], &s.limits
+	if m == nil || m.Status == Gone || m.busyAt(now) || l.OutMost < 1 || l.OutByZone < 1 {
+		return false
+	}
+	t := s.sum(now)
+	if m.Voter && t.votersAll-1 < l.VotersLeast {
+		return false
+	}
+	if m.Kind != Replica {
+		return true
+	}
+	if m.Cell < 0 || m.Cell >= l.Cells {
+		return false
+	}
+	left, _, ok := l.fewest(t.stay, m.Cell, 1)
+	return !ok || left >= l.HoldersLeast
+}
+
+// yields says what of the head's e would take.
+func (s *State) yields(now time.Duration, e, h *entry) error {
+	m, o, t, l := s.machines[e.Machine], s.machines[h.Machine], s.sum(now), &s.limits
+	what := ""
+	switch {
+	case m.Kind == Replica && o.Kind == Replica && l.share(m.Cell, o.Cell):
+		what = "a shard"
+	case t.out+2 > l.OutMost:
+		what = "the last place"
+	case m.Zone == o.Zone && t.zones[m.Zone]+2 > l.OutByZone:
+		what = "the last place in its zone"
+	case m.Voter && o.Voter:
+		what = "the voters' one place"
+	case m.Kind == Replica && o.Kind == Replica && s.short(t, m, o, now):
+		what = "capacity"
+	default:
+		return nil
+	}
+	return fmt.Errorf("W5: %s, passed over %d times, has reserved %s", h.Machine, h.Passed, what)
+}
+
+// short: with both out, the capacity left does not cover the load.
+func (s *State) short(t *sums, m, o *machine, now time.Duration) bool {
+	left := t.size
+	for _, x := range []*machine{m, o} {
+		if s.ready(x, now) {
+			left -= x.size()
+		}
+	}
+	return left < s.load*(1+s.limits.Headroom)
+}
+
+// share: two cells hold a shard in common.
+func (l *Limits) share(a, b int) bool {
+	d := a - b
+	if d < 0 {
+		d = -d
+	}
+	return min(d, l.Cells-d) < l.Reach
+}
+
+// pass counts the grant of e against all that wait before it, before it is made. Past PassedMost only a grant that
+// takes what the head has reserved counts, which Check finds.
+func (s *State) pass(e *entry) {
+	h := s.head(s.now, e)
+	for _, o := range s.open {
+		if o.seq >= e.seq || o.Request == e.Request || !s.waits(s.now, o) || s.machines[o.Machine].busyAt(s.now) {
+			continue
+		}
+		if o.Passed < s.limits.PassedMost {
+			o.Passed++
+		}
+	}
+	if h != nil && s.yields(s.now, e, h) != nil {
+		h.Passed++
+	}
+}
--- a/internal/fleet/takeout/types.go
+++ b/internal/fleet/takeout/types.go
@@ -106,9 +106,24 @@
 	OutAt     time.Duration `json:"out_at,omitempty"`
 	BackAt    time.Duration `json:"back_at,omitempty"`
 	EndedAt   time.Duration `json:"ended_at,omitempty"`
-	Passed    int           `json:"passed,omitempty"` // grants to others that came later, while this one could not go
+	Passed    int           `json:"passed,omitempty"` // grants to later requests while this one waited; see W5
 	Left      int           `json:"left,omitempty"`   // the fewest holders left to a shard of its, when it was granted
 	Why       string        `json:"why,omitempty"`    // what keeps it, or what ended it
+
+	// CalledOff: the operators ask for it no more, but it was told already and stays until it is done.
+	CalledOff bool `json:"called_off,omitempty"`
+	// Try counts the grants of this machine for this request that ended before they were told; see AgainMost.
+	Try int `json:"try,omitempty"`
+	// The evidence of its grant, which Check reads: what the machine was, the revision of the limits, what W1 wanted to be
+	// left beside Left, what W3 had left over load and headroom, and the machine's start, against which a newer one is
+	// told. For is how long it may be out.
+	Zone     string        `json:"zone,omitempty"`
+	Voter    bool          `json:"voter,omitempty"`
+	Revision int           `json:"revision,omitempty"`
+	Wanted   int           `json:"wanted,omitempty"`
+	Room     float64       `json:"room,omitempty"`
+	Start    time.Duration `json:"start,omitempty"`
+	For      time.Duration `json:"for,omitempty"`
 }
 
 // Bodies of the commands, by kind. Each is refused, and changes nothing, unless the state allows it.
@@ -131,6 +146,9 @@
 		Machines  []Machine `json:"machines,omitempty"`
 		Load      float64   `json:"load"`       // in mean replicas kept busy, by all co-ordinators
 		LoadKnown bool      `json:"load_known"` // false: too few told of theirs of late
+		// Seen is the agreed time at which the leader looked; 0: that of the command. One older than the last is refused:
+		// the words of two leaders crossed.
+		Seen time.Duration `json:"seen,omitempty"`
 	}
 	// GrantBody ("grant") lets one machine go. Checked against W1 to W6 as the state is when it is applied.
 	GrantBody struct {
