Let the exchange take drains that are laid over the list, and measure its parts out

Need: a fleet's grant must keep new parts from a replica before discovery says so, and its planner wants the load that each co-ordinator puts on the replicas.

Change: exchange.Narrow replaces the whole set of names that are shown as draining while discovery says up; lists and changes that come meanwhile are shown with it, and its lifting shows what discovery has, with the same start. Narrowable switches it on and hands on the list; Load measures the mean of the parts out. Both are off unless asked for before Run.

Result: without them no event, no update and no allocation is new (tested). Tests play 13 steps of drains, lists and removals, and 40 queries around a drain: none goes to what is drained, what was out is answered.

--- a/internal/exchange/action.go
+++ b/internal/exchange/action.go
@@ -59,6 +59,7 @@
 	pt.attempts = append(pt.attempts, a)
 	pt.q.sent = true
 	e.sums.attempts++
+	e.load.change(e.turned, 1)
 	e.after(a.Due.Sub(e.turned).Seconds(), timer{attempt: a})
 	for i := range e.calls {
 		if c := &e.calls[i]; c.replica == a.replica && len(c.attempts) < e.limits.CallParts {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -52,6 +52,9 @@
 	toldAt  time.Time
 	calls   []call
 	observe func(now float64, events []policy.Event, actions []policy.Action)
+
+	narrowing *narrowing // nil: nothing is laid over the list
+	load      *Load      // nil: not measured
 }
 
 // query is one that is open.
@@ -194,6 +197,8 @@
 			e.listed(m)
 		case *routes:
 			e.routed(m)
+		case drains:
+			e.narrowed(m)
 		case listFailed:
 			e.events = append(e.events, policy.Event{Kind: policy.ListFailed})
 		}
--- a/internal/exchange/list.go
+++ b/internal/exchange/list.go
@@ -10,8 +10,11 @@
 	"birchcart/policy"
 )
 
-// listed takes news of the list: the decisions and the replica side learn of it in the same turn.
-func (e *Exchange) listed(l List) {
+// listed takes news of the list.
+func (e *Exchange) listed(l List) { e.shown(e.laidOver(l)) }
+
+// shown hands on the list as it is shown: the decisions and the replica side learn of it in the same turn.
+func (e *Exchange) shown(l List) {
 	ev := policy.Event{Kind: policy.ListChanged, Full: l.Full, Stale: l.Stale, Tenant: -1}
 	var changed []Target
 	if l.Full {
--- /dev/null
+++ b/internal/exchange/narrow_test.go
@@ -0,0 +1,146 @@
+package exchange
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"birchcart/policy"
+)
+
+// states are those that the replica side has.
+func (s *stand) states() string {
+	var out []string
+	for _, t := range s.p.targets {
+		out = append(out, t.Name+" "+stateNames[t.State])
+	}
+	slices.Sort(out)
+	return fmt.Sprint(out)
+}
+
+// Drains are laid over what is known, over whole lists and over changes; they lift nothing, and what they leave behind
+// is what discovery has: the same start, so no new one.
+func TestNarrow(t *testing.T) {
+	s := newStand(t, nil)
+	var told [][]Entry
+	s.e.Narrowable(func(list []Entry) { told = append(told, list) })
+	var events []policy.Event
+	s.e.Observe(func(_ float64, in []policy.Event, _ []policy.Action) { events = append(events, in...) })
+	started := time.Now().Add(-time.Hour)
+	zero, one := Entry{Name: "r0", Address: "a", Cell: 0, Size: 2, Started: started}, Entry{Name: "r1", Address: "b", Cell: 1, Size: 1}
+	send := func(news ...func()) string {
+		for _, do := range news {
+			do()
+		}
+		s.e.turn()
+		return s.states()
+	}
+	list := func(full bool, entries ...Entry) func() {
+		return func() { s.e.Listed(List{Full: full, Entries: entries}) }
+	}
+	narrow := func(names ...string) func() { return func() { s.e.Narrow(names) } }
+	as := func(entry Entry, state policy.Readiness) Entry { entry.State = state; return entry }
+	for i, step := range []struct{ got, want string }{
+		{send(list(true, zero, one)), "[r0 up r1 up]"},
+		{send(narrow("r0", "r7")), "[r0 draining r1 up]"},
+		{send(list(true, zero, one)), "[r0 draining r1 up]"},
+		{send(list(false, zero)), "[r0 draining r1 up]"},
+		{send(list(false, as(one, policy.Draining))), "[r0 draining r1 draining]"},
+		{send(narrow("r1")), "[r0 up r1 draining]"},
+		{send(narrow()), "[r0 up r1 draining]"}, // discovery's own drain stays
+		{send(list(false, as(one, policy.Removed)), narrow("r1")), "[r0 up r1 removed]"},
+		{send(list(false, one)), "[r0 up r1 draining]"},
+		{send(narrow(), narrow("r0")), "[r0 draining r1 up]"},
+		{send(narrow("r0")), "[r0 draining r1 up]"},
+		{send(list(true, one)), "[r0 removed r1 up]"},
+		{send(narrow(), list(true, zero, one)), "[r0 up r1 up]"},
+	} {
+		if step.got != step.want {
+			t.Errorf("step %d: %s, not %s", i, step.got, step.want)
+		}
+	}
+	for _, ev := range events {
+		for _, e := range ev.List {
+			if e.Replica == s.e.targets["r0"].Replica && e.State != policy.Removed && (e.Size != 2 || e.Started != s.e.clock(started) || e.Cell != 0) {
+				t.Errorf("r0 is told as %+v", e)
+			}
+		}
+		if ev.Kind == policy.ListChanged && (ev.Stale || !ev.Full && len(ev.List) == 0) {
+			t.Errorf("%+v", ev)
+		}
+	}
+	if last := told[len(told)-1]; len(told) != 8 || !reflect.DeepEqual(last, []Entry{zero, one}) {
+		t.Errorf("told %d lists, the last %v", len(told), last)
+	}
+}
+
+// What is drained gets nothing new, and its part that was out is answered.
+func TestNarrowedGetsNothingNew(t *testing.T) {
+	s := newStand(t, nil)
+	s.e.Narrowable(nil)
+	load := s.e.Load()
+	s.e.Listed(List{Full: true, Entries: []Entry{{Name: "r0", Address: "a", Size: 1}, {Name: "r1", Address: "b", Cell: 1, Size: 1}}})
+	s.e.turn()
+	var first Reply
+	s.ask("first", 0, 0, 1, 2, 3).Reply = func(r Reply) { first = r }
+	out := s.take()
+	if load.out != 4 {
+		t.Errorf("%d parts out", load.out)
+	}
+	s.e.Narrow([]string{"r0"})
+	for i := range 20 {
+		s.ask(fmt.Sprint("q", i), 0, 0, 1, 2, 3)
+	}
+	more := s.take()
+	for _, a := range more {
+		if s.p.targets[a.replica].Name == "r0" {
+			t.Fatalf("%s went to what is drained", a.ID)
+		}
+	}
+	if len(more) == 0 {
+		t.Fatal("nothing was sent at all")
+	}
+	for _, a := range append(out, more...) {
+		s.hit(a, 1, "v")
+	}
+	s.e.turn()
+	if first.Status != Served || !first.Whole {
+		t.Errorf("%+v", first)
+	}
+	if mean, ok := load.Mean(); load.out != 0 || !ok || mean <= 0 {
+		t.Errorf("%d parts out, %v on average", load.out, mean)
+	}
+	s.e.Narrow(nil)
+	to := map[string]bool{}
+	for i := range 20 {
+		s.ask(fmt.Sprint("l", i), 0, 0, 1, 2, 3)
+		for _, a := range s.take() {
+			to[s.p.targets[a.replica].Name] = true
+			s.hit(a, 1, "v")
+		}
+	}
+	if !to["r0"] {
+		t.Error("the lifted replica gets nothing")
+	}
+}
+
+// Who never asked for it has no narrowing: no event, no update, nothing kept.
+func TestNoNarrowing(t *testing.T) {
+	s := newStand(t, nil)
+	before := len(s.p.log)
+	s.e.Observe(func(_ float64, in []policy.Event, _ []policy.Action) {
+		if len(in) > 0 {
+			t.Errorf("%+v", in)
+		}
+	})
+	s.e.Narrow([]string{"r0"})
+	s.e.turn()
+	if len(s.p.log) != before || s.e.narrowing != nil {
+		t.Error("something came of it")
+	}
+	if n := testing.AllocsPerRun(10, func() { s.e.laidOver(List{}); s.e.load.change(s.e.turned, 1) }); n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
