Say who is there: gossip with a keyring, small records with their ages, messages that never wait

Need: the fleet has to know its members and how old each piece of news is, without any promise resting on it.

Change: fleet/member on memberlist: states with unknown and suspect said as such, records (load, pressure, voter, version) passed on with their age, told at most 5 a second in the whole fleet; messages by UDP or by a lane of each peer over TCP; keyring from a file with rotation; bounded throughout; those that went missing are tried again until found.

--- /dev/null
+++ b/internal/fleet/member/member_test.go
@@ -0,0 +1,301 @@
+package member
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+)
+
+// TestMain waits for the engine's last probes, which end by their own limit some seconds after a member closed.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	var left error
+	for start := time.Now(); time.Since(start) < 12*time.Second; {
+		if left = goleak.Find(); left == nil {
+			break
+		}
+	}
+	if left != nil {
+		fmt.Println(left)
+		code = max(code, 1)
+	}
+	os.Exit(code)
+}
+
+func keyFile(t *testing.T, keys ...byte) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "keys")
+	writeKeys(t, path, keys...)
+	return path
+}
+
+func writeKeys(t *testing.T, path string, keys ...byte) {
+	t.Helper()
+	text := "# the fleet's\n"
+	for _, k := range keys {
+		text += base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{k}, 32)) + "\n"
+	}
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func quiet() *logrus.Entry {
+	l := logrus.New()
+	l.SetLevel(logrus.FatalLevel)
+	return logrus.NewEntry(l)
+}
+
+// fleet opens so many members that join the first.
+func fleet(t *testing.T, n int, keys string, change func(i int, o *Options)) []*Members {
+	t.Helper()
+	var all []*Members
+	for i := range n {
+		o := Options{Name: fmt.Sprintf("c%02d", i), Zone: fmt.Sprintf("z%d", i%3), Incarnation: 7, Bind: "127.0.0.1:0", Keys: keys,
+			Log: quiet()}
+		if i > 0 {
+			o.Join = []string{all[0].Addr()}
+		}
+		if change != nil {
+			change(i, &o)
+		}
+		m, err := Open(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { m.Close() })
+		all = append(all, m)
+	}
+	return all
+}
+
+func until(t *testing.T, what string, limit time.Duration, f func() bool) time.Duration {
+	t.Helper()
+	for start := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return time.Since(start)
+		}
+		if time.Since(start) > limit {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+func allAlive(all []*Members) func() bool {
+	return func() bool {
+		for _, m := range all {
+			alive := 0
+			for _, x := range m.Members() {
+				if x.State == Alive {
+					alive++
+				}
+			}
+			if alive != len(all) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestStatesAndRecords(t *testing.T) {
+	t.Parallel()
+	all := fleet(t, 5, keyFile(t, 1), nil)
+	until(t, "all alive", 15*time.Second, allAlive(all))
+	all[1].SetRecord(Record{Load: 120, Pressure: 0.5, Voter: true, Version: "v9"})
+	until(t, "the load is heard", 15*time.Second, func() bool { return all[4].Member("c01").Load == 120 })
+	got := all[4].Member("c01")
+	if got.Zone != "z1" || got.Incarnation != 7 || !got.Voter || got.Version != "v9" || got.Pressure != 0.5 || got.LoadAge > 15*time.Second {
+		t.Errorf("%+v", got)
+	}
+	if x := all[0].Member("nobody"); x.State != Unknown {
+		t.Errorf("never heard of: %+v", x)
+	}
+	if err := all[3].Leave(); err != nil {
+		t.Error(err)
+	}
+	all[3].Close()
+	all[2].Close()
+	until(t, "c03 has left", 5*time.Second, func() bool { return all[0].Member("c03").State == Left })
+	took := until(t, "c02 is dead", 25*time.Second, func() bool { return all[0].Member("c02").State == Dead })
+	t.Logf("death seen after %v", took)
+}
+
+func TestMessagesAndASlowPeer(t *testing.T) {
+	t.Parallel()
+	var slow string
+	got := make(chan string, 100)
+	all := fleet(t, 4, keyFile(t, 1), func(i int, o *Options) {
+		o.Receive = func(from string, raw []byte) { got <- fmt.Sprintf("%s to c%02d: %d", from, i, len(raw)) }
+		if i == 0 {
+			o.Transport = func(n memberlist.NodeAwareTransport) memberlist.NodeAwareTransport { return &stuck{n, &slow} }
+		}
+	})
+	until(t, "all alive", 15*time.Second, allAlive(all))
+	slow = all[3].Addr() // streams to it take StreamWait, then fail
+	for i := 0; i < LaneMost; i++ {
+		if err := all[0].Send("c03", make([]byte, 50_000)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := all[0].Send("c03", make([]byte, 50_000)); !errors.Is(err, ErrFull) {
+		t.Errorf("a full lane: %v", err)
+	}
+	start := time.Now()
+	for _, n := range []int{10, SmallMost - 5, SmallMost, 300_000} {
+		if err := all[0].Send("c01", make([]byte, n)); err != nil {
+			t.Fatal(err)
+		}
+		if s := <-got; s != fmt.Sprintf("c00 to c01: %d", n) {
+			t.Error(s)
+		}
+	}
+	if d := time.Since(start); d > StreamWait/2 {
+		t.Errorf("a slow peer held up others: %v", d)
+	}
+	if err := all[0].Send("nobody", nil); !errors.Is(err, ErrUnknown) {
+		t.Error(err)
+	}
+	if err := all[0].Send("c01", make([]byte, LargeMost+1)); !errors.Is(err, ErrLarge) {
+		t.Error(err)
+	}
+}
+
+type stuck struct {
+	memberlist.NodeAwareTransport
+	to *string
+}
+
+func (s *stuck) DialAddressTimeout(a memberlist.Address, wait time.Duration) (net.Conn, error) {
+	if a.Addr == *s.to {
+		time.Sleep(wait)
+		return nil, errors.New("stuck")
+	}
+	return s.NodeAwareTransport.DialAddressTimeout(a, wait)
+}
+
+func TestKeys(t *testing.T) {
+	t.Parallel()
+	path := keyFile(t, 1)
+	other := keyFile(t, 2)
+	all := fleet(t, 3, path, func(i int, o *Options) {
+		if i == 2 {
+			o.Keys = other
+		}
+	})
+	until(t, "two of one key", 15*time.Second, func() bool { return all[1].Member("c00").State == Alive && all[0].Member("c01").State == Alive })
+	if x := all[0].Member("c02"); x.State != Unknown {
+		t.Errorf("with another key: %+v", x)
+	}
+	for _, step := range [][]byte{{1, 2}, {2, 1}, {2}} { // the rotation
+		writeKeys(t, path, step...)
+		for _, m := range all[:2] {
+			if err := m.ReloadKeys(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	until(t, "the third of the new key", 20*time.Second, allAlive(all))
+	if err := os.WriteFile(path, []byte("c2hvcnQ=\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := all[0].ReloadKeys(); err == nil || strings.Contains(err.Error(), "c2hvcnQ") || !strings.Contains(err.Error(), "line 1") {
+		t.Errorf("a bad key: %v", err)
+	}
+	if _, err := Open(Options{Name: "x", Bind: "127.0.0.1:0", Log: quiet()}); err == nil {
+		t.Error("no keyring was taken")
+	}
+}
+
+func TestRecordCodec(t *testing.T) {
+	a := told{Record: Record{Load: 1.5, Pressure: 0.25, Voter: true, Version: "v1"}, name: "n", zone: "z", incarnation: 1 << 60,
+		seq: 300, leaving: true, age: 1500 * time.Millisecond, loadAge: time.Hour}
+	b := a.append(nil)
+	got, rest, err := takeRecord(append(b, 9))
+	if err != nil || got != a || len(rest) != 1 {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for n := range b {
+		if _, _, err := takeRecord(b[:n]); err == nil {
+			t.Errorf("cut to %d bytes: taken", n)
+		}
+	}
+	b[0] = 2
+	if _, _, err := takeRecord(b); err == nil || !strings.Contains(err.Error(), "version 2") {
+		t.Error(err)
+	}
+	a.Load = -1
+	if _, _, err := takeRecord(a.append(nil)); err == nil {
+		t.Error("a load below 0 was taken")
+	}
+}
+
+func TestNewsBoundedAndAging(t *testing.T) {
+	var n news
+	n.init(Options{Name: "self"})
+	now := time.Now()
+	for i := range 2 * Most {
+		a := told{name: fmt.Sprintf("n%05d", i), incarnation: 2, seq: 5, age: time.Minute}
+		if err := n.take(a.append(nil), now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(n.by) != Most-1 {
+		t.Errorf("%d remembered", len(n.by))
+	}
+	const name = "n02047"
+	n.engine(&memberlist.Node{Name: name}, true)
+	if m := n.line(n.by[name], now.Add(10*time.Second)); m.Age != 70*time.Second || m.LoadAge != 70*time.Second || m.State != Alive {
+		t.Errorf("%+v", m)
+	}
+	if m := n.line(n.by[name], now.Add(time.Hour)); m.State != Suspect {
+		t.Errorf("silent: %+v", m)
+	}
+	for _, old := range []told{{name: name, incarnation: 2, seq: 5}, {name: name, incarnation: 1, seq: 9}} {
+		old.Load = 3
+		if err := n.take(old.append(nil), now); err != nil || n.by[name].Load != 0 {
+			t.Errorf("an older word was taken: %+v", old)
+		}
+	}
+	n.engine(&memberlist.Node{Name: name}, false)
+	n.beat(now.Add(2 * ForgetDead))
+	if _, ok := n.by[name]; ok {
+		t.Error("the long dead were kept")
+	}
+}
+
+func TestTrafficAtRest(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{5, 50} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			all := fleet(t, size, keyFile(t, 1), nil)
+			took := until(t, "all alive", 25*time.Second, allAlive(all))
+			sum := func() (n int64) {
+				for _, m := range all {
+					n += m.Traffic()
+				}
+				return n
+			}
+			const span = 6 * time.Second
+			before := sum()
+			time.Sleep(span) // a rate can only be counted over a time
+			rate := float64(sum()-before) / span.Seconds() / float64(size)
+			t.Logf("%d members: all known after %v; at rest %.0f bytes/s a node sent, as many received", size, took, rate)
+			if rate > 3000 {
+				t.Errorf("%.0f bytes/s a node", rate)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/member/record.go
@@ -0,0 +1,103 @@
+package member
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+)
+
+const (
+	recordVersion = 1
+	// NameMost is the most bytes of a name, a zone or a version.
+	NameMost = 64
+	// ageMost is the greatest age that is told; older is this old.
+	ageMost = 24 * time.Hour
+)
+
+// Record is what a member tells of itself.
+type Record struct {
+	Load     float64 // queries a second that it answers, of its own
+	Pressure float64 // 0 none, 1 full
+	Voter    bool    // of the council
+	Version  string  // of the program
+}
+
+// told is a record as it travels.
+type told struct {
+	Record
+	name, zone  string
+	incarnation uint64
+	seq         uint64 // within the incarnation
+	leaving     bool
+	age         time.Duration // since its sender made it, when it was sent on
+	loadAge     time.Duration // of Load and Pressure, when its sender made it
+}
+
+func (a *told) newerThan(b *told) bool {
+	return a.incarnation > b.incarnation || a.incarnation == b.incarnation && a.seq > b.seq
+}
+
+// A record on the wire: version 1 | flags 1 | name, zone, program's version, each with a length of 1 byte | uvarints:
+// incarnation, seq, age ms, load's age ms | load 8 | pressure 8.
+func (a *told) append(b []byte) []byte {
+	flags := byte(0)
+	if a.Voter {
+		flags |= 1
+	}
+	if a.leaving {
+		flags |= 2
+	}
+	b = append(b, recordVersion, flags)
+	for _, s := range []string{a.name, a.zone, a.Version} {
+		s = s[:min(len(s), NameMost)]
+		b = append(append(b, byte(len(s))), s...)
+	}
+	b = binary.AppendUvarint(b, a.incarnation)
+	b = binary.AppendUvarint(b, a.seq)
+	b = binary.AppendUvarint(b, uint64(min(a.age, ageMost).Milliseconds()))
+	b = binary.AppendUvarint(b, uint64(min(a.loadAge, ageMost).Milliseconds()))
+	b = binary.BigEndian.AppendUint64(b, math.Float64bits(a.Load))
+	return binary.BigEndian.AppendUint64(b, math.Float64bits(a.Pressure))
+}
+
+var errRecord = errors.New("member: a record is cut short or damaged")
+
+// takeRecord reads one and gives what follows it.
+func takeRecord(b []byte) (a told, rest []byte, err error) {
+	if len(b) < 2 {
+		return a, nil, errRecord
+	}
+	if b[0] != recordVersion {
+		return a, nil, fmt.Errorf("member: a record of version %d, this program knows %d", b[0], recordVersion)
+	}
+	a.Voter, a.leaving = b[1]&1 != 0, b[1]&2 != 0
+	b = b[2:]
+	for _, s := range []*string{&a.name, &a.zone, &a.Version} {
+		if len(b) < 1 || int(b[0]) > NameMost || len(b) < 1+int(b[0]) {
+			return a, nil, errRecord
+		}
+		*s, b = string(b[1:1+b[0]]), b[1+b[0]:]
+	}
+	var age, loadAge uint64
+	for _, n := range []*uint64{&a.incarnation, &a.seq, &age, &loadAge} {
+		v, size := binary.Uvarint(b)
+		if size <= 0 {
+			return a, nil, errRecord
+		}
+		*n, b = v, b[size:]
+	}
+	if len(b) < 16 || a.name == "" {
+		return a, nil, errRecord
+	}
+	most := uint64(ageMost.Milliseconds())
+	a.age = time.Duration(min(age, most)) * time.Millisecond
+	a.loadAge = time.Duration(min(loadAge, most)) * time.Millisecond
+	a.Load = math.Float64frombits(binary.BigEndian.Uint64(b))
+	a.Pressure = math.Float64frombits(binary.BigEndian.Uint64(b[8:]))
+	if !(a.Load >= 0 && a.Load < 1e12) || !(a.Pressure >= 0 && a.Pressure < 1e6) {
+		return a, nil, fmt.Errorf("member: a record of %q with a load of %g and a pressure of %g", a.name, a.Load, a.Pressure)
+	}
+	return a, b[16:], nil
+}
