Plan the order of work in waves, with a bound that no plan goes below

Need: the leader has to know which machines may be away together, in an order that ends soon, and operators how far from the best that is. Change: internal/fleet/waves places each asked machine in the first wave that can take it, those with the fewest waves left first and by class (reserved, urgent, routine), and takes a placing back that leaves another none; around what is out already. Beside the plan stands the bound, from shards, the ring, zones, places, voters and capacity.

--- /dev/null
+++ b/internal/fleet/waves/plan_test.go
@@ -0,0 +1,266 @@
+package waves
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+
+	"birchcart/internal/fleet/takeout"
+)
+
+// legal says what is wrong with machines being away together, the first wave beside those that are away already. It
+// counts holders anew for each shard and shares no code with the plan.
+func legal(p Problem, first bool, wave []string) string {
+	l, gone, out, voters, size, places := p.Limits, 0, len(wave), 0, 0.0, map[string]int{}
+	for _, m := range p.Machines {
+		in := slices.Contains(wave, m.Name)
+		if first && m.Busy {
+			out++
+		}
+		if in || first && m.Busy {
+			places[m.Zone]++
+			if m.Voter {
+				voters++
+				if in && m.Serves {
+					gone++
+				}
+			}
+		}
+		if m.Replica && m.Serves && !in && !(first && (m.Busy || m.Cold)) {
+			size += max(m.Size, map[bool]float64{true: 1}[m.Size == 0])
+		}
+	}
+	if len(wave) == 0 {
+		return ""
+	}
+	for z, n := range places {
+		if n > l.OutByZone && slices.ContainsFunc(p.Machines, func(m Machine) bool { return m.Zone == z && slices.Contains(wave, m.Name) }) {
+			return fmt.Sprint("zone ", z)
+		}
+	}
+	up, member := 0, false
+	for _, m := range p.Machines {
+		if m.Voter && m.Serves {
+			up++
+		}
+		member = member || m.Voter && slices.Contains(wave, m.Name)
+	}
+	takesSize := slices.ContainsFunc(p.Machines, func(m Machine) bool { return m.Replica && slices.Contains(wave, m.Name) })
+	if out > l.OutMost || member && (voters > 1 || up-gone < l.VotersLeast) || takesSize && p.LoadKnown && size+1e-6 < p.Load*(1+l.Headroom) {
+		return "all, voters or size"
+	}
+	for s := range l.Shards {
+		left, concerned := 0, false
+		for j := range min(l.Reach, l.Cells) {
+			for _, m := range p.Machines {
+				if !m.Replica || m.Cell != (s+j)%l.Cells {
+					continue
+				}
+				in := slices.Contains(wave, m.Name)
+				concerned = concerned || in
+				if m.Serves && !in && !(first && (m.Busy || m.Cold)) {
+					left++
+				}
+			}
+		}
+		if concerned && left < l.HoldersLeast {
+			return fmt.Sprintf("shard %d has %d left", s, left)
+		}
+	}
+	return ""
+}
+
+// least is the fewest waves by trying all.
+func least(p Problem, names []string) int {
+	best := len(names) + 1
+	var waves [][]string
+	var try func(i int)
+	try = func(i int) {
+		if i == len(names) {
+			best = min(best, len(waves))
+			return
+		}
+		for w := 0; w <= len(waves) && w < best; w++ {
+			if fresh := w == len(waves); fresh {
+				waves = append(waves, nil)
+			}
+			waves[w] = append(waves[w], names[i])
+			if len(waves) < best+1 && legal(p, w == 0, waves[w]) == "" {
+				try(i + 1)
+			}
+			waves[w] = waves[w][:len(waves[w])-1]
+			for len(waves) > 1 && len(waves[len(waves)-1]) == 0 {
+				waves = waves[:len(waves)-1]
+			}
+		}
+	}
+	waves = [][]string{nil} // the first may stay empty, where what is out takes its room
+	try(0)
+	return best
+}
+
+func randomProblem(rng *rand.Rand) Problem {
+	cells := 2 + rng.IntN(6)
+	l := takeout.Limits{Cells: cells, Reach: 1 + rng.IntN(min(3, cells)), Shards: max(1, cells-rng.IntN(2)), HoldersLeast: 1 + rng.IntN(2),
+		OutByZone: 1 + rng.IntN(4), OutMost: 1 + rng.IntN(6), Headroom: 0.25, VotersLeast: 2}
+	p := Problem{Limits: l, LoadKnown: rng.IntN(2) > 0}
+	for i := range cells * (1 + rng.IntN(3)) {
+		m := Machine{Name: fmt.Sprint("r", i), Zone: fmt.Sprint("z", rng.IntN(3)), Replica: true, Cell: i % cells, Serves: rng.IntN(9) > 0,
+			Size: []float64{0, 1, 0.5, 2}[rng.IntN(4)]}
+		m.Busy, m.Cold = rng.IntN(12) == 0, m.Serves && rng.IntN(12) == 0
+		m.Serves = m.Serves || m.Busy
+		p.Machines = append(p.Machines, m)
+	}
+	p.Load = float64(len(p.Machines)) * 0.6 * rng.Float64()
+	for i := range 5 {
+		p.Machines = append(p.Machines, Machine{Name: fmt.Sprint("c", i), Zone: fmt.Sprint("z", i%3), Voter: i < 3, Serves: rng.IntN(12) > 0})
+	}
+	for range 1 + rng.IntN(7) {
+		p.Asks = append(p.Asks, Ask{p.Machines[rng.IntN(len(p.Machines))].Name, Class(rng.IntN(3))})
+	}
+	return p
+}
+
+// Plans of up to seven machines against the best of all that are possible.
+func TestSmallPlansAreTheBest(t *testing.T) {
+	tight, kept, long := 0, 0, 0
+	for seed := range uint64(3000) {
+		p := randomProblem(rand.New(rand.NewPCG(seed, 3)))
+		r := Plan(p)
+		var names []string
+		for i, w := range r.Waves {
+			if why := legal(p, i == 0, w); why != "" {
+				t.Fatalf("seed %d: wave %d of %v: %s\n%+v", seed, i, r.Waves, why, p)
+			}
+			names = append(names, w...)
+		}
+		asked := map[string]bool{}
+		for _, a := range p.Asks {
+			if i := slices.IndexFunc(p.Machines, func(m Machine) bool { return m.Name == a.Machine }); !p.Machines[i].Busy {
+				asked[a.Machine] = true
+			}
+		}
+		for _, k := range r.Kept {
+			kept++
+			if legal(p, false, []string{k.Machine}) == "" {
+				t.Fatalf("seed %d: %s is kept (%s) and could go alone\n%+v", seed, k.Machine, k.Why, p)
+			}
+			delete(asked, k.Machine)
+		}
+		slices.Sort(names)
+		if len(slices.Compact(slices.Clone(names))) != len(names) || len(names) != len(asked) {
+			t.Fatalf("seed %d: %v planned of %v", seed, r.Waves, asked)
+		}
+		if len(names) == 0 {
+			continue
+		}
+		best := least(p, names)
+		if r.Bound > best || len(r.Waves) != best {
+			t.Fatalf("seed %d: %v, the best has %d\n%+v", seed, r, best, p)
+		}
+		if r.Bound == best {
+			tight++
+		}
+		if best > 2 {
+			long++
+		}
+	}
+	t.Logf("the bound is the best in %d, %d need more than two waves, %d machines kept", tight, long, kept)
+	if tight < 2400 || long < 500 || kept < 100 {
+		t.Errorf("too few of a kind to tell anything, or a bound that says little")
+	}
+}
+
+// swap is a site of replicas, one a cell, and co-ordinators over four zones, of which all replicas, and with all set the
+// co-ordinators too, are to go.
+func swap(replicas, coordinators, reach, least, byZone, most int, all bool) Problem {
+	p := Problem{Limits: takeout.Limits{Cells: replicas, Reach: reach, Shards: replicas, HoldersLeast: least, OutByZone: byZone, OutMost: most,
+		Headroom: 0.25, VotersLeast: 3}, Load: 0.5 * float64(replicas), LoadKnown: true}
+	for i := range replicas {
+		m := Machine{Name: fmt.Sprintf("r%03d", i), Zone: fmt.Sprint("z", i%4), Replica: true, Cell: i, Serves: true}
+		p.Machines, p.Asks = append(p.Machines, m), append(p.Asks, Ask{m.Name, Routine})
+	}
+	for i := range coordinators {
+		m := Machine{Name: fmt.Sprintf("c%03d", i), Zone: fmt.Sprint("z", i%4), Serves: true, Voter: i < 5}
+		if p.Machines = append(p.Machines, m); all {
+			p.Asks = append(p.Asks, Ask{m.Name, Routine})
+		}
+	}
+	return p
+}
+
+func TestSwapsAreNearTheBound(t *testing.T) {
+	for _, c := range []struct{ reach, least, byZone, most int }{
+		{3, 2, 100, 500}, {3, 1, 100, 500}, {2, 1, 100, 500}, {4, 3, 100, 500}, {3, 2, 5, 20}, {3, 2, 4, 13}, {3, 2, 1, 1}, {5, 3, 11, 40},
+	} {
+		for _, all := range []bool{false, true} {
+			p := swap(200, 300, c.reach, c.least, c.byZone, c.most, all)
+			r := Plan(p)
+			t.Logf("%+v, co-ordinators too: %v: %v", c, all, r)
+			n := 0
+			for i, w := range r.Waves {
+				n += len(w)
+				if why := legal(p, i == 0, w); why != "" {
+					t.Fatalf("wave %d: %s", i, why)
+				}
+			}
+			if n != len(p.Asks) || float64(len(r.Waves)) > 1.2*float64(r.Bound) {
+				t.Errorf("%d of %d machines", n, len(p.Asks))
+			}
+		}
+	}
+}
+
+// The plan hangs on the asks and their order alone, not on that of the inventory, and each run gives the same.
+func TestPlansAreTheSame(t *testing.T) {
+	p := swap(200, 300, 3, 2, 5, 20, true)
+	want := Plan(p)
+	for seed := range uint64(3) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		rng.Shuffle(len(p.Machines), func(i, j int) { p.Machines[i], p.Machines[j] = p.Machines[j], p.Machines[i] })
+		if got := Plan(p); !reflect.DeepEqual(got, want) {
+			t.Fatalf("%v and %v", got, want)
+		}
+	}
+}
+
+// Reserved machines go before urgent ones, these before routine ones; what shares nothing with them goes beside them.
+func TestClassesGoInTheirOrder(t *testing.T) {
+	p := swap(12, 0, 2, 1, 12, 3, false)
+	p.Asks[7].Class, p.Asks[4].Class, p.Asks[5].Class = Reserved, Urgent, Urgent
+	r := Plan(p)
+	if w := r.Waves[0]; len(w) != 3 || w[0] != "r007" || w[1] != "r004" || slices.Contains(w, "r005") {
+		t.Errorf("%v", r.Waves)
+	}
+	if !slices.Contains(r.Waves[1], "r005") || len(r.Waves) > r.Bound+1 {
+		t.Errorf("%v", r.Waves)
+	}
+}
+
+func TestMoreThanTheMostArePlannedInTurn(t *testing.T) {
+	p := swap(Most+50, 0, 3, 2, 500, 2000, false)
+	p.Asks[Most+49].Class = Urgent
+	r := Plan(p)
+	if r.Rest != 50 || !slices.Contains(r.Waves[0], fmt.Sprintf("r%03d", Most+49)) || float64(len(r.Waves)) > 1.2*float64(r.Bound) {
+		t.Errorf("%v", r)
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, c := range []struct{ byZone, most int }{{100, 500}, {5, 20}, {1, 1}} {
+		p := swap(200, 300, 3, 2, c.byZone, c.most, true)
+		b.Run(fmt.Sprintf("200+300, %d at once", c.most), func(b *testing.B) {
+			for range b.N {
+				Plan(p)
+			}
+		})
+	}
+	p := swap(Most, 0, 3, 2, 500, 2000, false)
+	b.Run("1000", func(b *testing.B) {
+		for range b.N {
+			Plan(p)
+		}
+	})
+}
