Read a fleet section in the operators' file, refuse it where it can't be kept

Need: operators ask for machines to go out for work in the file that they have, and a fleet must not begin where the platform has no room for it or lets co-ordinators listen for their clients only.

Change: `fleet` names voters (3 or 5, spread over the zones), gossip, keys, store, limits, times and work; all mistakes are told at once.

--- a/cmd/birchcart/main.go
+++ b/cmd/birchcart/main.go
@@ -25,12 +25,12 @@
 type serveCommand struct{ serve.Args }
 
 func (c *serveCommand) Run(p *serve.Process, hangups chan os.Signal) error {
-	return serve.Run(c.Args, p, hangups)
+	return serve.Run(c.Args, p, hangups, nil)
 }
 
 type checkCommand struct{ serve.CheckArgs }
 
-func (c *checkCommand) Run(*serve.Process) error { return serve.Check(c.CheckArgs) }
+func (c *checkCommand) Run(*serve.Process) error { return serve.Check(c.CheckArgs, nil) }
 
 type versionCommand struct{}
 
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -37,6 +37,9 @@
 	if err := op.Against(ring, cfg.Names, &cfg.Policy); err != nil {
 		return nil, err
 	}
+	if err := Room(cfg, op); err != nil {
+		return nil, err
+	}
 	routes, err := op.Table(cfg.Names, cfg.Policy.Shards)
 	if err != nil {
 		return nil, err
@@ -69,3 +72,12 @@
 	}
 	return ring, nil
 }
+
+// Room tells whether the machine has room for what the operators' file runs beside the serving.
+func Room(cfg *config.Config, op *operator.File) error {
+	m := operator.Machine{Name: cfg.Name, Memory: cfg.Limits.Memory, Sockets: cfg.Limits.Sockets}
+	if z := cfg.Policy.Zone; z >= 0 && z < len(cfg.Names.Zones) {
+		m.Zone = cfg.Names.Zones[z]
+	}
+	return op.AgainstMachine(m)
+}
--- /dev/null
+++ b/internal/fleet/asked_test.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/operator"
+	"birchcart/policy"
+)
+
+func file(t *testing.T, work string) *operator.File {
+	t.Helper()
+	f, err := operator.Read([]byte(`{"version":1,"placement":{"holders_least":2},"fleet":{"revision":7,"voters":{` +
+		`"a":{"address":"h:1"},"b":{"address":"h:2"},"c":{"address":"h:3"},"d":{"address":"h:4"},"e":{"address":"h:5"}},` +
+		`"gossip":{"bind":"h:6","join":["h:6"]},"keys_file":"k","dir":"d","out_by_zone":1,"out_most":3,"parts_per_replica":4,` +
+		`"grace_ms":250,"headroom":0,"work":` + work + `}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// What is agreed is what the files say, with the file's units made into times and the usual where it says nothing.
+func TestLimitsOfTheFiles(t *testing.T) {
+	got := Limits(file(t, `[]`), &policy.Config{Cells: 6, Reach: 2, Shards: 12, WarmUp: 1.5})
+	want := takeout.LimitsBody{Revision: 7, Limits: takeout.Limits{
+		Cells: 6, Reach: 2, Shards: 12, HoldersLeast: 2, OutByZone: 1, OutMost: 3, LoadAge: 15 * time.Second, ListAge: 15 * time.Second,
+		WarmUp: 1500 * time.Millisecond, Lease: 10 * time.Second, Grace: 250 * time.Millisecond, Settle: 30 * time.Second,
+		Calm: time.Minute, PassedMost: 8, VotersLeast: 4,
+	}}
+	if got != want {
+		t.Errorf("%+v", got)
+	}
+}
+
+// One request from many instances: its number says what it says, whatever the order of its names; anything else makes
+// another number. The agreed state takes all of them.
+func TestRequestsAreNumberedByWhatTheySay(t *testing.T) {
+	const base = `{"names":["r1","r2"],"reason":"disk","for_s":60}`
+	id := func(work string) string { return Asks(file(t, "["+work+"]")).Requests[0].ID }
+	if id(base) != id(`{"for_s":60.0,"reason":"disk","names":["r2","r1"],"priority":"routine"}`) {
+		t.Error("the same request has two numbers")
+	}
+	seen := map[string]string{id(base): base}
+	var all []string
+	for _, other := range []string{
+		`{"names":["r1"],"reason":"disk","for_s":60}`,
+		`{"names":["r1","r2"],"reason":"disks","for_s":60}`,
+		`{"names":["r1","r2"],"reason":"disk","for_s":61}`,
+		`{"names":["r1","r2"],"reason":"disk","for_s":60,"priority":"urgent"}`,
+		`{"names":["r1","r2"],"reason":"disk","for_s":60,"earliest":"2026-12-02T22:00:00Z"}`,
+		`{"names":["r1","r2"],"reason":"disk","for_s":60,"latest":"2026-12-02T22:00:00+01:00"}`,
+		`{"kind":"replica","reason":"disk","for_s":60}`,
+		`{"kind":"co-ordinator","reason":"disk","for_s":60}`,
+		`{"kind":"replica","zone":"z","reason":"disk","for_s":60}`,
+		`{"prefix":"z","reason":"disk","for_s":60}`,
+	} {
+		n := id(other)
+		if seen[n] != "" {
+			t.Errorf("%s and %s have one number", other, seen[n])
+		}
+		seen[n] = other
+		all = append(all, other)
+	}
+	asks := Asks(file(t, "["+strings.Join(all, ",")+"]"))
+	if r := asks.Requests[5]; r.Latest != time.Duration(time.Date(2026, 12, 2, 21, 0, 0, 0, time.UTC).UnixNano()) || r.For != time.Minute {
+		t.Errorf("%+v", r)
+	}
+	if err := played(asks); err != nil {
+		t.Error(err)
+	}
+}
+
+func played(asks takeout.AsksBody) error {
+	body, err := json.Marshal(asks)
+	if err != nil {
+		return err
+	}
+	return takeout.New().Apply(time.Second, func() uint64 { return 1 }, "asks", body)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -28,6 +28,7 @@
 
 	Routes  []Route  `json:"routes"`
 	Fronts  Fronts   `json:"fronts"`
+	Fleet   *Fleet   `json:"fleet"`
 	Members struct{} `json:"members"` // room for what is to come
 }
 
@@ -82,6 +83,7 @@
 // check finds contradictions between keys.
 func (f *File) check(ms *schema.Mistakes) {
 	f.checkOGC(ms)
+	f.checkFleet(ms)
 	p := f.Placement
 	if p.HoldersLeast > 0 && p.DataCentresLeast > p.HoldersLeast {
 		ms.Add("$.placement.data_centres_least", fmt.Sprint(p.DataCentresLeast),
@@ -119,6 +121,7 @@
 func (f *File) againstNames(names *settings.Names, cfg *policy.Config, ms *schema.Mistakes) {
 	f.againstOGC(names, cfg, ms)
 	f.againstRoutes(names, cfg, ms)
+	f.againstFleet(names, cfg, ms)
 	for _, name := range slices.Sorted(maps.Keys(f.Squares)) {
 		for i, s := range f.Squares[name].Shards {
 			if s >= cfg.Shards {
--- a/internal/serve/args.go
+++ b/internal/serve/args.go
@@ -38,8 +38,9 @@
 	Strict   bool   `help:"Refuse keys that nothing reads, too."`
 }
 
-// Check reads a configuration, refuses what no deployment can mean, and prints what it comes to.
-func Check(c CheckArgs) error {
+// Check reads a configuration, refuses what no deployment can mean, and prints what it comes to. Beside, nil for
+// none, is what would be run too.
+func Check(c CheckArgs, beside Beside) error {
 	cfg, err := c.Load()
 	if err != nil {
 		return err
@@ -52,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if err := fits(cfg, op, beside); err != nil {
+		return fmt.Errorf("operators' file: %w", err)
+	}
 	if _, err := loadRehearsal(c.Rehearse, cfg); err != nil {
 		return err
 	}
--- a/internal/serve/reload.go
+++ b/internal/serve/reload.go
@@ -21,6 +21,7 @@
 	*Process
 	features *ogc.Server // nil if there is none
 	ex       *exchange.Exchange
+	beside   Beside // nil if there is none
 	log      *logrus.Entry
 }
 
@@ -71,6 +72,16 @@
 			r.log.WithError(err).Warn("the operators' file can't be used")
 			return false
 		}
+		if err := fits(r.cfg, op, r.beside); err != nil {
+			r.log.WithError(err).Warn("the operators' file can't be used")
+			return false
+		}
+		if r.beside != nil {
+			if err := r.beside.Reload(op); err != nil {
+				r.log.WithError(err).Warn("the operators' file can't be used")
+				return false
+			}
+		}
 		r.ex.Routes(table)
 		if r.features != nil {
 			r.features.Apply(op)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -33,8 +33,8 @@
 	gcPercent   = 200                    // the heap is small: collect less often, and harder only near the limit
 )
 
-// Run serves until SIGTERM or an interrupt, and reads the files again at each hangup.
-func Run(args Args, p *Process, hangups <-chan os.Signal) error {
+// Run serves until SIGTERM or an interrupt, and reads the files again at each hangup. Beside, nil for none, is run too.
+func Run(args Args, p *Process, hangups <-chan os.Signal, beside Beside) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	cfg, err := args.Load()
@@ -49,13 +49,16 @@
 		if err := op.AgainstNames(cfg.Names, &cfg.Policy); err != nil {
 			return fmt.Errorf("operators' file: %w", err)
 		}
+		if err := fits(cfg, op, beside); err != nil {
+			return fmt.Errorf("operators' file: %w", err)
+		}
 	}
 	other, err := loadRehearsal(args.Rehearse, cfg)
 	if err != nil {
 		return err
 	}
 	p.apply(op)
-	return serve(ctx, cfg, other, op, args, hangups, p)
+	return serve(ctx, cfg, other, op, args, hangups, p, beside)
 }
 
 // fit keeps the runtime within the machine: one thread for each whole core, and a heap below the limit.
@@ -69,7 +72,7 @@
 
 // serve runs a co-ordinator until ctx ends, and then until all that it took is answered. The settings of other, nil
 // for none, are watched.
-func serve(ctx context.Context, cfg, other *config.Config, op *operator.File, args Args, hangups <-chan os.Signal, p *Process) error {
+func serve(ctx context.Context, cfg, other *config.Config, op *operator.File, args Args, hangups <-chan os.Signal, p *Process, beside Beside) error {
 	log := p.log.WithField("node", cfg.Name)
 	given := cfg
 	withFeatures := op != nil && op.Fronts.OGC != nil
@@ -148,11 +151,20 @@
 		defer r.end()
 		log.Info("the settings of another configuration are watched")
 	}
+	if beside != nil {
+		var endByIt context.CancelFunc
+		ctx, endByIt = context.WithCancel(ctx)
+		defer endByIt()
+		defer beside.Stop()
+		if err := beside.Start(Serving{Config: given, Operator: op, Exchange: ex, Log: log, End: endByIt}); err != nil {
+			return err
+		}
+	}
 	running, end := context.WithCancel(context.Background())
 	defer end()
 	go ex.Run(running)
 	go disc.Run(running)
-	go (&reloader{cfg: given, src: args.Source, disc: disc, Process: p, features: features, ex: ex, log: log}).run(running, hangups)
+	go (&reloader{cfg: given, src: args.Source, disc: disc, Process: p, features: features, ex: ex, beside: beside, log: log}).run(running, hangups)
 	served := make(chan error, 2)
 	go func() { served <- server.Serve(running) }()
 	if withFeatures {
@@ -178,6 +190,9 @@
 	if withFeatures {
 		both.Go(func() { features.Drain(running) })
 	}
+	if beside != nil {
+		both.Go(beside.Leave)
+	}
 	server.Drain(running)
 	both.Wait()
 	pool.Close()
