Close gaps in the order of work that taking its guards out has shown

A machine that goes down again while cold, past its time to be back, stayed out past its time until the next tick, which Check calls W7; it now ends at once. Sums for W3 are kept from being fused, which would give other bits on another architecture. Times of requests and commands are bounded, so that sums of times do not overflow.

--- a/internal/fleet/ledger/command.go
+++ b/internal/fleet/ledger/command.go
@@ -25,6 +25,8 @@
 	RememberMost = 65_536
 	// CommandMost bytes in a command: an inventory of 10,000 machines takes some 2 MB.
 	CommandMost = 4 << 20
+	// AtMost since the epoch is a time in the year 2220: past it, sums of times would overflow.
+	AtMost = 250 * 365 * 24 * time.Hour
 	// IDMost bytes in an id.
 	IDMost = 128
 )
@@ -42,11 +44,13 @@
 
 // Command is one entry of the agreed log.
 type Command struct {
-	V    int             `json:"v"`
-	ID   string          `json:"id"`   // acts once; a repetition keeps its At
-	Part string          `json:"part"` // the part that it is for
-	Kind string          `json:"kind"`
-	At   time.Duration   `json:"at"` // agreed: since the Unix epoch, by the leader's clock when it proposed
+	V    int    `json:"v"`
+	ID   string `json:"id"`   // acts once; a repetition keeps its At
+	Part string `json:"part"` // the part that it is for
+	Kind string `json:"kind"`
+	// At is the agreed time, since the Unix epoch: the later of the leader's clock and the ledger's Now when it
+	// proposed. A leader whose clock is behind and that left Now out of it would only propose what is stale.
+	At   time.Duration   `json:"at"`
 	Body json.RawMessage `json:"body,omitempty"`
 }
 
@@ -98,8 +102,8 @@
 		return fmt.Errorf("ledger: a command's id has 1 to %d bytes, not %d", IDMost, len(c.ID))
 	case c.Part == "" || c.Kind == "":
 		return fmt.Errorf("ledger: command %s names no part or no kind", c.ID)
-	case c.At < 0:
-		return fmt.Errorf("ledger: command %s is of before the epoch", c.ID)
+	case c.At < 0 || c.At > AtMost:
+		return fmt.Errorf("ledger: command %s is of %v since the epoch, it has to be within 0 and %v", c.ID, c.At, AtMost)
 	}
 	return nil
 }
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -123,7 +123,8 @@
 	want(t, l.Apply(6, put("e", "put", 2*time.Hour-Remember-1)), ErrStale, "e is 10m0.000000001s behind")
 	want(t, l.Apply(7, []byte("{")), ErrRefused, "can not be read")
 	want(t, l.Apply(8, put("", "put", 3*time.Hour)), ErrRefused, "id has 1 to")
-	if got := strings.Join(b.Lines, ", "); got != `"a" 1 1h0m0s, "d" 2 2h0m0s` || l.Index() != 8 {
+	want(t, l.Apply(9, put("f", "put", AtMost+1)), ErrRefused, "since the epoch")
+	if got := strings.Join(b.Lines, ", "); got != `"a" 1 1h0m0s, "d" 2 2h0m0s` || l.Index() != 9 {
 		t.Fatal(got)
 	}
 }
--- a/internal/fleet/takeout/asks.go
+++ b/internal/fleet/takeout/asks.go
@@ -78,8 +78,8 @@
 		return fmt.Errorf("request %s has names and a rule", r.ID)
 	case r.Kind != "" && r.Kind != Replica && r.Kind != Coordinator:
 		return fmt.Errorf("request %s: kind %q is not known", r.ID, r.Kind)
-	case r.For <= 0:
-		return fmt.Errorf("request %s: out for %v", r.ID, r.For)
+	case r.For <= 0 || r.For > ForMost:
+		return fmt.Errorf("request %s: out for %v, it has to be over 0 and at most %v", r.ID, r.For, ForMost)
 	case r.Earliest < 0 || r.Latest < 0 || r.Latest > 0 && r.Latest < r.Earliest:
 		return fmt.Errorf("request %s: from %v to %v", r.ID, r.Earliest, r.Latest)
 	case r.Priority != Routine && r.Priority != Urgent:
--- a/internal/fleet/takeout/check.go
+++ b/internal/fleet/takeout/check.go
@@ -76,6 +76,11 @@
 			return fmt.Errorf("W4: %s has two live grants, %d and %d", e.Machine, other, e.Fence)
 		}
 		live[e.Machine] = e.Fence
+	}
+	for _, e := range s.open {
+		if !e.Phase.live() {
+			continue
+		}
 		if m := s.machines[e.Machine]; m == nil || m.live != e {
 			return fmt.Errorf("W4: the live grant %d of %s is not that of its machine", e.Fence, e.Machine)
 		}
--- a/internal/fleet/takeout/observe.go
+++ b/internal/fleet/takeout/observe.go
@@ -15,15 +15,14 @@
 	failed := ""
 	var over []*entry
 	for _, e := range s.open {
-		m := s.machines[e.Machine]
 		switch {
 		case e.Phase == Asked:
 			if e.req.Latest > 0 && now > e.req.Latest {
 				s.end(e, Refused, "its latest time passed before it could go")
 				over = append(over, e)
 			}
-		case e.Phase == Back && m.Status == Up:
-			if now >= m.Started+s.limits.WarmUp {
+		case e.Phase == Back && s.machines[e.Machine].Status == Up:
+			if now >= s.machines[e.Machine].Started+s.limits.WarmUp {
 				s.end(e, Done, "")
 				over = append(over, e)
 			}
@@ -220,10 +219,13 @@
 		s.end(e, Lapsed, "went out before it was told: counts as failed")
 		return what + " before it was told"
 	case e.Phase == Back:
-		if n.down() {
-			e.Phase = Out
-		} else {
+		switch {
+		case !n.down():
 			e.Start = n.Started
+		case s.now < e.Until:
+			e.Phase = Out
+		default:
+			s.end(e, Lapsed, "down again past its time: counts as failed")
 		}
 		return what + " while it was cold"
 	}
--- a/internal/fleet/takeout/phases_test.go
+++ b/internal/fleet/takeout/phases_test.go
@@ -77,6 +77,18 @@
 	p.no("W6", "a", "r3")
 }
 
+func TestFailsWhileColdPastItsTime(t *testing.T) {
+	p := start(t, limits, names("a", "r0"))
+	p.grant("a", "r0")
+	p.told("r0")
+	p.see(cell(0).as(Gone))
+	p.wait(299*sec, cell(0).since(p.now+299*sec))
+	p.wait(2 * sec)
+	p.phase("r0", Back)
+	p.see(cell(0).as(Gone))
+	p.phase("r0", Lapsed)
+}
+
 // A machine that is down is asked for, to be mended.
 func TestBrokenMachineIsMended(t *testing.T) {
 	p := start(t, limits, names("a", "r0"))
--- a/internal/fleet/takeout/play_test.go
+++ b/internal/fleet/takeout/play_test.go
@@ -81,7 +81,8 @@
 		case k == 0:
 			asks.Revision++
 			asks.Requests = append([]takeout.Request{{ID: fmt.Sprint("q", asks.Revision), Reason: "work",
-				Prefix: []string{"r", "c", "r0", "c0"}[rnd.IntN(4)], For: 20 * second, Priority: takeout.Priority(rnd.IntN(2))}}, asks.Requests...)
+				Prefix: []string{"r", "c", "r0", "c0"}[rnd.IntN(4)], For: 20 * second,
+				Priority: takeout.Priority(rnd.IntN(2))}}, asks.Requests...)
 			asks.Requests = asks.Requests[:min(len(asks.Requests), 1+rnd.IntN(4))]
 			must(t, do("asks", asks))
 		case k == 1 && rnd.IntN(3) == 0: // outside the plan
--- a/internal/fleet/takeout/rules.go
+++ b/internal/fleet/takeout/rules.go
@@ -179,6 +179,10 @@
 	return left, room, nil
 }
 
+// need is the load with its headroom. The conversion keeps it from being fused into a sum, which would give other bits
+// at co-ordinators of another architecture.
+func (s *State) need() float64 { return float64(s.load * float64(1+s.limits.Headroom)) }
+
 // paused says why nothing at all is granted.
 func (s *State) paused(now time.Duration) error {
 	switch {
@@ -251,7 +255,7 @@
 	if s.ready(m, now) {
 		left -= m.size()
 	}
-	need := s.load * (1 + s.limits.Headroom)
+	need := s.need()
 	if left < need {
 		return 0, fmt.Errorf("W3: %.2f would be left warm, the load with headroom is %.2f", left, need)
 	}
--- a/internal/fleet/takeout/rules_test.go
+++ b/internal/fleet/takeout/rules_test.go
@@ -189,6 +189,20 @@
 	}
 }
 
+// What can not go, whatever ends, gives up its turn until it can.
+func TestW5GivesUpItsTurn(t *testing.T) {
+	for least, gone := range map[int][]Machine{1: {cell(1).as(Gone)}, 2: {cell(0).as(Gone), cell(2).as(Gone)}} {
+		l := Limits{}.with(limits, func(l *Limits) { l.HoldersLeast, l.PassedMost, l.OutMost, l.Calm = least, 1, 1, 0 })
+		p := start(t, l, names("a", "r1"), names("b", "r4", "r5"))
+		p.grant("b", "r4")
+		p.must("withdraw", WithdrawBody{"r4", 1, "test"})
+		p.wait(10 * sec)
+		p.no("W5: r1, passed over 1 times, has reserved the last place", "b", "r5")
+		p.see(gone...)
+		p.grant("b", "r5")
+	}
+}
+
 // Machines of one request do not pass each other: a swap of all goes on in the planner's order.
 func TestW5OneRequestDoesNotPassItself(t *testing.T) {
 	p := start(t, limits, Request{ID: "all", Kind: Replica, Reason: "swap", For: 300 * sec})
@@ -233,7 +247,11 @@
 	if got := p.s.pauseUntil - p.now; got != 120*sec {
 		t.Fatalf("paused for %v", got)
 	}
-	p.see(cell(1).since(5 * sec))
+	p.see(cell(1).as(Unknown)) // which says nothing of its start, nor does its coming back with the old one
+	p.see(cell(1))
+	p.see(cell(7).since(5 * sec))
+	p.see(cell(7).as(Unknown))
+	p.see(cell(7).since(5 * sec))
 	if got := p.s.pauseUntil - p.now; got != 240*sec {
 		t.Fatalf("a newer start pauses for %v", got)
 	}
--- a/internal/fleet/takeout/state.go
+++ b/internal/fleet/takeout/state.go
@@ -28,6 +28,9 @@
 	// GrantMost is the longest from a grant until its machine has to be gone: a leader that errs in its clock can not
 	// hold a place in the plan for more. Half: sites whose tools need a day to come round lose their grants.
 	GrantMost = 24 * time.Hour
+	// ForMost is the longest that a machine may be out by one request. One that is away for longer is taken out of the
+	// inventory and asked for once it is back; twice as long would hold its place in the plan for two months.
+	ForMost = 30 * 24 * time.Hour
 	// CalmMost times Limits.Calm is the longest pause after failures.
 	CalmMost = 8
 )
--- a/internal/fleet/takeout/turn.go
+++ b/internal/fleet/takeout/turn.go
@@ -96,7 +96,7 @@
 			left -= x.size()
 		}
 	}
-	return left < s.load*(1+s.limits.Headroom)
+	return left < s.need()
 }
 
 // share: two cells hold a shard in common.
