Count the load of co-ordinators that the leader is cut off from

All that are not gone count now, those of the agreed inventory without any news too, and what was told is scaled to them; under four fifths the load is unknown. Two cases in the test, both wrong before.

--- a/internal/fleet/lead/lead_test.go
+++ b/internal/fleet/lead/lead_test.go
@@ -272,6 +272,14 @@
 		{"one of three did not", func(r *rig) { r.members[0].LoadKnown = false }, "0 false"},
 		{"one of three long ago", func(r *rig) { r.members[0].LoadAge = 10*s + 1 }, "0 false"},
 		{"one that is gone counts not", func(r *rig) { r.members[0].Status = takeout.Gone }, "1 true"},
+		{"one of five is cut off from the leader and goes on serving", func(r *rig) {
+			r.members = append(r.members, Member{Name: "d", Status: takeout.Unknown, Load: 9, LoadKnown: true},
+				Member{Name: "e", Status: takeout.Up, Load: 0.5, LoadKnown: true})
+		}, "2.5 true"},
+		{"one that is agreed on has no news here", func(r *rig) {
+			r.run(2 * s)
+			r.members = r.members[1:]
+		}, "0 false"},
 		{"one of five did not", func(r *rig) {
 			r.members = append(r.members, Member{Name: "d", Status: takeout.Up}, Member{Name: "e", Status: takeout.Up, Load: 0.5, LoadKnown: true})
 		}, "2.5 true"},
--- a/internal/fleet/lead/observe.go
+++ b/internal/fleet/lead/observe.go
@@ -61,23 +61,32 @@
 	return ok && m != old || !ok && m.Status != takeout.Gone
 }
 
-// load is the sum of what the live co-ordinators told of theirs lately, scaled to all of them; unknown if too few did.
+// load is the sum of what the co-ordinators told of theirs lately, scaled to all that may be serving: those that are not
+// gone, though nothing is known of them, as a cut-off one goes on serving. Unknown if too few told.
 func (l *Lead) load(age time.Duration) (load float64, known bool) {
-	live, told := 0, 0
+	serving, told := 0, 0
 	for _, m := range l.members {
-		if m.Status != takeout.Up {
+		if m.Status == takeout.Gone {
 			continue
 		}
-		live++
-		if m.LoadKnown && m.LoadAge+l.now-l.membersAt <= age {
+		serving++
+		if m.Status == takeout.Up && m.LoadKnown && m.LoadAge+l.now-l.membersAt <= age {
 			told++
 			load += m.Load
 		}
 	}
-	if told == 0 || float64(told) < LoadShare*float64(live) {
+	for _, m := range l.state.Machines() { // of whom this leader has no news at all
+		if m.Kind != takeout.Coordinator || m.Status == takeout.Gone {
+			continue
+		}
+		if _, ok := slices.BinarySearchFunc(l.members, m.Name, func(o Member, name string) int { return cmp.Compare(o.Name, name) }); !ok {
+			serving++
+		}
+	}
+	if told == 0 || float64(told) < LoadShare*float64(serving) {
 		return 0, false
 	}
-	return load * float64(live) / float64(told), true
+	return load * float64(serving) / float64(told), true
 }
 
 // putObserve proposes what changed against the agreed inventory, or all of it if that is wanted; while something is open
