--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -148,6 +148,7 @@
 	for words, entry := range map[string][]byte{
 		"command version 2, this program reads 1": raw(2, "x", "book", "put", 1),
 		`part "pool"`:              raw(1, "x", "pool", "put", 1),
+		"command version 7":        []byte(`{"v":7,"id":5,"deadline":2}`),
 		`kind "new"`:               raw(1, "x", "book", "new", 1),
 		`unknown field "deadline"`: []byte(`{"v":1,"id":"x","part":"book","kind":"put","at":1,"deadline":2}`),
 	} {
