Ask discovery every 200 ms until it answers, and give each answer and line its own time

Seen: stand-in agents on loopback in 16 states of silence, with the client as it was. Where the decisions ask, a broken watch waited for their promise (1.5 s here, without a bound in general) and its ask alone. Ruled out: the exchange (the list is first in a turn, one resolution at the most), the parsers (the same bytes at once are read). Lines at fault, internal/discovery/watch.go: stream.Read set a new deadline before each read; run slept up to RedialMost (1 s) after a failure and had one ask open at a time; watch took any line as a pulse.

Now a deadline belongs to what is waited for: an answer (AgentTime, connect to last byte) or a line of news or a pulse (WatchSilence). What waits unread at the deadline is read first, bounded by a line's most: our standstill is not the agent's. Asks begin RedialMost apart, now 200 ms for the grace of 250, five open at once, the first answer counts and the others are left. After a silence the whole list is asked for, since a new watch may say nothing for a pulse. Where the decisions ask, a watch that was there is asked for again for WatchSilence before they are told.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -49,6 +49,26 @@
 	}
 }
 
+// One clock for the list: what a silent watch missed counts as told 6 s after it fell silent, what the agent has after an
+// outage at once; the least grace of the rules is 0.25 s and 50 ms. The sums stand in docs/design.md.
+func TestTheListIsHeardBeforeItCountsAsTold(t *testing.T) {
+	l := limits(machine{}, nothing())
+	const toldAfter, pulse, grace = 6 * time.Second, 2 * time.Second, 300 * time.Millisecond
+	if l.WatchSilence < pulse+pulse/4 {
+		t.Errorf("a pulse that is a little late counts as silence: %v", l.WatchSilence)
+	}
+	if sum := l.WatchSilence + l.RedialFirst + l.RedialMost + l.AgentTime; sum > toldAfter {
+		t.Errorf("what a silent watch missed is had after %v", sum)
+	}
+	if sum := 2 * l.WatchSilence; sum < toldAfter { // where the decisions are told after the second of them
+		t.Errorf("asked for %v on our own", sum)
+	}
+	const open = 5 // discovery's asks at the most
+	if l.RedialMost > grace*3/4 || l.AgentTime > open*l.RedialMost {
+		t.Errorf("%v from one ask to the next, each open for %v", l.RedialMost, l.AgentTime)
+	}
+}
+
 // What a small machine buffers at the most leaves room for the rest.
 func TestBuffersFitASmallMachine(t *testing.T) {
 	l := limits(machine{Sockets: 256, MemoryMB: 32}, nothing())
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -54,10 +54,10 @@
 
 	// Discovery.
 	ListBytes    int           // of one line
-	WatchSilence time.Duration // its pulse comes every 2 s
-	AgentTime    time.Duration // for a connection, and for the whole list to begin: the agent is on this machine
+	WatchSilence time.Duration // for a whole line or a pulse of the watch: the pulse comes every 2 s
+	AgentTime    time.Duration // for a connection and the whole answer on it: the agent is on this machine
 	RedialFirst  time.Duration // wait before a new connection, doubled up to the most
-	RedialMost   time.Duration
+	RedialMost   time.Duration // also from one ask to the next while none is answered: the rules' least grace is 250 ms
 
 	Forget time.Duration // after so long a replica that is off the list is forgotten
 
@@ -126,7 +126,7 @@
 
 		ListBytes: int(min(8<<20, memory/listPart)), WatchSilence: 3 * time.Second, AgentTime: time.Second, Forget: 30 * time.Second,
 		ReloadWait: 100 * time.Millisecond, ReloadTries: 6,
-		RedialFirst: 50 * time.Millisecond, RedialMost: time.Second,
+		RedialFirst: 50 * time.Millisecond, RedialMost: 200 * time.Millisecond,
 
 		WriteTime: time.Second, AnswerBy: 40 * time.Millisecond,
 		DrainTime: drainTime, EndTime: drainTime + seconds(longest*endShare), LogEvery: time.Second, TellEvery: 10 * time.Second,
--- /dev/null
+++ b/internal/discovery/ask.go
@@ -0,0 +1,193 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"birchcart/internal/duplex"
+	"birchcart/internal/h1"
+)
+
+const (
+	listTarget = "/api/targets"
+	asksMost   = 5 // connections to the agent at once that wait for an answer; of the descriptors kept for all but the peers
+)
+
+func watchTarget(after int64) string {
+	return listTarget + "?watch=1&after=" + strconv.FormatInt(after, 10)
+}
+
+var (
+	errSilent = errors.New("silent over its time")
+	errTold   = errors.New("no answer in time for those who asked")
+)
+
+// answer is how one ask went.
+type answer struct {
+	no  int
+	s   *stream
+	err error
+}
+
+// ask asks the agent for what is wanted until it has an answer: the whole list, or the head of a watch. Each ask has
+// its own connection and AgentTime. The next one begins RedialMost later at the latest, beside those that wait still:
+// an agent that is silent while discovery is down may never answer what it was asked then, and what it has counts as
+// told from the moment of its return. The first answer counts and the others are left. Where the decisions wait for
+// an end, it gives up after WatchSilence: with the silence before it, that is as long as news may stay unheard.
+func (f *feed) ask(ctx context.Context) (*stream, error) {
+	c, lim := f.c, &f.c.limits
+	var giveUp <-chan time.Time
+	if c.ask && c.leads(f) {
+		giveUp = time.After(f.wait + lim.WatchSilence)
+	}
+	answers := make(chan answer, asksMost)
+	open := map[int]context.CancelFunc{}
+	defer func() {
+		for _, leave := range open {
+			leave()
+		}
+	}()
+	due := time.Now().Add(f.wait)
+	for no := 0; ; {
+		var again <-chan time.Time
+		if len(open) < asksMost {
+			again = time.After(time.Until(due))
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-giveUp:
+			return nil, errTold
+		case <-again:
+			no++
+			n, whole, index := no, f.whole, f.index
+			each, leave := context.WithCancel(ctx)
+			open[n] = leave
+			c.feeds.Go(func() {
+				s, err := f.try(each, whole, index)
+				answers <- answer{n, s, err}
+			})
+			due = time.Now().Add(lim.RedialMost)
+		case a := <-answers:
+			leave := open[a.no]
+			if delete(open, a.no); a.err == nil {
+				a.s.leave = leave
+				return a.s, nil
+			}
+			leave()
+			c.failed(f, a.err)
+			f.wait = max(lim.RedialFirst, min(2*f.wait, lim.RedialMost))
+			if soon := time.Now().Add(f.wait); soon.Before(due) {
+				due = soon
+			}
+		}
+	}
+}
+
+// try is one ask. Its connection is closed when the context ends.
+func (f *feed) try(ctx context.Context, whole bool, index int64) (*stream, error) {
+	lim := &f.c.limits
+	d := net.Dialer{Timeout: lim.AgentTime}
+	began := time.Now()
+	nc, err := d.DialContext(ctx, "tcp", f.address)
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { nc.Close() })
+	s := &stream{nc: nc, most: lim.ListBytes, by: began.Add(lim.AgentTime)}
+	s.split.Limits = h1.Limits{Head: lim.HeadBytes}
+	s.in = bufio.NewScanner(s)
+	s.in.Buffer(nil, lim.HeadBytes+lim.BodyBytes)
+	s.in.Split(s.split.Split)
+	if !whole {
+		return s, s.get(watchTarget(index), f.address)
+	}
+	if err := s.get(listTarget, f.address); err != nil {
+		return nil, err
+	}
+	for !s.split.Done {
+		if err := s.next(); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// stream reads responses from one connection.
+type stream struct {
+	nc    net.Conn
+	in    *bufio.Scanner
+	split h1.ResponseSplitter
+	line  []byte
+	most  int
+	by    time.Time // when what is waited for has to be whole, however many bytes of it come: an answer, or a line
+	late  int       // bytes read after that
+	leave context.CancelFunc
+}
+
+func (s *stream) end() { s.leave() }
+
+// until gives what is waited for now its time.
+func (s *stream) until(after time.Duration) { s.by, s.late = time.Now().Add(after), 0 }
+
+// Read reads until the time is up. What waits by then and was not read, since we had no processor, counts as come in
+// time, up to the most of a line: our own standstill is not the agent's silence.
+func (s *stream) Read(p []byte) (int, error) {
+	s.nc.SetReadDeadline(s.by)
+	n, err := s.nc.Read(p)
+	if timedOut(err) && s.late < s.most && duplex.Waits(s.nc) {
+		s.nc.SetReadDeadline(time.Time{}) // there is something: it does not wait
+		n, err = s.nc.Read(p)
+		s.late += n
+	}
+	if timedOut(err) {
+		err = errSilent
+	}
+	return n, err
+}
+
+func timedOut(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// get asks for a target and reads the answer's head.
+func (s *stream) get(target, host string) error {
+	s.split.Next()
+	s.nc.SetWriteDeadline(s.by)
+	if _, err := s.nc.Write(h1.AppendGet(nil, target, host)); err != nil {
+		return err
+	}
+	for s.split.Status < 200 {
+		if !s.in.Scan() {
+			return s.err()
+		}
+	}
+	if s.split.Status != 200 {
+		return fmt.Errorf("%s answered %d", target, s.split.Status)
+	}
+	return nil
+}
+
+func (s *stream) err() error {
+	if err := s.in.Err(); err != nil {
+		return err
+	}
+	return errors.New("the connection ended")
+}
+
+// next adds a piece of the body to the line.
+func (s *stream) next() error {
+	if !s.in.Scan() {
+		return s.err()
+	}
+	if s.line = append(s.line, s.in.Bytes()...); len(s.line) > s.most {
+		return fmt.Errorf("a line over %d bytes", s.most)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/discovery/clock_test.go
@@ -0,0 +1,389 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/config"
+	"birchcart/internal/exchange"
+	"birchcart/policy"
+)
+
+// Half of the real limits, with what the rules allow.
+var (
+	scaled = config.Limits{
+		HeadBytes: 16 << 10, BodyBytes: 64 << 10, ListBytes: 100 << 10, LogEvery: time.Second,
+		WatchSilence: 1500 * time.Millisecond, AgentTime: 500 * time.Millisecond,
+		RedialFirst: 25 * time.Millisecond, RedialMost: 100 * time.Millisecond,
+	}
+	toldBy = 3 * time.Second        // after a watch fell silent, what it missed counts as told
+	slack  = 250 * time.Millisecond // for a busy machine, as it is
+)
+
+// scripted is an agent on loopback whose answers change. Its list has one replica, whose name is the version.
+type scripted struct {
+	t  *testing.T
+	ln net.Listener
+
+	mu    sync.Mutex
+	list  func(nc net.Conn) // nil: well
+	watch func(nc net.Conn)
+	index int
+	asked int
+	open  int // connections
+}
+
+func newScripted(t *testing.T, ln net.Listener) *scripted {
+	s := &scripted{t: t, ln: ln, index: 1}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(nc)
+		}
+	}()
+	return s
+}
+
+// set changes what is answered from now on; what is open goes on.
+func (s *scripted) set(index int, list, watch func(net.Conn)) {
+	s.mu.Lock()
+	s.index, s.list, s.watch = index, list, watch
+	s.mu.Unlock()
+}
+
+func (s *scripted) serve(nc net.Conn) {
+	s.count(1)
+	defer func() { nc.Close(); s.count(-1) }()
+	for r := bufio.NewReader(nc); ; {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		for head := line; head != "\r\n"; {
+			if head, err = r.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		target := strings.Fields(line)[1]
+		s.mu.Lock()
+		s.asked++
+		index, do := s.index, s.list
+		if target != "/api/targets" {
+			do = s.watch
+		}
+		s.mu.Unlock()
+		switch {
+		case do != nil:
+			do(nc)
+			io.Copy(io.Discard, nc) // nothing more, until the other side leaves
+			return
+		case target == "/api/targets":
+			io.WriteString(nc, whole(list(index, true, entry(fmt.Sprint("v", index), "Ready"))))
+		default:
+			io.WriteString(nc, opened)
+			for every(nc, 20*time.Millisecond, chunk("\n")) == nil {
+			}
+		}
+	}
+}
+
+func (s *scripted) count(more int) (open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open += more
+	return s.open
+}
+
+func (s *scripted) times() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+// every waits and then writes.
+func every(nc net.Conn, wait time.Duration, text string) error {
+	time.Sleep(wait)
+	_, err := io.WriteString(nc, text)
+	return err
+}
+
+// trickle writes byte by byte for ever, the last byte again and again.
+func trickle(text string) func(net.Conn) {
+	return func(nc net.Conn) {
+		for i := 0; every(nc, 30*time.Millisecond, text[i:i+1]) == nil; i = min(i+1, len(text)-1) {
+		}
+	}
+}
+
+func says(text string) func(net.Conn) { return func(nc net.Conn) { io.WriteString(nc, text) } }
+
+// runs starts a client of the agent; names gives what its lists hold, one name each.
+func runs(t *testing.T, address string, ask bool) (c *Client, names func(want string) time.Time, failed chan struct{}) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &sink{make(chan exchange.List, 1000), make(chan struct{}, 1000)}
+	c = New(&config.Config{Discovery: address, Policy: policy.Config{MustAsk: ask}, Limits: scaled}, 0, s, logrus.NewEntry(log))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { c.Run(ctx); close(done) }()
+	t.Cleanup(func() { stop(); <-done })
+	return c, func(want string) time.Time {
+		t.Helper()
+		for limit := time.After(5 * time.Second); ; {
+			select {
+			case l := <-s.lists:
+				if len(l.Entries) > 0 && l.Entries[0].Name == want {
+					return time.Now()
+				}
+			case <-limit:
+				t.Fatalf("%s was never heard of", want)
+			}
+		}
+	}, s.failed
+}
+
+func loopback(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+var (
+	partHead = opened[:20]
+	silent   = says("")
+	old      = chunk(list(1, false, entry("v1", "Ready")) + "\n")
+	half     = whole(list(2, true, entry("v2", "Ready")))
+	badWatch = map[string]func(net.Conn){
+		"before the first byte": silent,
+		"inside the head":       says(partHead),
+		"a head that trickles":  trickle("HTTP/1.1 200 OK\r\nX: y"),
+		"after the head":        says(opened),
+		"between pulses":        says(opened + chunk("\n") + chunk("\n")),
+		"inside a line":         says(opened + chunk("\n") + chunk(`{"index":2,"snap`)),
+		"inside a chunk":        says(opened + chunk("\n") + "ff\r\n{"),
+		"a line that trickles":  trickle(opened + strings.Repeat(chunk("{"), 9)),
+		"old lines": func(nc net.Conn) {
+			for io.WriteString(nc, opened); every(nc, 30*time.Millisecond, old) == nil; {
+			}
+		},
+	}
+	badList = map[string]func(net.Conn){
+		"before the first byte": silent,
+		"inside the head":       says(partHead),
+		"a head that trickles":  trickle("HTTP/1.1 200 OK\r\nX: y"),
+		"half of the list":      says(half[:len(half)-20]),
+		"a list that trickles":  trickle(half[:len(half)-20] + " "),
+		"closed":                func(nc net.Conn) { nc.Close() },
+	}
+)
+
+// In whatever state a watch falls silent, that is noticed by our clock, and what it missed is had before it counts as told.
+func TestAWatchFallsSilent(t *testing.T) {
+	for name, bad := range badWatch {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newScripted(t, loopback(t))
+			fell := make(chan time.Time, 1)
+			s.set(1, nil, func(nc net.Conn) {
+				fell <- time.Now() // or later: what is written first is then part of it
+				s.set(2, nil, nil)
+				bad(nc)
+			})
+			_, names, _ := runs(t, s.ln.Addr().String(), false)
+			names("v1")
+			if took := names("v2").Sub(<-fell); took > scaled.WatchSilence+scaled.RedialFirst+scaled.RedialMost+slack || took > toldBy {
+				t.Errorf("heard after %v", took)
+			}
+		})
+	}
+}
+
+// A flood of old lines keeps no watch alive either, though something waits to be read at all times.
+func TestAFloodOfOldLines(t *testing.T) {
+	s := newScripted(t, loopback(t))
+	s.set(1, nil, func(nc net.Conn) {
+		s.set(2, nil, nil)
+		flood := strings.Repeat(old, 500)
+		for io.WriteString(nc, opened); every(nc, 0, flood) == nil; {
+		}
+	})
+	_, names, _ := runs(t, s.ln.Addr().String(), false)
+	began := names("v1")
+	if took := names("v2").Sub(began); took > toldBy {
+		t.Errorf("heard after %v", took)
+	}
+}
+
+// An outage in whatever form ends with what the agent has, an ask's distance after its end, whatever became of the asks
+// meanwhile. Asks stay bounded: one a RedialMost, and none is left open.
+func TestAfterAnOutage(t *testing.T) {
+	for name, bad := range badList {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newScripted(t, loopback(t))
+			s.set(1, bad, bad)
+			_, names, _ := runs(t, s.ln.Addr().String(), false)
+			const out = 1090 * time.Millisecond
+			time.Sleep(out)
+			if n, most := s.times(), int(out/scaled.RedialMost)+6; n > most || n < 3 {
+				t.Errorf("asked %d times, %d allowed", n, most)
+			}
+			s.set(2, nil, nil)
+			back := time.Now()
+			if took := names("v2").Sub(back); took > scaled.RedialMost+slack {
+				t.Errorf("heard %v after the end of the outage", took)
+			}
+			for end := time.Now().Add(time.Second); s.count(0) != 1; time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%d connections are open", s.count(0))
+				}
+			}
+		})
+	}
+}
+
+// A connection that never comes up is one more form of silence.
+func TestAConnectHangs(t *testing.T) {
+	t.Parallel()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for range 3 { // from then on the machine drops what comes
+		if nc, err := net.DialTimeout("tcp", address, 50*time.Millisecond); err == nil {
+			defer nc.Close()
+		}
+	}
+	_, names, _ := runs(t, address, false)
+	time.Sleep(20 * time.Millisecond)
+	if err := syscall.Listen(fd, 100); err != nil { // room again
+		t.Fatal(err)
+	}
+	back := time.Now()
+	go func() {
+		for {
+			c, _, err := syscall.Accept(fd)
+			if err != nil {
+				return
+			}
+			go func() {
+				defer syscall.Close(c)
+				b := make([]byte, 4096)
+				if n, _ := syscall.Read(c, b); n > 0 {
+					syscall.Write(c, []byte(whole(list(2, true, entry("v2", "Ready")))))
+					syscall.Read(c, b)
+				}
+			}()
+		}
+	}()
+	if took := names("v2").Sub(back); took > scaled.RedialMost+slack {
+		t.Errorf("heard %v after it could be had", took)
+	}
+}
+
+// A move to an address that is silent, while the old one is silent too, ends with the first that has a list.
+func TestAMoveWhileBothAreSilent(t *testing.T) {
+	t.Parallel()
+	a, b := newScripted(t, loopback(t)), newScripted(t, loopback(t))
+	c, names, _ := runs(t, a.ln.Addr().String(), false)
+	names("v1")
+	a.set(2, silent, silent)
+	b.set(3, silent, silent)
+	c.Move(b.ln.Addr().String())
+	time.Sleep(560 * time.Millisecond)
+	b.set(3, nil, nil)
+	back := time.Now()
+	if took := names("v3").Sub(back); took > scaled.RedialMost+slack {
+		t.Errorf("heard %v after the new address had it", took)
+	}
+}
+
+// Where the decisions ask, a watch that was there and broke is asked for again before they are told, so that what it
+// missed does not wait for them; they hear when that does not help, and from then on nothing is asked without them.
+func TestABrokenWatchIsAskedForAgain(t *testing.T) {
+	t.Parallel()
+	s := newScripted(t, loopback(t))
+	c, names, failed := runs(t, s.ln.Addr().String(), true)
+	fell := make(chan time.Time, 1)
+	s.set(1, nil, func(nc net.Conn) {
+		io.WriteString(nc, opened)
+		fell <- time.Now()
+		s.set(2, nil, func(nc net.Conn) {
+			says(opened)(nc)
+			s.set(3, silent, silent)
+		})
+	})
+	c.Watch()
+	if took := names("v2").Sub(<-fell); took > scaled.WatchSilence+scaled.RedialFirst+scaled.RedialMost+slack {
+		t.Errorf("heard after %v", took)
+	}
+	select {
+	case <-failed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("not told")
+	}
+	time.Sleep(scaled.RedialMost) // what was under way
+	n := s.times()
+	time.Sleep(5 * scaled.RedialMost)
+	if s.times() != n {
+		t.Error("asked without their word")
+	}
+	s.set(3, nil, nil)
+	c.Watch()
+	names("v3")
+}
+
+// What came in time and was not read in time, since we stood still, is read; after that nothing is waited for.
+func TestOurOwnStandstillIsNotTheirs(t *testing.T) {
+	ln := loopback(t)
+	defer ln.Close()
+	there, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer there.Close()
+	here, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer here.Close()
+	io.WriteString(there, "abc")
+	time.Sleep(20 * time.Millisecond)
+	s := &stream{nc: here, most: 100, by: time.Now().Add(-time.Second)}
+	b := make([]byte, 10)
+	if n, err := s.Read(b); n != 3 || err != nil {
+		t.Errorf("%d %v", n, err)
+	}
+	if _, err := s.Read(b); err != errSilent {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -128,8 +128,8 @@
 	log.SetOutput(io.Discard)
 	s := &sink{make(chan exchange.List, 10), make(chan struct{}, 10)}
 	c := New(&config.Config{Discovery: ln.Addr().String(), Policy: policy.Config{MustAsk: ask}, Limits: config.Limits{
-		HeadBytes: 1000, BodyBytes: 1000, ListBytes: 1000, WatchSilence: 500 * time.Millisecond, AgentTime: 100 * time.Millisecond, WriteTime: time.Second,
-		RedialFirst: time.Millisecond, RedialMost: 10 * time.Millisecond,
+		HeadBytes: 1000, BodyBytes: 1000, ListBytes: 1000, WatchSilence: 500 * time.Millisecond, AgentTime: 200 * time.Millisecond, LogEvery: time.Second,
+		RedialFirst: time.Millisecond, RedialMost: 200 * time.Millisecond,
 	}}, 5, s, logrus.NewEntry(log))
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -139,7 +139,7 @@
 }
 
 // The whole list, then changes as they come, with empty lines between and lines cut across chunks; when the
-// watch is silent over its pulse it is had again from the last change.
+// watch is silent over its pulse the list is had again.
 func TestListThenWatch(t *testing.T) {
 	a, s, c := start(t, false)
 	nc, r := a.accept()
@@ -158,9 +158,12 @@
 		t.Fatalf("%+v", l)
 	}
 	io.WriteString(nc, chunk(list(42, false, entry("b", "Gone"))+"\n")) // older than what is held
-	nc, r = a.accept()                                                  // after the silence
-	a.expect(r, "/api/targets?watch=1&after=43")
-	io.WriteString(nc, opened+chunk(list(44, false, entry("b", "Terminating"))+"\n"))
+	nc, r = a.lists(43, entry("b", "Ready"))                            // after the silence
+	if l := s.next(t); !l.Full {
+		t.Fatalf("%+v", l)
+	}
+	a.watched(nc, r, 43)
+	io.WriteString(nc, chunk(list(44, false, entry("b", "Terminating"))+"\n"))
 	if l := s.next(t); l.Entries[0].Name != "b" || l.Entries[0].State != policy.Draining {
 		t.Fatalf("%+v", l)
 	}
@@ -201,18 +204,33 @@
 	s.next(t)
 }
 
-// Where the decisions ask for the list, nothing is asked without their word, and they hear of each failure.
+// Where the decisions ask for the list, nothing is asked without their word, and they hear when it can't be had.
 func TestAskedWatch(t *testing.T) {
 	a, s, c := start(t, true)
-	a.ln.(*net.TCPListener).SetDeadline(time.Now().Add(30 * time.Millisecond))
-	if _, err := a.ln.Accept(); err == nil {
-		t.Fatal("asked without being told to")
-	}
 	for range 2 {
+		a.quiet()
 		c.Watch()
-		nc, _ := a.accept()
-		nc.Close()
+		for len(s.failed) == 0 {
+			a.ln.(*net.TCPListener).SetDeadline(time.Now().Add(100 * time.Millisecond))
+			if nc, err := a.ln.Accept(); err == nil {
+				nc.Close()
+			}
+		}
 		<-s.failed
+		a.ln.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Millisecond))
+		for err := error(nil); err == nil; { // those that were under way
+			_, err = a.ln.Accept()
+		}
+	}
+	a.quiet()
+}
+
+// quiet holds that nobody comes.
+func (a *agent) quiet() {
+	a.Helper()
+	a.ln.(*net.TCPListener).SetDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := a.ln.Accept(); err == nil {
+		a.Fatal("asked without being told to")
 	}
 }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,13 +1,9 @@
 package discovery
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"net"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +12,6 @@
 
 	"birchcart/internal/config"
 	"birchcart/internal/exchange"
-	"birchcart/internal/h1"
 	"birchcart/internal/logs"
 )
 
@@ -49,7 +44,8 @@
 	c       *Client
 	address string
 	index   int64
-	whole   bool // a whole list is wanted: at the start, and after a line that could not be read
+	whole   bool          // a whole list is wanted: at the start, after a line that could not be read, and after a silence
+	wait    time.Duration // before the next connection
 	end     context.CancelFunc
 }
 
@@ -124,137 +120,64 @@
 	return c.lead == f
 }
 
-// run watches until the context ends. After a failure it dials again, ever more slowly; where the decisions ask,
-// it tells them and waits for their word. A move needs no word of theirs.
+// run has the list until the context ends. Where the decisions ask, their word begins it and follows each failure that
+// they are told; a watch that had come up and broke is first asked for again without them, for WatchSilence, since what it
+// misses counts as told by a clock that does not wait for them. A move needs no word of theirs.
 func (f *feed) run(ctx context.Context) {
 	c := f.c
-	wait := c.limits.RedialFirst
-	for ctx.Err() == nil {
-		asked := c.ask && c.leads(f)
-		if asked {
+	for word := c.ask; ctx.Err() == nil; {
+		if word && c.leads(f) {
 			select {
 			case <-ctx.Done():
 				return
 			case <-c.asked:
+				f.wait = 0 // they have waited
 			}
 		}
+		s, err := f.ask(ctx)
 		began := time.Now()
-		err := f.watch(ctx)
+		if err == nil {
+			err = f.follow(s)
+			s.end()
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		c.noisy.Warn("the watch of the list ended", logrus.Fields{"error": err, "index": f.index, "address": f.address})
-		if c.ask && c.leads(f) {
-			c.sink.ListFailed()
-			continue
-		}
-		if time.Since(began) > c.limits.RedialMost {
-			wait = c.limits.RedialFirst
+		c.failed(f, err)
+		lasted := time.Since(began)
+		if f.wait = min(2*f.wait, c.limits.RedialMost); lasted > c.limits.RedialMost || f.wait == 0 {
+			f.wait = c.limits.RedialFirst
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
+		if word = c.ask && lasted < c.limits.AgentTime; word && c.leads(f) {
+			c.sink.ListFailed()
 		}
-		wait = min(2*wait, c.limits.RedialMost)
-	}
-}
-
-var errSilent = errors.New("silent over the pulse")
-
-// stream reads responses from one connection.
-type stream struct {
-	nc    net.Conn
-	in    *bufio.Scanner
-	split h1.ResponseSplitter
-	line  []byte
-	most  int
-	quiet time.Duration
-}
-
-// Read bounds each read: the pulse must come in time.
-func (s *stream) Read(p []byte) (int, error) {
-	s.nc.SetReadDeadline(time.Now().Add(s.quiet))
-	n, err := s.nc.Read(p)
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		err = errSilent
+		// A watch may be silent for longer than the rest of what it missed has: the whole list has all at once, a new
+		// watch says nothing until something changes.
+		f.whole = f.whole || errors.Is(err, errSilent)
 	}
-	return n, err
 }
 
-func (s *stream) get(target, host string, writeTime time.Duration) error {
-	s.split.Next()
-	s.nc.SetWriteDeadline(time.Now().Add(writeTime))
-	if _, err := s.nc.Write(h1.AppendGet(nil, target, host)); err != nil {
-		return err
-	}
-	for s.split.Status < 200 {
-		if !s.in.Scan() {
-			return s.err()
-		}
-	}
-	if s.split.Status != 200 {
-		return fmt.Errorf("%s answered %d", target, s.split.Status)
-	}
-	return nil
+func (c *Client) failed(f *feed, err error) {
+	c.noisy.Warn("the watch of the list ended", logrus.Fields{"error": err, "index": f.index, "address": f.address})
 }
 
-func (s *stream) err() error {
-	if err := s.in.Err(); err != nil {
-		return err
-	}
-	return errors.New("the connection ended")
-}
-
-// next adds a piece of the body to the line.
-func (s *stream) next() error {
-	if !s.in.Scan() {
-		return s.err()
-	}
-	if s.line = append(s.line, s.in.Bytes()...); len(s.line) > s.most {
-		return fmt.Errorf("a line over %d bytes", s.most)
-	}
-	return nil
-}
-
-// watch uses one connection: for the whole list if that is wanted, then for the changes.
-func (f *feed) watch(ctx context.Context) error {
+// follow takes the list, if that was asked for, and then its changes, until the connection is of no more use.
+func (f *feed) follow(s *stream) error {
 	c := f.c
-	d := net.Dialer{Timeout: c.limits.AgentTime}
-	nc, err := d.DialContext(ctx, "tcp", f.address)
-	if err != nil {
-		return err
-	}
-	defer nc.Close()
-	stop := context.AfterFunc(ctx, func() { nc.Close() })
-	defer stop()
-	s := &stream{nc: nc, most: c.limits.ListBytes, quiet: c.limits.AgentTime}
-	s.split.Limits = h1.Limits{Head: c.limits.HeadBytes}
-	s.in = bufio.NewScanner(s)
-	s.in.Buffer(nil, c.limits.HeadBytes+c.limits.BodyBytes)
-	s.in.Split(s.split.Split)
 	if f.whole {
-		if err := s.get("/api/targets", f.address, c.limits.WriteTime); err != nil {
+		if _, err := f.take(s.line); err != nil {
 			return err
 		}
-		for !s.split.Done {
-			if err := s.next(); err != nil {
-				return err
-			}
-		}
-		if !f.take(s.line) {
-			return errors.New("no list could be read")
-		}
 		if f.whole = false; s.split.Close {
 			return errors.New("closed after the whole list")
 		}
 		s.line = s.line[:0]
+		s.until(c.limits.AgentTime)
+		if err := s.get(watchTarget(f.index), f.address); err != nil {
+			return err
+		}
 	}
-	if err := s.get("/api/targets?watch=1&after="+strconv.FormatInt(f.index, 10), f.address, c.limits.WriteTime); err != nil {
-		return err
-	}
-	s.quiet = c.limits.WatchSilence
+	s.until(c.limits.WatchSilence)
 	for !s.split.Done {
 		if err := s.next(); err != nil {
 			return err
@@ -264,9 +187,16 @@
 			if !ok {
 				break
 			}
-			if len(bytes.TrimSpace(line)) > 0 && !f.take(line) {
-				f.whole = true // what that line said is missing: the whole list has it
-				return errors.New("a line could not be read")
+			news := true
+			if len(bytes.TrimSpace(line)) > 0 {
+				var err error
+				if news, err = f.take(line); err != nil {
+					f.whole = true // what that line said is missing: the whole list has it
+					return err
+				}
+			}
+			if news { // what is had already says nothing of what there is now, as a pulse does
+				s.until(c.limits.WatchSilence)
 			}
 			s.line = s.line[:copy(s.line, rest)]
 		}
@@ -274,21 +204,22 @@
 	return errors.New("the answer ended")
 }
 
-// take reads one object and passes it on. One that can't be read leaves the list as it is. The first whole list
+// take reads one object and passes it on; news is false for changes that are had already. One that can't be read
+// leaves the list as it is. The first whole list
 // of a new address is where the move is done: from then on the old one is not heard.
-func (f *feed) take(raw []byte) bool {
+func (f *feed) take(raw []byte) (news bool, err error) {
 	c := f.c
 	list, index, odd, err := Parse(raw)
 	if err != nil {
 		c.noisy.Warn("a line of the list is passed over", logrus.Fields{"error": err, "bytes": len(raw)})
-		return false
+		return false, err
 	}
 	if len(odd) > 0 {
 		c.noisy.Warn("odd entries on the list", logrus.Fields{"entries": odd, "index": index})
 	}
 	list.Full = list.Full || f.whole
 	if !list.Full && index <= f.index { // had already
-		return true
+		return false, nil
 	}
 	f.index = index
 	c.mu.Lock()
@@ -304,5 +235,5 @@
 		c.sink.Listed(list)
 		c.hasList.Store(true)
 	}
-	return true
+	return true, nil
 }
