Keep agreed time from being carried away by a fast monotonic clock

Agreed time is the wall's; while that is behind what was applied, agreed time now goes on by a fiftieth slower than the monotonic clock, so the wall catches up.

--- a/internal/fleet/lead/lead.go
+++ b/internal/fleet/lead/lead.go
@@ -57,6 +57,11 @@
 	LateMost = 3 * time.Second
 	// HeardMost is the co-ordinators whose polls are remembered; the one silent for longest goes first.
 	HeardMost = 2048
+	// CatchUp: while the own wall's clock is behind agreed time, that goes on slower than the own monotonic clock, by one
+	// part of so many, so that the wall catches up though the monotonic one be fast by the drift. At its full pace it
+	// would carry agreed time ever further ahead, and machines would count as warm before they are; twice as slow, ends
+	// are found later by so much more.
+	CatchUp = Drift / 2
 	// LoadShare is the least share of the live co-ordinators that have told of their load lately, for it to be known.
 	LoadShare = 0.8
 )
@@ -156,8 +161,9 @@
 	index  uint64
 	agreed time.Duration // as applied
 	now    time.Duration // own monotonic, of this Step
-	time   time.Duration // agreed time as far as known: the wall's, but never behind now+ahead
-	ahead  time.Duration // by how much agreed time was ahead of the own, by what was applied or proposed
+	time   time.Duration // agreed time as far as known: the wall's, or while that is behind, base and most of what passed since
+	base   time.Duration // the newest agreed time that was applied or proposed, first at the own time baseAt
+	baseAt time.Duration
 
 	list      []takeout.Machine // by name, each once
 	listed    bool
@@ -199,7 +205,7 @@
 	for _, i := range in {
 		l.take(i)
 	}
-	l.time = max(wall, l.now+l.ahead, 0)
+	l.time = max(wall, l.base+(l.now-l.baseAt)-(l.now-l.baseAt)/CatchUp, 0)
 	if !l.leading || l.state == nil {
 		return l.out
 	}
@@ -253,13 +259,20 @@
 	case Applied:
 		if in.State != nil && in.Index >= l.index {
 			l.state, l.index, l.agreed = in.State, in.Index, max(l.agreed, in.Now)
-			l.ahead = max(l.ahead, in.Now-l.now)
+			l.know(in.Now)
 		}
 	case Ended:
 		l.ended(in)
 	}
 }
 
+// know takes an agreed time that was applied or proposed.
+func (l *Lead) know(agreed time.Duration) {
+	if agreed > l.base {
+		l.base, l.baseAt = agreed, l.now
+	}
+}
+
 // reset forgets what holds for one term only.
 func (l *Lead) reset() {
 	l.heard = map[string]*heard{}
--- a/internal/fleet/lead/propose.go
+++ b/internal/fleet/lead/propose.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	l.seq++
-	l.ahead = max(l.ahead, l.time-l.now)
+	l.know(l.time)
 	c := ledger.Command{V: ledger.Version, ID: fmt.Sprintf("%d-%d", l.term, l.seq), Part: Part, Kind: kind, At: l.time, Body: raw}
 	l.waiting = append(l.waiting, proposal{what: what, term: l.term, command: c, at: l.now, times: 1, done: done})
 	l.out = append(l.out, Propose{c})
