Lay a refused drain once it can be, if its machine was told all the same

A co-ordinator that restarts under a told grant and finds the other holders down refuses the drain; nobody hears that any more, and in the emulated fleet it went on sending to the told machine after the others were back. A refusal holds while the grant is only granted, as that was said; of a told or gone machine the drain is laid as soon as it leaves a holder.

--- a/internal/fleet/view/drains.go
+++ b/internal/fleet/view/drains.go
@@ -17,7 +17,7 @@
 	until     time.Duration
 	confirmed bool          // a Step came after the one that laid it
 	from      time.Duration // own time from which its Grace counts
-	refused   string        // why it is not laid, for good
+	refused   string        // why it is not laid: for good while it is only granted, as that was said; else until it can be
 }
 
 func byFence(a, b lay) int { return cmp.Compare(a.fence, b.fence) }
@@ -71,10 +71,16 @@
 		return
 	}
 	for _, it := range v.live {
-		if v.laid(it.Fence) >= 0 || v.cut && now >= v.end(it.Until) {
+		m := v.kinds[it.Machine]
+		if i := v.laid(it.Fence); i >= 0 {
+			if l := &v.lays[i]; l.refused != "" && it.Phase != takeout.Granted && v.leavesNone(m) == "" {
+				*l = lay{machine: l.machine, fence: l.fence, until: l.until, from: now, drain: true}
+			}
+			continue
+		}
+		if v.cut && now >= v.end(it.Until) {
 			continue
 		}
-		m := v.kinds[it.Machine]
 		l := lay{machine: it.Machine, fence: it.Fence, until: it.Until, from: now, drain: m.Kind != takeout.Coordinator}
 		if l.drain {
 			if l.refused = v.leavesNone(m); l.refused != "" {
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -167,6 +167,9 @@
 	r.pending = []Input{Listed{list}}
 	r.run(5 * s)
 	r.want("a refusal holds for its fence", r.drains, "[r2]")
+	r.applied(r.item("r1", 7, takeout.Told), r.item("r3", 8, takeout.Granted), r.item("r2", 9, takeout.Done))
+	r.run(5 * s)
+	r.want("one told without its word is drained once it can be", r.drains, "[r1]")
 
 	r = begin(t)
 	r.applied(r.item("r1", 7, takeout.Granted), r.item("r2", 8, takeout.Granted))
