Close no connection at the end over a request that waits or has begun

Seen: 200 clients over loopback that go on sending after SIGTERM on each connection that stays open, to the program itself, three runs: 20 to 26 of some 1,700 requests met the end of their connection with no answer, though a client looks for that end until it sends; half of a request read 80 ms before the close, and the second of two sent at once of which bytes were missing, were never answered (front tests, 5 s). Ruled out: the listener (nobody comes after 0.4 s), the exchange (what reached it was answered in time, exit 0), the client's own wait. Lines at fault, internal/front: hangUp marked the connection as closing from another goroutine, up to 8 ms before its own one closed it, and what came or waited meanwhile was dropped by request; sparing gave a request that had begun 100 ms, though nobody wants its place in a drain; ends closed with the answer though a further request had begun, and run forgot that bytes of it had been read with the one before.

Now the connection's goroutine decides right before it closes, looks for bytes that wait, and lets a request that has begun come to its end in RequestTime, up to the moment for the last answers. Each of the new tests fails without it.

--- a/internal/duplex/waits.go
+++ b/internal/duplex/waits.go
@@ -13,6 +13,9 @@
 	return n > 0 || nothing(err)
 }
 
+// Waits tells whether bytes or the end of the connection can be read at once. It may be called from anywhere.
+func (c *Conn) Waits() bool { return Waits(c.nc) }
+
 // Waits tells whether bytes or the end of a connection can be read at once.
 func Waits(nc net.Conn) bool {
 	_, err := peek(nc)
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -127,8 +127,7 @@
 	if best == nil {
 		return false
 	}
-	best.hangUp()
-	return true
+	return best.hangUp()
 }
 
 // census tells what the connections are, for the log.
--- /dev/null
+++ b/internal/front/drain_test.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"birchcart/internal/exchange"
+)
+
+// draining tells the server to end and waits until each answer closes its connection.
+func (st *stand) draining() (done chan struct{}) {
+	st.Helper()
+	done = make(chan struct{})
+	go func() { st.s.Drain(context.Background()); close(done) }()
+	for end := time.Now().Add(5 * time.Second); !st.s.leaving.Load(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			st.Fatal("not leaving")
+		}
+	}
+	return done
+}
+
+func (st *stand) drained(done chan struct{}) {
+	st.Helper()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		st.Fatal("not done")
+	}
+}
+
+// A request of which half was read when the connections are closed is read to its end and answered.
+func TestAHalfReadRequestAtTheClose(t *testing.T) {
+	st := newStand(t, nil)
+	c, text := st.dial(), query("a", "", goodBody)
+	c.write(text[:len(text)/2])
+	time.Sleep(80 * time.Millisecond) // longer than what makes room for others
+	done := st.draining()
+	time.Sleep(3 * drainTick)
+	c.write(text[len(text)/2:])
+	st.next().Reply(exchange.Reply{})
+	if r := c.status(200); !r.Close {
+		t.Error("the connection is kept")
+	}
+	st.drained(done)
+}
+
+// A request that is read ahead in part when the one before is answered keeps its connection and is answered, too.
+func TestAPipelinedRequestAtTheClose(t *testing.T) {
+	for _, cut := range []int{0, 30} { // bytes that are missing still
+		st := newStand(t, nil)
+		c, second := st.dial(), query("b", "", goodBody)
+		c.write(query("a", "", goodBody) + second[:len(second)-cut])
+		q := st.next()
+		done := st.draining()
+		time.Sleep(2 * drainTick)
+		q.Reply(exchange.Reply{})
+		if r := c.status(200); r.Close {
+			t.Error("closed over a request that had begun")
+		}
+		c.write(second[len(second)-cut:])
+		st.next().Reply(exchange.Reply{})
+		if r := c.status(200); !r.Close {
+			t.Error("the connection is kept")
+		}
+		st.drained(done)
+	}
+}
+
+// Who goes on sending ahead does not put off the end: from the last moment for answers each closes its connection.
+func TestSendingAheadEnds(t *testing.T) {
+	st := newStand(t, nil)
+	c := st.dial()
+	c.write(query("a", "", goodBody) + query("b", "", goodBody)[:100])
+	q := st.next()
+	done := st.draining()
+	time.Sleep(st.s.limits.EndTime)
+	q.Reply(exchange.Reply{})
+	if r := c.status(200); !r.Close {
+		t.Error("the connection is kept")
+	}
+	st.drained(done)
+}
+
+// What waits to be read on a connection between requests is a request that was taken: it is not closed over it.
+func TestNoCloseOverWhatWaits(t *testing.T) {
+	st := newStand(t, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newClient(st.s, nc) // its goroutine is not running: it has not had the processor
+	c.good = true
+	if _, err := peer.Write([]byte(query("a", "", goodBody))); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(10 * time.Millisecond)
+	c.hung = true // asked to go before that came
+	go c.run()
+	st.next().Reply(exchange.Reply{})
+	b := make([]byte, 100)
+	peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+	n, err := peer.Read(b)
+	if err != nil || !strings.HasPrefix(string(b[:n]), "HTTP/1.1 200") {
+		t.Errorf("%q %v", b[:n], err)
+	}
+	c.hangUp()
+	if n, err := peer.Read(b); err == nil {
+		t.Errorf("not closed though nothing waits: %q", b[:n])
+	}
+}
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -25,6 +25,7 @@
 	asked   *exchange.Query   // the query that waits for its answer
 	waiting []*exchange.Query // read ahead; one at a time is asked
 	closing bool              // nothing more is read once all is answered and written
+	hung    bool              // asked to go
 	over    bool              // came past the limit of connections; guarded by the server's lock
 	good    bool              // has sent a request that could be used
 	idleAt  time.Time
@@ -56,11 +57,18 @@
 	in := bufio.NewScanner(reader{c, split})
 	// Room for the body in the smallest chunks of sixteen bytes and for a trailer; past that it is too long.
 	in.Buffer(nil, 2*lim.HeadBytes+2*lim.BodyBytes)
-	in.Split(split.Split)
+	ahead := 0 // bytes that were read behind the request
+	in.Split(func(data []byte, atEOF bool) (int, []byte, error) {
+		n, token, err := split.Split(data, atEOF)
+		ahead = len(data) - n
+		return n, token, err
+	})
 	last := false
 	for !last && in.Scan() {
 		c.mu.Lock()
-		c.partial = time.Time{}
+		if c.partial = (time.Time{}); ahead > 0 {
+			c.partial = c.conn.ReadAt()
+		}
 		c.mu.Unlock()
 		c.has(-c.unread)
 		last = c.request(&split.Request)
--- a/internal/front/reply.go
+++ b/internal/front/reply.go
@@ -62,7 +62,7 @@
 
 // ends tells whether the answer that is written now is the connection's last.
 func (c *client) ends() bool {
-	if c.s.leaving.Load() && len(c.waiting) == 0 {
+	if c.s.leaving.Load() && len(c.waiting) == 0 && !(c.s.hears() && (!c.partial.IsZero() || c.conn.Waits())) {
 		c.closing = true
 	}
 	return c.closing && len(c.waiting) == 0
@@ -72,6 +72,10 @@
 func (c *client) Pull(buf []byte) ([]byte, time.Time, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.hung {
+		c.hung = false
+		c.closing = c.closing || c.goes()
+	}
 	buf = append(buf, c.out...)
 	c.out = c.out[:0]
 	c.spoke = c.spoke || len(buf) > 0
@@ -132,8 +136,10 @@
 func (c *client) sparing() (spare, time.Time) {
 	kind, since := idle, c.idleAt
 	switch {
-	case c.asked != nil || len(c.out) > 0 || c.closing:
+	case c.asked != nil || len(c.out) > 0 || c.closing || c.hung:
 		return needed, since
+	case !c.partial.IsZero() && c.s.leaving.Load() && c.s.hears():
+		return needed, since // nobody else wants its place, and what of it is on its way would be lost
 	case !c.good:
 		kind, since = silent, c.began
 	case !c.partial.IsZero():
@@ -145,14 +151,22 @@
 	return kind, since
 }
 
-// hangUp closes the connection if it can be spared still.
-func (c *client) hangUp() {
+// hangUp closes the connection if it can be spared still, and tells whether it looks so. The connection's goroutine
+// decides, right before it closes.
+func (c *client) hangUp() bool {
 	c.mu.Lock()
-	if kind, _ := c.sparing(); kind != needed {
-		c.closing = true
-	}
+	c.hung = c.hung || c.goes()
+	ends := c.hung
 	c.mu.Unlock()
 	c.conn.Wake()
+	return ends
+}
+
+// goes tells whether the connection may be closed now. What waits to be read there is a request that the client takes
+// for received: it is read first, however late we come to it.
+func (c *client) goes() bool {
+	kind, _ := c.sparing()
+	return kind != needed && (kind == slow || !c.conn.Waits())
 }
 
 // appendAnswer writes the body of an answer. Values go out byte for byte, but for what JSON has to escape.
