Say when a set of drains is in force and when the list was last confirmed

Need: a co-ordinator may say that it sends nothing new only once its exchange goes by the drain, and a leader may observe only a list that discovery still stands for.

Change: Narrowable takes a word for each set that is laid, and tells whether the list is an old one from disk. discovery.Heard is the time of the last sign that the list holds. `council.found` in the operators' file lets a voter without a store make one. check tells of a fleet in the file.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -31,6 +31,7 @@
 	noisy   *logs.Limited
 	asked   chan struct{}
 	hasList atomic.Bool
+	heard   atomic.Pointer[time.Time] // last word of a watch, or a whole list, at the address whose word is taken
 	feeds   sync.WaitGroup
 
 	mu   sync.Mutex
@@ -70,6 +71,21 @@
 // HasList tells whether discovery has given a list.
 func (c *Client) HasList() bool { return c.hasList.Load() }
 
+// Heard tells when the watch last gave a sign that the list holds, zero for never.
+func (c *Client) Heard() time.Time {
+	if at := c.heard.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+func (c *Client) hear(f *feed) {
+	if c.leads(f) {
+		now := time.Now()
+		c.heard.Store(&now)
+	}
+}
+
 // Run watches until the context ends.
 func (c *Client) Run(ctx context.Context) {
 	c.mu.Lock()
@@ -197,6 +213,7 @@
 			}
 			if news { // what is had already says nothing of what there is now, as a pulse does
 				s.until(c.limits.WatchSilence)
+				c.hear(f)
 			}
 			s.line = s.line[:copy(s.line, rest)]
 		}
--- a/internal/exchange/narrow.go
+++ b/internal/exchange/narrow.go
@@ -15,16 +15,20 @@
 type narrowing struct {
 	entries map[string]Entry // as discovery has them, without those that are gone
 	drained map[string]bool
-	tell    func(list []Entry)
+	stale   bool // the whole list before was from disk
+	tell    func(list []Entry, stale bool)
+	laid    func()
 }
 
 // drains is the news that the set of replicas to be drained is now this one.
 type drains []string
 
-// Narrowable makes the list one that Narrow may be laid over. After each news of it tell, if not nil, gets it whole, as
-// discovery has it and sorted by name; it keeps what it gets and must not block. To be called before Run.
-func (e *Exchange) Narrowable(tell func(list []Entry)) {
-	e.narrowing = &narrowing{entries: map[string]Entry{}, drained: map[string]bool{}, tell: tell}
+// Narrowable makes the list one that Narrow may be laid over. Of what is given, nil is left out: after each news of the list
+// tell gets it whole, as discovery has it and sorted by name, and whether it is an old one from disk; laid is called once for
+// each set that Narrow gave, when from then on nothing new is decided for what is in it. Both are called in the turn, keep
+// what they get, and must not block. To be called before Run.
+func (e *Exchange) Narrowable(tell func(list []Entry, stale bool), laid func()) {
+	e.narrowing = &narrowing{entries: map[string]Entry{}, drained: map[string]bool{}, tell: tell, laid: laid}
 }
 
 // Narrow has these replicas, and no others, shown as draining while discovery says that they are up. A name that is not
@@ -39,6 +43,7 @@
 	}
 	if l.Full {
 		clear(n.entries)
+		n.stale = l.Stale
 	}
 	shown := l
 	shown.Entries = make([]Entry, len(l.Entries))
@@ -51,7 +56,7 @@
 		shown.Entries[i] = n.shown(entry)
 	}
 	if n.tell != nil {
-		n.tell(slices.SortedFunc(maps.Values(n.entries), func(a, b Entry) int { return strings.Compare(a.Name, b.Name) }))
+		n.tell(slices.SortedFunc(maps.Values(n.entries), func(a, b Entry) int { return strings.Compare(a.Name, b.Name) }), n.stale)
 	}
 	return shown
 }
@@ -73,11 +78,13 @@
 			changed = append(changed, n.shown(entry))
 		}
 	}
-	if len(changed) == 0 {
-		return
+	if len(changed) > 0 {
+		e.log.WithFields(logrus.Fields{"drained": len(n.drained), "changed": len(changed)}).Info("the fleet's drains over the list changed")
+		e.shown(List{Entries: changed})
+	}
+	if n.laid != nil {
+		n.laid()
 	}
-	e.log.WithFields(logrus.Fields{"drained": len(n.drained), "changed": len(changed)}).Info("the fleet's drains over the list changed")
-	e.shown(List{Entries: changed})
 }
 
 func (n *narrowing) shown(entry Entry) Entry {
--- a/internal/exchange/narrow_test.go
+++ b/internal/exchange/narrow_test.go
@@ -25,7 +25,8 @@
 func TestNarrow(t *testing.T) {
 	s := newStand(t, nil)
 	var told [][]Entry
-	s.e.Narrowable(func(list []Entry) { told = append(told, list) })
+	laid := 0
+	s.e.Narrowable(func(list []Entry, _ bool) { told = append(told, list) }, func() { laid++ })
 	var events []policy.Event
 	s.e.Observe(func(_ float64, in []policy.Event, _ []policy.Action) { events = append(events, in...) })
 	started := time.Now().Add(-time.Hour)
@@ -71,6 +72,9 @@
 			t.Errorf("%+v", ev)
 		}
 	}
+	if laid != 8 {
+		t.Errorf("%d sets were laid", laid)
+	}
 	if last := told[len(told)-1]; len(told) != 8 || !reflect.DeepEqual(last, []Entry{zero, one}) {
 		t.Errorf("told %d lists, the last %v", len(told), last)
 	}
@@ -79,7 +83,7 @@
 // What is drained gets nothing new, and its part that was out is answered.
 func TestNarrowedGetsNothingNew(t *testing.T) {
 	s := newStand(t, nil)
-	s.e.Narrowable(nil)
+	s.e.Narrowable(nil, nil)
 	load := s.e.Load()
 	s.e.Listed(List{Full: true, Entries: []Entry{{Name: "r0", Address: "a", Size: 1}, {Name: "r1", Address: "b", Cell: 1, Size: 1}}})
 	s.e.turn()
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -37,6 +37,9 @@
 // FleetCouncil is where a voter listens for the others of the council.
 type FleetCouncil struct {
 	Bind string `json:"bind"` // HOST:PORT; the voter's own address if absent
+	// Found lets a voter without a store make a new one: for the first start of a fleet, and to be taken out after it. A
+	// voter whose store was lost and that found anew would forget what it voted and agreed to.
+	Found bool `json:"found"`
 }
 
 // FleetGossip is where a co-ordinator talks with all others, by UDP and TCP on one port.
--- a/internal/serve/args.go
+++ b/internal/serve/args.go
@@ -79,6 +79,9 @@
 	fmt.Printf("%d descriptors: %d clients, %d refused beyond, %d connections to replicas\n", l.Sockets, l.Clients,
 		l.ClientsOver, l.ReplicaLinks)
 	fmt.Printf("%d MB of memory, %d queries and parts at once\n", l.Memory>>20, l.Held)
+	if op != nil && op.Fleet != nil {
+		fmt.Printf("fleet of %d voters, %d requests, revision %d\n", len(op.Fleet.Voters), len(op.Fleet.Work), op.Fleet.Revision)
+	}
 	fmt.Printf("known list with %d replicas\n", len(d.Ring.Replicas()))
 	return nil
 }
--- a/internal/serve/beside.go
+++ b/internal/serve/beside.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -29,6 +30,7 @@
 	Config   *config.Config
 	Operator *operator.File // nil if there is none
 	Exchange *exchange.Exchange
+	Heard    func() time.Time // when discovery last said that the list holds, zero for never
 	Log      *logrus.Entry
 	End      func() // as SIGTERM does
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -156,7 +156,7 @@
 		ctx, endByIt = context.WithCancel(ctx)
 		defer endByIt()
 		defer beside.Stop()
-		if err := beside.Start(Serving{Config: given, Operator: op, Exchange: ex, Log: log, End: endByIt}); err != nil {
+		if err := beside.Start(Serving{Config: given, Operator: op, Exchange: ex, Heard: disc.Heard, Log: log, End: endByIt}); err != nil {
 			return err
 		}
 	}
