--- a/internal/fleet/waves/order_test.go
+++ b/internal/fleet/waves/order_test.go
@@ -40,7 +40,8 @@
 }
 
 func newSite(t *testing.T, replicas, coordinators int, l takeout.Limits, requests ...takeout.Request) *site {
-	s := &site{t: t, s: takeout.New(), now: 1000 * sec, back: make([]time.Duration, replicas+coordinators), load: 0.4 * float64(replicas)}
+	s := &site{t: t, s: takeout.New(), now: 1000 * sec, load: 0.4 * float64(replicas)}
+	s.back = make([]time.Duration, replicas+coordinators)
 	for i := range replicas {
 		s.machines = append(s.machines, takeout.Machine{Name: fmt.Sprintf("r%03d", i), Kind: takeout.Replica, Zone: fmt.Sprint("z", i%4),
 			Cell: i % l.Cells, Status: takeout.Up})
@@ -57,8 +58,9 @@
 }
 
 func limits(cells int) takeout.Limits {
-	return takeout.Limits{Cells: cells, Reach: 3, Shards: cells, HoldersLeast: 2, OutByZone: cells, OutMost: 2 * cells, Headroom: 0.25,
-		LoadAge: 30 * sec, ListAge: 30 * sec, WarmUp: 40 * sec, Lease: 5 * sec, Grace: 2 * sec, Settle: 10 * sec, Calm: 60 * sec, PassedMost: 8, VotersLeast: 3}
+	return takeout.Limits{Cells: cells, Reach: 3, Shards: cells, HoldersLeast: 2, OutByZone: cells, OutMost: 2 * cells,
+		Headroom: 0.25, LoadAge: 30 * sec, ListAge: 30 * sec, WarmUp: 40 * sec, Lease: 5 * sec, Grace: 2 * sec,
+		Settle: 10 * sec, Calm: 60 * sec, PassedMost: 8, VotersLeast: 3}
 }
 
 // swap lets all go, as Order says and MayGo allows, each away for about a minute, and tells how long it took.
@@ -120,7 +122,8 @@
 // number of times that one is away and cold.
 func TestSwapTakesLittleMoreThanTheBound(t *testing.T) {
 	for _, jitter := range []float64{0, 0.1} {
-		s := newSite(t, 200, 7, limits(200), takeout.Request{ID: "swap", Kind: takeout.Replica, Reason: "new hardware", For: 10 * time.Minute})
+		all := takeout.Request{ID: "swap", Kind: takeout.Replica, Reason: "new hardware", For: 10 * time.Minute}
+		s := newSite(t, 200, 7, limits(200), all)
 		plan := Plan(FromState(s.s, s.now))
 		took, most := s.swap(jitter)
 		done := 0
@@ -130,7 +133,8 @@
 			}
 		}
 		floor := time.Duration(plan.Bound) * (60 + 40) * sec
-		t.Logf("times that differ by %v: %v; took %v, %.2f times %v, %d away at once", jitter, plan, took, float64(took)/float64(floor), floor, most)
+		t.Logf("times that differ by %v: %v; took %v, %.2f times %v, %d away at once",
+			jitter, plan, took, float64(took)/float64(floor), floor, most)
 		if done != 200 || float64(took) > 1.2*float64(floor) {
 			t.Errorf("%d done", done)
 		}
--- a/internal/fleet/waves/plan.go
+++ b/internal/fleet/waves/plan.go
@@ -14,9 +14,10 @@
 )
 
 // Plan makes a plan. It tries as many waves as the bound says, and then more, until all machines have their place.
-// Looking ahead, it always places next the one with the fewest waves left that can take it, of these the one whose shards
-// are the most asked for, in the first wave that can take it; a placing that leaves another machine none is taken back. Full waves first are what
-// operators want, but can leave what is alike for the last ones, so that level ones are tried too.
+// Looking ahead, it always places next the one with the fewest waves left that can take it, of these the one whose
+// shards are the most asked for, in the first wave that can take it; a placing that leaves another machine none is taken
+// back. Full waves first are what operators want, but can leave what is alike for the last ones, so that level ones are
+// tried too.
 func Plan(p Problem) Result {
 	f := newFleet(p)
 	r := Result{Kept: f.kept}
@@ -73,9 +74,10 @@
 func newSearch(f *fleet, waves int) *search {
 	n := len(f.asks)
 	s := &search{
-		fleet: f, waves: waves, tries: triesEach*n + triesFree, wave: make([]int, n), can: make([]bool, n*waves), open: make([]int, n),
-		taken: make([]int, len(f.spare)*waves), zoned: make([]int, len(f.zones)*waves), all: make([]int, waves), votes: make([]int, waves),
-		sizes: make([]float64, waves), near: make([][]int, n), zone: make([][]int, len(f.zones)),
+		fleet: f, waves: waves, tries: triesEach*n + triesFree, wave: make([]int, n),
+		can: make([]bool, n*waves), open: make([]int, n),
+		taken: make([]int, len(f.spare)*waves), zoned: make([]int, len(f.zones)*waves), all: make([]int, waves),
+		votes: make([]int, waves), sizes: make([]float64, waves), near: make([][]int, n), zone: make([][]int, len(f.zones)),
 	}
 	s.all[0], s.votes[0], s.sizes[0] = f.out, f.voter, f.cold
 	for z, n := range f.busy {
--- a/internal/fleet/waves/plan_test.go
+++ b/internal/fleet/waves/plan_test.go
@@ -14,6 +14,9 @@
 // counts holders anew for each shard and shares no code with the plan.
 func legal(p Problem, first bool, wave []string) string {
 	l, gone, out, voters, size, places := p.Limits, 0, len(wave), 0, 0.0, map[string]int{}
+	holds := func(is func(Machine) bool) bool {
+		return slices.ContainsFunc(p.Machines, func(m Machine) bool { return is(m) && slices.Contains(wave, m.Name) })
+	}
 	for _, m := range p.Machines {
 		in := slices.Contains(wave, m.Name)
 		if first && m.Busy {
@@ -36,7 +39,7 @@
 		return ""
 	}
 	for z, n := range places {
-		if n > l.OutByZone && slices.ContainsFunc(p.Machines, func(m Machine) bool { return m.Zone == z && slices.Contains(wave, m.Name) }) {
+		if n > l.OutByZone && holds(func(m Machine) bool { return m.Zone == z }) {
 			return fmt.Sprint("zone ", z)
 		}
 	}
@@ -47,8 +50,9 @@
 		}
 		member = member || m.Voter && slices.Contains(wave, m.Name)
 	}
-	takesSize := slices.ContainsFunc(p.Machines, func(m Machine) bool { return m.Replica && slices.Contains(wave, m.Name) })
-	if out > l.OutMost || member && (voters > 1 || up-gone < l.VotersLeast) || takesSize && p.LoadKnown && size+1e-6 < p.Load*(1+l.Headroom) {
+	takesSize := holds(func(m Machine) bool { return m.Replica })
+	short := takesSize && p.LoadKnown && size+1e-6 < p.Load*(1+l.Headroom)
+	if out > l.OutMost || member && (voters > 1 || up-gone < l.VotersLeast) || short {
 		return "all, voters or size"
 	}
 	for s := range l.Shards {
@@ -103,8 +107,8 @@
 
 func randomProblem(rng *rand.Rand) Problem {
 	cells := 2 + rng.IntN(6)
-	l := takeout.Limits{Cells: cells, Reach: 1 + rng.IntN(min(3, cells)), Shards: max(1, cells-rng.IntN(2)), HoldersLeast: 1 + rng.IntN(2),
-		OutByZone: 1 + rng.IntN(4), OutMost: 1 + rng.IntN(6), Headroom: 0.25, VotersLeast: 2}
+	l := takeout.Limits{Cells: cells, Reach: 1 + rng.IntN(min(3, cells)), Shards: max(1, cells-rng.IntN(2)),
+		HoldersLeast: 1 + rng.IntN(2), OutByZone: 1 + rng.IntN(4), OutMost: 1 + rng.IntN(6), Headroom: 0.25, VotersLeast: 2}
 	p := Problem{Limits: l, LoadKnown: rng.IntN(2) > 0}
 	for i := range cells * (1 + rng.IntN(3)) {
 		m := Machine{Name: fmt.Sprint("r", i), Zone: fmt.Sprint("z", rng.IntN(3)), Replica: true, Cell: i % cells, Serves: rng.IntN(9) > 0,
@@ -176,8 +180,8 @@
 // swap is a site of replicas, one a cell, and co-ordinators over four zones, of which all replicas, and with all set the
 // co-ordinators too, are to go.
 func swap(replicas, coordinators, reach, least, byZone, most int, all bool) Problem {
-	p := Problem{Limits: takeout.Limits{Cells: replicas, Reach: reach, Shards: replicas, HoldersLeast: least, OutByZone: byZone, OutMost: most,
-		Headroom: 0.25, VotersLeast: 3}, Load: 0.5 * float64(replicas), LoadKnown: true}
+	p := Problem{Limits: takeout.Limits{Cells: replicas, Reach: reach, Shards: replicas, HoldersLeast: least,
+		OutByZone: byZone, OutMost: most, Headroom: 0.25, VotersLeast: 3}, Load: 0.5 * float64(replicas), LoadKnown: true}
 	for i := range replicas {
 		m := Machine{Name: fmt.Sprintf("r%03d", i), Zone: fmt.Sprint("z", i%4), Replica: true, Cell: i, Serves: true}
 		p.Machines, p.Asks = append(p.Machines, m), append(p.Asks, Ask{m.Name, Routine})
