Agree by raft: a council of 1, 3 or 5 voters whose log is applied to the ledger

Need: what must hold at all co-ordinators has to be agreed, to survive its leader and a full disk, and to be handed to those without a vote.

Where raft would panic at a failing store, the seat goes out of the council and the process lives.

--- /dev/null
+++ b/internal/fleet/council/council_test.go
@@ -0,0 +1,336 @@
+package council
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func TestLeaderKilled(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{3, 5} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, n, nil)
+			var took []time.Duration
+			for i := range 5 {
+				old, _ := c.leader("")
+				c.must(old, fmt.Sprint("word ", i))
+				c.close(old)
+				_, d := c.leader(old)
+				took = append(took, d)
+				c.open(c.voter(old), false)
+			}
+			sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+			t.Logf("%d voters: leader killed %d times, a new one after %v (middle), %v (most)", n, len(took), took[len(took)/2], took[len(took)-1])
+			if took[len(took)-1] > 3*time.Second {
+				t.Error("over 3 s")
+			}
+			if s := c.same(); !strings.Contains(s, `["word 0","word 1","word 2","word 3","word 4"]`) {
+				t.Error(s)
+			}
+		})
+	}
+}
+
+func TestLeaderCutOff(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"both", "out"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, nil)
+			old, _ := c.leader("")
+			c.must(old, "before")
+			var pairs [][2]string
+			for _, v := range c.voters {
+				if v.Name != old {
+					pairs = append(pairs, [2]string{c.voter(old).Addr, v.Addr})
+					if kind == "both" {
+						pairs = append(pairs, [2]string{v.Addr, c.voter(old).Addr})
+					}
+				}
+			}
+			c.links.set(true, pairs...)
+			err := propose(c.seats[old], "by the one cut off")
+			if err == nil {
+				t.Error("what the one cut off proposed was taken")
+			}
+			now, _ := c.leader(old)
+			c.must(now, "after")
+			var not *NotLeader
+			if err := propose(c.seats[old], "again"); !errors.As(err, &not) {
+				t.Errorf("the one cut off: %v", err)
+			}
+			c.links.set(false, pairs...)
+			if s := c.same(); !strings.Contains(s, `["before","after"]`) {
+				t.Error(s)
+			}
+		})
+	}
+}
+
+func TestFarBehind(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, func(o *Options) { o.SnapshotAfter, o.TrailingLogs, o.RingMost = 200, 20, 100 })
+	lead, _ := c.leader("")
+	behind := c.voters[0]
+	if behind.Name == lead {
+		behind = c.voters[1]
+	}
+	c.close(behind.Name)
+	var wait sync.WaitGroup
+	for i := range 1000 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for errors.Is(propose(c.seats[lead], fmt.Sprint(i)), ErrBusy) {
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+	wait.Wait()
+	for name, s := range c.seats {
+		if err := s.raft.Snapshot().Error(); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+	}
+	s := c.open(behind, false)
+	until(t, "the one behind has all", 10*time.Second, func() bool { return s.Applied() == c.seats[lead].Applied() })
+	c.same()
+	s.Look(func() {
+		if c.machines[behind.Name].loads == 0 {
+			t.Error("it did not get a snapshot")
+		}
+	})
+
+	// One without a vote, from nothing.
+	copied := &list{}
+	at, snapshots, calls := uint64(0), 0, 0
+	for at < c.seats[lead].Applied() && calls < 100 {
+		entries, snapshot, next := c.seats[lead].Since(at, 100)
+		if snapshot != nil {
+			snapshots++
+			if err := copied.Load(snapshot); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, e := range entries {
+			if err := copied.Apply(e.Index, e.Raw); err != nil {
+				t.Fatal(err)
+			}
+		}
+		at, calls = next, calls+1
+	}
+	c.must(lead, "one more")
+	entries, _, _ := c.seats[lead].Since(at, 100)
+	for _, e := range entries {
+		if err := copied.Apply(e.Index, e.Raw); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if b, _ := copied.Save(); snapshots != 1 || string(b) != c.state(lead) {
+		t.Errorf("%d snapshots; it has other than the leader", snapshots)
+	}
+	if e, s, next := c.seats[lead].Since(1<<40, 100); e != nil || s != nil || next != 1<<40 {
+		t.Error("one ahead got something")
+	}
+}
+
+func TestReplaceAndHandOver(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, nil)
+	lead, _ := c.leader("")
+	c.must(lead, "a")
+	var others []string
+	for _, v := range c.voters {
+		if v.Name != lead {
+			others = append(others, v.Name)
+		}
+	}
+	v3 := Voter{"v3", free(t)}
+	c.voters = append(c.voters, v3)
+	c.open(v3, false)
+	var not *NotLeader
+	if err := c.seats[others[0]].Replace(others[1], v3); !errors.As(err, &not) || not.Name != lead {
+		t.Errorf("by another than the leader: %v", err)
+	}
+	if err := c.seats[lead].Replace(lead, v3); !errors.Is(err, ErrSelf) {
+		t.Error(err)
+	}
+	c.seats[lead].changing.Lock()
+	if err := c.seats[lead].Replace(others[0], v3); !errors.Is(err, ErrChanging) {
+		t.Error(err)
+	}
+	c.seats[lead].changing.Unlock()
+	if err := c.seats[lead].Replace(others[0], v3); err != nil {
+		t.Fatal(err)
+	}
+	c.close(others[0])
+	c.must(lead, "b")
+
+	// One is silent: another cannot be replaced then, but it can.
+	c.close(others[1])
+	until(t, "its silence is seen", 5*time.Second, func() bool {
+		c.seats[lead].mu.Lock()
+		defer c.seats[lead].mu.Unlock()
+		return c.seats[lead].silent[others[1]]
+	})
+	v4 := Voter{"v4", free(t)}
+	c.voters = append(c.voters, v4)
+	c.open(v4, false)
+	if err := c.seats[lead].Replace("v3", v4); !errors.Is(err, ErrMajority) {
+		t.Errorf("with one silent: %v", err)
+	}
+	if err := c.seats[lead].Replace(others[1], v4); err != nil {
+		t.Fatal(err)
+	}
+	c.must(lead, "c")
+	if err := c.seats[lead].HandOver(); err != nil {
+		t.Fatal(err)
+	}
+	now, took := c.leader(lead)
+	t.Logf("handed over in %v", took)
+	c.close(lead)
+	if err := c.seats[now].Replace(lead, Voter{}); !errors.Is(err, ErrMajority) && err != nil {
+		t.Error(err)
+	}
+	c.must(now, "d")
+	if s := c.same(); !strings.Contains(s, `["a","b","c","d"]`) {
+		t.Error(s)
+	}
+}
+
+func TestRestoreAfterLostMajority(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, nil)
+	lead, _ := c.leader("")
+	c.must(lead, "a", "b")
+	c.same()
+	at, snapshot := c.seats[lead].Applied(), []byte(c.state(lead))
+	for name := range c.seats {
+		c.close(name)
+	}
+	try := func(o Options, snapshot []byte, at uint64, others ...Voter) {
+		t.Helper()
+		if err := Restore(o, snapshot, at); err != nil {
+			t.Fatal(err)
+		}
+		c.voters = append([]Voter{{o.Name, o.Bind}}, others...)
+		c.open(c.voters[0], false)
+		c.leader("")
+		for _, v := range others {
+			c.open(v, false)
+			if err := c.seats[o.Name].Replace("", v); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.must(o.Name, "c")
+		if s := c.same(); !strings.Contains(s, `["a","b","c"]`) {
+			t.Error(s)
+		}
+		for name := range c.seats {
+			c.close(name)
+		}
+	}
+	try(c.options(c.voters[0]), nil, 0, Voter{"n1", free(t)}, Voter{"n2", free(t)}) // one that survived
+	try(c.options(Voter{"m0", free(t)}), snapshot, at, Voter{"m1", free(t)}, Voter{"m2", free(t)})
+	if err := Restore(c.options(Voter{"m0", free(t)}), snapshot, at); err == nil || !strings.Contains(err.Error(), "holds a council already") {
+		t.Error(err)
+	}
+	if err := Restore(c.options(Voter{"e", free(t)}), []byte("torn"), at); err == nil {
+		t.Error("a torn snapshot was taken")
+	}
+	if err := Restore(c.options(Voter{"f", free(t)}), nil, 0); err == nil || !strings.Contains(err.Error(), "holds no council") {
+		t.Error(err)
+	}
+}
+
+func TestDiskFails(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	files := map[string]*os.File{}
+	c := newCluster(t, 3, func(o *Options) {
+		o.Store.OpenFile = func(name string, flag int, mode os.FileMode) (*os.File, error) {
+			f, err := os.OpenFile(name, flag, mode)
+			mu.Lock()
+			files[o.Name] = f
+			mu.Unlock()
+			return f, err
+		}
+	})
+	breakDisk := func(name string) {
+		null, err := os.Open(os.DevNull)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer null.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		if err := syscall.Dup3(int(null.Fd()), int(files[name].Fd()), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 2 {
+		lead, _ := c.leader("")
+		c.must(lead, "x")
+		breakDisk(lead)
+		if err := propose(c.seats[lead], "on a broken disk"); err == nil {
+			t.Error("taken")
+		}
+		until(t, "it says so", 5*time.Second, func() bool { return c.seats[lead].Failed() != nil })
+		now, _ := c.leader(lead)
+		c.must(now, "y")
+		c.close(lead)
+		c.open(c.voter(lead), false)
+	}
+	c.same()
+	// One that must note a new term and cannot, where raft itself would panic.
+	lead, _ := c.leader("")
+	other := "v0"
+	if lead == other {
+		other = "v1"
+	}
+	breakDisk(other)
+	c.close(lead)
+	until(t, "the other says so", 10*time.Second, func() bool { return c.seats[other].Failed() != nil })
+	c.close(other)
+	c.open(c.voter(other), false)
+	c.leader("")
+}
+
+func TestProposals(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, nil)
+	lead, _ := c.leader("")
+	s := c.seats[lead]
+	if st := <-s.Changes(); !st.Leading || st.Term == 0 {
+		t.Errorf("%+v", st)
+	}
+	if err := propose(s, "refused"); err == nil || err.Error() != "the machine refuses" {
+		t.Error(err)
+	}
+	if err := propose(s, "panic"); err == nil || !strings.Contains(err.Error(), "at a loss") {
+		t.Error(err)
+	}
+	if err := propose(s, strings.Repeat("x", CommandMost+1)); !errors.Is(err, ErrLarge) {
+		t.Error(err)
+	}
+	c.must(lead, "a")
+	select {
+	case <-s.News():
+	case <-time.After(time.Second):
+		t.Error("no news")
+	}
+	if err := s.HandOver(); err == nil || !strings.Contains(err.Error(), "nobody took the lead") {
+		t.Error(err)
+	}
+	if _, err := Open(c.options(c.voters[0])); err == nil {
+		t.Error("two seats in one directory")
+	}
+}
--- /dev/null
+++ b/internal/fleet/council/restore.go
@@ -0,0 +1,68 @@
+package council
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/hashicorp/raft"
+)
+
+// Restore is the written step for when a majority of the council is lost for good, with no seat open on o.Dir. It leaves there
+// a council of one, o.Name at o.Advertise (or o.Bind); opened, it leads at once, and Replace("", voter) adds the others, one at a
+// time, each with an empty directory.
+//
+// Without a snapshot it goes on from what o.Dir holds: a voter that survived. Entries that only the lost ones had are
+// gone, and one that was not committed may become so. With a snapshot (what Since or a ledger's Save gave at some
+// co-ordinator, and its index) the directory must hold no council.
+//
+// Co-ordinators without a vote that are ahead of it must be restarted before it is opened: they hold what no longer is.
+func Restore(o Options, snapshot []byte, at uint64) (err error) {
+	addr := o.Advertise
+	if addr == "" {
+		addr = o.Bind
+	}
+	if o.Name == "" || o.Machine == nil || o.Log == nil || addr == "" {
+		return errors.New("council: a name, an address, a machine and a log are needed")
+	}
+	o.Bind = "127.0.0.1:0" // nobody is talked to
+	o.Advertise, o.Stream = addr, nil
+	p, err := prepare(o, func(error) {})
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	has, err := raft.HasExistingState(p.store, p.store, p.snaps)
+	if err != nil {
+		return fmt.Errorf("council: %w", err)
+	}
+	one := raft.Configuration{Servers: []raft.Server{{ID: raft.ServerID(o.Name), Address: raft.ServerAddress(addr)}}}
+	if snapshot != nil {
+		if has {
+			return fmt.Errorf("council: %s holds a council already; a snapshot is restored into an empty directory", o.Dir)
+		}
+		if at == 0 {
+			return errors.New("council: the snapshot's index is needed")
+		}
+		// Checked by the machine before anything is written.
+		raw := append(binary.BigEndian.AppendUint64([]byte{snapshotVersion}, at), snapshot...)
+		if err := newSeat(o).Restore(io.NopCloser(bytes.NewReader(raw))); err != nil {
+			return err
+		}
+		sink, err := p.snaps.Create(raft.SnapshotVersionMax, at, 1, one, 1, p.trans)
+		if err != nil {
+			return fmt.Errorf("council: %w", err)
+		}
+		if err := (saved{raw}).Persist(sink); err != nil {
+			return fmt.Errorf("council: %w", err)
+		}
+	} else if !has {
+		return fmt.Errorf("council: %s holds no council, and no snapshot was given", o.Dir)
+	}
+	if err := raft.RecoverCluster(p.conf, newSeat(o), p.store, p.store, p.snaps, p.trans, one); err != nil {
+		return fmt.Errorf("council: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/council/seat.go
@@ -0,0 +1,190 @@
+package council
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/hashicorp/raft"
+)
+
+// Entry is one committed and applied command. Raft's own entries take indexes too, so these have gaps.
+type Entry struct {
+	Index uint64
+	Raw   []byte
+}
+
+// seat is raft's state machine: the machine, and the latest entries for those that ask what is new.
+type seat struct {
+	most int
+
+	mu      sync.Mutex
+	machine Machine
+	ring    []Entry
+	bytes   int
+	floor   uint64 // the ring has all entries after this
+	applied uint64 // of the machine
+	saved   []byte // a snapshot at savedAt, kept while the ring goes on from it
+	savedAt uint64
+	fresh   chan struct{}
+}
+
+func newSeat(o Options) *seat {
+	s := &seat{most: o.RingMost, machine: o.Machine, fresh: make(chan struct{}, 1)}
+	if s.most == 0 {
+		s.most = RingMost
+	}
+	return s
+}
+
+// Apply is raft's call for each committed command.
+func (s *seat) Apply(l *raft.Log) any {
+	if l.Type != raft.LogCommand {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.apply(l.Index, l.Data)
+	s.applied = l.Index
+	s.ring = append(s.ring, Entry{l.Index, l.Data})
+	s.bytes += len(l.Data)
+	cut := 0
+	for len(s.ring)-cut > s.most || s.bytes > RingBytes && len(s.ring)-cut > 1 {
+		s.floor = s.ring[cut].Index
+		s.bytes -= len(s.ring[cut].Raw)
+		cut++
+	}
+	if cut > 0 {
+		s.ring = s.ring[cut:] // append moves it to new room now and then, which frees the old
+	}
+	if s.savedAt < s.floor {
+		s.saved = nil
+	}
+	select {
+	case s.fresh <- struct{}{}:
+	default:
+	}
+	if err == nil {
+		return nil
+	}
+	return err
+}
+
+// apply makes an error of a panic: the same at all voters, since the machine is the same.
+func (s *seat) apply(index uint64, raw []byte) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("council: applying entry %d: %v", index, r)
+		}
+	}()
+	return s.machine.Apply(index, raw)
+}
+
+// A snapshot on disk and between voters: version 1 | index of the last command 8 | what the machine saved. Raft's store has
+// the sum of the file, the machine its own.
+const snapshotVersion = 1
+
+type saved struct{ raw []byte }
+
+// Snapshot is raft's call. The machine's state is saved at once: it is small, and applying goes on meanwhile.
+func (s *seat) Snapshot() (raft.FSMSnapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	raw, err := s.machine.Save()
+	if err != nil {
+		return nil, fmt.Errorf("council: %w", err)
+	}
+	return saved{append(binary.BigEndian.AppendUint64([]byte{snapshotVersion}, s.applied), raw...)}, nil
+}
+
+func (s saved) Persist(sink raft.SnapshotSink) error {
+	if _, err := sink.Write(s.raw); err != nil {
+		return errors.Join(err, sink.Cancel())
+	}
+	return sink.Close()
+}
+
+func (saved) Release() {}
+
+// Restore is raft's call with a snapshot.
+func (s *seat) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	raw, err := io.ReadAll(r)
+	if err != nil {
+		return fmt.Errorf("council: %w", err)
+	}
+	if len(raw) < 9 {
+		return errors.New("council: the snapshot is cut short")
+	}
+	if raw[0] != snapshotVersion {
+		return fmt.Errorf("council: a snapshot of version %d, this program knows %d", raw[0], snapshotVersion)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.machine.Load(raw[9:]); err != nil {
+		return fmt.Errorf("council: %w", err)
+	}
+	s.applied = binary.BigEndian.Uint64(raw[1:])
+	s.floor, s.ring, s.bytes, s.saved = s.applied, nil, 0, nil
+	select {
+	case s.fresh <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Since gives what was committed and applied here after an index: entries, as many as go into so many bytes but at least
+// one, or, for who is too far behind, a snapshot, after which the next call goes on. at is the index that the asker has
+// reached with them.
+func (c *Council) Since(index uint64, mostBytes int) (entries []Entry, snapshot []byte, at uint64) {
+	s := c.seat
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index < s.floor {
+		if s.saved == nil || s.savedAt < s.floor {
+			raw, err := s.machine.Save()
+			if err != nil {
+				c.log.Errorf("no snapshot for one at %d: %v", index, err)
+				return nil, nil, index
+			}
+			s.saved, s.savedAt = raw, s.applied
+		}
+		return nil, s.saved, s.savedAt
+	}
+	at, bytes := index, 0
+	lo, hi := 0, len(s.ring)
+	for lo < hi {
+		if mid := (lo + hi) / 2; s.ring[mid].Index <= index {
+			lo = mid + 1
+		} else {
+			hi = mid
+		}
+	}
+	for _, e := range s.ring[lo:] {
+		if bytes += len(e.Raw); bytes > mostBytes && len(entries) > 0 {
+			break
+		}
+		entries = append(entries, e)
+		at = e.Index
+	}
+	return entries, nil, at
+}
+
+// Applied is the index of the last command that was applied here.
+func (c *Council) Applied() uint64 {
+	c.seat.mu.Lock()
+	defer c.seat.mu.Unlock()
+	return c.seat.applied
+}
+
+// News has a word whenever something was applied since the last was taken.
+func (c *Council) News() <-chan struct{} { return c.seat.fresh }
+
+// Look calls f while nothing is applied, so that it may read the machine. It must not wait.
+func (c *Council) Look(f func()) {
+	c.seat.mu.Lock()
+	defer c.seat.mu.Unlock()
+	f()
+}
