Close the council's connections with its seat, and bound them

Change: our layer below raft holds at most 128 connections and closes them first when the seat is closed.

--- a/internal/fleet/council/change.go
+++ b/internal/fleet/council/change.go
@@ -121,7 +121,7 @@
 
 // answers says whether an address takes a connection now.
 func (c *Council) answers(addr string) bool {
-	conn, err := c.layer.Dial(raft.ServerAddress(addr), WireMost)
+	conn, err := c.stream.Dial(raft.ServerAddress(addr), WireMost)
 	if err != nil {
 		return false
 	}
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -126,7 +126,8 @@
 	raft   *raft.Raft
 	store  *store.Store
 	trans  *raft.NetworkTransport
-	layer  raft.StreamLayer
+	layer  *layer
+	stream raft.StreamLayer // around it
 	seat   *seat
 	slots  chan struct{}
 	led    chan bool
@@ -158,7 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.store, c.trans, c.layer = p.store, p.trans, p.layer
+	c.store, c.trans, c.layer, c.stream = p.store, p.trans, p.layer, p.stream
 	p.conf.NotifyCh = c.led
 	if o.Bootstrap {
 		if err := bootstrap(o, p); err != nil {
@@ -194,7 +195,8 @@
 	guarded *guarded
 	snaps   *raft.FileSnapshotStore
 	trans   *raft.NetworkTransport
-	layer   raft.StreamLayer
+	layer   *layer
+	stream  raft.StreamLayer
 }
 
 func (p *prepared) close() {
@@ -230,35 +232,16 @@
 		_ = p.store.Close()
 		return nil, err
 	}
+	p.stream = p.layer
+	if o.Stream != nil {
+		p.stream = o.Stream(p.layer)
+	}
 	p.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
-		Stream: p.layer, MaxPool: 3, Timeout: WireMost, Logger: log,
+		Stream: p.stream, MaxPool: 3, Timeout: WireMost, Logger: log,
 	})
 	return p, nil
 }
 
-func bootstrap(o Options, p *prepared) error {
-	has, err := raft.HasExistingState(p.store, p.store, p.snaps)
-	if err != nil || has {
-		return err
-	}
-	if n := len(o.Voters); n != 1 && n != 3 && n != 5 {
-		return fmt.Errorf("council: %d voters, 1, 3 or 5 are wanted", n)
-	}
-	var first raft.Configuration
-	self := false
-	for _, v := range o.Voters {
-		first.Servers = append(first.Servers, raft.Server{ID: raft.ServerID(v.Name), Address: raft.ServerAddress(v.Addr)})
-		self = self || v.Name == o.Name
-	}
-	if !self {
-		return fmt.Errorf("council: %s is none of the voters", o.Name)
-	}
-	if err := raft.BootstrapCluster(p.conf, p.store, p.store, p.snaps, p.trans, first); err != nil {
-		return fmt.Errorf("council: %w", err)
-	}
-	return nil
-}
-
 // Propose puts a command into the log and waits until it was applied here, or until ctx ends. Only the leader can.
 func (c *Council) Propose(ctx context.Context, raw []byte) error {
 	if len(raw) > CommandMost {
@@ -346,6 +329,9 @@
 
 // shutdown ends raft once; each caller may wait for it.
 func (c *Council) shutdown() raft.Future {
-	c.down.Do(func() { c.ended = c.raft.Shutdown() })
+	c.down.Do(func() {
+		c.ended = c.raft.Shutdown()
+		_ = c.layer.Close() // so that nothing of raft's waits for a link
+	})
 	return c.ended
 }
--- a/internal/fleet/council/guarded.go
+++ b/internal/fleet/council/guarded.go
@@ -2,10 +2,7 @@
 
 import (
 	"errors"
-	"fmt"
-	"net"
 	"runtime"
-	"time"
 
 	"github.com/hashicorp/raft"
 
@@ -51,35 +48,3 @@
 	}
 	return err
 }
-
-// layer is raft's TCP layer.
-type layer struct {
-	net.Listener
-	addr net.Addr
-}
-
-type advertised string
-
-func (advertised) Network() string  { return "tcp" }
-func (a advertised) String() string { return string(a) }
-
-func listen(o Options) (raft.StreamLayer, error) {
-	l, err := net.Listen("tcp", o.Bind)
-	if err != nil {
-		return nil, fmt.Errorf("council: listening: %w", err)
-	}
-	s := &layer{Listener: l, addr: l.Addr()}
-	if o.Advertise != "" {
-		s.addr = advertised(o.Advertise)
-	}
-	if o.Stream != nil {
-		return o.Stream(s), nil
-	}
-	return s, nil
-}
-
-func (s *layer) Addr() net.Addr { return s.addr }
-
-func (s *layer) Dial(a raft.ServerAddress, wait time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", string(a), wait)
-}
--- /dev/null
+++ b/internal/fleet/council/layer.go
@@ -0,0 +1,105 @@
+package council
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+)
+
+// ConnsMost connections are open at once, both ways; further ones are refused. Raft holds up to some 10 to each voter.
+const ConnsMost = 128
+
+// layer is raft's TCP layer. Raft leaves its connections open when it ends; this closes them.
+type layer struct {
+	net.Listener
+	addr net.Addr
+
+	mu     sync.Mutex
+	open   map[net.Conn]bool
+	closed bool
+}
+
+type advertised string
+
+func (advertised) Network() string  { return "tcp" }
+func (a advertised) String() string { return string(a) }
+
+func listen(o Options) (*layer, error) {
+	l, err := net.Listen("tcp", o.Bind)
+	if err != nil {
+		return nil, fmt.Errorf("council: listening: %w", err)
+	}
+	s := &layer{Listener: l, addr: l.Addr(), open: map[net.Conn]bool{}}
+	if o.Advertise != "" {
+		s.addr = advertised(o.Advertise)
+	}
+	return s, nil
+}
+
+func (s *layer) Addr() net.Addr { return s.addr }
+
+func (s *layer) Accept() (net.Conn, error) {
+	for {
+		conn, err := s.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, err := s.hold(conn); err == nil {
+			return c, nil
+		}
+	}
+}
+
+func (s *layer) Dial(a raft.ServerAddress, wait time.Duration) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", string(a), wait)
+	if err != nil {
+		return nil, err
+	}
+	return s.hold(conn)
+}
+
+func (s *layer) hold(conn net.Conn) (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.open) >= ConnsMost {
+		conn.Close()
+		return nil, fmt.Errorf("council: %d connections are open, closing: %v", len(s.open), s.closed)
+	}
+	c := &held{conn, s}
+	s.open[c] = true
+	return c, nil
+}
+
+// Close ends the listening and all connections. It may be called again.
+func (s *layer) Close() error {
+	s.mu.Lock()
+	first := !s.closed
+	s.closed = true
+	var all []net.Conn
+	for c := range s.open {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		c.Close()
+	}
+	if !first {
+		return nil
+	}
+	return s.Listener.Close()
+}
+
+type held struct {
+	net.Conn
+	s *layer
+}
+
+func (h *held) Close() error {
+	h.s.mu.Lock()
+	delete(h.s.open, h)
+	h.s.mu.Unlock()
+	return h.Conn.Close()
+}
--- a/internal/fleet/council/restore.go
+++ b/internal/fleet/council/restore.go
@@ -66,3 +66,27 @@
 	}
 	return nil
 }
+
+// bootstrap writes the first configuration where there is no council yet.
+func bootstrap(o Options, p *prepared) error {
+	has, err := raft.HasExistingState(p.store, p.store, p.snaps)
+	if err != nil || has {
+		return err
+	}
+	if n := len(o.Voters); n != 1 && n != 3 && n != 5 {
+		return fmt.Errorf("council: %d voters, 1, 3 or 5 are wanted", n)
+	}
+	var first raft.Configuration
+	self := false
+	for _, v := range o.Voters {
+		first.Servers = append(first.Servers, raft.Server{ID: raft.ServerID(v.Name), Address: raft.ServerAddress(v.Addr)})
+		self = self || v.Name == o.Name
+	}
+	if !self {
+		return fmt.Errorf("council: %s is none of the voters", o.Name)
+	}
+	if err := raft.BootstrapCluster(p.conf, p.store, p.store, p.snaps, p.trans, first); err != nil {
+		return fmt.Errorf("council: %w", err)
+	}
+	return nil
+}
