--- /dev/null
+++ b/cmd/birchcart-fleet/main.go
@@ -0,0 +1,58 @@
+// Command birchcart-fleet is birchcart with the fleet linked in: it serves alike, and with a `fleet` section of the operators'
+// file settles with other co-ordinators which machine may go out for work, and when.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"birchcart/internal/fleet"
+	"birchcart/internal/serve"
+)
+
+// command is the command line.
+type command struct {
+	LogLevel string `help:"Least level that is logged: debug, info, warn or error; over the operators' file's, info without either." default:"" enum:",debug,info,warn,error" env:"EDGE_LOG_LEVEL"`
+
+	Serve   serveCommand   `cmd:"" help:"Serve queries until SIGTERM."`
+	Check   checkCommand   `cmd:"" help:"Read a configuration, say what it comes to, and exit."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+type serveCommand struct{ serve.Args }
+
+func (c *serveCommand) Run(p *serve.Process, hangups chan os.Signal) error {
+	return serve.Run(c.Args, p, hangups, fleet.New())
+}
+
+type checkCommand struct{ serve.CheckArgs }
+
+func (c *checkCommand) Run(*serve.Process) error { return serve.Check(c.CheckArgs, fleet.New()) }
+
+type versionCommand struct{}
+
+func (versionCommand) Run(*serve.Process) error {
+	fmt.Println("birchcart-fleet", serve.Version())
+	return nil
+}
+
+func main() {
+	// Before anything else, and for good: a SIGHUP that nobody waits for ends a process, at its start and in its
+	// drain as well. The same holds for SIGPIPE once whoever reads the log has gone.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	// A file that may not grow is an error of the write, as a full disk is, and not the end of the process.
+	signal.Ignore(syscall.SIGXFSZ)
+	var cmd command
+	ctx := kong.Parse(&cmd, kong.Name("birchcart-fleet"),
+		kong.Description("A co-ordinator that answers queries from replicas of many shards, and settles with others which machine may go out for work."), kong.UsageOnError())
+	p := serve.NewProcess(cmd.LogLevel)
+	err := ctx.Run(p, hangups)
+	p.Close()
+	ctx.FatalIfErrorf(err)
+}
--- /dev/null
+++ b/cmd/birchcart-fleet/main_test.go
@@ -0,0 +1,494 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/standin"
+)
+
+// The test binary stands in for the command when it is started with this variable set.
+func TestMain(m *testing.M) {
+	if os.Getenv("BIRCHCART_MAIN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func program(args ...string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0], args...)
+	for _, v := range os.Environ() {
+		if !strings.HasPrefix(v, "EDGE_") {
+			cmd.Env = append(cmd.Env, v)
+		}
+	}
+	cmd.Env = append(cmd.Env, "BIRCHCART_MAIN=1")
+	return cmd
+}
+
+// logText is a buffer that is read while a program writes it.
+type logText struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// site is a deployment of several co-ordinators.
+type site struct {
+	*testing.T
+	dir      string
+	fleet    *standin.Fleet
+	serve    []string
+	gossip   []string
+	council  []string
+	voters   []int
+	procs    []*exec.Cmd
+	logs     []*logText
+	revision int
+	extra    map[string]any // of the fleet section
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	for range 20 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		udp, err := net.ListenPacket("udp", ln.Addr().String())
+		ln.Close()
+		if err == nil {
+			udp.Close()
+			return ln.Addr().String()
+		}
+	}
+	t.Fatal("no port is free for both TCP and UDP")
+	return ""
+}
+
+func newSite(t *testing.T, processes int, voters ...int) *site {
+	t.Helper()
+	f, err := standin.NewFleet(standin.FleetShape{
+		Replicas: 12, Cells: 6, Reach: 2, Shards: 6,
+		Classes: []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: 2.5, Semantics: "repeatable", Need: 1, Floor: 1}},
+	}, func(a standin.Asked) standin.Does {
+		return standin.Does{After: 2 * time.Millisecond, Value: []byte("v")}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	s := &site{T: t, dir: t.TempDir(), fleet: f, voters: voters, extra: map[string]any{}}
+	key := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{7}, 32))
+	s.file("keys", []byte(key+"\n"))
+	for i := range processes {
+		s.serve, s.gossip, s.council = append(s.serve, freePort(t)), append(s.gossip, freePort(t)), append(s.council, freePort(t))
+		var c map[string]any
+		if err := json.Unmarshal(f.Config(s.serve[i]), &c); err != nil {
+			t.Fatal(err)
+		}
+		set := c["settings"].(map[string]any)
+		c["name"], c["limits"] = fmt.Sprint("n", i), map[string]any{"cores": 1, "memory_mb": 512, "sockets": 2048}
+		set["fleet_size"], set["ordinal"], set["zone"] = processes, i, standin.DataCentres[i%3]
+		set["invariants"].(map[string]any)["warm_up_s"] = 1
+		s.file(fmt.Sprint("config", i), s.json(c))
+	}
+	return s
+}
+
+func (s *site) file(name string, raw []byte) {
+	s.Helper()
+	if err := os.WriteFile(filepath.Join(s.dir, name), raw, 0o600); err != nil {
+		s.Fatal(err)
+	}
+}
+
+func (s *site) json(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		s.Fatal(err)
+	}
+	return raw
+}
+
+// ask writes a next revision of all operators' files.
+func (s *site) ask(found bool, work ...any) {
+	s.Helper()
+	s.revision++
+	voters := map[string]any{}
+	for _, i := range s.voters {
+		voters[fmt.Sprint("n", i)] = map[string]any{"address": s.council[i], "zone": standin.DataCentres[i%3]}
+	}
+	for i := range s.serve {
+		section := map[string]any{
+			"revision": s.revision, "voters": voters, "council": map[string]any{"found": found},
+			"gossip":    map[string]any{"bind": s.gossip[i], "join": s.gossip},
+			"keys_file": filepath.Join(s.dir, "keys"), "dir": filepath.Join(s.dir, fmt.Sprint("disk", i)),
+			"grants_file": filepath.Join(s.dir, fmt.Sprint("grants", i)), "lease_ms": 3000, "grace_ms": 200, "settle_ms": 1000,
+			"calm_ms": 500, "load_age_ms": 10000, "list_age_ms": 10000, "out_by_zone": 1, "out_most": 2, "parts_per_replica": 10, "work": work,
+		}
+		for k, v := range s.extra {
+			section[k] = v
+		}
+		s.file(fmt.Sprint("operator", i), s.json(map[string]any{
+			"version": 1, "placement": map[string]any{"holders_least": 2}, "fleet": section,
+		}))
+	}
+}
+
+func (s *site) start(i int) {
+	s.Helper()
+	cmd, log := program("serve", "--config", filepath.Join(s.dir, fmt.Sprint("config", i)), "--operator", filepath.Join(s.dir, fmt.Sprint("operator", i))), &logText{}
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		s.Fatal(err)
+	}
+	s.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	if i < len(s.procs) {
+		s.procs[i], s.logs[i] = cmd, log
+		return
+	}
+	s.procs, s.logs = append(s.procs, cmd), append(s.logs, log)
+}
+
+// startAll starts all, as a new fleet, and waits until one leads and all are ready.
+func (s *site) startAll() {
+	s.Helper()
+	s.ask(true)
+	for i := range s.serve {
+		s.start(i)
+	}
+	s.until("a leader", func() bool {
+		return slices.ContainsFunc(s.logs, func(l *logText) bool { return strings.Contains(l.String(), "leads the council") })
+	})
+	s.until("all are ready", func() bool {
+		for _, at := range s.serve {
+			r, err := http.Get("http://" + at + "/-/ready")
+			if err != nil {
+				return false
+			}
+			r.Body.Close()
+			if r.StatusCode != 200 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *site) hangUp() {
+	for _, p := range s.procs {
+		p.Process.Signal(syscall.SIGHUP)
+	}
+}
+
+// says tells whether one has a text in its log.
+func (s *site) says(i int, text string) func() bool {
+	return func() bool { return strings.Contains(s.logs[i].String(), text) }
+}
+
+// until waits for a condition; it fails with the ends of all logs.
+func (s *site) until(what string, holds func() bool) {
+	s.Helper()
+	for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			for i, l := range s.logs {
+				text := l.String()
+				s.Logf("n%d:\n%s", i, text[max(0, len(text)-3000):])
+			}
+			s.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+type grants struct {
+	Version int            `json:"version"`
+	Name    string         `json:"name"`
+	CutOff  bool           `json:"cut_off"`
+	Items   []takeout.Item `json:"items"`
+	Grants  []struct {
+		Machine, Reason string
+		Fence           uint64
+		StartBefore     time.Time `json:"start_before"`
+		Until           time.Time
+	} `json:"grants"`
+}
+
+func (s *site) grants(i int) grants {
+	var g grants
+	raw, err := os.ReadFile(filepath.Join(s.dir, fmt.Sprint("grants", i)))
+	if err == nil {
+		err = json.Unmarshal(raw, &g)
+	}
+	if err != nil && !os.IsNotExist(err) {
+		s.Errorf("a grants file is not whole: %v", err)
+	}
+	return g
+}
+
+// phase tells whether all of the co-ordinators' files have a machine in that phase.
+func (s *site) phase(machine string, p takeout.Phase) func() bool {
+	return func() bool {
+		for i := range s.serve {
+			if !slices.ContainsFunc(s.grants(i).Items, func(it takeout.Item) bool { return it.Machine == machine && it.Phase == p }) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// stream sends queries to all co-ordinators in turn until end is called, which waits for the last answer and tells how many
+// were answered whole.
+func (s *site) stream() (end func() (sent, whole int)) {
+	ctx, stop := context.WithCancel(context.Background())
+	s.Cleanup(stop)
+	var sent, whole int
+	client := &http.Client{Timeout: 3 * time.Second}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	wg.Go(func() {
+		tick := time.NewTicker(10 * time.Millisecond)
+		defer tick.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			wg.Go(func() {
+				body := fmt.Sprintf(`{"buckets":[{"bucket":%d,"part":0.5},{"bucket":%d,"part":0.5}],"body":"00"}`, i%6, (i+1)%6)
+				r, _ := http.NewRequest("POST", "http://"+s.serve[i%len(s.serve)]+"/search", strings.NewReader(body))
+				r.Header.Set("X-Request-ID", fmt.Sprint("q", i))
+				r.Header.Set("X-Timeout-Ms", "2000")
+				resp, err := client.Do(r)
+				ok := false
+				if err == nil {
+					text, _ := io.ReadAll(resp.Body)
+					resp.Body.Close()
+					ok = resp.StatusCode == 200 && strings.Contains(string(text), `"finished":true`)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				sent++
+				if ok {
+					whole++
+				}
+			})
+		}
+	})
+	return func() (int, int) {
+		stop()
+		wg.Wait()
+		return sent, whole
+	}
+}
+
+// A machine that is asked for in all files is granted once, told, gets nothing new from any co-ordinator, goes, comes
+// back and is done, while queries are answered; the co-ordinators then end cleanly.
+func TestOneMachineGoesAndComesBack(t *testing.T) {
+	t.Parallel()
+	for _, processes := range []int{3, 5} {
+		t.Run(fmt.Sprint(processes), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, processes, 0, 1, 2)
+			s.startAll()
+			end := s.stream()
+			s.ask(false, map[string]any{"names": []string{"r0"}, "reason": "disk", "for_s": 20})
+			s.hangUp()
+			s.until("told", s.phase("r0", takeout.Told))
+			var fences []uint64
+			for i := range s.serve {
+				g := s.grants(i)
+				if g.Version != 1 || g.Name != fmt.Sprint("n", i) || g.CutOff || len(g.Grants) != 1 || g.Grants[0].Machine != "r0" ||
+					g.Grants[0].Reason != "disk" || !g.Grants[0].StartBefore.After(time.Now()) || !g.Grants[0].Until.After(g.Grants[0].StartBefore) {
+					t.Fatalf("n%d: %+v", i, g)
+				}
+				fences = append(fences, g.Grants[0].Fence)
+			}
+			if len(slices.Compact(fences)) != 1 {
+				t.Errorf("fences %v", fences)
+			}
+			before, others := len(s.fleet.Replicas[0].Asked()), len(s.fleet.Replicas[6].Asked())
+			s.until("more queries", func() bool { return len(s.fleet.Replicas[6].Asked()) > others+20 })
+			if after := len(s.fleet.Replicas[0].Asked()); after != before {
+				t.Errorf("%d parts went to r0 after it was told", after-before)
+			}
+			s.fleet.Discovery.Set("r0", func(e *standin.Endpoint) { e.Status = "Terminating" })
+			s.until("out", s.phase("r0", takeout.Out))
+			s.fleet.Replicas[0].Crash()
+			s.fleet.Discovery.Set("r0", func(e *standin.Endpoint) { e.Status = "Gone" })
+			time.Sleep(300 * time.Millisecond)
+			if err := s.fleet.Replicas[0].Restart(); err != nil {
+				t.Fatal(err)
+			}
+			s.fleet.Discovery.Set("r0", func(e *standin.Endpoint) {
+				e.Status, e.Since, e.Address = "Ready", time.Now().UnixMilli(), s.fleet.Replicas[0].Address()
+			})
+			s.until("done", s.phase("r0", takeout.Done))
+			s.until("parts at r0 again", func() bool { return len(s.fleet.Replicas[0].Asked()) > before })
+			if sent, whole := end(); sent < 100 || whole != sent {
+				t.Errorf("%d of %d queries were answered whole", whole, sent)
+			}
+			for i, p := range s.procs {
+				p.Process.Signal(syscall.SIGTERM)
+				if err := p.Wait(); err != nil {
+					t.Errorf("n%d ended with %v:\n%s", i, err, s.logs[i].String())
+				}
+				if text := s.logs[i].String(); strings.Contains(text, "does not hold") || strings.Contains(text, "panic") {
+					t.Errorf("n%d:\n%s", i, text)
+				}
+			}
+		})
+	}
+}
+
+// The file names another voter in one's place: the new one votes, the old one follows. A voter whose disk was lost follows
+// without a vote, whatever it is asked for, and the machines' order goes on by the others.
+func TestVotersChangeAndLoseTheirDisks(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 4, 0, 1, 2)
+	s.startAll()
+	s.until("n3 follows", s.says(3, "grants' end: false"))
+	s.voters = []int{1, 2, 3}
+	s.ask(false)
+	s.hangUp()
+	s.until("n0 votes no more", s.says(0, "votes no more"))
+	s.procs[1].Process.Kill()
+	s.procs[1].Wait()
+	if err := os.RemoveAll(filepath.Join(s.dir, "disk1")); err != nil {
+		t.Fatal(err)
+	}
+	s.start(1)
+	s.until("n1 knows that it was a voter", s.says(1, "its store was lost"))
+	s.ask(false, map[string]any{"names": []string{"r5"}, "reason": "disk", "for_s": 20})
+	s.hangUp()
+	s.until("told", s.phase("r5", takeout.Told))
+	// One that is killed and starts again, with nothing agreed at hand yet, sends nothing there either.
+	s.procs[0].Process.Kill()
+	s.procs[0].Wait()
+	before, others := len(s.fleet.Replicas[5].Asked()), len(s.fleet.Replicas[11].Asked())
+	s.start(0)
+	end := s.stream()
+	s.until("n0 goes by the drains of before", s.says(0, "of the process before stay"))
+	s.until("n0 knows what was agreed", s.says(0, "grants' end: false"))
+	s.until("queries", func() bool { return len(s.fleet.Replicas[11].Asked()) > others+20 })
+	if _, whole := end(); whole == 0 {
+		t.Error("no query was answered")
+	}
+	if after := len(s.fleet.Replicas[5].Asked()); after != before {
+		t.Errorf("%d parts went to r5 after it was told", after-before)
+	}
+	for i, l := range s.logs {
+		if text := l.String(); strings.Contains(text, "does not hold") || strings.Contains(text, "panic") {
+			t.Errorf("n%d:\n%s", i, text)
+		}
+	}
+}
+
+// A co-ordinator that is asked for drains and ends by itself once all others know, and is done when it is back.
+func TestCoordinatorGoesByItself(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 4, 0, 1, 2)
+	s.extra["drain_self"] = true
+	s.startAll()
+	s.until("n3 follows", s.says(3, "grants' end: false"))
+	s.ask(false, map[string]any{"names": []string{"n3"}, "reason": "kernel", "for_s": 30})
+	s.hangUp()
+	ended := make(chan error, 1)
+	go func() { ended <- s.procs[3].Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil || !s.says(3, "goes for work")() || !s.says(3, "msg=ended")() {
+			t.Fatalf("n3 ended with %v:\n%s", err, s.logs[3].String())
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatalf("n3 did not go:\n%s", s.logs[3].String())
+	}
+	s.start(3)
+	s.until("done", s.phase("n3", takeout.Done))
+	if s.says(3, "goes for work")() {
+		t.Error("n3 went again")
+	}
+}
+
+// What can't be started names the place in the operators' file. Without the section it serves as birchcart does.
+func TestBadStarts(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 3, 0, 1, 2)
+	taken, err := net.Listen("tcp", s.council[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	gossip, err := net.Listen("tcp", s.gossip[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer gossip.Close()
+	for _, c := range []struct {
+		i       int
+		key     string
+		value   any
+		wants   string
+		verbose string
+	}{
+		{0, "keys_file", filepath.Join(s.dir, "config0"), "$.fleet.keys_file", "line 1"},
+		{0, "keys_file", filepath.Join(s.dir, "none"), "$.fleet.keys_file", "no such file"},
+		{0, "grants_file", filepath.Join(s.dir, "none", "grants"), "$.fleet.grants_file", "is no folder"},
+		{1, "lease_ms", 3000, "$.fleet.council.bind", "address already in use"},
+		{2, "lease_ms", 3000, "$.fleet.gossip", "address already in use"},
+		{2, "lease_ms", 30, "$.fleet.lease_ms", "from 2000 to 60000 ms is right"},
+	} {
+		s.extra = map[string]any{c.key: c.value}
+		s.ask(true)
+		out, err := program("serve", "--config", filepath.Join(s.dir, fmt.Sprint("config", c.i)),
+			"--operator", filepath.Join(s.dir, fmt.Sprint("operator", c.i))).CombinedOutput()
+		if err == nil || !strings.Contains(string(out), c.wants) || !strings.Contains(string(out), c.verbose) {
+			t.Errorf("%s %v: %v, %s", c.key, c.value, err, out)
+		}
+	}
+	s.extra = nil
+	s.ask(true)
+	out, err := program("check", "--config", filepath.Join(s.dir, "config0"), "--operator", filepath.Join(s.dir, "operator0")).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "fleet of 3 voters, 0 requests, revision 7") {
+		t.Errorf("%v, %s", err, out)
+	}
+	for i := range 3 {
+		s.file(fmt.Sprint("operator", i), []byte(`{"version":1}`))
+	}
+	s.start(0)
+	s.until("it serves alone", s.says(0, "has no fleet"))
+	s.procs[0].Process.Signal(syscall.SIGTERM)
+	if err := s.procs[0].Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/copy.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+
+	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/fleet/talk"
+)
+
+// copied is this co-ordinator's copy of the agreed state. A voter's council applies to it; without a seat the words that
+// answer polls do.
+type copied struct {
+	mu     sync.Mutex
+	seat   *council.Council // nil: without a vote, or no more
+	ledger *ledger.Ledger
+	order  *takeout.State
+}
+
+// part is the name of the order of work in the ledger.
+const part = "takeout"
+
+func newCopy() *copied {
+	s := takeout.New()
+	return &copied{order: s, ledger: ledger.New(map[string]ledger.Part{part: s})}
+}
+
+// look calls do while nothing is applied; it must not wait.
+func (c *copied) look(do func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seat != nil {
+		c.seat.Look(do)
+		return
+	}
+	do()
+}
+
+// sit gives the copy to a seat of the council, nil takes it back. The seat must not apply any more then.
+func (c *copied) sit(seat *council.Council) {
+	c.mu.Lock()
+	c.seat = seat
+	c.mu.Unlock()
+}
+
+// take applies what a word of the leader brought, if this copy is not the council's to apply to. It says why the
+// copy can't go on from it: entries that follow on what is missing here, a snapshot that can't be read.
+func (c *copied) take(w talk.Word) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.ledger
+	if c.seat != nil || l.Halted() != nil {
+		return nil
+	}
+	if len(w.Snapshot) > 0 {
+		if w.Index <= l.Index() {
+			return nil
+		}
+		return l.Load(w.Snapshot)
+	}
+	if len(w.Entries) > 0 && w.Since > l.Index() {
+		return fmt.Errorf("entries follow on %d, this copy stands at %d", w.Since, l.Index())
+	}
+	for _, e := range w.Entries {
+		if e.Index <= l.Index() {
+			continue
+		}
+		if err := l.Apply(e.Index, e.Raw); errors.Is(err, ledger.ErrVersion) {
+			return nil // halted; it is looked at with the next step
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/inventory.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"time"
+
+	"birchcart/internal/exchange"
+	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/takeout"
+	"birchcart/policy"
+)
+
+var statuses = map[policy.Readiness]takeout.Status{policy.Up: takeout.Up, policy.Draining: takeout.Terminating, policy.Removed: takeout.Gone}
+
+// machines is discovery's list as machines.
+func machines(list []exchange.Entry) []takeout.Machine {
+	out := make([]takeout.Machine, len(list))
+	for i, e := range list {
+		m := takeout.Machine{Name: e.Name, Kind: takeout.Replica, Zone: e.Zone, Cell: e.Cell, Size: e.Size, Status: statuses[e.State]}
+		if !e.Started.IsZero() {
+			m.Started = time.Duration(e.Started.UnixNano())
+		}
+		out[i] = m
+	}
+	return out
+}
+
+// A member that is suspected may be healthy or not: nothing is known of it.
+var states = map[member.State]takeout.Status{
+	member.Alive: takeout.Up, member.Suspect: takeout.Unknown, member.Unknown: takeout.Unknown, member.Dead: takeout.Gone, member.Left: takeout.Gone,
+}
+
+// coordinators is the members' news as the leader takes it. Incarnations are times of start. Loads are those that came
+// with polls: they are told more often than gossip tells them.
+func coordinators(list []member.Member, loads map[string]told, voters map[string]bool, now time.Duration) []lead.Member {
+	out := make([]lead.Member, len(list))
+	for i, m := range list {
+		l, ok := loads[m.Name]
+		out[i] = lead.Member{
+			Name: m.Name, Zone: m.Zone, Status: states[m.State], Started: time.Duration(m.Incarnation), Voter: voters[m.Name],
+			Load: l.load, LoadKnown: ok && l.known, LoadAge: now - l.at,
+		}
+	}
+	return out
+}
+
+// told is the load that one co-ordinator told of, in mean replicas that it keeps busy.
+type told struct {
+	load  float64
+	known bool
+	at    time.Duration // own time
+}
--- /dev/null
+++ b/internal/fleet/laid.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+)
+
+const (
+	// LaidVersion of the file with the drains that are laid; another one is not read.
+	LaidVersion = 1
+	laidFile    = "laid.json"
+	// LaidMost bytes of it; far more than all that may be out at once.
+	LaidMost = 4 << 20
+)
+
+// laidDrains is what this co-ordinator keeps from new parts, on disk before it says so: a process that takes its place
+// starts with them, before it takes its first query.
+type laidDrains struct {
+	Version int        `json:"version"`
+	Drains  []laidLine `json:"drains"`
+}
+
+type laidLine struct {
+	Machine string        `json:"machine"`
+	Until   time.Duration `json:"until"` // agreed time; past it the drain is not taken over
+}
+
+func (n *Node) laidPath() string { return filepath.Join(n.file.Fleet.Dir, laidFile) }
+
+// keepLaid lays what the process before had laid, until this one knows what was agreed.
+func (n *Node) keepLaid() {
+	kept, err := readLaid(n.laidPath(), time.Duration(time.Now().UnixNano()))
+	if err != nil {
+		n.log.WithError(err).Warn("the drains of the process before can't be read")
+	}
+	if n.kept = kept; len(kept) > 0 {
+		n.log.WithField("drains", len(kept)).Info("the drains of the process before stay until this one knows what was agreed")
+		n.laying++
+		n.s.Exchange.Narrow(n.all(nil))
+	}
+}
+
+func readLaid(path string, wall time.Duration) ([]laidLine, error) {
+	raw, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var f laidDrains
+	if len(raw) > LaidMost {
+		return nil, fmt.Errorf("%s has %d bytes, %d at most", path, len(raw), LaidMost)
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if f.Version != LaidVersion {
+		return nil, fmt.Errorf("%s is of version %d, known is %d", path, f.Version, LaidVersion)
+	}
+	return slices.DeleteFunc(f.Drains, func(l laidLine) bool { return l.Until <= wall }), nil
+}
+
+// lay has the exchange go by a set of drains, and the disk keep it. No step is made before both have it; a disk
+// that can't is told of, and the drains count all the same.
+func (n *Node) lay(names []string) {
+	n.drains = names
+	n.laying += 2
+	n.s.Exchange.Narrow(n.all(names))
+	f := laidDrains{Version: LaidVersion, Drains: []laidLine{}}
+	n.copy.look(func() {
+		for _, name := range names {
+			if it, ok := n.copy.order.Item(name); ok {
+				f.Drains = append(f.Drains, laidLine{name, it.Until})
+			}
+		}
+	})
+	f.Drains = append(f.Drains, n.kept...)
+	path := n.laidPath()
+	go func() {
+		err := os.MkdirAll(filepath.Dir(path), 0o700)
+		if err == nil {
+			err = replace(path, f)
+		}
+		n.saved <- err
+	}()
+}
+
+// all is a set of drains with those of the process before.
+func (n *Node) all(names []string) []string {
+	out := slices.Clone(names)
+	for _, l := range n.kept {
+		out = append(out, l.Machine)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (n *Node) savedLaid(err error) {
+	n.laying--
+	if err != nil {
+		n.lines.limited(n, n.now(), "the drains can't be kept on disk: "+err.Error())
+	}
+}
+
+// caughtUp lets the drains of the process before go once what was agreed is known, or their time is over.
+func (n *Node) caughtUp() {
+	if len(n.kept) == 0 || n.laying > 0 {
+		return
+	}
+	wall := time.Duration(time.Now().UnixNano())
+	left := slices.DeleteFunc(slices.Clone(n.kept), func(l laidLine) bool { return n.caught || l.Until <= wall })
+	if len(left) != len(n.kept) {
+		n.kept = left
+		n.lay(n.drains)
+	}
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,333 @@
+// Package fleet runs one co-ordinator's part in the fleet, beside its serving. Who talks to whom:
+//
+//	member ──letters──> mail ──┐                        ┌──> view.Step ──> drains laid over the exchange's list, grants file,
+//	council ──changes, news────┼──> Node.run: one step ─┤                  polls to the leader, leave to go
+//	exchange ──list, load──────┤    after any news, or   └──> lead.Step ──> proposals to the council (only while it leads)
+//	SIGHUP ──operators' file───┘    ten times a second
+//
+// One goroutine (run) owns view, lead and what is known of polls; the agreed state is its copy's (copy.go). Nothing waits
+// here for disk or network: proposals, checks of the lead, the grants file and the hand-over have goroutines of their own.
+//
+//	start.go  opens what the operators' file names          polls.go  polls, words and asks between co-ordinators
+//	step.go   news to the pure parts, and what comes out    grants.go the site's file
+//	asked.go  the operators' file as limits and requests    tell.go   the lines of the log
+//
+// What fails here is logged and never ends the serving: then this co-ordinator serves alone, by its own rules.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/exchange"
+	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/view"
+	"birchcart/internal/operator"
+	"birchcart/internal/serve"
+)
+
+// Times of a node.
+const (
+	// StepEvery is between steps without news. Twice as long: a drain is said as laid up to 0.1 s later; half: twice the
+	// work at rest.
+	StepEvery = 100 * time.Millisecond
+	// FeedEvery is between the leader's looks at members and list, and between samples of the own load. Twice as long:
+	// the leader sees what went a second later; half: twice the sorting of both.
+	FeedEvery = time.Second
+	// AskEvery is between attempts to hand a newer file to the leader. Twice as long: a file that got lost comes so much
+	// later; half: twice the messages while there is no leader to agree to it.
+	AskEvery = 5 * time.Second
+	// ProposeTime is how long one proposal waits for its end. Twice as long: a place among ProposingMost is held so much
+	// longer while there is no majority; half: one that a slow disk takes is not known to have acted.
+	ProposeTime = 3 * time.Second
+	// ProposingMost are under way; more are left out, and the leader's step proposes them again.
+	ProposingMost = 32
+	// StopTime is the most that ending the fleet's part may take after the drain: SIGKILL may come.
+	StopTime = 3 * time.Second
+)
+
+// Node is one co-ordinator's part. It is a serve.Beside.
+type Node struct {
+	s    serve.Serving
+	log  *logrus.Entry
+	off  bool // the operators' file has no fleet
+	name string
+
+	member  *member.Members
+	council *council.Council // nil: no vote
+	copy    *copied
+	mail    *mail
+	load    *exchange.Load
+	writer  *writer
+	start   time.Time
+
+	ended    chan lead.Ended
+	verified chan verified
+	closed   chan struct{} // the seat was given up
+	looks    chan looked
+	saved    chan error    // the newest set of drains is on disk, or can't be
+	laid     chan struct{} // the exchange goes by a set of drains
+	wake     chan struct{}
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+	leaving  atomic.Bool
+
+	mu   sync.Mutex
+	file *operator.File // in force
+	list []exchange.Entry
+	// The list is an old one from disk: what this co-ordinator serves with, and no observation of the leader's.
+	stale bool
+	news  bool // of file or list
+
+	// What follows belongs to run.
+	view      *view.View
+	lead      *lead.Lead
+	toView    []view.Input
+	toLead    []lead.Input
+	term      uint64 // in which this one leads; 0: it does not
+	asks      talk.Ask
+	voters    map[string]bool
+	names     []string // of the voters, sorted
+	turn      int      // of the voter that is asked next while no leader is known
+	leader    string   // as far as it is known here
+	sent      talk.Poll
+	answered  uint64 // number of the newest poll with a word of the leader
+	sentTo    string
+	silent    int // polls in a row without a word of the leader
+	answer    *view.Answered
+	answerAt  uint64            // index that the copy must reach before the answer counts as whole
+	polled    map[string]polled // not yet answered, by sender
+	verifying bool
+	verifyAt  time.Duration
+	loads     map[string]told
+	own       told
+	proposing int
+	index     uint64 // as last stepped with
+	stepped   bool
+	laying    int // sets of drains that the exchange or the disk does not have yet: no step is made before
+	caught    bool
+	kept      []laidLine // of the process before, until this one is caught up
+	drains    []string   // as the view wants them
+	fedAt     time.Duration
+	seatsAt   time.Duration
+	looking   bool // at the council's voters
+	lost      bool // the store or its votes: no seat any more
+	givingUp  bool // the seat
+	// agreedRevision is that of the limits in force; a file of an older one changes no voters.
+	agreedRevision int
+	listFed        time.Time
+	askedAt        time.Duration
+	grants         []view.Grant
+	written        written
+	toldAt         time.Duration
+	halted         bool
+	lines          lines
+}
+
+// New returns a node that Start starts.
+func New() *Node { return &Node{} }
+
+// now is the own monotonic time.
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// Start opens what the operators' file names. Without its section it does nothing at all.
+func (n *Node) Start(s serve.Serving) error {
+	n.s, n.log = s, s.Log.WithField("part", "fleet")
+	if s.Operator == nil || s.Operator.Fleet == nil {
+		n.off = true
+		n.log.Info("the operators' file has no fleet: serving alone")
+		return nil
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.init(s)
+	if err := n.open(); err != nil {
+		return err
+	}
+	s.Exchange.Narrowable(n.listed, n.isLaid)
+	n.keepLaid()
+	n.load = s.Exchange.Load()
+	n.done.Go(func() { n.run(ctx) })
+	return nil
+}
+
+// listed takes the list from the exchange.
+func (n *Node) listed(list []exchange.Entry, stale bool) {
+	n.mu.Lock()
+	n.list, n.stale, n.news = list, stale, true
+	n.mu.Unlock()
+	n.nudge()
+}
+
+// isLaid is the exchange's word that it goes by the newest set of drains. One is laid at a time.
+func (n *Node) isLaid() {
+	select {
+	case n.laid <- struct{}{}:
+	default:
+	}
+}
+
+// Reload takes the operators' file that was read again.
+func (n *Node) Reload(f *operator.File) error {
+	switch {
+	case n.off && f.Fleet != nil:
+		return errors.New("$.fleet: a fleet begins at a start of the program")
+	case n.off:
+		return nil
+	case f.Fleet == nil:
+		return errors.New("$.fleet: is missing; a fleet ends with the program")
+	}
+	if err := n.member.ReloadKeys(); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.file, n.news = f, true
+	n.mu.Unlock()
+	n.nudge()
+	return nil
+}
+
+func (n *Node) nudge() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run steps after any news, and else every StepEvery.
+func (n *Node) run(ctx context.Context) {
+	tick := time.NewTicker(StepEvery)
+	defer tick.Stop()
+	for {
+		var changes <-chan council.State
+		var news <-chan struct{}
+		if n.council != nil {
+			changes, news = n.council.Changes(), n.council.News()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-n.mail.queue:
+			n.letter(l)
+			for range len(n.mail.queue) { // one step for all that came meanwhile
+				n.letter(<-n.mail.queue)
+			}
+		case s := <-changes:
+			n.change(s)
+		case <-news:
+		case e := <-n.ended:
+			n.proposing--
+			if e.ID != "" {
+				n.toLead = append(n.toLead, e)
+			}
+		case v := <-n.verified:
+			n.reply(v)
+		case <-n.closed:
+			n.council, n.givingUp = nil, false
+			n.copy.sit(nil)
+		case l := <-n.looks:
+			n.lookedAt(l)
+		case <-n.laid:
+			n.laying--
+		case err := <-n.saved:
+			n.savedLaid(err)
+		case <-n.wake:
+		case <-tick.C:
+		}
+		if n.laying == 0 {
+			n.step()
+		}
+	}
+}
+
+// change takes the council's word of who leads.
+func (n *Node) change(s council.State) {
+	switch {
+	case s.Failed != nil:
+		n.log.WithError(s.Failed).Error("this co-ordinator's vote is out of the council until it is started again; queries are served as before")
+		n.lost = true
+		n.depose()
+		n.giveUp()
+	case s.Leading:
+		n.term = s.Term
+		n.log.WithField("term", s.Term).Info("leads the council")
+		n.toLead = append(n.toLead, lead.Elected{Term: s.Term}, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
+		n.fedAt, n.listFed = 0, time.Time{} // list and members are told at once
+		clear(n.loads)
+	default:
+		n.depose()
+	}
+}
+
+// giveUp closes the seat; from then on the words of the leader are applied here.
+func (n *Node) giveUp() {
+	if n.givingUp {
+		return
+	}
+	n.givingUp = true
+	go func(seat *council.Council) {
+		if err := seat.Close(); err != nil {
+			n.log.WithError(err).Debug("the seat was closed")
+		}
+		n.closed <- struct{}{}
+	}(n.council)
+}
+
+func (n *Node) depose() {
+	if n.term != 0 {
+		n.log.WithField("term", n.term).Info("leads no more")
+	}
+	n.term = 0
+	clear(n.polled)
+	n.toLead = append(n.toLead, lead.Deposed{})
+}
+
+// Leave hands the lead over and says that this co-ordinator goes. What is laid stays laid until Stop.
+func (n *Node) Leave() {
+	if n.off || n.leaving.Swap(true) {
+		return
+	}
+	n.handOver()
+	if err := n.member.Leave(); err != nil {
+		n.log.WithError(err).Debug("the others are not told of the end")
+	}
+}
+
+func (n *Node) handOver() {
+	n.copy.mu.Lock()
+	seat := n.copy.seat
+	n.copy.mu.Unlock()
+	if seat == nil {
+		return
+	}
+	if err := seat.HandOver(); err != nil {
+		n.log.WithError(err).Warn("the lead could not be handed over")
+	}
+}
+
+// Stop ends the part, within StopTime.
+func (n *Node) Stop() {
+	if n.off || n.stop == nil {
+		return
+	}
+	n.stop()
+	end := make(chan struct{})
+	go func() {
+		defer close(end)
+		n.done.Wait()
+		n.close()
+	}()
+	select {
+	case <-end:
+	case <-time.After(StopTime):
+		n.log.Warn("the fleet's part has not ended in time")
+	}
+}
--- /dev/null
+++ b/internal/fleet/polls.go
@@ -0,0 +1,211 @@
+package fleet
+
+import (
+	"errors"
+	"time"
+
+	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/view"
+)
+
+const (
+	// VerifyEvery is between checks with a majority that this one still leads; polls that come meanwhile are answered
+	// together. Twice as long: answers come so much later; half: twice the rounds at 300 co-ordinators.
+	VerifyEvery = 30 * time.Millisecond
+	// SilentMost polls without a word: then the leader that is known counts as unknown, and voters are asked in turn.
+	// One more: a dead leader's followers look for the next one a poll later; one fewer: a lost packet has them look.
+	SilentMost = 2
+	// LoadFor is how long the load that one told of is remembered, far longer than any file lets it count.
+	LoadFor = 15 * time.Minute
+)
+
+// polled is a poll that waits for its answer.
+type polled struct {
+	no, index uint64
+}
+
+// verified is what came of a check that this one leads, and the polls that waited for it.
+type verified struct {
+	term  uint64
+	polls map[string]polled
+	err   error
+}
+
+// letter takes a message. What can't be read is left out: its sender is of another version, or no co-ordinator.
+func (n *Node) letter(l letter) {
+	if isSeats(l.raw) {
+		n.seat(l.from, l.raw)
+		return
+	}
+	m, err := talk.Decode(l.raw)
+	if err != nil {
+		n.lines.limited(n, l.at, "a message of "+l.from+" is left out: "+err.Error())
+		return
+	}
+	switch m := m.(type) {
+	case talk.Poll:
+		if m.From == l.from {
+			n.poll(l.at, m)
+		}
+	case talk.Word:
+		if m.From == l.from {
+			n.word(m)
+		}
+	case talk.Ask:
+		if n.term != 0 {
+			n.toLead = append(n.toLead, lead.Asks{Limits: m.Limits, Asks: m.Asks})
+		}
+	}
+}
+
+// poll takes one. The leader answers once it knows that it still leads; another voter names who does.
+func (n *Node) poll(at time.Duration, p talk.Poll) {
+	if n.term != 0 {
+		n.toLead = append(n.toLead, lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid})
+		n.loads[p.From] = told{p.Load, p.LoadKnown, at}
+		n.polled[p.From] = polled{p.No, p.Index}
+		return
+	}
+	if n.council == nil {
+		return
+	}
+	leader, _ := n.council.Leader()
+	if leader == n.name {
+		leader = "" // elected, but not yet sure of all that was agreed; or about to step down
+	}
+	n.send(p.From, talk.Word{No: p.No, From: n.name, Leader: leader, Index: n.council.Applied()})
+}
+
+// verify begins a check with a majority that this one still leads. Only an answer after it may lengthen a lease:
+// one that was stopped and wakes would else answer beside the next leader.
+func (n *Node) verify(now time.Duration) {
+	if n.verifying || len(n.polled) == 0 || n.term == 0 || n.council == nil || now < n.verifyAt+VerifyEvery {
+		return
+	}
+	n.verifying, n.verifyAt = true, now
+	v := verified{term: n.term, polls: n.polled}
+	n.polled = map[string]polled{}
+	go func(seat *council.Council) {
+		v.err = seat.Verify()
+		n.verified <- v
+	}(n.council)
+}
+
+// reply answers the polls that waited for a check.
+func (n *Node) reply(v verified) {
+	n.verifying = false
+	if v.err != nil || v.term != n.term || n.council == nil {
+		return
+	}
+	for from, p := range v.polls {
+		w := talk.Word{No: p.no, From: n.name, Leader: n.name, Term: n.term, Led: true, Since: p.index, Index: p.index}
+		entries, snapshot, at := n.council.Since(p.index, talk.EntriesMost)
+		all := make([]talk.Entry, len(entries))
+		for i, e := range entries {
+			all[i] = talk.Entry{Index: e.Index, Raw: e.Raw}
+		}
+		if w.Index, w.Snapshot = at, snapshot; len(snapshot) > 0 {
+			w.Since = 0
+		} else if err := w.Fill(all); err != nil {
+			n.log.WithError(err).Error("what was agreed can't be sent")
+			continue
+		}
+		if len(w.Entries) > 0 {
+			w.Index = w.Entries[len(w.Entries)-1].Index
+		}
+		w.More = w.Index < n.council.Applied()
+		if from == n.name {
+			n.word(w)
+		} else {
+			n.send(from, w)
+		}
+	}
+}
+
+// word takes the answer to a poll.
+func (n *Node) word(w talk.Word) {
+	if w.No > n.sent.No || w.No <= n.answered {
+		return // no poll of this process, or one whose answer was overtaken
+	}
+	if !w.Led {
+		if w.No == n.sent.No && w.Leader != "" && w.Leader != n.sentTo && n.leader != w.Leader {
+			n.leader = w.Leader
+			n.ask(n.sent)
+		}
+		return
+	}
+	n.silent, n.leader, n.answered = 0, w.From, w.No
+	if err := n.copy.take(w); err != nil {
+		n.lines.limited(n, n.now(), "what the leader sent can't be taken: "+err.Error())
+		return
+	}
+	n.answer, n.answerAt = &view.Answered{Poll: w.No, Leader: w.From, Term: w.Term, More: w.More}, w.Index
+}
+
+// pollNow sends what the view wants asked.
+func (n *Node) pollNow(p view.Poll) {
+	n.silent++
+	n.ask(talk.Poll{From: n.name, No: p.No, Index: p.Index, Laid: p.Laid, Load: n.own.load, LoadKnown: n.own.known})
+}
+
+// ask sends a poll to the leader, or to the voters in turn while none is known.
+func (n *Node) ask(p talk.Poll) {
+	n.sent = p
+	if n.term != 0 {
+		n.sentTo = n.name
+		n.poll(n.now(), p)
+		return
+	}
+	if n.silent > SilentMost {
+		n.leader = ""
+	}
+	if n.council != nil {
+		if leader, _ := n.council.Leader(); leader != "" {
+			n.leader = leader
+		}
+	}
+	to := n.leader
+	if to == "" || to == n.name {
+		n.turn++
+		if to = n.names[n.turn%len(n.names)]; to == n.name {
+			n.turn++
+			to = n.names[n.turn%len(n.names)]
+		}
+	}
+	n.sentTo = to
+	n.send(to, p)
+}
+
+// send sends a message; nobody waits for it, and a lost one comes again.
+func (n *Node) send(to string, m talk.Message) {
+	raw, err := talk.Encode(m)
+	if err == nil {
+		err = n.member.Send(to, raw)
+	}
+	if err != nil {
+		n.log.WithError(err).WithField("to", to).Debug("a message was not sent")
+	}
+}
+
+// hand gives the leader what the own file says, while what was agreed is older.
+func (n *Node) hand(now time.Duration, limits, asks int) {
+	if n.asks.Limits.Revision <= limits && n.asks.Asks.Revision <= asks {
+		return
+	}
+	if n.term != 0 || n.leader == "" || n.leader == n.name || n.askedAt > 0 && now < n.askedAt+AskEvery {
+		return
+	}
+	n.askedAt = now
+	n.send(n.leader, n.asks)
+}
+
+// outcome is what the leader's step is told of a proposal; false where nobody knows whether it acts: it is repeated.
+func outcome(err error) (error, bool) {
+	var not *council.NotLeader
+	if errors.Is(err, council.ErrUnsure) || errors.As(err, &not) || errors.Is(err, council.ErrBusy) {
+		return nil, false
+	}
+	return err, true
+}
--- /dev/null
+++ b/internal/fleet/start.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/store"
+	"birchcart/internal/fleet/view"
+	"birchcart/internal/fleet/waves"
+	"birchcart/internal/operator"
+	"birchcart/internal/serve"
+)
+
+func (n *Node) init(s serve.Serving) {
+	n.name, n.file, n.start, n.news = s.Config.Name, s.Operator, time.Now(), true
+	n.copy, n.mail = newCopy(), newMail()
+	n.ended, n.verified, n.closed = make(chan lead.Ended, ProposingMost), make(chan verified, 1), make(chan struct{}, 1)
+	n.wake, n.laid = make(chan struct{}, 1), make(chan struct{}, 1) // one set is laid at a time
+	n.looks, n.saved = make(chan looked, 1), make(chan error, 1)
+	n.polled, n.loads, n.voters = map[string]polled{}, map[string]told{}, map[string]bool{}
+	f := s.Operator.Fleet
+	for name := range f.Voters {
+		n.voters[name] = true
+		n.names = append(n.names, name)
+	}
+	slices.Sort(n.names)
+	n.view = view.New(n.name, ms(f.Lease))
+	n.view.NumberFrom(uint64(n.start.UnixNano()))
+	n.lead = lead.New(waves.Order)
+}
+
+// zone of this co-ordinator, "" if the settings name none.
+func zone(s serve.Serving) string {
+	if z := s.Config.Policy.Zone; z >= 0 && z < len(s.Config.Names.Zones) {
+		return s.Config.Names.Zones[z]
+	}
+	return ""
+}
+
+// open opens gossip, seat and file. An error names the place in the operators' file; what the disk holds is none.
+func (n *Node) open() error {
+	f := n.file.Fleet
+	if f.Grants != "" {
+		dir := filepath.Dir(f.Grants)
+		if at, err := os.Stat(dir); err != nil || !at.IsDir() {
+			return fmt.Errorf("operators' file: $.fleet.grants_file: %s is no folder", dir)
+		}
+	}
+	if err := n.sit(f); err != nil {
+		return fmt.Errorf("operators' file: %w", err)
+	}
+	m, err := member.Open(member.Options{
+		Name: n.name, Zone: zone(n.s), Incarnation: uint64(n.start.UnixNano()), Bind: f.Gossip.Bind, Advertise: f.Gossip.Advertise,
+		Join: f.Gossip.Join, Keys: f.Keys, Log: n.log,
+		Receive: func(from string, raw []byte) { n.mail.put(letter{from, raw, n.now()}) },
+	})
+	if err != nil {
+		return fmt.Errorf("operators' file: $.fleet.gossip or $.fleet.keys_file: %w", err)
+	}
+	n.member = m
+	n.member.SetRecord(member.Record{Voter: n.council != nil, Version: serve.Version()})
+	n.writer = newWriter(f.Grants, n.log)
+	return nil
+}
+
+// sit takes this co-ordinator's seat, if it has one. A store that can't be used leaves it without a vote.
+func (n *Node) sit(f *operator.Fleet) error {
+	own, ok := f.Voters[n.name]
+	if !ok {
+		return nil
+	}
+	ln, err := net.Listen("tcp", bindOf(f, own))
+	if err != nil {
+		return fmt.Errorf("$.fleet.council.bind: %w", err)
+	}
+	ln.Close()
+	if _, err := os.Stat(filepath.Join(f.Dir, store.File)); errors.Is(err, os.ErrNotExist) && !f.Council.Found {
+		n.log.WithField("dir", f.Dir).Warn("this voter has no store: it votes once a leader knows it as new. At a fleet's first start set $.fleet.council.found")
+		return nil
+	}
+	if err := n.openSeat(f, f.Council.Found); err != nil {
+		n.lost = true
+		n.log.WithError(err).Error("the store of the council can't be used: this co-ordinator follows without a vote")
+	}
+	return nil
+}
+
+// openSeat opens this voter's seat; found has it set a council up where it has no store.
+func (n *Node) openSeat(f *operator.Fleet, found bool) error {
+	own := f.Voters[n.name]
+	o := council.Options{
+		Name: n.name, Dir: f.Dir, Bind: bindOf(f, own), Advertise: own.Address, Bootstrap: found, Machine: n.copy.ledger, Log: n.log,
+	}
+	for _, name := range n.names {
+		o.Voters = append(o.Voters, council.Voter{Name: name, Addr: f.Voters[name].Address})
+	}
+	seat, err := council.Open(o)
+	if err != nil {
+		return err
+	}
+	n.council = seat
+	n.copy.sit(seat)
+	return nil
+}
+
+func bindOf(f *operator.Fleet, own operator.Voter) string {
+	if f.Council.Bind != "" {
+		return f.Council.Bind
+	}
+	return own.Address
+}
+
+// close ends what open opened.
+func (n *Node) close() {
+	if n.council != nil {
+		if err := n.council.Close(); err != nil {
+			n.log.WithError(err).Warn("the council's seat was not closed well")
+		}
+	}
+	if n.member != nil {
+		if err := n.member.Close(); err != nil {
+			n.log.WithError(err).Warn("the gossip was not closed well")
+		}
+	}
+	if n.writer != nil {
+		n.writer.close()
+	}
+}
--- /dev/null
+++ b/internal/fleet/step.go
@@ -0,0 +1,226 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/view"
+	"birchcart/internal/serve"
+)
+
+// written is what the grants file was last made of.
+type written struct {
+	ever   bool
+	cut    bool
+	leader string
+	items  []takeout.Item
+	grants []view.Grant
+}
+
+// step gives all news to the pure parts and carries out what they want.
+func (n *Node) step() {
+	now, wall := n.now(), time.Duration(time.Now().UnixNano())
+	n.taken()
+	n.feed(now)
+	var out []view.Output
+	var propose []lead.Output
+	var f grantsFile
+	var limits, asks int // revisions agreed
+	n.copy.look(func() {
+		l := n.copy.ledger
+		if err := l.Halted(); err != nil && !n.halted {
+			n.halted = true
+			n.toView = append(n.toView, view.Halted{Err: err})
+			n.toLead = append(n.toLead, lead.Deposed{})
+		}
+		if l.Index() != n.index || !n.stepped {
+			n.index, n.stepped = l.Index(), true
+			n.toView = append(n.toView, view.Applied{State: n.copy.order, Index: n.index, Now: l.Now()})
+			n.toLead = append(n.toLead, lead.Applied{State: n.copy.order, Index: n.index, Now: l.Now()})
+			f.Items = n.copy.order.Items()
+		}
+		if a := n.answer; a != nil {
+			a.More = a.More || n.index < n.answerAt
+			n.caught = n.caught || !a.More
+			n.toView, n.answer = append(n.toView, *a), nil
+		}
+		out = n.view.Step(now, n.toView)
+		if !n.halted {
+			propose = n.lead.Step(now, wall, n.toLead)
+		}
+		f.Index, f.Now = n.index, l.Now()
+		_, limits = n.copy.order.Limits()
+		asks = n.copy.order.Asks().Revision
+		n.lines.compare(n)
+	})
+	n.toView, n.toLead = n.toView[:0], n.toLead[:0]
+	for _, o := range out {
+		n.do(o)
+	}
+	n.caughtUp()
+	for _, o := range propose {
+		switch o := o.(type) {
+		case lead.Propose:
+			n.propose(o.Command)
+		case lead.Log:
+			n.log.Info(o.Text)
+		}
+	}
+	n.agreedRevision = limits
+	n.hand(now, limits, asks)
+	n.keepSeats(now)
+	n.write(now, f)
+	n.verify(n.now())
+	n.tell(now)
+}
+
+// taken takes the list and the file that came since the last step.
+func (n *Node) taken() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.news {
+		return
+	}
+	n.news = false
+	if n.list != nil {
+		n.toView = append(n.toView, view.Listed{Own: machines(n.list)})
+		n.listFed = time.Time{}
+	}
+	n.asks = talk.Ask{From: n.name, Limits: Limits(n.file, &n.s.Config.Policy), Asks: Asks(n.file)}
+	n.askedAt, n.lines.differs = 0, 0
+	n.toLead = append(n.toLead, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
+}
+
+// feed samples the own load, and gives the leader the list and the members.
+func (n *Node) feed(now time.Duration) {
+	if n.fedAt > 0 && now < n.fedAt+FeedEvery {
+		return
+	}
+	n.fedAt = now
+	if mean, ok := n.load.Mean(); ok {
+		n.mu.Lock()
+		bears := n.file.Fleet.Bears
+		n.mu.Unlock()
+		n.own = told{mean / bears, true, now}
+		n.member.SetRecord(member.Record{Load: n.own.load, Voter: n.council != nil, Version: serve.Version()})
+	}
+	if n.term == 0 {
+		return
+	}
+	n.loads[n.name] = n.own
+	maps.DeleteFunc(n.loads, func(_ string, l told) bool { return now-l.at > LoadFor })
+	n.toLead = append(n.toLead, lead.Members{List: coordinators(n.member.Members(), n.loads, n.voters, now)})
+	n.mu.Lock()
+	list, known := n.list, n.list != nil && !n.stale
+	n.mu.Unlock()
+	if heard := n.s.Heard(); known && heard.After(n.listFed) {
+		n.listFed = heard
+		n.toLead = append(n.toLead, lead.Listed{List: machines(list), Age: max(time.Since(heard), 0)})
+	}
+}
+
+// do carries out what the view wants.
+func (n *Node) do(o view.Output) {
+	switch o := o.(type) {
+	case view.Drains:
+		n.lay(o.Names)
+	case view.Poll:
+		n.pollNow(o)
+	case view.Grants:
+		n.grants = slices.Clone(o.Items)
+	case view.Leave:
+		n.mayLeave(o.Fence)
+	case view.Log:
+		n.log.Info(o.Text)
+	}
+}
+
+// mayLeave goes, if the file says so: the lead first, then the drain as by SIGTERM.
+func (n *Node) mayLeave(fence uint64) {
+	n.mu.Lock()
+	self := n.file.Fleet.Self
+	n.mu.Unlock()
+	if !self {
+		n.log.WithField("fence", fence).Info("this co-ordinator may go for work; the site's tools end it")
+		return
+	}
+	n.log.WithField("fence", fence).Info("this co-ordinator goes for work")
+	go func() {
+		n.handOver()
+		n.s.End()
+	}()
+}
+
+// propose puts a command to the council, beside the step.
+func (n *Node) propose(c ledger.Command) {
+	if n.council == nil || n.proposing >= ProposingMost {
+		return
+	}
+	raw, err := c.Encode()
+	if err != nil {
+		n.log.WithError(err).Error("a proposal can't be written")
+		n.toLead = append(n.toLead, lead.Ended{ID: c.ID, Err: err})
+		return
+	}
+	n.proposing++
+	seat := n.council
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), ProposeTime)
+		defer cancel()
+		err := seat.Propose(ctx, raw)
+		if errors.Is(err, ledger.ErrTwice) {
+			err = nil
+		}
+		e := lead.Ended{}
+		if err, known := outcome(err); known {
+			e = lead.Ended{ID: c.ID, Err: err}
+		}
+		n.ended <- e
+	}()
+}
+
+// write has the grants file replaced, if it would say something else.
+func (n *Node) write(now time.Duration, f grantsFile) {
+	w := &n.written
+	cut := n.view.CutOff(now)
+	same := w.ever && cut == w.cut && n.leader == w.leader && slices.Equal(n.grants, w.grants)
+	if f.Items != nil || !w.ever {
+		items := shown(f.Items, f.Now)
+		same = same && slices.Equal(items, w.items)
+		w.items = items
+	}
+	if same {
+		return
+	}
+	w.ever, w.cut, w.leader, w.grants = true, cut, n.leader, n.grants
+	f.Version, f.Name, f.Leader, f.CutOff, f.Items = GrantsVersion, n.name, n.leader, cut, w.items
+	reasons := map[string]string{}
+	for _, r := range n.asks.Asks.Requests {
+		reasons[r.ID] = r.Reason
+	}
+	f.Grants = make([]grantLine, len(n.grants))
+	for i, g := range n.grants {
+		f.Grants[i] = line(g, reasons[g.Request])
+	}
+	if f.Items == nil {
+		f.Items = []takeout.Item{}
+	}
+	n.writer.put(f)
+}
+
+// sameAsks compares by what is written, as the ledger does; no requests are no requests.
+func sameAsks(a, b takeout.AsksBody) bool {
+	x, errX := json.Marshal(a)
+	y, errY := json.Marshal(b)
+	return errX == nil && errY == nil && slices.Equal(x, y) ||
+		len(a.Requests)+len(b.Requests) == 0 && a.Paused == b.Paused && a.Revision == b.Revision
+}
--- /dev/null
+++ b/internal/fleet/tell.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/fleet/takeout"
+)
+
+// LineEvery is the least time between lines about messages, and between those about a file that differs from what was
+// agreed. Twice as long: a fault is told of later; half: twice the lines of which one is enough.
+const LineEvery = 10 * time.Second
+
+// lines bounds what is logged of others' messages.
+type lines struct {
+	at      time.Duration
+	ever    bool
+	left    int
+	differs int // revision for which it was said that the file differs
+}
+
+// limited logs a line, unless one was logged just now.
+func (l *lines) limited(n *Node, now time.Duration, text string) {
+	if l.ever && now < l.at+LineEvery {
+		l.left++
+		return
+	}
+	e := n.log
+	if l.left > 0 {
+		e = e.WithField("left_out", l.left)
+	}
+	e.Info(text)
+	l.at, l.ever, l.left = now, true, 0
+}
+
+// compare says once that the own file differs from what was agreed under the same revision. It runs in a look.
+func (l *lines) compare(n *Node) {
+	limits, revision := n.copy.order.Limits()
+	own := n.asks
+	if revision == 0 || own.Limits.Revision != revision || l.differs == revision {
+		return
+	}
+	asks := n.copy.order.Asks()
+	if asks.Revision != revision {
+		return
+	}
+	l.differs = revision
+	if own.Limits.Limits != limits || !sameAsks(own.Asks, asks) {
+		n.log.WithField("revision", revision).Warn("the operators' file differs from what was agreed under its revision; give it a higher one")
+	}
+}
+
+// tell logs what an on-call reader wants to see at a glance, as often as the serving's summary.
+func (n *Node) tell(now time.Duration) {
+	if now < n.toldAt+n.s.Config.Limits.TellEvery {
+		return
+	}
+	n.toldAt = now
+	f := logrus.Fields{
+		"age": n.view.Age(now).Round(time.Millisecond), "cut_off": n.view.CutOff(now), "leader": n.leader, "leads": n.term != 0,
+		"votes": n.council != nil, "dropped": n.mail.dropped.Load() + n.member.Dropped(),
+	}
+	var wrong error
+	n.copy.look(func() {
+		f["index"] = n.copy.ledger.Index()
+		for _, it := range n.copy.order.Items() {
+			if k := string(it.Phase); it.Phase != "" {
+				count, _ := f[k].(int)
+				f[k] = count + 1
+			}
+		}
+		if stop, why := n.copy.order.Paused(n.copy.ledger.Now()); stop {
+			f["paused"] = why
+		}
+		wrong = n.copy.ledger.Check()
+	})
+	if wrong == nil {
+		wrong = n.view.Check()
+	}
+	if wrong != nil {
+		n.log.WithError(wrong).Error("a rule of the fleet does not hold")
+	}
+	up, all := 0, 0
+	for _, m := range n.member.Members() {
+		all++
+		if states[m.State] == takeout.Up {
+			up++
+		}
+	}
+	f["members"], f["members_up"] = all, up
+	n.log.WithFields(f).Info("the fleet")
+}
