--- a/internal/fleet/view/check.go
+++ b/internal/fleet/view/check.go
@@ -13,6 +13,7 @@
 // rest on what the decisions rest on.
 type evidence struct {
 	since map[string]time.Duration // when the set that goes out first had a name; as long as it has
+	fence map[string]uint64        // the live grant under which it goes out
 	wrong error                    // the first thing that was wrong
 }
 
@@ -22,6 +23,15 @@
 	}
 }
 
+// goesOut notes under which grants the drains are.
+func (v *View) goesOut(names []string) {
+	for _, n := range names {
+		if i := v.grantOf(n); i >= 0 {
+			v.seen.fence[n] = v.live[i].Fence
+		}
+	}
+}
+
 // changed looks at a new set of drains that goes out.
 func (v *View) changed(now time.Duration, names []string) {
 	for _, n := range v.drains {
@@ -29,7 +39,7 @@
 			continue
 		}
 		delete(v.seen.since, n)
-		if i := v.grantOf(n); i >= 0 && !(v.CutOff(now) && now >= v.end(v.live[i].Until)) {
+		if i := v.grantOf(n); i >= 0 && v.live[i].Fence == v.seen.fence[n] && !(v.CutOff(now) && now >= v.end(v.live[i].Until)) {
 			v.seen.fail("V1: the drain of %s was lifted at %v while its grant %d lives", n, now, v.live[i].Fence)
 		}
 	}
--- a/internal/fleet/view/drains.go
+++ b/internal/fleet/view/drains.go
@@ -142,9 +142,11 @@
 	slices.Sort(names)
 	names = slices.Compact(names)
 	if slices.Equal(names, v.drains) {
+		v.goesOut(names)
 		return
 	}
 	v.changed(now, names)
+	v.goesOut(names)
 	v.drains = names
 	v.out = append(v.out, Drains{slices.Clone(names)})
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -146,7 +146,8 @@
 // New makes a view of the co-ordinator of that name. The lease is that of the limits in force when it starts; Applied
 // limits replace it.
 func New(name string, lease time.Duration) *View {
-	return &View{name: name, lease: lease, cut: true, kinds: map[string]takeout.Machine{}, seen: evidence{since: map[string]time.Duration{}}}
+	return &View{name: name, lease: lease, cut: true, kinds: map[string]takeout.Machine{},
+		seen: evidence{since: map[string]time.Duration{}, fence: map[string]uint64{}}}
 }
 
 // NumberFrom sets where the numbers of polls begin, before the first Step. They must not repeat between processes of one
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -160,6 +160,22 @@
 	r.want("said of the next grant", r.laid(), "[]")
 }
 
+// A voter gets what was agreed before its poll is answered: cut off, it lifts what has ended and lays nothing new.
+func TestAGrantAfterItsOwnIsNotLaidWhileCutOff(t *testing.T) {
+	r := begin(t)
+	r.applied(r.item("r1", 7, takeout.Granted))
+	r.run(5 * s)
+	r.deaf = true
+	r.run(20 * s)
+	r.applied(r.item("r1", 7, takeout.Done), r.item("r1", 8, takeout.Granted))
+	r.run(s)
+	r.want("cut off", r.drains, "[]")
+	r.want("wrong", r.v.Check(), "<nil>")
+	r.deaf = false
+	r.run(10 * s)
+	r.want("answered again", r.drains, "[r1]")
+}
+
 func TestNarrowingNeverToNothing(t *testing.T) {
 	r := begin(t)
 	r.pending = []Input{Listed{slices.Concat(list[:2], []takeout.Machine{{Name: "r2", Cell: 2, Status: takeout.Gone}}, list[3:])}}
