--- a/internal/discovery/clock_test.go
+++ b/internal/discovery/clock_test.go
@@ -387,3 +387,26 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A whole list may come indented. A change that is spread over lines is had with the whole list, soon.
+func TestIndentedLists(t *testing.T) {
+	t.Parallel()
+	wide := func(raw string) string {
+		return strings.ReplaceAll(strings.ReplaceAll(raw, "{", "{\n  "), ",", ",\n  ")
+	}
+	s := newScripted(t, loopback(t))
+	now := make(chan time.Time, 1)
+	s.set(1, says(whole(wide(list(1, true, entry("v1", "Ready"))))+opened), nil)
+	_, names, _ := runs(t, s.ln.Addr().String(), false)
+	names("v1")
+	s.set(2, nil, func(nc net.Conn) {
+		io.WriteString(nc, opened)
+		time.Sleep(scaled.RedialMost + slack) // it was open for a while
+		s.set(3, nil, nil)
+		now <- time.Now()
+		io.WriteString(nc, chunk(wide(list(3, false, entry("v3", "Ready")))+"\n"))
+	})
+	if took := names("v3").Sub(<-now); took > scaled.RedialMost+slack {
+		t.Errorf("heard after %v", took)
+	}
+}
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -16,8 +16,9 @@
 
 // Drain ends the service. For a while it goes on accepting, since clients and their front learn of the end late, and
 // serves the connections that are there as before: whoever takes our place may be starting still, and a client that is
-// sent away has nowhere to go then. From then on each answer closes its connection unless a further request has begun there,
-// idle ones are closed, and what is open or half read is waited for. What comes during the drain is given up in time before the process may be killed.
+// sent away has nowhere to go then. From then on each answer closes its connection unless a further request has begun
+// there, idle ones are closed, and what is open or half read is waited for. What comes during the drain is given up in
+// time before the process may be killed.
 func (s *Server) Drain(ctx context.Context) {
 	end := time.Now().Add(s.limits.EndTime)
 	s.lastBy.Store(&end)
