--- a/internal/fleet/seats.go
+++ b/internal/fleet/seats.go
@@ -15,7 +15,7 @@
 const (
 	// SeatsEvery is between looks at whether the council's voters are those of the file. Twice as long: a voter is
 	// replaced so much later; half: twice the questions of one that waits for its seat.
-	SeatsEvery = 5 * time.Second
+	SeatsEvery = 2 * time.Second
 
 	seatsVersion = 1
 	kindSeats    = 's' // none of talk's
