--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -20,15 +20,15 @@
 // Times of the council.
 const (
 	// HeartbeatMost: a voter that heard no leader for this, or up to twice this (drawn anew each time), asks for an election.
-	// Twice as long: a leader's death costs 5 s at p99 and not under 3; half: a long pause of one process elects anew.
-	HeartbeatMost = 600 * time.Millisecond
+	// Twice as long: a leader's death costs over 3 s where the first election is split; half: a pause of one process elects anew.
+	HeartbeatMost = 500 * time.Millisecond
 	// ElectionMost: a candidate that has no majority after this, or up to twice this, asks again. As HeartbeatMost.
-	ElectionMost = 600 * time.Millisecond
+	ElectionMost = 500 * time.Millisecond
 	// LeaseMost: a leader that heard no majority for this steps down. It must be less than HeartbeatMost, so that an old leader
-	// is silent before another is elected. Half: it steps down at short pauses.
+	// is silent before another is elected. Half: it steps down at short pauses; twice: refused.
 	LeaseMost = 400 * time.Millisecond
 	// CommitEvery: without proposals, voters are told the commit index after this to twice this. Twice as long: the last entry
-	// is applied 0.4 s later at the others; half: 6 KB/s more from the leader to each voter, at rest.
+	// is applied 0.4 s later at the others; half: some 2 KB/s more between the leader and each voter, at rest.
 	CommitEvery = 100 * time.Millisecond
 	// WireMost is the most that a connect or a write to a voter may take; a snapshot has this for each 256 KB. Twice as long:
 	// a dead link is noticed later, though not by the election; half: a snapshot fails on a narrow link.
@@ -105,6 +105,10 @@
 	// Stream may go between raft and its connections: encryption, or a test's faults.
 	Stream func(raft.StreamLayer) raft.StreamLayer
 
+	// Patience multiplies HeartbeatMost, ElectionMost and LeaseMost, for machines so loaded that a process waits for its turn
+	// for long; 0 is 1. All voters must have the same.
+	Patience int
+
 	// SnapshotAfter, TrailingLogs, RingMost: 0 for the constants.
 	SnapshotAfter, TrailingLogs uint64
 	RingMost                    int
@@ -208,8 +212,9 @@
 	log := enginelog.New(o.Log).Hclog("raft")
 	p := &prepared{conf: raft.DefaultConfig()}
 	p.conf.LocalID = raft.ServerID(o.Name)
-	p.conf.HeartbeatTimeout, p.conf.ElectionTimeout = HeartbeatMost, ElectionMost
-	p.conf.LeaderLeaseTimeout, p.conf.CommitTimeout = LeaseMost, CommitEvery
+	patience := time.Duration(max(1, o.Patience))
+	p.conf.HeartbeatTimeout, p.conf.ElectionTimeout = patience*HeartbeatMost, patience*ElectionMost
+	p.conf.LeaderLeaseTimeout, p.conf.CommitTimeout = patience*LeaseMost, CommitEvery
 	p.conf.SnapshotThreshold, p.conf.TrailingLogs = SnapshotAfter, TrailingLogs
 	p.conf.SnapshotInterval = SnapshotLook
 	if o.SnapshotAfter > 0 {
