Bound the steps of a node that many poll, and measure its load over whole seconds

Need: each poll that came alone made a step, 300 a second at the leader of 300; and the load that a new leader told first was measured over the milliseconds since the last look.

Change: steps with news lie 20 ms apart at least; the own load is sampled once a second whoever leads.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -39,6 +39,9 @@
 	// StepEvery is between steps without news. Twice as long: a drain is said as laid up to 0.1 s later; half: twice the
 	// work at rest.
 	StepEvery = 100 * time.Millisecond
+	// StepSoonest is between steps with news. Twice as long: a told grant is known so much later; half: a leader that 300
+	// co-ordinators poll steps twice as often.
+	StepSoonest = 20 * time.Millisecond
 	// FeedEvery is between the leader's looks at members and list, and between samples of the own load. Twice as long:
 	// the leader sees what went a second later; half: twice the sorting of both.
 	FeedEvery = time.Second
@@ -60,6 +63,8 @@
 	log  *logrus.Entry
 	off  bool // the operators' file has no fleet
 	name string
+	// of the program, for the others to see
+	version string
 
 	member  *member.Members
 	council *council.Council // nil: no vote
@@ -202,10 +207,13 @@
 	}
 }
 
-// run steps after any news, and else every StepEvery.
+// run steps soon after any news, and else every StepEvery.
 func (n *Node) run(ctx context.Context) {
 	tick := time.NewTicker(StepEvery)
 	defer tick.Stop()
+	soon := time.NewTimer(0)
+	defer soon.Stop()
+	last := time.Time{}
 	for {
 		var changes <-chan council.State
 		var news <-chan struct{}
@@ -240,10 +248,16 @@
 		case err := <-n.saved:
 			n.savedLaid(err)
 		case <-n.wake:
+		case <-soon.C:
 		case <-tick.C:
 		}
-		if n.laying == 0 {
+		switch passed := time.Since(last); {
+		case n.laying > 0:
+		case passed < StepSoonest:
+			soon.Reset(StepSoonest - passed)
+		default:
 			n.step()
+			last = time.Now()
 		}
 	}
 }
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -21,6 +21,7 @@
 
 func (n *Node) init(s serve.Serving) {
 	n.name, n.file, n.start, n.news = s.Config.Name, s.Operator, time.Now(), true
+	n.version = serve.Version()
 	n.copy, n.mail = newCopy(), newMail()
 	n.ended, n.verified, n.closed = make(chan lead.Ended, ProposingMost), make(chan verified, 1), make(chan struct{}, 1)
 	n.wake, n.laid = make(chan struct{}, 1), make(chan struct{}, 1) // one set is laid at a time
@@ -66,7 +67,7 @@
 		return fmt.Errorf("operators' file: $.fleet.gossip or $.fleet.keys_file: %w", err)
 	}
 	n.member = m
-	n.member.SetRecord(member.Record{Voter: n.council != nil, Version: serve.Version()})
+	n.member.SetRecord(member.Record{Voter: n.council != nil, Version: n.version})
 	n.writer = newWriter(f.Grants, n.log)
 	return nil
 }
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -14,7 +14,6 @@
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/talk"
 	"birchcart/internal/fleet/view"
-	"birchcart/internal/serve"
 )
 
 // written is what the grants file was last made of.
@@ -100,22 +99,27 @@
 	n.toLead = append(n.toLead, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
 }
 
-// feed samples the own load, and gives the leader the list and the members.
-func (n *Node) feed(now time.Duration) {
-	if n.fedAt > 0 && now < n.fedAt+FeedEvery {
+// sample measures the own load and tells it by gossip.
+func (n *Node) sample(now time.Duration) {
+	if now < n.own.at+FeedEvery {
 		return
 	}
-	n.fedAt = now
 	if mean, ok := n.load.Mean(); ok {
 		n.mu.Lock()
 		bears := n.file.Fleet.Bears
 		n.mu.Unlock()
 		n.own = told{mean / bears, true, now}
-		n.member.SetRecord(member.Record{Load: n.own.load, Voter: n.council != nil, Version: serve.Version()})
+		n.member.SetRecord(member.Record{Load: n.own.load, Voter: n.council != nil, Version: n.version})
 	}
-	if n.term == 0 {
+}
+
+// feed gives the leader the list and the members.
+func (n *Node) feed(now time.Duration) {
+	n.sample(now)
+	if n.term == 0 || n.fedAt > 0 && now < n.fedAt+FeedEvery {
 		return
 	}
+	n.fedAt = now
 	n.loads[n.name] = n.own
 	maps.DeleteFunc(n.loads, func(_ string, l told) bool { return now-l.at > LoadFor })
 	n.toLead = append(n.toLead, lead.Members{List: coordinators(n.member.Members(), n.loads, n.voters, now)})
