Give the council's tests addresses of their own in the loopback network

Need: two tests at once drew the same free port (a run with -race failed by it, with no race found).

Change: each seat in a test gets its own address in 127/8. Comments wrapped.

--- a/internal/fleet/council/change.go
+++ b/internal/fleet/council/change.go
@@ -31,8 +31,9 @@
 
 // Replace puts one voter in another's place: the new one comes in first and the old one goes then, or, if the old one is
 // silent, the other way round. It is refused while another change runs, and where at any step a majority would not be
-// left of those that answer now, without the new one (but a council of one only needs it to take a connection). An old one named "" adds a voter only, a new one with no name takes the old
-// one out only. A call that was cut off half way is finished by calling it again.
+// left of those that answer now, without the new one (but a council of one only needs it to take a connection). An old
+// one named "" adds a voter only, a new one with no name takes the old one out only. A call that was cut off half way
+// is finished by calling it again.
 func (c *Council) Replace(old string, with Voter) error {
 	if !c.changing.TryLock() {
 		return ErrChanging
--- a/internal/fleet/council/cluster_test.go
+++ b/internal/fleet/council/cluster_test.go
@@ -142,13 +142,12 @@
 	change   func(o *Options)
 }
 
-func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+var seats atomic.Int64
+
+// free gives an address of this process's own in the loopback network, so that nobody else takes its port.
+func free(*testing.T) string {
+	n := seats.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%200, 1+n/250, 1+n%250, 7000+os.Getpid()%10_000)
 }
 
 func newCluster(t *testing.T, n int, change func(o *Options)) *cluster {
