Count a machine in a crash loop out instead of pausing the plan for it

W6 paused new grants for each failure outside the plan, doubled up to 8 times the calm, so one machine in a crash loop held up the whole plan and its own repair without end.

A machine's failures are now counted (three are remembered). The third within 8 times the calm still pauses and marks it as flapping: nothing relies on it (W1, W3, voters that are up) until it was up for 8 times the calm without another. Its further failures, and its overrunning, neither pause nor lengthen a pause; those of others do; more than OutMost that flap are a fleet in trouble and pause again. It may be granted as a broken machine may. A reserved turn is not held for what flaps.

The independent checker counts failures itself from the history: a failure is excused only by the widest reading of the news' age, and the fleet in trouble is held against by the narrowest; what waits for a flapping machine is not counted as able to go.

The saved state is of version 2; one of version 1 is refused, since a copy that took failures for none would not agree with one that applied the log.

--- a/internal/fleet/takeout/observe.go
+++ b/internal/fleet/takeout/observe.go
@@ -33,7 +33,9 @@
 		default:
 			s.end(e, Lapsed, "not back by its time: counts as failed")
 			over = append(over, e)
-			failed = e.Machine + " is not back by its time"
+			if s.pauses(s.machines[e.Machine]) {
+				failed = e.Machine + " is not back by its time"
+			}
 		}
 	}
 	if failed != "" {
@@ -48,8 +50,8 @@
 }
 
 // failure pauses new grants (W6): for Calm, and twice as long as the last time if it comes within a pause, or within
-// as long again after one, up to CalmMost times Calm. Without the time after it, a machine that fails every little more
-// than Calm would start and stop the plan each time.
+// as long again after one, up to CalmMost times Calm. Without the time after it, machines that fail every little more
+// than Calm would start and stop the plan each time. What one flapping machine does is left out, see flap.go.
 func (s *State) failure(why string) {
 	calm := s.limits.Calm
 	span := calm
@@ -170,9 +172,12 @@
 	return n
 }
 
-// see takes one machine's news and says, if it is a failure outside the plan, which.
+// see takes one machine's news and says, if it is a failure outside the plan that pauses it, which.
 func (s *State) see(m *machine, n Machine) string {
 	old, wasUp := m.Machine, m.Last == Up
+	if m.Flaps && !s.flaps(m, s.now) {
+		m.flap = flap{} // it has been calm for long enough, whatever comes now
+	}
 	if n.Status == Unknown || n.Started == 0 && n.Status != Up {
 		n.Started = old.Started // nothing is known of a newer one
 	}
@@ -197,6 +202,16 @@
 	if went {
 		failed = s.unplanned(m, n)
 	}
+	since := s.now
+	if newer {
+		since = min(n.Started, s.now)
+	}
+	if n.Status == Up && (newer || !wasUp) {
+		m.UpAt = since
+	}
+	if failed != "" && !s.failed(m, since) {
+		failed = ""
+	}
 	s.follow(m)
 	return failed
 }
--- a/internal/fleet/takeout/rules.go
+++ b/internal/fleet/takeout/rules.go
@@ -11,22 +11,27 @@
 type sums struct {
 	at        time.Duration
 	ready     []int   // by cell: replicas up, warm and not in the plan
-	stay      []int   // by cell: replicas that are not gone
+	stay      []int   // by cell: replicas that are not gone and not flapping
 	size      float64 // of the ready, in mean replicas
 	out       int     // in the plan: a live item, or one that settles
 	zones     map[string]int
-	voters    int // up and not in the plan
+	voters    int // up, not flapping and not in the plan
 	votersOut int // in the plan
-	votersAll int // not gone
+	votersAll int // not gone and not flapping
 	reserved  []*entry
 }
 
 // busyAt: a machine has a live item or an ended grant that still counts.
 func (m *machine) busyAt(now time.Duration) bool { return m.live != nil || m.Settle > now }
 
-// ready: counts as serving: up, warm, and nothing of the plan is on it.
+// ready: counts as serving: up, warm, not flapping, and nothing of the plan is on it.
 func (s *State) ready(m *machine, now time.Duration) bool {
-	return m.Kind == Replica && m.Status == Up && now >= m.Started+s.limits.WarmUp && !m.busyAt(now)
+	return m.Kind == Replica && m.Status == Up && now >= m.Started+s.limits.WarmUp && !m.busyAt(now) && !s.flaps(m, now)
+}
+
+// stays: it is there, and may be relied on once nothing of the plan is on it.
+func (s *State) stays(m *machine, now time.Duration) bool {
+	return m.Status != Gone && !s.flaps(m, now)
 }
 
 func (m *machine) size() float64 {
@@ -51,7 +56,8 @@
 	*t = sums{at: now, ready: t.ready, stay: t.stay, zones: map[string]int{}}
 	for _, m := range s.list {
 		in := m.Kind == Replica && m.Cell >= 0 && m.Cell < n
-		if in && m.Status != Gone {
+		stays := s.stays(m, now)
+		if in && stays {
 			t.stay[m.Cell]++
 		}
 		if s.ready(m, now) {
@@ -69,10 +75,10 @@
 			switch {
 			case busy:
 				t.votersOut++
-			case m.Status == Up:
+			case m.Status == Up && stays:
 				t.voters++
 			}
-			if m.Status != Gone {
+			if stays {
 				t.votersAll++
 			}
 		}
@@ -234,7 +240,7 @@
 		return fmt.Errorf("W2: %d voter is out already", t.votersOut)
 	}
 	left := t.voters
-	if m.Status == Up {
+	if m.Status == Up && s.stays(m, t.at) {
 		left--
 	}
 	if left < l.VotersLeast {
--- a/internal/fleet/takeout/snapshot.go
+++ b/internal/fleet/takeout/snapshot.go
@@ -10,8 +10,9 @@
 	"birchcart/internal/fleet/ledger"
 )
 
-// Version of what Save gives. Another one is refused.
-const Version = 1
+// Version of what Save gives. Another one is refused. 2 has the machines' failures: a copy that took them for none, from
+// a state of version 1, would grant and pause otherwise than one that applied the same log.
+const Version = 2
 
 type saved struct {
 	V         int             `json:"v"`
@@ -104,6 +105,9 @@
 		if s.machines[m.Name] != nil || i > 0 && v.Machines[i-1].Name > m.Name {
 			return fmt.Errorf("machine %s is out of order", m.Name)
 		}
+		if err := m.flap.valid(); err != nil {
+			return fmt.Errorf("machine %s: %w", m.Name, err)
+		}
 		s.machines[m.Name] = m
 		s.list = append(s.list, m)
 		s.place(m)
--- a/internal/fleet/takeout/state.go
+++ b/internal/fleet/takeout/state.go
@@ -31,8 +31,12 @@
 	// ForMost is the longest that a machine may be out by one request. One that is away for longer is taken out of the
 	// inventory and asked for once it is back; twice as long would hold its place in the plan for two months.
 	ForMost = 30 * 24 * time.Hour
-	// CalmMost times Limits.Calm is the longest pause after failures.
+	// CalmMost times Limits.Calm is the longest pause after failures, and the span in which a machine's are counted.
 	CalmMost = 8
+	// FlapFails unplanned failures of one machine within CalmMost times Calm make it flapping, see flap.go. One more: a
+	// crash loop pauses the plan once more, for up to CalmMost times Calm; one less: a machine that fails, is restarted
+	// by hand and fails again is not relied on for as long.
+	FlapFails = 3
 )
 
 // machine is a line of the inventory with what the rules remember of it.
@@ -41,8 +45,9 @@
 	Last   Status        `json:"last"`              // its last status but Unknown
 	GoneAt time.Duration `json:"gone_at,omitempty"` // since when it is gone
 	Settle time.Duration `json:"settle,omitempty"`  // until then an ended grant of its counts
-	live   *entry        // granted, told, out or back
-	asked  []*entry      // that wait, in the order of asking
+	flap
+	live  *entry   // granted, told, out or back
+	asked []*entry // that wait, in the order of asking
 }
 
 // entry is an item with its place in the order of asking.
--- a/internal/fleet/takeout/turn.go
+++ b/internal/fleet/takeout/turn.go
@@ -53,8 +53,11 @@
 	if m == nil || m.Status == Gone || m.busyAt(now) || l.OutMost < 1 || l.OutByZone < 1 {
 		return false
 	}
-	t := s.sum(now)
-	if m.Voter && t.votersAll-1 < l.VotersLeast {
+	t, own := s.sum(now), 1
+	if s.flaps(m, now) {
+		own = 0
+	}
+	if m.Voter && t.votersAll-own < l.VotersLeast {
 		return false
 	}
 	if m.Kind != Replica {
@@ -63,7 +66,7 @@
 	if m.Cell < 0 || m.Cell >= l.Cells {
 		return false
 	}
-	left, _, ok := l.fewest(t.stay, m.Cell, 1)
+	left, _, ok := l.fewest(t.stay, m.Cell, own)
 	return !ok || left >= l.HoldersLeast
 }
 
--- a/internal/fleet/takeout/types.go
+++ b/internal/fleet/takeout/types.go
@@ -50,7 +50,7 @@
 	Lease        time.Duration `json:"lease"`         // of a co-ordinator's part in the fleet
 	Grace        time.Duration `json:"grace"`         // after its lease, or after a drain was laid, until nothing new is sent
 	Settle       time.Duration `json:"settle"`        // after a grant's end, until its machine counts as staying
-	Calm         time.Duration `json:"calm"`          // W6: without an unplanned failure for so long, plans go on
+	Calm         time.Duration `json:"calm"`          // W6: without an unplanned failure for so long, plans go on; see flap.go
 	PassedMost   int           `json:"passed_most"`   // W5: passed over so often, a request reserves its turn
 	VotersLeast  int           `json:"voters_least"`  // W2: voters that stay up: a majority and one to spare
 }
--- a/internal/fleet/world/history/check.go
+++ b/internal/fleet/world/history/check.go
@@ -42,6 +42,8 @@
 	goes     time.Duration // when it was taken
 	overdue  time.Duration // planned until here
 	counts   bool          // its newest failure is one for W6
+	lax      flapping      // by the widest reading of the news' age: what is excused
+	sure     flapping      // by the narrowest: what is held against the fleet
 }
 
 type standing struct {
@@ -84,6 +86,7 @@
 	case Risen:
 		m := c.machines[e.Name]
 		m.up, m.warm = true, e.Warm
+		m.lax.rose, m.sure.rose = e.At, e.At
 		if s := c.live(e.Name); s != nil {
 			s.rose = s.Phase != "granted"
 		}
--- a/internal/fleet/world/history/check_test.go
+++ b/internal/fleet/world/history/check_test.go
@@ -52,12 +52,41 @@
 	return all
 }
 
+// crashes are a grant, so many failures of machines, 30 s apart, one more when they were calm for so long, what else
+// happens a second later, and then a grant within the calm.
+func crashes(times int, calm time.Duration, names []string, rest ...Event) []Event {
+	first := item("r1", "granted", 1, 0)
+	first.At = 15 * second
+	all, at := []Event{first}, 20*second
+	for i := range times + 1 {
+		if i == times {
+			at += calm
+		}
+		for _, name := range names {
+			all = append(all, Event{At: at, Kind: Failed, Name: name})
+		}
+		for _, name := range names {
+			all = append(all, Event{At: at + second, Kind: Risen, Name: name})
+		}
+		at += 30 * second
+	}
+	for _, e := range rest {
+		e.At = at - 29*second
+		all = append(all, e)
+	}
+	last := item("r2", "granted", 2, 1)
+	last.At = at - 25*second
+	return append(all, last)
+}
+
 func TestPromisesThatAreBroken(t *testing.T) {
 	later := func(e Event, at time.Duration) Event { e.At = at; return e }
 	lapsing := func(e Event, at time.Duration) Event { e.Item.Lapses = at; return e }
 	named := func(e Event, command string) Event { e.Command = command; return e }
 	busy := room()[0].Rules
 	busy.Load = 2
+	slow := room()[0].Rules
+	slow.Calm = 100 * second
 	by := func(e Event, voters int) Event { e.Voters = voters; return e }
 	for _, c := range []struct {
 		name, says string
@@ -78,6 +107,14 @@
 			went("r0", 1, 0), went("r2", 2, 1))},
 		{"no calm", "W6: r2 was granted 5s after r0 failed", join([]Event{item("r1", "granted", 1, 0), {Kind: Failed, Name: "r0"}},
 			[]Event{later(item("r2", "granted", 2, 1), 17*second)})},
+		{"one in a crash loop", "", crashes(3, 0, []string{"r0"})},
+		{"it pauses before that", "W6: r2 was granted 5s after r0 failed", crashes(2, 0, []string{"r0"})},
+		{"others pause beside it", "W6: r2 was granted 4s after r3 failed", crashes(3, 0, []string{"r0"}, Event{Kind: Failed, Name: "r3"})},
+		{"calm for long enough between", "W6: r2 was granted 5s after r0 failed", crashes(3, 200*second, []string{"r0"})},
+		{"two of them", "", crashes(3, 0, []string{"r0", "r3"})},
+		{"three of them, and two may be out", "W6: r2 was granted 5s after c1 failed", crashes(3, 0, []string{"r0", "r3", "c1"})},
+		{"waits for one in a crash loop", "", join([]Event{{Kind: Limits, Rules: slow}}, crashes(3, 0, []string{"r0"}),
+			[]Event{later(item("r3", "asked", 0, 3), 116*second), later(Event{Kind: Ended, Quiet: time.Hour}, 850*second)})},
 		{"one command twice", "W4: the command x granted r2, and had", []Event{named(item("r0", "granted", 1, 0), "x"), named(item("r2", "granted", 2, 1), "x")}},
 		{"two voters", "W2: with the grant 2", []Event{item("c0", "granted", 1, 0), item("c1", "granted", 2, 1)}},
 		{"no machine", "W2: r9", []Event{item("r9", "granted", 1, 0)}},
