Keep a reserved turn while a neighbour is out by the plan

The exhaustive search of the small world broke W5: a request that had reserved its turn lost it as soon as a holder of its shard was out by the plan, since one that is gone did not count as staying, and two neighbours could go in turn before it for ever. The test is refused without the change.

--- a/internal/fleet/takeout/rules.go
+++ b/internal/fleet/takeout/rules.go
@@ -11,7 +11,7 @@
 type sums struct {
 	at        time.Duration
 	ready     []int   // by cell: replicas up, warm and not in the plan
-	stay      []int   // by cell: replicas that are not gone and not flapping
+	stay      []int   // by cell: replicas that are not gone and not flapping, or out by the plan
 	size      float64 // of the ready, in mean replicas
 	out       int     // in the plan: a live item, or one that settles
 	zones     map[string]int
@@ -56,7 +56,7 @@
 	*t = sums{at: now, ready: t.ready, stay: t.stay, zones: map[string]int{}}
 	for _, m := range s.list {
 		in := m.Kind == Replica && m.Cell >= 0 && m.Cell < n
-		stays := s.stays(m, now)
+		stays := s.stays(m, now) || m.live != nil // what is out by the plan comes back
 		if in && stays {
 			t.stay[m.Cell]++
 		}
@@ -75,7 +75,7 @@
 			switch {
 			case busy:
 				t.votersOut++
-			case m.Status == Up && stays:
+			case m.Status == Up && s.stays(m, now):
 				t.voters++
 			}
 			if stays {
--- a/internal/fleet/takeout/rules_test.go
+++ b/internal/fleet/takeout/rules_test.go
@@ -160,6 +160,16 @@
 	p.no("W1", "b", "r7")
 }
 
+// A neighbour that is out by the plan comes back: it does not cost the turn, or two neighbours in turn would keep one for ever.
+func TestW5KeepsItsTurnWhileANeighbourIsOut(t *testing.T) {
+	l := Limits{}.with(limits, func(l *Limits) { l.Reach, l.HoldersLeast, l.PassedMost, l.OutMost, l.OutByZone = 2, 1, 1, 8, 8 })
+	p := start(t, l, names("a", "r1"), names("b", "r0", "r2"))
+	p.grant("b", "r0")
+	p.told("r0")
+	p.see(cell(0).as(Gone))
+	p.no("W5: r1, passed over 1 times, has reserved a shard", "b", "r2")
+}
+
 func TestW5ReservesPlaces(t *testing.T) {
 	for words, change := range map[string]func(*Limits){
 		"reserved the last place":             func(l *Limits) { l.OutMost = 2 },
