Hand a follower the whole state where one entry is larger than a word may be

Need: an inventory or a file of over 512 KB is one entry of the log; followers could not be sent it, nor anything after it, and stayed cut off.

The size of a whole state that can be sent stays bounded by the gossip's 8 MB.

--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -106,11 +106,18 @@
 		for i, e := range entries {
 			all[i] = talk.Entry{Index: e.Index, Raw: e.Raw}
 		}
-		if w.Index, w.Snapshot = at, snapshot; len(snapshot) > 0 {
+		if w.Index, w.Snapshot = at, snapshot; len(snapshot) == 0 && w.Fill(all) != nil {
+			w.Entries = nil // one of them is larger than a word may be: the whole state has it too
+			n.copy.look(func() {
+				var err error
+				w.Index = n.copy.ledger.Index()
+				if w.Snapshot, err = n.copy.ledger.Save(); err != nil {
+					n.log.WithError(err).Error("what was agreed can't be sent")
+				}
+			})
+		}
+		if len(w.Snapshot) > 0 {
 			w.Since = 0
-		} else if err := w.Fill(all); err != nil {
-			n.log.WithError(err).Error("what was agreed can't be sent")
-			continue
 		}
 		if len(w.Entries) > 0 {
 			w.Index = w.Entries[len(w.Entries)-1].Index
