Give no lease on an answer that was cut short

Only an answer that brings the copy up to the leader's lengthens the lease; one cut short only makes the next poll come at once.

--- a/internal/fleet/view/polls.go
+++ b/internal/fleet/view/polls.go
@@ -37,7 +37,10 @@
 	if i < 0 {
 		return false
 	}
-	p.answered, p.answeredAt, p.more = true, p.sent[i].at, a.More
+	p.more = a.More
+	if !a.More { // one cut short leaves this copy without grants that may be told already: no lease upon it
+		p.answered, p.answeredAt = true, p.sent[i].at
+	}
 	p.term = max(p.term, a.Term)
 	p.sent = slices.Delete(p.sent, 0, i+1)
 	p.unanswered = len(p.sent)
@@ -64,7 +67,7 @@
 	p := &v.polls
 	laid := v.tell(now)
 	due := now >= p.next
-	if p.answered && p.unanswered == 0 && p.more || !slices.Equal(laid, p.said) {
+	if p.unanswered == 0 && p.more || !slices.Equal(laid, p.said) {
 		due = due || now >= p.at+PollSoonest
 	}
 	if !due {
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -259,6 +259,18 @@
 	r.want("while cut off", r.leaves, "[]")
 }
 
+func TestAnAnswerCutShortGivesNoLease(t *testing.T) {
+	r := &rig{t: t, v: New("a", 10*s), now: 100 * s, at: 5000 * s, deaf: true}
+	r.step(0)
+	r.pending = []Input{Answered{Poll: 1, More: true}}
+	r.step(100 * time.Millisecond)
+	r.want("cut off", r.v.CutOff(r.now), true)
+	r.want("polls, the next one at once", len(r.polls), 2)
+	r.pending = []Input{Answered{Poll: 2}}
+	r.step(100 * time.Millisecond)
+	r.want("cut off once it has all", r.v.CutOff(r.now), false)
+}
+
 func TestARestartedProcessLaysWhatItsDiskSays(t *testing.T) {
 	r := &rig{t: t, v: New("a", 10*s), now: 100 * s, at: 5000 * s, deaf: true, pending: []Input{Listed{list}}}
 	r.applied(r.item("r1", 7, takeout.Told))
