Keep a leader whose clock is far ahead from carrying agreed time with it

A leader's wall clock is agreed time, which never goes back: one an hour ahead carried it along for good, and by it grants ended, machines counted as warm and pauses as over an hour too soon. The ledger can not refuse the leap, since after hours at rest the first command leaps and is right.

Each poll now says what its sender's clock shows. A leader whose clock is over 5 s ahead of more than half of the clocks known, its own among them, proposes nothing; after 3 s it says why and hands the lead over, and again every 30 s. While fewer than two others' clocks are known it only goes on as its own monotonic clock does, which covers a new leader in the middle of a plan; a leap waits for clocks up to 3 s, and not at all where nobody else is there. Wired in the node and in the emulated fleets.

--- a/internal/fleet/lead/lead.go
+++ b/internal/fleet/lead/lead.go
@@ -85,16 +85,21 @@
 type Input interface{ input() }
 
 type (
-	// Elected says that this process leads in the term, with its own copy caught up with all before it.
-	Elected struct{ Term uint64 }
+	// Elected says that this process, by the name Own, leads in the term, with its own copy caught up with all before it.
+	Elected struct {
+		Term uint64
+		Own  string
+	}
 	// Deposed says that it no longer does, or may not.
 	Deposed struct{}
-	// Polled is a poll that was received while leading. No orders those of one co-ordinator; 0: not told.
+	// Polled is a poll that was received while leading. No orders those of one co-ordinator; 0: not told. Wall is what its
+	// sender's clock showed when it was sent, since the Unix epoch; 0: not told.
 	Polled struct {
 		From  string
 		No    uint64
 		Index uint64
 		Laid  []talk.Laid
+		Wall  time.Duration
 	}
 	// Members is the members' news, whole and with the own name, as they are now.
 	Members struct{ List []Member }
@@ -154,6 +159,7 @@
 	out   []Output
 
 	leading bool
+	own     string
 	term    uint64
 	since   time.Duration // own time of the election
 	seq     uint64        // of the newest proposal in the term
@@ -175,6 +181,11 @@
 	limits    takeout.LimitsBody
 	asks      takeout.AsksBody
 
+	wrong           bool // the own wall's clock is ahead of the others', since wrongAt
+	wrongAt, handAt time.Duration
+	unsure          bool // too few others' clocks are known, since unsureAt
+	unsureAt        time.Duration
+
 	heard    map[string]*heard
 	granted  map[uint64]time.Duration // by fence, own time since when a granted item is known in this term
 	waiting  []proposal               // those whose end is not known
@@ -207,8 +218,9 @@
 	for _, i := range in {
 		l.take(i)
 	}
-	l.time = max(wall, l.base+(l.now-l.baseAt)-(l.now-l.baseAt)/CatchUp, 0)
-	if !l.leading || l.state == nil {
+	pace := max(l.base+(l.now-l.baseAt)-(l.now-l.baseAt)/CatchUp, 0)
+	l.time = max(wall, pace)
+	if !l.leading || l.state == nil || !l.clockRight(wall, pace) {
 		return l.out
 	}
 	l.tidy()
@@ -235,7 +247,7 @@
 			l.seq = 0
 		}
 		l.reset()
-		l.leading, l.term, l.since = true, in.Term, l.now
+		l.leading, l.term, l.own, l.since = true, in.Term, in.Own, l.now
 		l.say("leads in term %d", in.Term)
 	case Deposed:
 		if l.leading {
@@ -282,6 +294,7 @@
 	l.granted = map[uint64]time.Duration{}
 	l.refused = map[string]time.Duration{}
 	l.waiting, l.looked, l.passed, l.news = nil, false, mark{}, true
+	l.wrong, l.unsure = false, false
 }
 
 func (l *Lead) say(format string, a ...any) {
--- a/internal/fleet/lead/lead_test.go
+++ b/internal/fleet/lead/lead_test.go
@@ -27,7 +27,10 @@
 	state   *takeout.State
 	ledger  *ledger.Ledger
 	now     time.Duration
-	behind  time.Duration // of the wall's clock
+	behind  time.Duration            // of the wall's clock
+	clocks  map[string]time.Duration // by how much others' are ahead of the true time
+	unheard bool                     // nobody polls
+	hands   []string
 	index   uint64
 	deaf    bool          // the council takes nothing
 	old     time.Duration // since when the list is not confirmed any more
@@ -85,7 +88,7 @@
 			in = append(in, Listed{List: r.list})
 		}
 		for _, m := range r.members {
-			if m.Name != r.silent {
+			if m.Name != r.silent && !r.unheard {
 				in = append(in, r.poll(m.Name))
 			}
 		}
@@ -95,6 +98,8 @@
 		switch o := o.(type) {
 		case Log:
 			r.logs = append(r.logs, o.Text)
+		case HandOver:
+			r.hands = append(r.hands, o.Why)
 		case Propose:
 			r.all = append(r.all, o)
 			if o.Command.Kind == "grant" && !slices.ContainsFunc(r.all[:len(r.all)-1], func(p Propose) bool { return p.Command.ID == o.Command.ID }) {
@@ -125,7 +130,7 @@
 }
 
 func (r *rig) poll(name string) Polled {
-	p := Polled{From: name, No: uint64(r.now)}
+	p := Polled{From: name, No: uint64(r.now), Wall: 5000*s + r.now + r.clocks[name]}
 	for _, it := range r.state.Open() {
 		if it.Fence > 0 {
 			fence := it.Fence
--- a/internal/fleet/lead/told.go
+++ b/internal/fleet/lead/told.go
@@ -17,6 +17,7 @@
 	no   uint64
 	noAt time.Duration // own time at which that number came
 	laid []talk.Laid
+	clock
 }
 
 // hear takes a poll. One that overtook is late: it shows that its sender spoke, which lengthens what is counted as its
@@ -41,6 +42,7 @@
 		laid = slices.DeleteFunc(laid, func(x talk.Laid) bool { return !slices.Contains(h.laid, x) })
 	} else {
 		h.no, h.noAt = p.No, l.now
+		h.clock = clock{off: p.Wall - l.now, at: l.now, set: p.Wall > 0}
 	}
 	h.at, h.laid = l.now, laid
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -273,7 +273,7 @@
 	case s.Leading:
 		n.term = s.Term
 		n.log.WithField("term", s.Term).Info("leads the council")
-		n.toLead = append(n.toLead, lead.Elected{Term: s.Term}, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
+		n.toLead = append(n.toLead, lead.Elected{Term: s.Term, Own: n.name}, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
 		n.fedAt, n.listFed = 0, time.Time{} // list and members are told at once
 		clear(n.loads)
 	default:
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -63,7 +63,7 @@
 // poll takes one. The leader answers once it knows that it still leads; another voter names who does.
 func (n *Node) poll(at time.Duration, p talk.Poll) {
 	if n.term != 0 {
-		n.toLead = append(n.toLead, lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid})
+		n.toLead = append(n.toLead, lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid, Wall: p.Wall})
 		n.loads[p.From] = told{p.Load, p.LoadKnown, at}
 		n.polled[p.From] = polled{p.No, p.Index}
 		return
@@ -159,6 +159,7 @@
 
 // ask sends a poll to the leader, or to the voters in turn while none is known.
 func (n *Node) ask(p talk.Poll) {
+	p.Wall = time.Duration(time.Now().UnixNano())
 	n.sent = p
 	if n.term != 0 {
 		n.sentTo = n.name
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -70,6 +70,8 @@
 		switch o := o.(type) {
 		case lead.Propose:
 			n.propose(o.Command)
+		case lead.HandOver:
+			go n.handOver()
 		case lead.Log:
 			n.log.Info(o.Text)
 		}
--- a/internal/fleet/talk/check.go
+++ b/internal/fleet/talk/check.go
@@ -32,6 +32,9 @@
 	if math.IsNaN(p.Load) || p.Load < 0 || math.IsInf(p.Load, 0) {
 		return fmt.Errorf("a poll tells of a load of %v", p.Load)
 	}
+	if p.Wall < 0 {
+		return fmt.Errorf("a poll tells of a clock at %v", p.Wall)
+	}
 	for _, l := range p.Laid {
 		if l.Fence == 0 {
 			return fmt.Errorf("a drain of %.40q has no fence", l.Machine)
--- a/internal/fleet/talk/talk.go
+++ b/internal/fleet/talk/talk.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"birchcart/internal/fleet/takeout"
 )
@@ -61,6 +62,8 @@
 	// Load is how many mean replicas the sender keeps busy; only with LoadKnown.
 	Load      float64 `json:"load,omitempty"`
 	LoadKnown bool    `json:"load_known,omitempty"`
+	// Wall is what the sender's clock shows, since the Unix epoch, when it sends; 0: not told.
+	Wall time.Duration `json:"wall,omitempty"`
 }
 
 // Entry is one raw command of the ledger with its index in the agreed log. Indices grow, but not each by one: the log
--- a/internal/fleet/world/leader.go
+++ b/internal/fleet/world/leader.go
@@ -19,7 +19,7 @@
 			return
 		}
 		n.leads = true
-		n.stepLead(lead.Elected{Term: n.v.term}, n.leadApplied())
+		n.stepLead(lead.Elected{Term: n.v.term, Own: n.name}, n.leadApplied())
 	}
 	var in []lead.Input
 	if n.w.now >= n.newsAt { // the members' news and the list are confirmed once a second
@@ -48,7 +48,7 @@
 }
 
 func (n *node) polled(p talk.Poll) lead.Polled {
-	return lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid}
+	return lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid, Wall: p.Wall}
 }
 
 // gossipLag is how old the members' news is, and deadAfter how long a silent one takes to be counted as gone.
--- a/internal/fleet/world/polls.go
+++ b/internal/fleet/world/polls.go
@@ -29,7 +29,7 @@
 		to = n.w.council[n.w.rng.IntN(len(n.w.council))]
 	}
 	n.leader = -1 // until it answers
-	word := talk.Poll{From: n.name, No: p.No, Index: p.Index, Load: n.w.loadOfOne(), LoadKnown: true}
+	word := talk.Poll{From: n.name, No: p.No, Index: p.Index, Load: n.w.loadOfOne(), LoadKnown: true, Wall: n.wall()}
 	for _, l := range p.Laid {
 		word.Laid = append(word.Laid, talk.Laid(l))
 	}
