--- a/internal/fleet/world/cmd/fleetworld/main.go
+++ b/internal/fleet/world/cmd/fleetworld/main.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/alecthomas/kong"
 
 	"birchcart/internal/fleet/world"
@@ -17,6 +18,7 @@
 type cli struct {
 	Run    runCmd    `cmd:"" help:"Play the worlds of many seeds and say what they came to."`
 	Replay replayCmd `cmd:"" help:"Play one world again, by its seed or its printed schedule."`
+	Swap   swapCmd   `cmd:"" help:"Swap 200 replicas in a quiet fleet and print its figures."`
 	Shrink shrinkCmd `cmd:"" help:"Look for a smaller schedule that breaks a promise too."`
 }
 
@@ -116,6 +118,35 @@
 	return report(small, world.New(small).Run())
 }
 
+type swapCmd struct {
+	Seed         uint64 `default:"1"`
+	Coordinators int    `default:"300" help:"How many."`
+	Zone         string `help:"Only the replicas of this zone, as z0."`
+	OutMost      int    `default:"40" help:"Machines out at once, at most."`
+}
+
+func (c *swapCmd) Run() error {
+	s := world.Swap(c.Seed, c.Coordinators, c.Zone, c.OutMost)
+	plan, err := world.Planned(s)
+	if err != nil {
+		return err
+	}
+	r := world.New(s).Run()
+	told := hdrhistogram.New(1, 600_000, 3)
+	for _, d := range r.Figures.GrantToTold {
+		_ = told.RecordValue(d.Milliseconds()) // at most Until, which is within the range
+	}
+	f := r.Figures
+	cycle := f.Cycles / time.Duration(max(f.Done, 1))
+	took := f.LastDone - s.Asks[0].At
+	fmt.Printf("plan: %s\n%d of them done in %v, mean from grant to done %v, bound %v (%d waves of that), over it by %.0f %%\n", plan, f.Done,
+		took.Round(time.Second), cycle.Round(100*time.Millisecond), (cycle * time.Duration(plan.Bound)).Round(time.Second), plan.Bound,
+		100*(float64(took)/float64(cycle*time.Duration(plan.Bound))-1))
+	fmt.Printf("grant to told of %d, ms: p50 %d, p90 %d, p99 %d, most %d; %d entries, %d leaders\n", told.TotalCount(), told.ValueAtQuantile(50),
+		told.ValueAtQuantile(90), told.ValueAtQuantile(99), told.Max(), r.Entries, r.Changes)
+	return r.Err
+}
+
 func main() {
 	ctx := kong.Parse(&cli{}, kong.Name("fleetworld"), kong.Description("Fleets in virtual time."), kong.UsageOnError())
 	ctx.FatalIfErrorf(ctx.Run())
--- a/internal/fleet/world/history/check.go
+++ b/internal/fleet/world/history/check.go
@@ -16,7 +16,7 @@
 	order    []string // of items, by asking
 	fence    uint64
 	moved    time.Duration   // the last grant or failure
-	grants   bool            // there was one, so the inventory is known
+	known    bool            // something was asked for of machines that are known, so the inventory is
 	commands map[string]bool // that have granted
 	peers    map[string]*peer
 	majority bool
@@ -30,7 +30,10 @@
 	CutOffSends                                     int // machines a co-ordinator without a lease went on sending to, though told
 	GrantToTold                                     []time.Duration
 	WentAt                                          []time.Duration
-	Waves                                           int // goes that began while none was out
+	Done                                            int
+	LastDone                                        time.Duration
+	Cycles                                          time.Duration // from grant to done, of all done
+	Waves                                           int           // goes that began while none was out
 }
 
 type truth struct {
@@ -150,6 +153,7 @@
 
 // committed checks one change of the agreed state: W4, W7 and the count for W5.
 func (c *Checker) committed(e Event) error {
+	c.known = true
 	key := fmt.Sprint(e.Item.Request, "\x00", e.Item.Machine, "\x00", e.Item.Asked)
 	old := c.items[key]
 	if old == nil {
@@ -190,7 +194,7 @@
 	case e.Item.Phase == "granted":
 		old.granted = e.At
 		c.Figures.Grants++
-		c.grants, c.moved = true, e.At
+		c.moved = e.At
 		if c.commands[e.Command] && e.Command != "" {
 			return fmt.Errorf("W4: the command %s granted %s, and had granted before", e.Command, old.Machine)
 		}
@@ -211,6 +215,10 @@
 				return err
 			}
 		}
+	case e.Item.Phase == "done":
+		c.Figures.Done++
+		c.Figures.LastDone = e.At
+		c.Figures.Cycles += e.At - old.granted
 	case e.Item.Phase == "lapsed":
 		c.Figures.Lapsed++
 	}
--- a/internal/fleet/world/history/truth.go
+++ b/internal/fleet/world/history/truth.go
@@ -113,7 +113,7 @@
 func (c *Checker) down(m *truth, e Event) {
 	s := c.live(e.Name)
 	c.moved = e.At
-	m.counts = c.grants && m.up && (s == nil || s.Phase == "granted") && !c.flapped(m, s)
+	m.counts = c.known && m.up && (s == nil || s.Phase == "granted") && !c.flapped(m, s)
 	m.up, m.planned, m.failedAt = false, false, e.At
 }
 
--- /dev/null
+++ b/internal/fleet/world/loosen.go
@@ -0,0 +1,127 @@
+package world
+
+import (
+	"reflect"
+	"sync"
+	"time"
+
+	"birchcart/internal/fleet/takeout"
+)
+
+// longLease is the agreed state with a lease that is three times too long, as a view sees it.
+type longLease struct{ *takeout.State }
+
+// Limits as agreed, but for the lease.
+func (l longLease) Limits() (takeout.Limits, int) {
+	limits, revision := l.State.Limits()
+	limits.Lease *= 3
+	return limits, revision
+}
+
+// loosen takes a guard out of the state for one command, and gives what puts it back.
+func loosen(b *book, off Off, kind, machine string) func() {
+	if off == "" || kind != "grant" && kind != "told" {
+		return func() {}
+	}
+	state := reflect.ValueOf(b.out).Elem()
+	field := func(of reflect.Value, name string) reflect.Value { return open(of.FieldByName(name)) }
+	limits := field(state, "limits").Addr().Interface().(*takeout.Limits)
+	was := *limits
+	fresh := field(state, "fresh")
+	fresh.SetBool(false)
+	back := func() { *limits = was; fresh.SetBool(false) }
+	machines := field(state, "list")
+	switch {
+	case off == "W4 once" && kind == "grant":
+		led := reflect.ValueOf(b.led).Elem()
+		ids, seen := field(led, "ids"), field(led, "seen")
+		ids.Set(reflect.MakeMap(ids.Type()))
+		seen.Set(reflect.Zero(seen.Type()))
+	case off == "told" && kind == "told":
+		limits.Lease, limits.Grace = 1, 0
+	case kind != "grant":
+	case off == "W1":
+		limits.HoldersLeast = 0
+	case off == "W1 warm":
+		limits.WarmUp = 0
+	case off == "W2 zone":
+		limits.OutByZone = 99
+	case off == "W2 all":
+		limits.OutMost = 99
+	case off == "W3":
+		field(state, "load").SetFloat(0)
+	case off == "W5":
+		limits.PassedMost = 99
+	case off == "W6":
+		field(state, "pauseUntil").SetInt(0)
+	case off == "W2 voters":
+		for i := range machines.Len() {
+			field(machines.Index(i).Elem(), "Machine").FieldByName("Voter").SetBool(false)
+		}
+		return func() {
+			back()
+			for i := range machines.Len() {
+				m := field(machines.Index(i).Elem(), "Machine")
+				m.FieldByName("Voter").SetBool(m.FieldByName("Kind").String() == string(takeout.Coordinator))
+			}
+		}
+	case off == "W4 live":
+		for i := range machines.Len() {
+			m := machines.Index(i).Elem()
+			if field(m, "Machine").FieldByName("Name").String() != machine {
+				continue
+			}
+			live := field(m, "live")
+			held := reflect.New(live.Type()).Elem()
+			held.Set(live)
+			live.Set(reflect.Zero(live.Type()))
+			field(m, "Settle").Set(reflect.ValueOf(time.Duration(0)))
+			return func() {
+				back()
+				if live.IsNil() {
+					live.Set(held)
+				}
+			}
+		}
+	}
+	return back
+}
+
+// memo remembers what came of an entry upon a state of the ledger: many ways lead to the same.
+type memo struct {
+	mu    sync.Mutex
+	books map[memoKey]memoBook
+}
+
+type memoKey struct {
+	before uint64
+	entry  string
+}
+
+type memoBook struct {
+	next  *book // nil: refused
+	check error
+}
+
+func (m *memo) apply(before *book, index uint64, enc []byte, off Off, kind, machine string) (*book, error) {
+	key := memoKey{before.dig, string(enc)}
+	m.mu.Lock()
+	old, ok := m.books[key]
+	m.mu.Unlock()
+	if ok {
+		return old.next, old.check
+	}
+	next := deepCopy(*before)
+	restore := loosen(&next, off, kind, machine)
+	err := next.led.Apply(index, enc)
+	restore()
+	result := memoBook{}
+	if err == nil {
+		next.dig = next.led.Digest()
+		result = memoBook{&next, next.led.Check()}
+	}
+	m.mu.Lock()
+	m.books[key] = result
+	m.mu.Unlock()
+	return result.next, result.check
+}
--- a/internal/fleet/world/node.go
+++ b/internal/fleet/world/node.go
@@ -27,11 +27,12 @@
 type book struct {
 	led *ledger.Ledger
 	out *takeout.State
+	dig uint64
 }
 
 func newBook() *book {
 	out := takeout.New()
-	return &book{ledger.New(map[string]ledger.Part{"takeout": out}), out}
+	return &book{led: ledger.New(map[string]ledger.Part{"takeout": out}), out: out}
 }
 
 // node is one co-ordinator: its process, its disk, and its place among the others.
@@ -284,7 +285,7 @@
 		n.w.fail(fmt.Errorf("view of %s: %w", n.name, err))
 	}
 	for _, i := range in {
-		if a, ok := i.(view.Answered); ok {
+		if a, ok := i.(view.Answered); ok && !a.More {
 			n.w.leased(n, a.Poll)
 		}
 	}
--- /dev/null
+++ b/internal/fleet/world/swap.go
@@ -0,0 +1,43 @@
+package world
+
+import (
+	"fmt"
+	"time"
+
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/fleet/waves"
+)
+
+// Swap is a quiet world in which the replicas of a zone, or all of them, are swapped: 200 on a ring of 50 cells in four
+// zones, each shard held by 12, of which 8 stay; the load takes 120 of the 200, and a quarter more stays free.
+func Swap(seed uint64, coordinators int, zone string, outMost int) *Schedule {
+	s := &Schedule{Seed: seed, Coordinators: coordinators, Voters: 3, Zones: 4, Replicas: 200, Load: 120, Drift: 0.01,
+		Link: Quality{Lost: 0.001, Twice: 0.001, Late: 0.001, LateBy: time.Second, Latency: 2 * time.Millisecond}}
+	if coordinators >= 50 {
+		s.Voters = 5
+	}
+	s.Limits = takeout.Limits{Cells: 50, Reach: 3, Shards: 50, HoldersLeast: 8, OutByZone: 20, OutMost: outMost, Headroom: 0.25,
+		LoadAge: 15 * time.Second, ListAge: 10 * time.Second, WarmUp: 30 * time.Second, Lease: 5 * time.Second, Grace: 2 * time.Second,
+		Settle: 30 * time.Second, Calm: 30 * time.Second, PassedMost: 5, VotersLeast: s.Voters/2 + 1}
+	s.Asks = []Ask{{At: 5 * time.Second, By: []int{0, coordinators / 2}, Limits: takeout.LimitsBody{Revision: 1, Limits: s.Limits},
+		Asks: takeout.AsksBody{Revision: 1, Requests: []takeout.Request{{ID: "swap", Kind: takeout.Replica, Zone: zone, Reason: "hardware",
+			For: 3 * time.Minute}}}}}
+	s.End = 24 * time.Hour
+	return s
+}
+
+// Planned is the planner's own view of a swap, at the moment at which it was asked for and all are up.
+func Planned(s *Schedule) (waves.Result, error) {
+	w := New(s)
+	w.populate()
+	for w.now < time.Minute && len(w.top.out.Open()) == 0 {
+		w.queue.run(w.now+10*time.Millisecond, func() bool { return w.err != nil })
+	}
+	if w.err != nil {
+		return waves.Result{}, w.err
+	}
+	if len(w.top.out.Open()) == 0 {
+		return waves.Result{}, fmt.Errorf("nothing was asked for in a minute")
+	}
+	return waves.Plan(waves.FromState(w.top.out, w.top.led.Now())), nil
+}
