Set a council up anew from one surviving voter's disk by a command, and play it with processes

Need: after a majority of the disks is lost for good the step was a function that no program called.

Change: `birchcart-fleet restore` makes a council of one from a voter's store; started, it lets the voters of its file in again, one at a time, as they start with empty folders. Reading both files is one function for serve and restore.

--- a/cmd/birchcart-fleet/main.go
+++ b/cmd/birchcart-fleet/main.go
@@ -20,6 +20,7 @@
 
 	Serve   serveCommand   `cmd:"" help:"Serve queries until SIGTERM."`
 	Check   checkCommand   `cmd:"" help:"Read a configuration, say what it comes to, and exit."`
+	Restore restoreCommand `cmd:"" help:"After the majority of the council's disks is lost for good: make a council of this voter alone, from its store. It must not run."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
@@ -33,6 +34,20 @@
 
 func (c *checkCommand) Run(*serve.Process) error { return serve.Check(c.CheckArgs, fleet.New()) }
 
+type restoreCommand struct{ serve.Source }
+
+func (c *restoreCommand) Run(p *serve.Process) error {
+	cfg, op, err := c.Files()
+	if err != nil {
+		return err
+	}
+	if err := fleet.Restore(cfg.Name, op, p.Log().WithField("node", cfg.Name)); err != nil {
+		return err
+	}
+	fmt.Printf("%s is a council of one; start it, then the other voters with empty folders and without council.found\n", cfg.Name)
+	return nil
+}
+
 type versionCommand struct{}
 
 func (versionCommand) Run(*serve.Process) error {
--- a/cmd/birchcart-fleet/main_test.go
+++ b/cmd/birchcart-fleet/main_test.go
@@ -493,3 +493,50 @@
 		t.Error(err)
 	}
 }
+
+// The disks of two of three voters are lost for good. The third is made a council of one, lets the others in again, and
+// goes on from what was agreed: the limits in force, and numbers of grants above those before.
+func TestMajorityLostForGood(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 3, 0, 1, 2)
+	s.startAll()
+	s.ask(false, map[string]any{"names": []string{"r0"}, "reason": "disk", "for_s": 20})
+	s.hangUp()
+	s.until("told", s.phase("r0", takeout.Told))
+	fence := s.grants(0).Grants[0].Fence
+	for i, p := range s.procs {
+		p.Process.Kill()
+		p.Wait()
+		if i > 0 {
+			if err := os.RemoveAll(filepath.Join(s.dir, fmt.Sprint("disk", i))); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	restore := func(i int) (string, error) {
+		out, err := program("restore", "--config", filepath.Join(s.dir, fmt.Sprint("config", i)),
+			"--operator", filepath.Join(s.dir, fmt.Sprint("operator", i))).CombinedOutput()
+		return string(out), err
+	}
+	if out, err := restore(1); err == nil || !strings.Contains(out, "holds no council") {
+		t.Errorf("an empty folder was restored: %v, %s", err, out)
+	}
+	if out, err := restore(0); err != nil || !strings.Contains(out, "n0 is a council of one") {
+		t.Fatalf("%v, %s", err, out)
+	}
+	s.start(0)
+	s.until("n0 leads alone", s.says(0, "leads the council"))
+	s.start(1)
+	s.start(2)
+	for _, name := range []string{"n1", "n2"} {
+		s.until(name+" votes", s.says(0, `voter \"\" goes, voter \"`+name+`\" comes`))
+	}
+	s.ask(false, map[string]any{"names": []string{"r0"}, "reason": "disk", "for_s": 20}, map[string]any{"names": []string{"r4"}, "reason": "fan", "for_s": 20})
+	s.hangUp()
+	s.until("r4 told", s.phase("r4", takeout.Told))
+	for _, it := range s.grants(1).Items {
+		if it.Machine == "r0" && it.Fence != fence || it.Machine == "r4" && it.Fence <= fence {
+			t.Errorf("grant %d of %s after %d", it.Fence, it.Machine, fence)
+		}
+	}
+}
--- a/internal/serve/args.go
+++ b/internal/serve/args.go
@@ -8,6 +8,7 @@
 
 	"birchcart/internal/config"
 	"birchcart/internal/deployment"
+	"birchcart/internal/operator"
 )
 
 // Source is where the configuration comes from. Flags and variables are read by kong.
@@ -24,6 +25,21 @@
 	return config.Load(config.Source{Path: s.Config, Name: s.Name, Listen: s.Listen, Discovery: s.Discovery})
 }
 
+// Files reads the configuration and the operators' file, nil for none, as a start does.
+func (s *Source) Files() (*config.Config, *operator.File, error) {
+	cfg, err := s.Load()
+	if err != nil {
+		return nil, nil, err
+	}
+	op, err := readOperator(s.Operator)
+	if err == nil && op != nil {
+		if err = op.AgainstNames(cfg.Names, &cfg.Policy); err != nil {
+			err = fmt.Errorf("operators' file: %w", err)
+		}
+	}
+	return cfg, op, err
+}
+
 // Args are what the command that serves takes.
 type Args struct {
 	Source
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -41,6 +41,9 @@
 	return p
 }
 
+// Log is the process's log.
+func (p *Process) Log() *logrus.Logger { return p.log }
+
 // Close ends the log once it is written, or after a moment if nobody reads it.
 func (p *Process) Close() { p.logs.Close(logFlush) }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -37,21 +37,12 @@
 func Run(args Args, p *Process, hangups <-chan os.Signal, beside Beside) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	cfg, err := args.Load()
+	cfg, op, err := args.Files()
 	if err != nil {
 		return err
 	}
-	op, err := readOperator(args.Operator)
-	if err != nil {
-		return err
-	}
-	if op != nil {
-		if err := op.AgainstNames(cfg.Names, &cfg.Policy); err != nil {
-			return fmt.Errorf("operators' file: %w", err)
-		}
-		if err := fits(cfg, op, beside); err != nil {
-			return fmt.Errorf("operators' file: %w", err)
-		}
+	if err := fits(cfg, op, beside); err != nil {
+		return fmt.Errorf("operators' file: %w", err)
 	}
 	other, err := loadRehearsal(args.Rehearse, cfg)
 	if err != nil {
