--- a/internal/fleet/world/actions.go
+++ b/internal/fleet/world/actions.go
@@ -37,7 +37,8 @@
 	n := &s.nodes[i]
 	for j := range s.rooms {
 		name := fmt.Sprintf("r%d", j)
-		s.tell(history.Event{Kind: history.Sends, By: fmt.Sprintf("c%d", i), Name: name, On: !n.drains[name] && n.list[j].Status == takeout.Up})
+		s.tell(history.Event{Kind: history.Sends, By: fmt.Sprintf("c%d", i), Name: name,
+			On: !n.drains[name] && n.list[j].Status == takeout.Up})
 	}
 }
 
@@ -274,14 +275,18 @@
 			if s.left.Withdraw > 0 {
 				add(func(s *small) bool {
 					s.left.Withdraw--
-					return s.propose("withdraw", fmt.Sprintf("w%d", it.Fence), takeout.WithdrawBody{Machine: it.Machine, Fence: it.Fence, Why: "wrong"})
+					return s.propose("withdraw", fmt.Sprintf("w%d", it.Fence),
+						takeout.WithdrawBody{Machine: it.Machine, Fence: it.Fence, Why: "wrong"})
 				}, "c%d withdraws %s", s.leader, it.Machine)
 			}
 		}
 	}
 	if s.left.Again > 0 {
 		for _, g := range s.grants {
-			add(func(s *small) bool { s.left.Again--; return s.append(g.raw, "grant", g.id, g.machine) }, "the grant of %s comes again", g.machine)
+			add(func(s *small) bool {
+				s.left.Again--
+				return s.append(g.raw, "grant", g.id, g.machine)
+			}, "the grant of %s comes again", g.machine)
 		}
 	}
 }
