Dial the fleet's streams from the address that a process listens at

Gossip and council left a stream's source to the kernel, so packets and streams of one co-ordinator could come from different addresses of a machine, and filters or relays that go by the sender took short streams for nobody's.

--- a/internal/fleet/council/layer.go
+++ b/internal/fleet/council/layer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/hashicorp/raft"
+
+	"birchcart/internal/fleet/dialfrom"
 )
 
 // ConnsMost connections are open at once, both ways; further ones are refused. Raft holds up to some 10 to each voter.
@@ -16,6 +18,7 @@
 type layer struct {
 	net.Listener
 	addr net.Addr
+	from net.IP // where it listens
 
 	mu     sync.Mutex
 	open   map[net.Conn]bool
@@ -33,6 +36,9 @@
 		return nil, fmt.Errorf("council: listening: %w", err)
 	}
 	s := &layer{Listener: l, addr: l.Addr(), open: map[net.Conn]bool{}}
+	if at, ok := l.Addr().(*net.TCPAddr); ok {
+		s.from = at.IP
+	}
 	if o.Advertise != "" {
 		s.addr = advertised(o.Advertise)
 	}
@@ -54,7 +60,7 @@
 }
 
 func (s *layer) Dial(a raft.ServerAddress, wait time.Duration) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", string(a), wait)
+	conn, err := dialfrom.Dial(s.from, string(a), wait)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/member/delegate.go
+++ b/internal/fleet/member/delegate.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"birchcart/internal/fleet/dialfrom"
 )
 
 // delegate is what the engine calls. It calls with its own locks held: nothing here waits or calls back.
@@ -75,10 +77,11 @@
 	d.records(payload)
 }
 
-// counted counts the bytes on the sockets.
+// counted counts the bytes on the sockets, and dials from the address that the member listens at.
 type counted struct {
 	memberlist.NodeAwareTransport
 	bytes atomic.Int64
+	from  net.IP // where it listens; nil if that is no address
 }
 
 // head is what IP and UDP add to a packet, in bytes.
@@ -95,7 +98,8 @@
 }
 
 func (c *counted) DialAddressTimeout(a memberlist.Address, wait time.Duration) (net.Conn, error) {
-	conn, err := c.NodeAwareTransport.DialAddressTimeout(a, wait)
+	// The engine's own dial leaves the source to the kernel.
+	conn, err := dialfrom.Dial(c.from, a.Addr, wait)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("member: listening on %s: %w", o.Bind, err)
 	}
-	m.count = &counted{NodeAwareTransport: sockets}
+	m.count = &counted{NodeAwareTransport: sockets, from: net.ParseIP(host)}
 
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Keyring, c.Logger = o.Name, ring, lines.Standard()
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -299,3 +299,26 @@
 		})
 	}
 }
+
+// Streams come from the address that the member listens at, as its packets do.
+func TestStreamsFromOwnAddress(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	m := fleet(t, 1, keyFile(t, 1), func(_ int, o *Options) { o.Bind = "127.0.0.2:0" })[0]
+	out, err := m.count.DialAddressTimeout(memberlist.Address{Addr: ln.Addr().String()}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	in, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	if ip := in.RemoteAddr().(*net.TCPAddr).IP.String(); ip != "127.0.0.2" {
+		t.Errorf("a stream came from %s", ip)
+	}
+}
