--- a/internal/fleet/harness/files.go
+++ b/internal/fleet/harness/files.go
@@ -21,10 +21,20 @@
 // Grants is a grants file, as far as the site's tools and the checks here read it.
 type Grants struct {
 	Version int            `json:"version"`
+	Leader  string         `json:"leader"`
+	CutOff  bool           `json:"cut_off"`
 	Index   uint64         `json:"index"`
+	May     []May          `json:"grants"`
 	Items   []takeout.Item `json:"items"`
 }
 
+// May is a machine that may be worked on, if the work begins in time.
+type May struct {
+	Machine     string    `json:"machine"`
+	Fence       uint64    `json:"fence"`
+	StartBefore time.Time `json:"start_before"`
+}
+
 // Seen is one whole grants file as it stood at some time.
 type Seen struct {
 	Process int
--- a/internal/fleet/harness/harness.go
+++ b/internal/fleet/harness/harness.go
@@ -2,11 +2,11 @@
 // clients, at stand-in replicas and by the files that the site's tools read, never by what a co-ordinator says of itself.
 //
 // Faults lie on directed links between two processes, in relays outside of them. Each process tells the others the
-// address of its relay, so one relay stands before each and has to tell apart who sends. For datagrams it does by the
-// address of the sending socket, since each process has a loopback address of its own. A connection that was dialled
-// from an unbound socket comes from 127.0.0.1 whoever dialled it: there the relay looks up which of its processes holds
-// the other end, in /proc. That needs no hook in the program under test and no right beyond that of its user. Network
-// namespaces would do as well, but want root and tc, which the machines that run the short form need not have.
+// address of its relay, so one relay stands before each and has to tell apart who sends. It does by the address that
+// packets and connections come from: each process listens on a loopback address of its own and sends and dials from
+// there, in the fleet as anywhere (package dialfrom). That needs no hook in the program and no right beyond that of its
+// user. Network namespaces would do as well, but want root and tc, which the machines that run the short form need not
+// have; to look up in /proc who holds a connection's other end comes too late for those that say one word and close.
 //
 // A schedule is data: seed, steps with times, links, processes. It is printed whole when a run fails, replayed by one
 // command (make fleet SEED=...) and shrunk by leaving out steps. All of it listens on loopback only.
--- a/internal/fleet/harness/run.go
+++ b/internal/fleet/harness/run.go
@@ -52,6 +52,7 @@
 	}
 	c.stream.Start()
 	c.work.Go(c.tools)
+	c.work.Go(c.watchMachine)
 	if opt.Replicas {
 		for _, r := range c.fleet.Replicas {
 			c.wanted[r.Name] = true
@@ -194,7 +195,7 @@
 func (c *Cluster) act(do Act, i int) error {
 	p := c.procs[i]
 	switch do {
-	case DoAsk, DoAsk2:
+	case DoAsk, DoAsk2, DoAskAll:
 		if err := c.operator(i, do); err != nil {
 			return err
 		}
--- a/internal/fleet/harness/schedule.go
+++ b/internal/fleet/harness/schedule.go
@@ -39,11 +39,12 @@
 type Act string
 
 const (
-	DoAsk    Act = "ask"   // writes the request for all machines into the files of Who, and says so to them
-	DoAsk2   Act = "ask 2" // the same, for half of the machines with another reason
-	DoFault  Act = "fault" // on the links From x To
-	DoHeal   Act = "heal"  // takes all faults off the links
-	DoReset  Act = "reset" // of the connections From x To
+	DoAsk    Act = "ask"     // writes the request for all machines into the files of Who, and says so to them
+	DoAsk2   Act = "ask 2"   // the same, for half of the machines with another reason
+	DoAskAll Act = "ask all" // the same as ask, over both
+	DoFault  Act = "fault"   // on the links From x To
+	DoHeal   Act = "heal"    // takes all faults off the links
+	DoReset  Act = "reset"   // of the connections From x To
 	DoKill   Act = "kill"
 	DoStart  Act = "start" // those of Who that do not run
 	DoLose   Act = "lose"  // the disk of one that does not run
@@ -88,7 +89,7 @@
 	if s.Processes < 1 || s.Processes > ProcessesMost {
 		return nil, errors.New("schedule: processes")
 	}
-	acts := []Act{DoAsk, DoAsk2, DoFault, DoHeal, DoReset, DoKill, DoStart, DoLose, DoStop, DoCont, DoFull, DoRoom, DoFail,
+	acts := []Act{DoAsk, DoAsk2, DoAskAll, DoFault, DoHeal, DoReset, DoKill, DoStart, DoLose, DoStop, DoCont, DoFull, DoRoom, DoFail,
 		DoNever, DoRename, DoEarly}
 	for _, st := range s.Steps {
 		if !slices.Contains(acts, st.Do) {
@@ -137,7 +138,7 @@
 			}
 		}
 		add(Step{At: sec(0, 1), Do: DoFault, From: a, To: b, Fault: cut}, Step{Do: DoFault, From: b, To: a, Fault: cut},
-			Step{At: sec(0, 2), Do: DoAsk, Who: a}, Step{Do: DoAsk2, Who: b}, Step{At: sec(6, 12), Do: DoHeal}, Step{At: sec(0, 1), Do: DoAsk, Who: all})
+			Step{At: sec(0, 2), Do: DoAsk, Who: a}, Step{Do: DoAsk2, Who: b}, Step{At: sec(6, 12), Do: DoHeal}, Step{At: sec(0, 1), Do: DoAskAll, Who: all})
 	case "one-way cut to the leader":
 		x := pick()
 		add(Step{After: "granted", Do: DoFault, From: []string{x}, To: []string{"leader"}, Fault: &Fault{Cut: true}},
