Let nobody make room for itself at the limit, and free a place with its connection's end

Causes, two in the product: a connection that came past the limit and asked late (SlowRequest after it connected) was itself the one that could best be spared when room was looked for, was asked to go, and was served for that: past the limit, instead of refused. And a connection was closed before it was forgotten, so a client that saw the end and asked on another was refused. One in the test: its clients had 50 ms from connecting to asking, and it relied on which of two spared ones went first. Now evict leaves out the one that the room is for, and gone closes and forgets under one lock. The test gives 250 ms, waits until its connections are over that, keeps a query open over the last two, and wants both of the spared ones gone.

--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -84,7 +84,7 @@
 				s.toldAt = now
 				s.log.Warn("all connections are taken", s.census())
 			}
-			s.evict()
+			s.evict(nil)
 			look := time.AfterFunc(s.limits.SlowRequest/4, func() { // one may be spared by then
 				s.mu.Lock()
 				s.room.Broadcast()
@@ -106,7 +106,7 @@
 		s.mu.Lock()
 		c := newClient(s, nc)
 		if len(s.conns) >= s.limits.Clients {
-			c.over = !s.evict()
+			c.over = !s.evict(c)
 		}
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
@@ -114,12 +114,16 @@
 	}
 }
 
-// evict asks the client to go that can best be spared, among those alike the one that has waited longest.
-func (s *Server) evict() bool {
+// evict asks the client to go that can best be spared, among those alike the one that has waited longest. It is not the
+// one that the room is for, which has sent nothing of use until its request is taken.
+func (s *Server) evict(but *client) bool {
 	var best *client
 	var kind spare
 	var since time.Time
 	for c := range s.conns {
+		if c == but {
+			continue
+		}
 		if k, at := c.spared(); k != needed && (best == nil || k < kind || k == kind && at.Before(since)) {
 			best, kind, since = c, k, at
 		}
@@ -194,15 +198,17 @@
 func (s *Server) relieve(c *client) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) <= s.limits.Clients || s.evict() {
+	if len(s.conns) <= s.limits.Clients || s.evict(c) {
 		c.over = false
 	}
 	return !c.over
 }
 
-// gone forgets a connection.
+// gone closes a connection and forgets it, for all others at once: who has seen its end finds its place free, and what
+// is not counted holds no descriptor.
 func (s *Server) gone(c *client) {
 	s.mu.Lock()
+	c.conn.Close()
 	delete(s.conns, c)
 	s.room.Signal()
 	s.mu.Unlock()
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -126,3 +126,17 @@
 		t.Errorf("not closed though nothing waits: %q", b[:n])
 	}
 }
+
+// Half a request whose rest does not come puts off the end until the moment for the last answers, not for all the time
+// that a request may take.
+func TestAHalfRequestDoesNotHoldTheEnd(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.RequestTime, l.FirstTime = time.Minute, time.Minute })
+	c := st.dial()
+	c.write(query("a", "", goodBody)[:100])
+	began := time.Now()
+	st.drained(st.draining())
+	if took := time.Since(began); took < st.s.limits.EndTime {
+		t.Errorf("given up after %v, before the last moment", took)
+	}
+	c.ended()
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -610,12 +610,14 @@
 // At the limit of connections idle ones and slow requests make room; where all are busy the newest gets a
 // refusal, and past a further few the rest wait with the machine until one ends.
 func TestTheLimitOfConnections(t *testing.T) {
-	st := newStand(t, func(l *config.Limits) { l.Clients, l.ClientsOver = 2, 1 })
+	const slowAfter = 250 * time.Millisecond // far past what a busy machine takes from connecting to asking
+	st := newStand(t, func(l *config.Limits) { l.Clients, l.ClientsOver, l.SlowRequest = 2, 1, slowAfter })
 	idle, busy := st.dial(), st.dial()
 	idle.write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
 	idle.status(200)
 	busy.write(query("a", "", goodBody))
 	first := st.next()
+	time.Sleep(2 * slowAfter)
 	second := st.dial()
 	idle.ended()
 	second.write(query("b", "", goodBody))
@@ -635,17 +637,64 @@
 	slow := st.dial()
 	busy.ended()
 	slow.write("POST /search")
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(2 * slowAfter)
 	c := st.dial()
-	second.ended()
+	c.write(query("e", "", goodBody))
+	e := st.next()
 	d := st.dial()
 	slow.ended()
-	c.write(query("e", "", goodBody))
-	st.next().Reply(exchange.Reply{})
-	c.status(200)
+	second.ended()
 	d.write(query("f", "", goodBody))
 	st.next().Reply(exchange.Reply{})
 	d.status(200)
+	e.Reply(exchange.Reply{})
+	c.status(200)
+}
+
+// A client that came past the limit makes room for those behind it, not for itself: it is refused, however late its
+// request is taken.
+func TestNoRoomByOneself(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.Clients, l.ClientsOver, l.SlowRequest = 1, 3, time.Millisecond })
+	busy := st.dial()
+	busy.write(query("a", "", goodBody))
+	a := st.next()
+	for range 3 {
+		over := st.dial()
+		time.Sleep(20 * time.Millisecond) // past the time of one that is new
+		over.write(query("b", "", goodBody))
+		over.status(503)
+		over.ended()
+	}
+	a.Reply(exchange.Reply{})
+	busy.status(200)
+}
+
+// A place that comes to be spared is freed though nobody else comes.
+func TestRoomIsLookedFor(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.Clients, l.ClientsOver = 1, 1 })
+	idle := st.dial()
+	st.dial()
+	idle.ended()
+}
+
+// Who has seen the end of a connection finds its place free.
+func TestThePlaceIsFreeAtTheEnd(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.Clients, l.ClientsOver, l.SlowRequest = 1, 1, time.Minute })
+	for range 200 {
+		first := st.dial()
+		first.write(query("a", "", goodBody))
+		a := st.next()
+		next := st.dial()
+		first.nc.(*net.TCPConn).CloseWrite()
+		<-st.sink.left
+		a.Reply(exchange.Reply{}) // nobody waits for it
+		first.ended()
+		next.write(query("b", "", goodBody))
+		st.next().Reply(exchange.Reply{})
+		next.status(200)
+		next.nc.(*net.TCPConn).CloseWrite()
+		next.ended()
+	}
 }
 
 // After the word to end, clients still come for a while on old and new connections, which are kept meanwhile: whoever
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -90,7 +90,6 @@
 		c.conn.Drain(lim.Linger, lim.LingerBytes)
 	}
 	c.abandon()
-	c.conn.Close()
 	c.s.gone(c)
 }
 
