--- a/internal/fleet/harness/cluster.go
+++ b/internal/fleet/harness/cluster.go
@@ -89,6 +89,7 @@
 	if c.fleet, err = standin.NewFleet(standin.FleetShape{
 		Replicas: replicas, Cells: cells, Reach: reach, Shards: shards,
 		Classes: []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: 2.5, Semantics: "repeatable", Need: 1, Floor: 1}},
+		Listen:  func(i int) string { return site.Replica(i).String() },
 	}, nil); err != nil {
 		site.Leave()
 		return nil, err
--- a/internal/fleet/harness/schedule.go
+++ b/internal/fleet/harness/schedule.go
@@ -55,6 +55,7 @@
 	DoFail   Act = "fail"  // a replica ends without a word, and comes back seconds later
 	DoNever  Act = "never" // the next replica that goes out stays away
 	DoRename Act = "rename"
+	DoSlow   Act = "slow"  // the site's tools wait some seconds before they use a grant, so that others may still send
 	DoEarly  Act = "early" // a replica that is granted goes out before it was told
 )
 
@@ -66,6 +67,9 @@
 	"leader killed, disk lost", "all connections reset",
 }
 
+// slowCases are those in which a co-ordinator that can't have heard of a grant may still send to its machine.
+var slowCases = []string{"two halves with one request each", "one-way cut to the leader", "follower stopped", "leader stopped", "seven in ten restarted"}
+
 // Encode is the whole schedule, as one line of JSON.
 func (s *Schedule) Encode() string {
 	raw, err := json.Marshal(s)
@@ -90,7 +94,7 @@
 		return nil, errors.New("schedule: processes")
 	}
 	acts := []Act{DoAsk, DoAsk2, DoAskAll, DoFault, DoHeal, DoReset, DoKill, DoStart, DoLose, DoStop, DoCont, DoFull, DoRoom, DoFail,
-		DoNever, DoRename, DoEarly}
+		DoNever, DoRename, DoEarly, DoSlow}
 	for _, st := range s.Steps {
 		if !slices.Contains(acts, st.Do) {
 			return nil, fmt.Errorf("schedule: nothing does %q", st.Do)
@@ -115,6 +119,9 @@
 	others := func(who ...string) []string {
 		return slices.DeleteFunc(slices.Clone(all), func(x string) bool { return slices.Contains(who, x) })
 	}
+	if slices.Contains(slowCases, s.Case) {
+		add(Step{Do: DoSlow})
+	}
 	if s.Case != "two halves with one request each" {
 		add(Step{Do: DoAsk, Who: all})
 	}
--- a/internal/fleet/harness/site.go
+++ b/internal/fleet/harness/site.go
@@ -14,6 +14,7 @@
 	GossipPort  = 7946
 	CouncilPort = 7300
 	ServePort   = 9080
+	ReplicaPort = 9101 // of the first stand-in replica; they share an address
 )
 
 // Site is a stretch of loopback addresses that nobody else uses: for each process one of its own and one of its relay.
@@ -72,6 +73,9 @@
 // Relay is where the others reach it.
 func (s Site) Relay(i, port int) netip.AddrPort { return s.at(2*i+2, port) }
 
+// Replica is where a stand-in replica listens.
+func (s Site) Replica(i int) netip.AddrPort { return s.at(250, ReplicaPort+i) }
+
 func (s Site) at(host, port int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 77, s.block, byte(host)}), uint16(port))
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -24,7 +24,8 @@
 type FleetShape struct {
 	Replicas, Cells, Reach, Shards int
 	Classes                        []FleetClass
-	Tenants                        []string // with equal shares; none where it is empty
+	Tenants                        []string                 // with equal shares; none where it is empty
+	Listen                         func(replica int) string // its address; nil: any free port of loopback
 }
 
 // FleetClass is one class of a fleet's settings.
@@ -54,7 +55,11 @@
 	var list []Endpoint
 	for i := range shape.Replicas {
 		f.scripts = append(f.scripts, script)
-		r, err := NewReplica(fmt.Sprintf("r%d", i), func(a Asked) Does {
+		address := "127.0.0.1:0"
+		if shape.Listen != nil {
+			address = shape.Listen(i)
+		}
+		r, err := NewReplicaAt(fmt.Sprintf("r%d", i), address, func(a Asked) Does {
 			f.mu.Lock()
 			do := f.scripts[i]
 			f.mu.Unlock()
