--- a/internal/fleet/harness/cluster.go
+++ b/internal/fleet/harness/cluster.go
@@ -228,10 +228,13 @@
 }
 
 func (c *Cluster) start(i int) error {
+	if err := c.procs[i].Start(); err != nil {
+		return err
+	}
 	c.mu.Lock()
-	c.expected[i] = true
+	c.expected[i] = true // not before: the watch would take it for one that ended
 	c.mu.Unlock()
-	return c.procs[i].Start()
+	return nil
 }
 
 var client = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
