Hear what was agreed before listening, and say as laid only what is on disk

A new co-ordinator, or one whose disk was lost, sent to a told machine until its first answer, 1 to 2 s after its start, as discovery still had the machine ready. The start now waits before it listens for clients until a whole answer came and its drains are laid, for AwaitMost (1 s) at the most, and polls ten times a second meanwhile; without the fleet (no program beside the serving, or no section) nothing changes.

A drain that the disk did not take was said as laid all the same, and a restart lost it. It is still laid, but not said, and the disk is asked again each second: the grant waits until the disk has it, or is withdrawn as not laid in time. A test with processes has laid.json that can't be replaced: granted and not told for 2 s, told once it can be.

--- a/cmd/birchcart-fleet/main_test.go
+++ b/cmd/birchcart-fleet/main_test.go
@@ -176,16 +176,22 @@
 
 // startAll starts all, as a new fleet, and waits until one leads and all are ready.
 func (s *site) startAll() {
+	s.Helper()
+	s.startOnly(len(s.serve))
+}
+
+// startOnly starts the first ones only.
+func (s *site) startOnly(many int) {
 	s.Helper()
 	s.ask(true)
-	for i := range s.serve {
+	for i := range many {
 		s.start(i)
 	}
 	s.until("a leader", func() bool {
 		return slices.ContainsFunc(s.logs, func(l *logText) bool { return strings.Contains(l.String(), "leads the council") })
 	})
 	s.until("all are ready", func() bool {
-		for _, at := range s.serve {
+		for _, at := range s.serve[:many] {
 			r, err := http.Get("http://" + at + "/-/ready")
 			if err != nil {
 				return false
@@ -261,9 +267,13 @@
 	}
 }
 
-// stream sends queries to all co-ordinators in turn until end is called, which waits for the last answer and tells how many
+// stream sends queries to all co-ordinators.
+func (s *site) stream() (end func() (sent, answered, whole int)) { return s.streamTo(-1) }
+
+// streamTo sends queries to one of the co-ordinators, many of them and to what r5 holds, or for -1 to all in turn and to all
+// that there is, until end is called, which waits for the last answer and tells how many
 // were answered, and how many whole: on a busy machine some are late.
-func (s *site) stream() (end func() (sent, answered, whole int)) {
+func (s *site) streamTo(one int) (end func() (sent, answered, whole int)) {
 	ctx, stop := context.WithCancel(context.Background())
 	s.Cleanup(stop)
 	var sent, answered, whole int
@@ -271,7 +281,11 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	wg.Go(func() {
-		tick := time.NewTicker(10 * time.Millisecond)
+		every := 10 * time.Millisecond
+		if one >= 0 {
+			every = 2 * time.Millisecond
+		}
+		tick := time.NewTicker(every)
 		defer tick.Stop()
 		for i := 0; ; i++ {
 			select {
@@ -280,8 +294,12 @@
 			case <-tick.C:
 			}
 			wg.Go(func() {
-				body := fmt.Sprintf(`{"buckets":[{"bucket":%d,"part":0.5},{"bucket":%d,"part":0.5}],"body":"00"}`, i%6, (i+1)%6)
-				r, _ := http.NewRequest("POST", "http://"+s.serve[i%len(s.serve)]+"/search", strings.NewReader(body))
+				to, first := i%len(s.serve), i%6
+				if one >= 0 {
+					to, first = one, 4
+				}
+				body := fmt.Sprintf(`{"buckets":[{"bucket":%d,"part":0.5},{"bucket":%d,"part":0.5}],"body":"00"}`, first, (first+1)%6)
+				r, _ := http.NewRequest("POST", "http://"+s.serve[to]+"/search", strings.NewReader(body))
 				r.Header.Set("X-Request-ID", fmt.Sprint("q", i))
 				r.Header.Set("X-Timeout-Ms", "2000")
 				resp, err := client.Do(r)
@@ -415,6 +433,77 @@
 	}
 }
 
+// A machine is told, and discovery still says Ready. A co-ordinator that starts then, a new one or one whose disk was lost,
+// sends nothing there from its first query on: before it listens it hears what was agreed. One that can't hear it listens
+// a second later all the same.
+func TestAStartHearsOfWhatIsToldFirst(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 5, 0, 1, 2)
+	s.startOnly(4)
+	s.ask(false, map[string]any{"names": []string{"r5"}, "reason": "disk", "for_s": 60})
+	s.hangUp()
+	s.until("told", func() bool { return len(s.grants(0).Grants) == 1 })
+	s.procs[3].Process.Kill()
+	s.procs[3].Wait()
+	if err := os.RemoveAll(filepath.Join(s.dir, "disk3")); err != nil {
+		t.Fatal(err)
+	}
+	for i, what := range []string{3: "one whose disk was lost", 4: "a new one"} {
+		if what == "" {
+			continue
+		}
+		before, others := len(s.fleet.Replicas[5].Asked()), len(s.fleet.Replicas[11].Asked())
+		s.start(i)
+		end := s.streamTo(i)
+		s.until("queries", func() bool { return len(s.fleet.Replicas[11].Asked()) > others+100 })
+		if _, _, whole := end(); whole == 0 {
+			t.Errorf("%s answered no query", what)
+		}
+		if after := len(s.fleet.Replicas[5].Asked()); after != before || s.says(i, "is not known yet")() {
+			t.Errorf("%s sent %d parts to r5 after it was told:\n%s", what, after-before, s.logs[i].String())
+		}
+	}
+	for _, i := range []int{0, 1, 2, 4} { // without a council
+		s.procs[i].Process.Kill()
+		s.procs[i].Wait()
+	}
+	began := time.Now()
+	s.start(4)
+	s.until("n4 serves alone", s.says(4, "is not known yet: serving as one that is cut off"))
+	s.until("n4 listens", s.says(4, "msg=serving "))
+	if took := time.Since(began); took < time.Second || took > 4*time.Second {
+		t.Errorf("n4 listens after %v", took)
+	}
+}
+
+// A drain that the disk does not take would be lost by a restart: it is laid, but not said as laid, so the machine is not
+// told before the disk has it.
+func TestWhatTheDiskDoesNotTakeIsNotSaidAsLaid(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 4, 0, 1, 2)
+	s.startAll()
+	s.until("n3 follows", s.says(3, "grants' end: false"))
+	laid := filepath.Join(s.dir, "disk3", "laid.json")
+	if err := os.MkdirAll(filepath.Join(laid, "in its place"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	s.ask(false, map[string]any{"names": []string{"r5"}, "reason": "disk", "for_s": 60})
+	s.hangUp()
+	s.until("the disk does not take it", s.says(3, "can't be kept on disk"))
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if !s.phase("r5", takeout.Granted)() {
+			t.Fatalf("%+v", s.grants(0).Items)
+		}
+	}
+	if err := os.RemoveAll(laid); err != nil {
+		t.Fatal(err)
+	}
+	s.until("told", s.phase("r5", takeout.Told))
+	if raw, err := os.ReadFile(laid); err != nil || !strings.Contains(string(raw), `"r5"`) {
+		t.Errorf("%s %v", raw, err)
+	}
+}
+
 // A co-ordinator that is asked for drains and ends by itself once all others know, and is done when it is back.
 func TestCoordinatorGoesByItself(t *testing.T) {
 	t.Parallel()
--- a/internal/fleet/laid.go
+++ b/internal/fleet/laid.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"slices"
 	"time"
+
+	"birchcart/internal/fleet/view"
 )
 
 const (
@@ -17,6 +19,9 @@
 	laidFile    = "laid.json"
 	// LaidMost bytes of it; far more than all that may be out at once.
 	LaidMost = 4 << 20
+	// KeepEvery is between attempts to have the disk keep drains that it did not take. Twice as long: a grant is told so
+	// much later once the disk has room again; half: twice the attempts at a full one.
+	KeepEvery = time.Second
 )
 
 // laidDrains is what this co-ordinator keeps from new parts, on disk before it says so: a process that takes its place
@@ -29,6 +34,7 @@
 type laidLine struct {
 	Machine string        `json:"machine"`
 	Until   time.Duration `json:"until"` // agreed time; past it the drain is not taken over
+	fence   uint64
 }
 
 func (n *Node) laidPath() string { return filepath.Join(n.file.Fleet.Dir, laidFile) }
@@ -67,8 +73,8 @@
 	return slices.DeleteFunc(f.Drains, func(l laidLine) bool { return l.Until <= wall }), nil
 }
 
-// lay has the exchange go by a set of drains, and the disk keep it. No step is made before both have it; a disk
-// that can't is told of, and the drains count all the same.
+// lay has the exchange go by a set of drains, and the disk keep it. No step is made before both were tried. What the disk
+// did not take is laid all the same, but not said as laid.
 func (n *Node) lay(names []string) {
 	n.drains = names
 	n.laying += 2
@@ -77,11 +83,12 @@
 	n.copy.look(func() {
 		for _, name := range names {
 			if it, ok := n.copy.order.Item(name); ok {
-				f.Drains = append(f.Drains, laidLine{name, it.Until})
+				f.Drains = append(f.Drains, laidLine{name, it.Until, it.Fence})
 			}
 		}
 	})
 	f.Drains = append(f.Drains, n.kept...)
+	n.keeping, n.keepAt, n.unkept = f.Drains, n.now(), false
 	path := n.laidPath()
 	go func() {
 		err := os.MkdirAll(filepath.Dir(path), 0o700)
@@ -92,6 +99,24 @@
 	}()
 }
 
+// sayable leaves out of what may be said as laid what would be lost by a restart: the disk does not have it yet.
+func (n *Node) sayable(laid []view.Laid) []view.Laid {
+	return slices.DeleteFunc(laid, func(l view.Laid) bool {
+		lost := !l.Refused && slices.Contains(n.drains, l.Machine) && !slices.ContainsFunc(n.onDisk, func(k laidLine) bool {
+			return k.Machine == l.Machine && k.fence == l.Fence
+		})
+		n.unkept = n.unkept || lost
+		return lost
+	})
+}
+
+// keepAgain has the disk asked again for what it did not take.
+func (n *Node) keepAgain(now time.Duration) {
+	if n.unkept && n.laying == 0 && now >= n.keepAt+KeepEvery {
+		n.lay(n.drains)
+	}
+}
+
 // all is a set of drains with those of the process before.
 func (n *Node) all(names []string) []string {
 	out := slices.Clone(names)
@@ -104,9 +129,12 @@
 
 func (n *Node) savedLaid(err error) {
 	n.laying--
-	if err != nil {
-		n.lines.limited(n, n.now(), "the drains can't be kept on disk: "+err.Error())
+	if err != nil { // the file of before may be there still, or not
+		n.onDisk = nil
+		n.lines.limited(n, n.now(), "the drains can't be kept on disk, and are not said as laid: "+err.Error())
+		return
 	}
+	n.onDisk = n.keeping
 }
 
 // caughtUp lets the drains of the process before go once what was agreed is known, or their time is over.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -53,6 +53,11 @@
 	ProposeTime = 3 * time.Second
 	// ProposingMost are under way; more are left out, and the leader's step proposes them again.
 	ProposingMost = 32
+	// AwaitMost is the most that the start waits, before it listens for clients, until what was agreed is known here and
+	// laid: discovery still has a machine that may go as ready. It is polled ten times a second meanwhile, and gossip has
+	// the others know a new one within it. Twice as long: a start without a council is a second later; half: one that
+	// gossip has not told of yet may send to a machine that may go.
+	AwaitMost = time.Second
 	// StopTime is the most that ending the fleet's part may take after the drain: SIGKILL may come.
 	StopTime = 3 * time.Second
 )
@@ -81,6 +86,7 @@
 	saved    chan error    // the newest set of drains is on disk, or can't be
 	laid     chan struct{} // the exchange goes by a set of drains
 	wake     chan struct{}
+	known    chan struct{} // closed once what was agreed is known here and laid, with the list
 	stop     context.CancelFunc
 	done     sync.WaitGroup
 	leaving  atomic.Bool
@@ -117,10 +123,16 @@
 	proposing int
 	index     uint64 // as last stepped with
 	stepped   bool
-	laying    int // sets of drains that the exchange or the disk does not have yet: no step is made before
-	caught    bool
+	laying    int        // sets of drains that the exchange or the disk does not have yet: no step is made before
+	caught    bool       // a whole answer came, to this process
+	hasList   bool       // the view has one
+	knows     bool       // known is closed
 	kept      []laidLine // of the process before, until this one is caught up
 	drains    []string   // as the view wants them
+	onDisk    []laidLine // the newest set that the disk took
+	keeping   []laidLine // the set that it was asked for, at keepAt
+	keepAt    time.Duration
+	unkept    bool // something may not be said as laid, since the disk does not have it
 	fedAt     time.Duration
 	seatsAt   time.Duration
 	looking   bool // at the council's voters
@@ -164,6 +176,22 @@
 	return nil
 }
 
+// Await waits for the first whole answer of the council and until what it brought is laid, for AwaitMost at the most.
+// After that this co-ordinator serves as one that is cut off does.
+func (n *Node) Await(ctx context.Context) {
+	if n.off {
+		return
+	}
+	most := time.NewTimer(AwaitMost)
+	defer most.Stop()
+	select {
+	case <-n.known:
+	case <-ctx.Done():
+	case <-most.C:
+		n.log.WithField("waited", AwaitMost).Warn("what the fleet agreed is not known yet: serving as one that is cut off")
+	}
+}
+
 // listed takes the list from the exchange.
 func (n *Node) listed(list []exchange.Entry, stale bool) {
 	n.mu.Lock()
@@ -259,6 +287,10 @@
 			n.step()
 			last = time.Now()
 		}
+		if !n.knows && n.caught && n.hasList && n.laying == 0 {
+			n.knows = true
+			close(n.known)
+		}
 	}
 }
 
--- a/internal/fleet/parts_test.go
+++ b/internal/fleet/parts_test.go
@@ -126,10 +126,10 @@
 	if kept, err := readLaid(path, 0); err != nil || len(kept) > 0 {
 		t.Errorf("%v %v", kept, err)
 	}
-	if err := replace(path, laidDrains{LaidVersion, []laidLine{{"a", 10}, {"b", 20}}}); err != nil {
+	if err := replace(path, laidDrains{LaidVersion, []laidLine{{"a", 10, 7}, {"b", 20, 8}}}); err != nil {
 		t.Fatal(err)
 	}
-	if kept, err := readLaid(path, 10); err != nil || !reflect.DeepEqual(kept, []laidLine{{"b", 20}}) {
+	if kept, err := readLaid(path, 10); err != nil || !reflect.DeepEqual(kept, []laidLine{{"b", 20, 0}}) {
 		t.Errorf("%v %v", kept, err)
 	}
 	for _, text := range []string{`{"version":2}`, `{"version":1,`} {
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -154,7 +154,7 @@
 // pollNow sends what the view wants asked.
 func (n *Node) pollNow(p view.Poll) {
 	n.silent++
-	n.ask(talk.Poll{From: n.name, No: p.No, Index: p.Index, Laid: p.Laid, Load: n.own.load, LoadKnown: n.own.known})
+	n.ask(talk.Poll{From: n.name, No: p.No, Index: p.Index, Laid: n.sayable(p.Laid), Load: n.own.load, LoadKnown: n.own.known})
 }
 
 // ask sends a poll to the leader, or to the voters in turn while none is known.
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -24,6 +24,7 @@
 	n.version = serve.Version()
 	n.copy, n.mail = newCopy(), newMail()
 	n.ended, n.verified, n.closed = make(chan lead.Ended, ProposingMost), make(chan verified, 1), make(chan struct{}, 1)
+	n.known = make(chan struct{})
 	n.wake, n.laid = make(chan struct{}, 1), make(chan struct{}, 1) // one set is laid at a time
 	n.looks, n.saved = make(chan looked, 1), make(chan error, 1)
 	n.polled, n.loads, n.voters = map[string]polled{}, map[string]told{}, map[string]bool{}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -66,6 +66,7 @@
 		n.do(o)
 	}
 	n.caughtUp()
+	n.keepAgain(now)
 	for _, o := range propose {
 		switch o := o.(type) {
 		case lead.Propose:
@@ -94,6 +95,7 @@
 	n.news = false
 	if n.list != nil {
 		n.toView = append(n.toView, view.Listed{Own: machines(n.list)})
+		n.hasList = true
 		n.listFed = time.Time{}
 	}
 	n.asks = talk.Ask{From: n.name, Limits: Limits(n.file, &n.s.Config.Policy), Asks: Asks(n.file)}
--- a/internal/fleet/view/lease_test.go
+++ b/internal/fleet/view/lease_test.go
@@ -137,6 +137,9 @@
 	if len(r.v.polls.sent) != SentMost {
 		t.Errorf("%d sendings are remembered", len(r.v.polls.sent))
 	}
+	r = &rig{t: t, v: New("a", 10*s), now: 100 * s, deaf: true}
+	r.run(5 * s)
+	r.want("in 5 s of a process never answered, ten of them in the first", len(r.polls), 10+3)
 	v := New("a", 10*s)
 	v.NumberFrom(1000)
 	r.want("first number", v.Step(0, nil)[1].(Poll).No, 1001)
--- a/internal/fleet/view/polls.go
+++ b/internal/fleet/view/polls.go
@@ -38,6 +38,9 @@
 		return false
 	}
 	p.more = a.More
+	if !p.answered {
+		p.next = p.at + PollEvery
+	}
 	if !a.More { // one cut short leaves this copy without grants that may be told already: no lease upon it
 		p.answered, p.answeredAt = true, p.sent[i].at
 	}
@@ -81,6 +84,9 @@
 	p.unanswered++
 	p.at, p.said = now, laid
 	p.next = now + v.wait(p.unanswered)
+	if !p.answered && now-v.first < StartFor {
+		p.next, p.unanswered = now+PollStart, 1 // those of the start make no later one slower
+	}
 	v.out = append(v.out, Poll{p.no, v.index, slices.Clone(laid)})
 }
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -30,6 +30,10 @@
 	// PollSoonest is between any two polls: those after a Word that was cut short, and those that have news. Twice as
 	// long: a follower far behind takes twice as long; half as long: an answer cut short without end costs twice as much.
 	PollSoonest = 50 * time.Millisecond
+	// PollStart is between polls of a process that has no answer yet and whose clients wait, StartFor from its first Step.
+	// Twice as long: a start waits 0.1 s longer after a lost one; half: twice the messages of a fleet that starts at once.
+	PollStart = 100 * time.Millisecond
+	StartFor  = time.Second
 	// StallMost is between two Steps of a process that runs. After a longer gap it was stopped, and a Grace that ran
 	// meanwhile starts anew: what was being sent may be sent only now. Twice as long: a stall of that much eats into a
 	// Grace unseen; half as long: a busy machine says later that it has laid.
--- a/internal/serve/beside.go
+++ b/internal/serve/beside.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -17,6 +18,9 @@
 type Beside interface {
 	// Start is called before anything is served. An error ends the program.
 	Start(Serving) error
+	// Await is called once after Start, with the list of replicas coming in and before anything listens for clients. It
+	// returns soon, whatever becomes of what it waits for, and at once when ctx ends.
+	Await(ctx context.Context)
 	// Reload takes the operators' file that was read again. An error keeps the file before in force.
 	Reload(*operator.File) error
 	// Leave is called in the drain, beside it, and returns soon.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -103,14 +103,24 @@
 	ex.Join(replicas, disc)
 	ready := func() bool { return known || disc.HasList() }
 	server := front.New(cfg, ex, ready, log)
-	if err := server.Listen(cfg.Listen); err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
 	var features *ogc.Server
 	if withFeatures {
 		features = ogc.New(cfg, op, ex, ready, log)
-		if err := features.Listen(op.Fronts.OGC.Listen); err != nil {
-			return fmt.Errorf("listen for feature queries: %w", err)
+	}
+	listen := func() error {
+		if err := server.Listen(cfg.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		if features != nil {
+			if err := features.Listen(op.Fronts.OGC.Listen); err != nil {
+				return fmt.Errorf("listen for feature queries: %w", err)
+			}
+		}
+		return nil
+	}
+	if beside == nil {
+		if err := listen(); err != nil {
+			return err
 		}
 	}
 	if op != nil {
@@ -156,6 +166,12 @@
 	go ex.Run(running)
 	go disc.Run(running)
 	go (&reloader{cfg: given, src: args.Source, disc: disc, Process: p, features: features, ex: ex, beside: beside, log: log}).run(running, hangups)
+	if beside != nil {
+		beside.Await(ctx) // before it listens: a query that came meanwhile would wait too
+		if err := listen(); err != nil {
+			return err
+		}
+	}
 	served := make(chan error, 2)
 	go func() { served <- server.Serve(running) }()
 	if withFeatures {
