--- a/internal/fleet/harness/check.go
+++ b/internal/fleet/harness/check.go
@@ -65,6 +65,7 @@
 	Broken  []string        // each names its rule
 	Fates   map[Fate]int    // of queries
 	Served  float64         // share finished of those answered
+	Closed  int             // connections reset, of which no part was sent, by a process that was ending
 	Unread  int             // connections reset after the time for a first request, while this machine did not keep up: excused
 	Late    int             // parts to a told machine, from processes that can't have heard: excused
 	Grants  int             // fences seen
--- a/internal/fleet/harness/queries.go
+++ b/internal/fleet/harness/queries.go
@@ -25,6 +25,8 @@
 			v.Busy++
 		case busy && q.Fate == NoAnswer && !taken[q.ID]:
 			v.Unread++
+		case q.Fate == NoAnswer && !taken[q.ID] && meets(h.Ending[q.To], q.At, q.End):
+			v.Closed++
 		case q.Fate == Twice || q.Fate == Odd && !down:
 			v.broken("query %s: %s: %s", q.ID, q.Fate, q.Err)
 		case (q.Fate == NoAnswer || q.Fate == Crossed && taken[q.ID]) && !down && !stopped:
--- a/internal/fleet/harness/tools.go
+++ b/internal/fleet/harness/tools.go
@@ -120,6 +120,13 @@
 	if !c.sleep(after) {
 		return
 	}
+	c.mu.Lock()
+	gone := c.h.outAt(machine, time.Now())
+	c.mu.Unlock()
+	if gone {
+		c.note("%s was to go by fence %d, and has failed", machine, fence)
+		return
+	}
 	c.note("%s goes, fence %d", machine, fence)
 	at := c.outage(Outage{Machine: machine, Fence: fence, From: time.Now()})
 	c.fleet.Discovery.Set(machine, func(e *standin.Endpoint) { e.Status = "Terminating" })
