--- a/internal/fleet/lead/clock.go
+++ b/internal/fleet/lead/clock.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -52,8 +51,8 @@
 // half are behind it by so much or more. Negative: behind them. others are the clocks of others that are known.
 func (l *Lead) ahead(wall time.Duration) (by time.Duration, others int) {
 	all := []time.Duration{0}
-	for _, name := range slices.Sorted(maps.Keys(l.heard)) {
-		if c := l.heard[name].clock; c.set && name != l.own && l.now-c.at <= ClockAge {
+	for name, h := range l.heard { // in any order: sorted below
+		if c := h.clock; c.set && name != l.own && l.now-c.at <= ClockAge {
 			all = append(all, wall-(c.off+l.now))
 		}
 	}
--- a/internal/fleet/lead/lead.go
+++ b/internal/fleet/lead/lead.go
@@ -174,12 +174,14 @@
 
 	list      []takeout.Machine // by name, each once
 	listed    bool
-	listAt    time.Duration // own time at which it was confirmed
-	members   []Member      // by name, each once
+	merged    []takeout.Machine // of list and members, by name; nil: one of both came since
+	listAt    time.Duration     // own time at which it was confirmed
+	members   []Member          // by name, each once
 	membersAt time.Duration
 	known     bool // members came
 	limits    takeout.LimitsBody
 	asks      takeout.AsksBody
+	sameAsks  int // revision under which asks says what was agreed; 0: not compared yet
 
 	wrong           bool // the own wall's clock is ahead of the others', since wrongAt
 	wrongAt, handAt time.Duration
@@ -261,14 +263,16 @@
 		}
 	case Members:
 		l.members, l.membersAt, l.known, l.news = sortedMembers(in.List), l.now, true, true
+		l.merged = nil
 	case Listed:
 		l.list, l.listAt, l.listed, l.news = sortedList(in.List), l.now-in.Age, true, true
+		l.merged = nil
 	case Asks:
 		if in.Limits.Revision > 0 && in.Limits.Revision >= l.limits.Revision {
 			l.limits = in.Limits
 		}
 		if in.Asks.Revision > 0 && in.Asks.Revision >= l.asks.Revision {
-			l.asks = in.Asks
+			l.asks, l.sameAsks = in.Asks, 0
 		}
 	case Applied:
 		if in.State != nil && in.Index >= l.index {
--- a/internal/fleet/lead/observe.go
+++ b/internal/fleet/lead/observe.go
@@ -24,18 +24,20 @@
 // seen is the inventory as it is seen now, by name. What the agreed one has and the list has not is gone; a
 // co-ordinator of which no news came is unknown at first.
 func (l *Lead) seen() []takeout.Machine {
-	var all []takeout.Machine
-	for _, m := range l.list {
-		m.Kind, m.Voter = takeout.Replica, false
-		all = append(all, m)
-	}
-	for _, m := range l.members {
-		all = append(all, takeout.Machine{Name: m.Name, Kind: takeout.Coordinator, Zone: m.Zone, Status: m.Status,
-			Started: m.Started, Voter: m.Voter})
+	if l.merged == nil {
+		for _, m := range l.list {
+			m.Kind, m.Voter = takeout.Replica, false
+			l.merged = append(l.merged, m)
+		}
+		for _, m := range l.members {
+			l.merged = append(l.merged, takeout.Machine{Name: m.Name, Kind: takeout.Coordinator, Zone: m.Zone, Status: m.Status,
+				Started: m.Started, Voter: m.Voter})
+		}
+		l.merged = sortedList(l.merged)
 	}
-	all = sortedList(all)
+	all := l.merged[:len(l.merged):len(l.merged)]
 	for _, m := range l.state.Machines() {
-		if _, ok := slices.BinarySearchFunc(all, m.Name, byName); ok {
+		if _, ok := slices.BinarySearchFunc(l.merged, m.Name, byName); ok {
 			continue
 		}
 		if m.Status != takeout.Gone {
@@ -46,6 +48,9 @@
 		}
 		all = append(all, m)
 	}
+	if len(all) == len(l.merged) {
+		return all
+	}
 	return sortedList(all)
 }
 
--- a/internal/fleet/lead/propose.go
+++ b/internal/fleet/lead/propose.go
@@ -102,8 +102,12 @@
 	}
 	if want := l.asks; want.Revision > asks.Revision {
 		l.propose(fmt.Sprintf("asks %d", want.Revision), "asks", want, func() bool { return l.state.Asks().Revision >= want.Revision })
-	} else if want.Revision == asks.Revision && want.Revision > 0 && !sameAsks(want, asks) {
-		l.mistake("asks", want.Revision)
+	} else if want.Revision == asks.Revision && want.Revision > 0 && l.sameAsks != want.Revision {
+		if sameAsks(want, asks) {
+			l.sameAsks = want.Revision
+		} else {
+			l.mistake("asks", want.Revision)
+		}
 	}
 }
 
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -83,6 +83,21 @@
 		l.index = index
 		return fmt.Errorf("%w: %w", ErrRefused, err)
 	}
+	return l.act(index, c)
+}
+
+// ApplyDecoded is Apply for what Decode gave of the entry, where several copies in one process apply the same log.
+func (l *Ledger) ApplyDecoded(index uint64, c Command) error {
+	if l.halted != nil {
+		return l.halted
+	}
+	if index <= l.index {
+		return fmt.Errorf("%w: %d, applied up to %d", ErrIndex, index, l.index)
+	}
+	return l.act(index, c)
+}
+
+func (l *Ledger) act(index uint64, c Command) error {
 	part := l.parts[c.Part]
 	if part == nil {
 		return l.halt(index, fmt.Errorf("%w: part %q", ErrVersion, c.Part))
@@ -101,7 +116,7 @@
 		return fmt.Errorf("%w: %s", ErrTwice, c.ID)
 	}
 	next := l.fence
-	err = part.Apply(l.now, func() uint64 { next++; return next }, c.Kind, c.Body)
+	err := part.Apply(l.now, func() uint64 { next++; return next }, c.Kind, c.Body)
 	if errors.Is(err, ErrUnknown) {
 		return l.halt(index, fmt.Errorf("%w: %w", ErrVersion, err))
 	}
--- a/internal/fleet/world/history/history.go
+++ b/internal/fleet/world/history/history.go
@@ -4,6 +4,7 @@
 package history
 
 import (
+	"encoding/binary"
 	"fmt"
 	"time"
 )
@@ -77,6 +78,21 @@
 	return s
 }
 
+// Append adds the event's bytes for a digest: all that is in it but its rules, which the schedule has.
+func (e *Event) Append(to []byte) []byte {
+	for _, s := range []string{string(e.Kind), e.Name, e.By, e.Item.Request, e.Item.Machine, e.Item.Phase, e.Command, e.Machine.Zone} {
+		to = append(append(to, s...), 0)
+	}
+	for _, n := range [...]int64{int64(e.At), int64(e.Warm), int64(e.Until), int64(e.Stored), int64(e.Quiet), int64(e.Fence), int64(e.Index),
+		int64(e.Voters), int64(e.Of), int64(e.Item.Asked), int64(e.Item.Fence), int64(e.Item.Order), int64(e.Item.Lapses)} {
+		to = binary.AppendVarint(to, n)
+	}
+	if e.On {
+		to = append(to, 1)
+	}
+	return to
+}
+
 // Machine as it truly stands in the fleet's rooms.
 type Machine struct {
 	Zone    string
