Let one voter's clock leap by up to an hour in the emulated fleet

The emulated clocks stood at most 2 s apart, so the leader's guard against a clock far ahead (ClockMost) was never met in a seeded history, and its wish to hand over was not carried out there.

A fault of its own now sets the wall's clock of one voter at a time off by 10 s to an hour, two times in three ahead; a leader that wants to hand over does.

--- a/internal/fleet/world/faults.go
+++ b/internal/fleet/world/faults.go
@@ -25,6 +25,8 @@
 		w.late(w.nodes[step.A], step.For)
 	case stepLeader, stepFreeze, stepDepose:
 		w.atLeader(step)
+	case stepClock:
+		w.leap(w.nodes[step.A], time.Duration(step.B)*time.Second, step.For)
 	case stepSeven:
 		for _, n := range w.nodes {
 			if w.rng.IntN(10) < 7 {
@@ -106,6 +108,19 @@
 	})
 }
 
+// leap sets one wall's clock off. Of two that are wrong at once a fleet of three voters can't tell which is right.
+func (w *World) leap(n *node, by, lasts time.Duration) {
+	if w.leapt {
+		return
+	}
+	w.leapt = true
+	n.clock.offset += by
+	w.after(lasts, func() {
+		w.leapt = false
+		n.clock.offset -= by
+	})
+}
+
 func (w *World) cutFor(lasts time.Duration, pairs [][2]int) {
 	for _, p := range pairs {
 		w.links.cut(p[0], p[1], 1)
--- a/internal/fleet/world/leader.go
+++ b/internal/fleet/world/leader.go
@@ -49,6 +49,9 @@
 }
 
 func (n *node) polled(p talk.Poll) lead.Polled {
+	if n.w.Loose.AnyClock {
+		p.Wall = 0
+	}
 	return lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid, Wall: p.Wall}
 }
 
@@ -102,6 +105,14 @@
 
 func (n *node) stepLead(in ...lead.Input) {
 	for _, o := range n.lead.Step(n.mono(), n.wall(), in) {
+		if _, ok := o.(lead.HandOver); ok {
+			inc := n.inc
+			n.w.after(0, func() {
+				if n.inc == inc && n.runs() {
+					n.handOver()
+				}
+			})
+		}
 		p, ok := o.(lead.Propose)
 		if !ok {
 			continue
--- a/internal/fleet/world/schedule.go
+++ b/internal/fleet/world/schedule.go
@@ -65,11 +65,12 @@
 	stepZone    = "zone"     // all machines of zone A fail and rise
 	stepFlap    = "flap"     // machine A fails and rises over and over
 	stepNoVotes = "no-votes" // a majority of the voters ends
+	stepClock   = "clock"    // the wall's clock of voter A leaps by B seconds, and back; of one voter at a time
 )
 
 var stepKinds = []string{stepStall, stepStall, stepCrash, stepCrash, stepLose, stepCut, stepCut, stepAlone, stepDeaf, stepMute,
 	stepHalves, stepLate, stepLeader, stepLeader, stepFreeze, stepDepose, stepDepose, stepSeven, stepMachine, stepMachine, stepZone,
-	stepFlap, stepNoVotes}
+	stepFlap, stepNoVotes, stepClock}
 
 // Healed is when the last fault is over.
 func (s *Schedule) Healed() time.Duration {
@@ -210,6 +211,11 @@
 	switch step.Kind {
 	case stepCut:
 		step.B = rng.IntN(s.Coordinators)
+	case stepClock: // by more than a leader's guard lets pass, up to an hour
+		step.A, step.B = rng.IntN(s.Voters), 10+rng.IntN(3591)
+		if rng.IntN(3) == 0 {
+			step.B = -step.B
+		}
 	case stepMachine, stepFlap:
 		step.A = rng.IntN(s.Replicas)
 	case stepZone:
--- a/internal/fleet/world/world.go
+++ b/internal/fleet/world/world.go
@@ -39,6 +39,7 @@
 	was     map[wasKey]takeout.Item
 	polls   map[pollKey]time.Duration // when it was sent
 	changes int                       // of leaders
+	leapt   bool                      // a clock is off by more than the offset of all
 	results map[int]error             // of entries refused when they were applied
 	order   lead.Order                // the planner's
 
@@ -58,6 +59,7 @@
 // Loose names guards of the emulated wiring that are left out.
 type Loose struct {
 	Unconfirmed bool // a leader answers polls without asking its voters whether it still leads
+	AnyClock    bool // a leader hears of nobody's clock, so that it goes by its own
 }
 
 type (
--- a/internal/fleet/world/world_test.go
+++ b/internal/fleet/world/world_test.go
@@ -79,6 +79,39 @@
 	t.Logf("%d of 24 break", broken)
 }
 
+// leaping is a clock that is an hour ahead at one of the voters, while machines come back cold one after the other.
+func leaping(seed uint64, voter int) *Schedule {
+	s := Draw(seed, 5)
+	s.Odd, s.Offset, s.Link = 0, 0, Quality{Latency: 2 * time.Millisecond}
+	s.Limits.WarmUp, s.Limits.Calm = 20*time.Second, 0
+	s.Asks = s.Asks[:1]
+	s.Asks[0].Limits.Limits = s.Limits
+	s.Asks[0].Asks.Requests = []takeout.Request{{ID: "q", Kind: takeout.Replica, Reason: "disk", For: 20 * time.Second}}
+	s.Steps = []Step{{At: 20 * time.Second, For: 40 * time.Second, Kind: stepClock, A: voter, B: 3600}}
+	return s
+}
+
+// TestALeaderWhoseClockLeaps: with the guard the lead is handed over; without, machines count as warm at once.
+func TestALeaderWhoseClockLeaps(t *testing.T) {
+	broken := 0
+	for i := range 24 {
+		for _, loose := range []bool{false, true} {
+			w := New(leaping(uint64(i+1), i%3))
+			w.Loose.AnyClock = loose
+			switch r := w.Run(); {
+			case r.Err != nil && !loose:
+				t.Errorf("seed %d, voter %d: %v", i+1, i%3, r.Err)
+			case r.Err != nil:
+				broken++
+			}
+		}
+	}
+	if broken == 0 {
+		t.Error("no clock carried agreed time away")
+	}
+	t.Logf("%d of 24 break", broken)
+}
+
 func TestSameSeedSameHistory(t *testing.T) {
 	for _, seed := range []uint64{3, 17} {
 		first := New(Draw(seed, Size(seed))).Run()
