Give the agreed log an era, which a council that is set up anew raises

After `restore` a follower that was ahead in the old log refused the new council's words until it was restarted, and a lost voter's disk that turned up could bring the old council back beside the new one. Words of an older era count for nothing. Live grants lapse, since the copy may be older than a told grant's return, and their machines settle until the grants' end; who is out counts as failed; nothing is granted until what the lost disks alone may have granted is over (--stopped-at, else now). Views keep the drains of before until their grants' end or until the machine has come back.

--- a/cmd/birchcart-fleet/main.go
+++ b/cmd/birchcart-fleet/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -34,14 +35,21 @@
 
 func (c *checkCommand) Run(*serve.Process) error { return serve.Check(c.CheckArgs, fleet.New()) }
 
-type restoreCommand struct{ serve.Source }
+type restoreCommand struct {
+	serve.Source
+	StoppedAt time.Time `help:"When the last of the old council's voters had stopped, as 2026-12-02T22:00:00Z; now, if it is not given. What was granted by then is waited for." optional:""`
+}
 
 func (c *restoreCommand) Run(p *serve.Process) error {
 	cfg, op, err := c.Files()
 	if err != nil {
 		return err
 	}
-	if err := fleet.Restore(cfg.Name, op, p.Log().WithField("node", cfg.Name)); err != nil {
+	stopped := c.StoppedAt
+	if stopped.IsZero() {
+		stopped = time.Now()
+	}
+	if err := fleet.Restore(cfg.Name, op, stopped, p.Log().WithField("node", cfg.Name)); err != nil {
 		return err
 	}
 	fmt.Printf("%s is a council of one; start it, then the other voters with empty folders and without council.found\n", cfg.Name)
--- a/cmd/birchcart-fleet/main_test.go
+++ b/cmd/birchcart-fleet/main_test.go
@@ -583,49 +583,80 @@
 	}
 }
 
-// The disks of two of three voters are lost for good. The third is made a council of one, lets the others in again, and
-// goes on from what was agreed: the limits in force, and numbers of grants above those before.
+// The disks of two of three voters are lost for good, after they agreed to more than the third has. It is made a council of
+// one, lets the others in again, and goes on from what it has: the limits, and numbers of grants above all before. A
+// follower that is ahead goes by the new council without a restart, and keeps the drain that only the lost ones knew of. A
+// voter whose disk turns up after all does not bring the old council back: it puts its log aside and is let in.
 func TestMajorityLostForGood(t *testing.T) {
 	t.Parallel()
-	s := newSite(t, 3, 0, 1, 2)
+	s := newSite(t, 4, 0, 1, 2)
 	s.startAll()
-	s.ask(false, map[string]any{"names": []string{"r0"}, "reason": "disk", "for_s": 20})
-	s.hangUp()
-	s.until("told", s.phase("r0", takeout.Told))
-	fence := s.grants(0).Grants[0].Fence
-	for i, p := range s.procs {
-		p.Process.Kill()
-		p.Wait()
-		if i > 0 {
-			if err := os.RemoveAll(filepath.Join(s.dir, fmt.Sprint("disk", i))); err != nil {
-				t.Fatal(err)
-			}
+	s.until("n3 follows", s.says(3, "grants' end: false"))
+	out := func(names ...string) (work []any) {
+		for _, name := range names {
+			work = append(work, map[string]any{"names": []string{name}, "reason": name, "for_s": 300})
 		}
+		return work
+	}
+	kill := func(i int) {
+		s.procs[i].Process.Kill()
+		s.procs[i].Wait()
+	}
+	s.ask(false, out("r0")...)
+	s.hangUp()
+	s.until("r0 told", s.phase("r0", takeout.Told))
+	kill(0)
+	s.ask(false, out("r0", "r5")...)
+	s.hangUp()
+	s.until("r5 told", func() bool { return len(s.grants(3).Grants) == 2 })
+	fence := s.grants(3).Grants[1].Fence
+	kill(1)
+	kill(2)
+	if err := os.RemoveAll(filepath.Join(s.dir, "disk1")); err != nil {
+		t.Fatal(err)
 	}
 	restore := func(i int) (string, error) {
 		out, err := program("restore", "--config", filepath.Join(s.dir, fmt.Sprint("config", i)),
-			"--operator", filepath.Join(s.dir, fmt.Sprint("operator", i))).CombinedOutput()
+			"--operator", filepath.Join(s.dir, fmt.Sprint("operator", i)), "--stopped-at", "2020-01-01T00:00:00Z").CombinedOutput()
 		return string(out), err
 	}
+	s.ask(false, out("r0")...) // the old council's r5 is not asked for any more
 	if out, err := restore(1); err == nil || !strings.Contains(out, "holds no council") {
 		t.Errorf("an empty folder was restored: %v, %s", err, out)
 	}
 	if out, err := restore(0); err != nil || !strings.Contains(out, "n0 is a council of one") {
 		t.Fatalf("%v, %s", err, out)
 	}
+	if err := os.RemoveAll(filepath.Join(s.dir, "disk1")); err != nil { // of the attempt
+		t.Fatal(err)
+	}
 	s.start(0)
 	s.until("n0 leads alone", s.says(0, "leads the council"))
+	s.until("n3 goes by the new council", s.says(3, "the council was set up anew (era"))
 	s.start(1)
-	s.start(2)
-	for _, name := range []string{"n1", "n2"} {
-		s.until(name+" votes", s.says(0, `voter \"\" goes, voter \"`+name+`\" comes`))
+	s.until("n1 votes", s.says(0, `voter \"\" goes, voter \"n1\" comes`))
+	s.start(2) // with its disk
+	s.until("n2 gives its old seat up", s.says(2, "is put aside"))
+	s.until("n2 votes", s.says(0, `voter \"\" goes, voter \"n2\" comes`))
+	s.until("r0 has lapsed", s.phase("r0", takeout.Lapsed))
+	before, others := len(s.fleet.Replicas[5].Asked()), len(s.fleet.Replicas[11].Asked())
+	end := s.streamTo(3)
+	s.until("queries", func() bool { return len(s.fleet.Replicas[11].Asked()) > others+100 })
+	end()
+	if after := len(s.fleet.Replicas[5].Asked()); after != before {
+		t.Errorf("%d parts went from n3 to r5, whose grant of the old council is not over", after-before)
 	}
-	s.ask(false, map[string]any{"names": []string{"r0"}, "reason": "disk", "for_s": 20}, map[string]any{"names": []string{"r4"}, "reason": "fan", "for_s": 20})
+	s.ask(false, out("r0", "r2")...)
 	s.hangUp()
-	s.until("r4 told", s.phase("r4", takeout.Told))
-	for _, it := range s.grants(1).Items {
-		if it.Machine == "r0" && it.Fence != fence || it.Machine == "r4" && it.Fence <= fence {
-			t.Errorf("grant %d of %s after %d", it.Fence, it.Machine, fence)
+	s.until("r2 told", s.phase("r2", takeout.Told))
+	for i := range s.serve {
+		for _, it := range s.grants(i).Items {
+			if it.Machine == "r2" && it.Fence <= fence || it.Machine == "r5" && it.Phase != "" && it.Fence != 0 {
+				t.Errorf("n%d: grant %d of %s after %d", i, it.Fence, it.Machine, fence)
+			}
+		}
+		if text := s.logs[i].String(); strings.Contains(text, "does not hold") || strings.Contains(text, "panic") {
+			t.Errorf("n%d:\n%s", i, text)
 		}
 	}
 }
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -46,6 +46,12 @@
 	c.mu.Unlock()
 }
 
+// era of the log that the copy is of.
+func (c *copied) era() (era uint64) {
+	c.look(func() { era = c.ledger.Era() })
+	return era
+}
+
 // take applies what a word of the leader brought, if this copy is not the council's to apply to. It says why the
 // copy can't go on from it: entries that follow on what is missing here, a snapshot that can't be read.
 func (c *copied) take(w talk.Word) error {
@@ -55,8 +61,15 @@
 	if c.seat != nil || l.Halted() != nil {
 		return nil
 	}
+	era := max(w.Era, 1)
+	if era < l.Era() {
+		return fmt.Errorf("words of era %d, this copy is of %d", era, l.Era())
+	}
+	if era > l.Era() && len(w.Snapshot) == 0 {
+		return fmt.Errorf("entries of era %d, this copy is of %d", era, l.Era())
+	}
 	if len(w.Snapshot) > 0 {
-		if w.Index <= l.Index() {
+		if era == l.Era() && w.Index <= l.Index() {
 			return nil
 		}
 		return l.Load(w.Snapshot)
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -307,6 +307,9 @@
 	return string(id), string(a)
 }
 
+// Last is the index of the newest entry in this seat's log, committed or not; 0 for an empty one.
+func (c *Council) Last() uint64 { return c.raft.LastIndex() }
+
 // Changes tells of elections and their ends; of 16 that nobody took, the oldest goes.
 func (c *Council) Changes() <-chan State { return c.states }
 
--- a/internal/fleet/council/restore.go
+++ b/internal/fleet/council/restore.go
@@ -18,7 +18,8 @@
 // gone, and one that was not committed may become so. With a snapshot (what Since or a ledger's Save gave at some
 // co-ordinator, and its index) the directory must hold no council.
 //
-// Co-ordinators without a vote that are ahead of it must be restarted before it is opened: they hold what no longer is.
+// Co-ordinators without a vote may be ahead of it, and the lost voters' disks may come back: they hold what no longer is. To
+// tell the machine's state from theirs is up to what o.Machine saves.
 func Restore(o Options, snapshot []byte, at uint64) (err error) {
 	addr := o.Advertise
 	if addr == "" {
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -49,4 +49,5 @@
 	load  float64
 	known bool
 	at    time.Duration // own time
+	era   uint64        // of what it goes by
 }
--- a/internal/fleet/laid.go
+++ b/internal/fleet/laid.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
 )
 
@@ -34,6 +35,8 @@
 type laidLine struct {
 	Machine string        `json:"machine"`
 	Until   time.Duration `json:"until"` // agreed time; past it the drain is not taken over
+	Era     uint64        `json:"era,omitempty"`
+	Start   time.Duration `json:"start,omitempty"` // of the machine, when it was granted
 	fence   uint64
 }
 
@@ -83,7 +86,9 @@
 	n.copy.look(func() {
 		for _, name := range names {
 			if it, ok := n.copy.order.Item(name); ok {
-				f.Drains = append(f.Drains, laidLine{name, it.Until, it.Fence})
+				f.Drains = append(f.Drains, laidLine{name, it.Until, n.copy.ledger.Era(), it.Start, it.Fence})
+			} else if i := slices.IndexFunc(n.keeping, func(k laidLine) bool { return k.Machine == name }); i >= 0 {
+				f.Drains = append(f.Drains, n.keeping[i]) // of an era before
 			}
 		}
 	})
@@ -143,7 +148,14 @@
 		return
 	}
 	wall := time.Duration(time.Now().UnixNano())
-	left := slices.DeleteFunc(slices.Clone(n.kept), func(l laidLine) bool { return n.caught || l.Until <= wall })
+	left := slices.DeleteFunc(slices.Clone(n.kept), func(l laidLine) bool {
+		back := false // one of an era before: the council of now can't say when its drain may go
+		n.copy.look(func() {
+			m, ok := n.copy.order.Machine(l.Machine)
+			back = max(l.Era, 1) >= n.copy.ledger.Era() || ok && m.Status == takeout.Up && m.Started > l.Start
+		})
+		return n.caught && back || l.Until <= wall
+	})
 	if len(left) != len(n.kept) {
 		n.kept = left
 		n.lay(n.drains)
--- a/internal/fleet/lead/grant.go
+++ b/internal/fleet/lead/grant.go
@@ -41,7 +41,12 @@
 // until is by when a machine granted now has to be gone: the time to tell all, the tools' time, and Settle, which the
 // tools are told to leave.
 func (l *Lead) until(limits takeout.Limits) time.Duration {
-	return l.time + over(limits) + TellSlack + GoWithin + limits.Settle
+	return l.time + Longest(limits)
+}
+
+// Longest is from a grant until its machine has to be gone.
+func Longest(limits takeout.Limits) time.Duration {
+	return over(limits) + TellSlack + GoWithin + limits.Settle
 }
 
 // putGrant proposes at most one grant: the first in the order that the agreed state would let go now, and that shares
--- a/internal/fleet/lead/lead.go
+++ b/internal/fleet/lead/lead.go
@@ -120,6 +120,7 @@
 		State *takeout.State
 		Index uint64
 		Now   time.Duration
+		Era   uint64 // of the log; an index of another era says nothing
 	}
 	// Ended says what came of a proposal: nil, or why it was refused or failed.
 	Ended struct {
@@ -166,6 +167,7 @@
 
 	state  *takeout.State
 	index  uint64
+	era    uint64
 	agreed time.Duration // as applied
 	now    time.Duration // own monotonic, of this Step
 	time   time.Duration // agreed time as far as known: the wall's, or while that is behind, base and most of what passed since
@@ -275,7 +277,11 @@
 			l.asks, l.sameAsks = in.Asks, 0
 		}
 	case Applied:
-		if in.State != nil && in.Index >= l.index {
+		if in.State != nil && in.Era > l.era {
+			l.era, l.index, l.agreed, l.base, l.baseAt, l.news = in.Era, 0, 0, 0, l.now, true
+			l.passed = mark{}
+		}
+		if in.State != nil && in.Era == l.era && in.Index >= l.index {
 			l.news = l.news || in.Index != l.index
 			l.state, l.index, l.agreed = in.State, in.Index, max(l.agreed, in.Now)
 			l.know(in.Now)
--- a/internal/fleet/lead/lead_test.go
+++ b/internal/fleet/lead/lead_test.go
@@ -78,7 +78,7 @@
 func (r *rig) step(d time.Duration) {
 	r.t.Helper()
 	r.now += d
-	in := append(r.in, Applied{r.state, r.index, r.ledger.Now()})
+	in := append(r.in, Applied{State: r.state, Index: r.index, Now: r.ledger.Now()})
 	r.in = nil
 	if r.now%s == 0 {
 		in = append(in, Members{r.members})
@@ -274,6 +274,6 @@
 	r.in = append(r.in, Elected{Term: 7})
 	r.until("r1", takeout.Told)
 	r.want("ids of the term", r.all[n].Command.ID, "7-1")
-	r.l.Step(r.now, 0, []Input{Applied{takeout.New(), 0, 0}})
+	r.l.Step(r.now, 0, []Input{Applied{State: takeout.New(), Index: 0, Now: 0}})
 	r.want("a state of before", r.l.state == r.state, true)
 }
--- a/internal/fleet/lead/observe_test.go
+++ b/internal/fleet/lead/observe_test.go
@@ -34,7 +34,7 @@
 	}
 
 	l := New(nil)
-	for _, in := range [][]Input{{Elected{Term: 1}, Applied{r.state, 1, 1}, Members{r.members}}, {Elected{Term: 2}}} {
+	for _, in := range [][]Input{{Elected{Term: 1}, Applied{State: r.state, Index: 1, Now: 1}, Members{r.members}}, {Elected{Term: 2}}} {
 		r.want("without both lists", len(l.Step(0, 9000*s, in)), 1)
 		l.known, l.members = false, nil
 		l.take(Listed{List: r.list})
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -28,6 +28,7 @@
 	index  uint64
 	now    time.Duration
 	fence  uint64
+	era    uint64 // see Era
 	halted error
 
 	ids  map[string]bool
@@ -43,7 +44,7 @@
 
 // New makes an empty ledger over the parts by name.
 func New(parts map[string]Part) *Ledger {
-	l := &Ledger{parts: make(map[string]Part, len(parts)), ids: map[string]bool{}, over: -1}
+	l := &Ledger{parts: make(map[string]Part, len(parts)), ids: map[string]bool{}, over: -1, era: 1}
 	for name, p := range parts {
 		l.parts[name] = p
 		l.names = append(l.names, name)
@@ -61,6 +62,10 @@
 // Fence is the highest fencing number given out.
 func (l *Ledger) Fence() uint64 { return l.fence }
 
+// Era is that of the log: 1, until a council is set up anew from a copy of it; see Renew. Indexes of two eras say
+// nothing of each other.
+func (l *Ledger) Era() uint64 { return l.era }
+
 // Halted says why nothing more is applied here; nil while all is well.
 func (l *Ledger) Halted() error { return l.halted }
 
--- a/internal/fleet/ledger/snapshot.go
+++ b/internal/fleet/ledger/snapshot.go
@@ -25,6 +25,7 @@
 	Now   time.Duration `json:"now"`
 	Fence uint64        `json:"fence"`
 	Over  time.Duration `json:"over"`
+	Era   uint64        `json:"era,omitempty"` // 0, as in older ones: the first
 	Seen  []id          `json:"seen,omitempty"`
 	Parts []saved       `json:"parts"`
 }
@@ -36,6 +37,9 @@
 
 func (l *Ledger) state() (state, error) {
 	st := state{Now: l.now, Fence: l.fence, Over: l.over, Seen: l.seen}
+	if l.era > 1 {
+		st.Era = l.era
+	}
 	for _, name := range l.names {
 		raw, err := l.parts[name].Save()
 		if err != nil {
@@ -104,6 +108,7 @@
 		}
 	}
 	l.index, l.now, l.fence, l.over, l.seen, l.ids = snap.Index, snap.Now, snap.Fence, snap.Over, snap.Seen, ids
+	l.era = max(snap.Era, 1)
 	l.halted = nil
 	return nil
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -122,6 +122,8 @@
 	own       told
 	proposing int
 	index     uint64 // as last stepped with
+	era       uint64 // as last stepped with
+	outlived  bool   // the seat is given up, as there is a council of a newer era
 	stepped   bool
 	laying    int        // sets of drains that the exchange or the disk does not have yet: no step is made before
 	caught    bool       // a whole answer came, to this process
@@ -269,6 +271,7 @@
 		case <-n.closed:
 			n.council, n.givingUp = nil, false
 			n.copy.sit(nil)
+			n.setAside()
 		case l := <-n.looks:
 			n.lookedAt(l)
 		case <-n.laid:
--- a/internal/fleet/parts_test.go
+++ b/internal/fleet/parts_test.go
@@ -80,6 +80,56 @@
 	}
 }
 
+// A copy takes the state of a newer era in place of its own, however far its own index is, and nothing more of an older one.
+func TestCopyTakesANewerEra(t *testing.T) {
+	c, behind := newCopy(), newCopy()
+	entry := func(index uint64) talk.Entry { return talk.Entry{Index: index, Raw: tick(t, time.Duration(index))} }
+	for to, index := range map[*copied]uint64{c: 9, behind: 4} {
+		if err := to.take(talk.Word{Index: index, Entries: []talk.Entry{entry(index)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	snapshot, err := (&renewed{behind, time.Now()}).Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	era := behind.era()
+	if err := c.take(talk.Word{Index: 10, Era: era, Entries: []talk.Entry{entry(10)}}); err == nil || c.ledger.Index() != 9 {
+		t.Errorf("entries of a newer era were taken: %v", err)
+	}
+	if err := c.take(talk.Word{Index: 4, Era: era, Snapshot: snapshot}); err != nil || c.ledger.Index() != 4 || c.era() != era {
+		t.Errorf("%v: stands at %d of era %d", err, c.ledger.Index(), c.era())
+	}
+	old, err := newCopy().ledger.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range []talk.Word{{Index: 12, Entries: []talk.Entry{entry(12)}}, {Index: 12, Snapshot: old}} {
+		if err := c.take(w); err == nil || c.ledger.Index() != 4 || c.era() != era {
+			t.Errorf("a word of an older era was taken: %v", err)
+		}
+	}
+}
+
+// What an outlived seat leaves is kept, and no seat finds it.
+func TestASeatOfBeforeIsPutAside(t *testing.T) {
+	dir := t.TempDir()
+	for range AsideMost {
+		if err := os.WriteFile(filepath.Join(dir, "council.db"), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := asideTo(dir, "era-1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, "era-1*", "council.db")); len(left) != AsideMost {
+		t.Errorf("%v", left)
+	}
+	if asideTo(dir, "era-1") == nil {
+		t.Error("without end")
+	}
+}
+
 // The file is whole whenever it is read, and the newest of what waits is written. What can't be written is told of once.
 func TestGrantsFileIsReplacedWhole(t *testing.T) {
 	dir := t.TempDir()
@@ -126,10 +176,10 @@
 	if kept, err := readLaid(path, 0); err != nil || len(kept) > 0 {
 		t.Errorf("%v %v", kept, err)
 	}
-	if err := replace(path, laidDrains{LaidVersion, []laidLine{{"a", 10, 7}, {"b", 20, 8}}}); err != nil {
+	if err := replace(path, laidDrains{LaidVersion, []laidLine{{Machine: "a", Until: 10}, {Machine: "b", Until: 20, Era: 2}}}); err != nil {
 		t.Fatal(err)
 	}
-	if kept, err := readLaid(path, 10); err != nil || !reflect.DeepEqual(kept, []laidLine{{"b", 20, 0}}) {
+	if kept, err := readLaid(path, 10); err != nil || !reflect.DeepEqual(kept, []laidLine{{Machine: "b", Until: 20, Era: 2}}) {
 		t.Errorf("%v %v", kept, err)
 	}
 	for _, text := range []string{`{"version":2}`, `{"version":1,`} {
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -23,7 +23,7 @@
 
 // polled is a poll that waits for its answer.
 type polled struct {
-	no, index uint64
+	no, index, era uint64
 }
 
 // verified is what came of a check that this one leads, and the polls that waited for it.
@@ -62,10 +62,18 @@
 
 // poll takes one. The leader answers once it knows that it still leads; another voter names who does.
 func (n *Node) poll(at time.Duration, p talk.Poll) {
+	era, own := max(p.Era, 1), n.copy.era()
+	if era > own {
+		n.outlive(p.From, era)
+		return
+	}
 	if n.term != 0 {
+		if era < own {
+			p.Laid = nil // of grants that ended with their era
+		}
 		n.toLead = append(n.toLead, lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid, Wall: p.Wall})
-		n.loads[p.From] = told{p.Load, p.LoadKnown, at}
-		n.polled[p.From] = polled{p.No, p.Index}
+		n.loads[p.From] = told{p.Load, p.LoadKnown, at, era}
+		n.polled[p.From] = polled{p.No, p.Index, era}
 		return
 	}
 	if n.council == nil {
@@ -75,7 +83,7 @@
 	if leader == n.name {
 		leader = "" // elected, but not yet sure of all that was agreed; or about to step down
 	}
-	n.send(p.From, talk.Word{No: p.No, From: n.name, Leader: leader, Index: n.council.Applied()})
+	n.send(p.From, talk.Word{No: p.No, From: n.name, Leader: leader, Index: n.council.Applied(), Era: eraSent(own)})
 }
 
 // verify begins a check with a majority that this one still leads. Only an answer after it may lengthen a lease:
@@ -99,8 +107,21 @@
 	if v.err != nil || v.term != n.term || n.council == nil {
 		return
 	}
+	own := n.copy.era()
+	var whole []byte // the state, for those of an era before
+	var wholeAt uint64
 	for from, p := range v.polls {
-		w := talk.Word{No: p.no, From: n.name, Leader: n.name, Term: n.term, Led: true, Since: p.index, Index: p.index}
+		w := talk.Word{No: p.no, From: n.name, Leader: n.name, Term: n.term, Led: true, Since: p.index, Index: p.index, Era: eraSent(own)}
+		if p.era != own {
+			if whole == nil {
+				whole, wholeAt = n.whole()
+			}
+			if w.Since, w.Index, w.Snapshot = 0, wholeAt, whole; len(whole) > 0 {
+				w.More = w.Index < n.council.Applied()
+				n.answerTo(from, w)
+			}
+			continue
+		}
 		entries, snapshot, at := n.council.Since(p.index, talk.EntriesMost)
 		all := make([]talk.Entry, len(entries))
 		for i, e := range entries {
@@ -108,13 +129,7 @@
 		}
 		if w.Index, w.Snapshot = at, snapshot; len(snapshot) == 0 && w.Fill(all) != nil {
 			w.Entries = nil // one of them is larger than a word may be: the whole state has it too
-			n.copy.look(func() {
-				var err error
-				w.Index = n.copy.ledger.Index()
-				if w.Snapshot, err = n.copy.ledger.Save(); err != nil {
-					n.log.WithError(err).Error("what was agreed can't be sent")
-				}
-			})
+			w.Snapshot, w.Index = n.whole()
 		}
 		if len(w.Snapshot) > 0 {
 			w.Since = 0
@@ -123,19 +138,42 @@
 			w.Index = w.Entries[len(w.Entries)-1].Index
 		}
 		w.More = w.Index < n.council.Applied()
-		if from == n.name {
-			n.word(w)
-		} else {
-			n.send(from, w)
-		}
+		n.answerTo(from, w)
 	}
 }
 
+func (n *Node) answerTo(from string, w talk.Word) {
+	if from == n.name {
+		n.word(w)
+	} else {
+		n.send(from, w)
+	}
+}
+
+// whole is what was agreed, and its index; nothing if it can't be saved.
+func (n *Node) whole() (raw []byte, at uint64) {
+	n.copy.look(func() {
+		var err error
+		at = n.copy.ledger.Index()
+		if raw, err = n.copy.ledger.Save(); err != nil {
+			n.log.WithError(err).Error("what was agreed can't be sent")
+		}
+	})
+	return raw, at
+}
+
 // word takes the answer to a poll.
 func (n *Node) word(w talk.Word) {
 	if w.No > n.sent.No || w.No <= n.answered {
 		return // no poll of this process, or one whose answer was overtaken
 	}
+	switch era, own := max(w.Era, 1), n.copy.era(); {
+	case era < own:
+		return // a council of before
+	case era > own && n.council != nil:
+		n.outlive(w.From, era)
+		return
+	}
 	if !w.Led {
 		if w.No == n.sent.No && w.Leader != "" && w.Leader != n.sentTo && n.leader != w.Leader {
 			n.leader = w.Leader
@@ -154,7 +192,7 @@
 // pollNow sends what the view wants asked.
 func (n *Node) pollNow(p view.Poll) {
 	n.silent++
-	n.ask(talk.Poll{From: n.name, No: p.No, Index: p.Index, Laid: n.sayable(p.Laid), Load: n.own.load, LoadKnown: n.own.known})
+	n.ask(talk.Poll{From: n.name, No: p.No, Index: p.Index, Era: eraSent(n.era), Laid: n.sayable(p.Laid), Load: n.own.load, LoadKnown: n.own.known})
 }
 
 // ask sends a poll to the leader, or to the voters in turn while none is known.
--- a/internal/fleet/restore.go
+++ b/internal/fleet/restore.go
@@ -3,17 +3,23 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/lead"
 	"birchcart/internal/operator"
 )
 
 // Restore makes a council of one voter from what its store holds, after the disks of a majority were lost for good. The
 // voter must not run. Started, it leads, and lets the other voters of its file in, one at a time, once they have started
 // with empty folders. What only the lost disks held is gone.
-func Restore(name string, f *operator.File, log *logrus.Entry) error {
+//
+// A new era begins with it: all other copies, ahead or not, take the new council's state in place of their own, and what
+// was granted by the old one ends. The old council's voters must have stopped by stopped at the latest; it is now where
+// the clock says so. Nothing is granted before what it may have granted then is over.
+func Restore(name string, f *operator.File, stopped time.Time, log *logrus.Entry) error {
 	if f == nil || f.Fleet == nil {
 		return errors.New("operators' file: no fleet section")
 	}
@@ -22,6 +28,26 @@
 		return fmt.Errorf("operators' file: $.fleet.voters: %s is none of them", name)
 	}
 	return council.Restore(council.Options{
-		Name: name, Dir: f.Fleet.Dir, Bind: bindOf(f.Fleet, own), Advertise: own.Address, Machine: newCopy().ledger, Log: log,
+		Name: name, Dir: f.Fleet.Dir, Bind: bindOf(f.Fleet, own), Advertise: own.Address, Machine: &renewed{newCopy(), stopped}, Log: log,
 	}, nil, 0)
 }
+
+// renewed is a copy whose snapshot, the one that the new council goes on from, is of a new era.
+type renewed struct {
+	*copied
+	stopped time.Time
+}
+
+func (r *renewed) Apply(index uint64, raw []byte) error { return r.ledger.Apply(index, raw) }
+
+func (r *renewed) Load(raw []byte) error { return r.ledger.Load(raw) }
+
+func (r *renewed) Save() ([]byte, error) {
+	limits, _ := r.order.Limits()
+	now := time.Duration(time.Now().UnixNano())
+	until := max(now, time.Duration(r.stopped.UnixNano())+lead.Longest(limits)+limits.Settle)
+	if err := r.ledger.Renew(now, until); err != nil {
+		return nil, err
+	}
+	return r.ledger.Save()
+}
--- a/internal/fleet/seats.go
+++ b/internal/fleet/seats.go
@@ -119,7 +119,7 @@
 		n.looking = true
 		ready := map[string]bool{}
 		for _, m := range n.member.Members() {
-			ready[m.Name] = m.State == member.Alive && m.Voter
+			ready[m.Name] = m.State == member.Alive && m.Voter && n.loads[m.Name].era == n.era // one of before is told first
 		}
 		go func() { n.looks <- change(seat, n.name, f, ready) }()
 	case !wanted:
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -41,10 +41,10 @@
 			n.toView = append(n.toView, view.Halted{Err: err})
 			n.toLead = append(n.toLead, lead.Deposed{})
 		}
-		if l.Index() != n.index || !n.stepped {
-			n.index, n.stepped = l.Index(), true
-			n.toView = append(n.toView, view.Applied{State: n.copy.order, Index: n.index, Now: l.Now()})
-			n.toLead = append(n.toLead, lead.Applied{State: n.copy.order, Index: n.index, Now: l.Now()})
+		if l.Index() != n.index || l.Era() != n.era || !n.stepped {
+			n.index, n.era, n.stepped = l.Index(), l.Era(), true
+			n.toView = append(n.toView, view.Applied{State: n.copy.order, Index: n.index, Now: l.Now(), Era: n.era})
+			n.toLead = append(n.toLead, lead.Applied{State: n.copy.order, Index: n.index, Now: l.Now(), Era: n.era})
 			f.Items = n.copy.order.Items()
 		}
 		if a := n.answer; a != nil {
@@ -112,7 +112,7 @@
 		n.mu.Lock()
 		bears := n.file.Fleet.Bears
 		n.mu.Unlock()
-		n.own = told{mean / bears, true, now}
+		n.own = told{mean / bears, true, now, n.era}
 		n.member.SetRecord(member.Record{Load: n.own.load, Voter: n.council != nil, Version: n.version})
 	}
 }
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -28,6 +28,8 @@
 	// File is the name of the log's file in its directory.
 	File = "council.db"
 
+	// SnapshotDir is the name of the folder of snapshots beside it.
+	SnapshotDir = "snapshots"
 	// LockFile is what a process holds while it has the directory.
 	LockFile = "council.lock"
 
--- a/internal/fleet/talk/talk.go
+++ b/internal/fleet/talk/talk.go
@@ -58,6 +58,7 @@
 	From  string `json:"from"`
 	No    uint64 `json:"no"` // grows from poll to poll of one process, and never repeats between its processes
 	Index uint64 `json:"index"`
+	Era   uint64 `json:"era,omitempty"` // of the log that Index is of; 0: the first
 	Laid  []Laid `json:"laid,omitempty"`
 	// Load is how many mean replicas the sender keeps busy; only with LoadKnown.
 	Load      float64 `json:"load,omitempty"`
@@ -81,6 +82,7 @@
 	Leader string `json:"leader,omitempty"` // empty: not known
 	Term   uint64 `json:"term,omitempty"`
 	Led    bool   `json:"led,omitempty"` // the sender led in this term when it answered
+	Era    uint64 `json:"era,omitempty"` // of the sender's log; 0: the first
 	// Since is the index that the entries follow on. Who stands before it has missed some and must not apply them.
 	Since uint64 `json:"since,omitempty"`
 	// Index is how far the sender's copy stands; with a snapshot, where that stands.
--- a/internal/fleet/view/drains.go
+++ b/internal/fleet/view/drains.go
@@ -97,7 +97,8 @@
 // as well, or nothing. One that the own list does not have counts as up, one that it has as not up takes nothing away.
 func (v *View) leavesNone(m takeout.Machine) string {
 	drained := func(name string) bool {
-		return slices.ContainsFunc(v.lays, func(l lay) bool { return l.drain && l.machine == name })
+		return slices.ContainsFunc(v.lays, func(l lay) bool { return l.drain && l.machine == name }) ||
+			slices.ContainsFunc(v.old, func(o old) bool { return o.machine == name })
 	}
 	up := map[int]int{} // by cell, without the machine
 	cell := m.Cell
@@ -134,11 +135,15 @@
 // putDrains hands out the set of drains if it changed, and keeps the evidence for Check.
 func (v *View) putDrains(now time.Duration) {
 	var names []string
+	v.ended(now)
 	for _, l := range v.lays {
 		if l.drain {
 			names = append(names, l.machine)
 		}
 	}
+	for _, o := range v.old {
+		names = append(names, o.machine)
+	}
 	slices.Sort(names)
 	names = slices.Compact(names)
 	if slices.Equal(names, v.drains) {
--- /dev/null
+++ b/internal/fleet/view/era_test.go
@@ -0,0 +1,60 @@
+package view
+
+import (
+	"testing"
+	"time"
+
+	"birchcart/internal/fleet/takeout"
+)
+
+// backed is a state in which one machine is up by a newer start.
+type backed struct {
+	agreed
+	name string
+}
+
+func (b *backed) Machine(name string) (takeout.Machine, bool) {
+	m, ok := b.agreed.Machine(name)
+	if name == b.name {
+		m.Started = 5000 * s
+	}
+	return m, ok
+}
+
+// A council that was set up anew counts, however far back its copy, its time and its leaders' terms are. Drains of grants
+// that it does not know of stay until their end by the own clock, or until the machine has come back; nothing is said of them.
+func TestANewEraKeepsTheDrainsOfBefore(t *testing.T) {
+	r := begin(t)
+	r.applied(r.item("r1", 7, takeout.Told), r.item("r3", 8, takeout.Granted), r.item("a", 9, takeout.Granted))
+	r.pending = append(r.pending, Answered{Poll: r.v.polls.no, Term: 50})
+	r.run(3 * s)
+	r.want("drains", r.drains, "[r1 r3]")
+	ends := r.now + 5100*s - r.at
+	anew := &agreed{items: []takeout.Item{r.item("r3", 300, takeout.Granted), r.item("r2", 301, takeout.Granted)}}
+	r.pending = []Input{
+		Applied{State: anew, Index: 1, Now: 4000 * s, Era: 5}, Answered{Poll: r.v.polls.no, Term: 3},
+		Applied{State: &r.state, Index: 99, Now: r.at, Era: 4}, // of before
+	}
+	r.step(100 * time.Millisecond)
+	r.want("drains in the new era, none that leaves no holder", r.drains, "[r1 r3]")
+	r.want("cut off", r.v.CutOff(r.now), false)
+	r.want("for the file", r.grants, "[]")
+	r.run(3 * s)
+	r.want("said", r.laid(), "[{r3 300 false } {r2 301 true shard 1 would be left without a holder up in the own list}]")
+	r.want("a lower term counts", r.v.Age(r.now) < 2*s, true)
+	anew.items = anew.items[:1]
+	r.pending = append(r.pending, Applied{State: anew, Index: 2, Now: 4001 * s, Era: 5})
+	for r.now < ends-s {
+		r.step(100 * time.Millisecond)
+	}
+	r.want("just before the end", r.drains, "[r1 r3]")
+	r.run(3 * s)
+	r.want("past the end", r.drains, "[r3]")
+
+	r = begin(t)
+	r.applied(r.item("r1", 7, takeout.Told))
+	r.run(3 * s)
+	r.pending = append(r.pending, Applied{State: &backed{name: "r1"}, Index: 1, Now: 4000 * s, Era: 5})
+	r.step(100 * time.Millisecond)
+	r.want("one that came back", r.drains, "[]")
+}
--- a/internal/fleet/view/lease_test.go
+++ b/internal/fleet/view/lease_test.go
@@ -58,7 +58,7 @@
 	r.applied(later, r.item("r3", 8, takeout.Granted))
 	known := r.at
 	for r.at < 5120*s+900*time.Millisecond {
-		r.pending = append(r.pending, Applied{&r.state, r.index, known}) // which moves no time
+		r.pending = append(r.pending, Applied{State: &r.state, Index: r.index, Now: known}) // which moves no time
 		r.run(100 * time.Millisecond)
 		r.want("kept until a hundredth past the end", r.drains, "[r1]")
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -68,6 +68,7 @@
 		State State
 		Index uint64
 		Now   time.Duration // agreed
+		Era   uint64        // of the log; one lower than seen before counts for nothing
 	}
 	// Listed is the own list of replicas, whole, whenever it changed.
 	Listed struct{ Own []takeout.Machine }
@@ -128,6 +129,7 @@
 	// The agreed state as last applied: its live items (granted, told, out), in its order.
 	applied  bool
 	index    uint64
+	era      uint64
 	agreed   time.Duration // its time, and when that was first seen by the own clock
 	agreedAt time.Duration
 	live     []takeout.Item
@@ -142,6 +144,7 @@
 	own    []takeout.Machine
 
 	lays   []lay // by fence
+	old    []old // drains of grants of an era before, by name
 	drains []string
 	grants []Grant
 	seen   evidence
@@ -212,7 +215,10 @@
 			v.caught = v.caught || v.applied && !in.More
 		}
 	case Applied:
-		if in.Index >= v.index {
+		if in.Era > v.era {
+			v.renew(in.Era)
+		}
+		if in.Era == v.era && in.Index >= v.index {
 			v.apply(now, in)
 		}
 	case Listed:
@@ -255,6 +261,10 @@
 		}
 		v.kinds[it.Machine] = m
 	}
+	v.old = slices.DeleteFunc(v.old, func(o old) bool {
+		m, ok := a.State.Machine(o.machine)
+		return ok && m.Status == takeout.Up && m.Started > o.start
+	})
 	if !v.caught {
 		v.before = v.newest
 	}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -68,7 +68,7 @@
 func (r *rig) applied(items ...takeout.Item) {
 	r.state.items = items
 	r.index++
-	r.pending = append(r.pending, Applied{&r.state, r.index, r.at})
+	r.pending = append(r.pending, Applied{State: &r.state, Index: r.index, Now: r.at})
 }
 
 func (r *rig) step(d time.Duration) {
@@ -125,7 +125,7 @@
 	r.step(100 * time.Millisecond)
 	r.want("laid at once", r.drains, "[r1]")
 	r.want("for the file before it is told", r.grants, "[]")
-	r.pending = []Input{Applied{&agreed{}, r.index - 1, r.at}} // out of order
+	r.pending = []Input{Applied{State: &agreed{}, Index: r.index - 1, Now: r.at}} // out of order
 	laid := r.now
 	r.run(1900 * time.Millisecond)
 	r.want("said too early", r.laid(), "[]")
