Wait until all files say granted before a full disk's grant is watched

On a machine with 48 waiting for its 8 cores the grants file of one co-ordinator was 100 ms behind the log line that the test waited for, and it failed at `asked`. It now waits until all files say `granted`.

--- a/cmd/birchcart-fleet/main_test.go
+++ b/cmd/birchcart-fleet/main_test.go
@@ -490,6 +490,7 @@
 	s.ask(false, map[string]any{"names": []string{"r5"}, "reason": "disk", "for_s": 60})
 	s.hangUp()
 	s.until("the disk does not take it", s.says(3, "can't be kept on disk"))
+	s.until("granted, as all files say", s.phase("r5", takeout.Granted))
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if !s.phase("r5", takeout.Granted)() {
 			t.Fatalf("%+v", s.grants(0).Items)
