Let cold credit reach back by what is held unused, with two roots for chance

Of 300 at one moment after a start 16 hold credit and use 3.2 parts a second, 16 are allowed (TestColdCreditIsUsedByMany without the change). Ruled out: the refills (their sum is root^2 a window at any number of co-ordinators), the phases (even). What is left: who holds credit uses it only when a part of its own comes for that replica, and with little traffic each that takes longer than the warm-up. Lines at fault, policy/list.go: credit reached back by one window, whoever holds it and for how long.

Now it reaches back by the mean time between own parts for a replica too, shrunk where few answers were seen. What was never used was room for chance as well: with 1.5 roots TestManyCoordinatorsDoNotTipAColdReplica sees 23 parts in a window of 22.8, so coldChance is 2, for the rule's own window.

--- a/policy/choice.go
+++ b/policy/choice.go
@@ -4,9 +4,8 @@
 
 import "math"
 
-// pick returns the holder with fewest of our calls out among the fittest, ties at random but the likelier the
-// sooner it has answered of late, and how unfit it is: 0 sound, 1 suspect, 2 tried for this part before, 3
-// both. Parts that share a call count once.
+// pick returns the fittest holder with fewest of our calls out, parts that share one counting once; ties at
+// random, likelier the sooner it answered of late. rank: 0 sound, 1 suspect, 2 tried for this part, 3 both.
 func (p *Policy) pick(pt *part) (best *replica, rank int) {
 	load, ties, holders := 0, 0.0, p.holders(pt.shard)
 	for _, r := range holders {
--- a/policy/guards.go
+++ b/policy/guards.go
@@ -35,9 +35,10 @@
 }
 
 // coldShut tells whether a replica is cold and has had what it may take by now. Credit counts from its start,
-// not from the news of it, and a window's worth may go at once. Each co-ordinator's begins at another point
-// (phase), or all would send their first part at once. Where a window earns less than a part a second one is
-// kept: with so little traffic of one's own, parts for a replica come seldom and then by twos.
+// not from the news of it; a window's worth may go at once, and so may what would be held, on the mean, until
+// an own part comes there, less where few were seen: most of what it may take went unused. Each instance's
+// begins at another point (phase), or all would send their first part at once. Where a window earns less than
+// one part two are kept: with so little traffic of one's own parts come seldom, and then by twos.
 func (p *Policy) coldShut(r *replica) bool {
 	rate, cold := p.coldRate(r)
 	most := 1.0
@@ -51,8 +52,7 @@
 // turnedAway decides on a query at its arrival. By Little's law the parts out, over the rate at which parts
 // come back, are the time that a new part will take. Where that leaves too little of the promise the query is
 // refused, earlier if its tenant is over its share. It is asked of all replicas together and of each shard's
-// holders. Guards against queues that make every answer late, whatever filled them, and against work for
-// queries that cannot be whole.
+// holders. Guards against queues that make every answer late, and work for queries that cannot be whole.
 func (p *Policy) turnedAway(q *query) bool {
 	c := &p.cfg.Classes[q.class]
 	time := min(c.Promise, q.due-p.now) // clients that leave early set the pace
--- a/policy/list.go
+++ b/policy/list.go
@@ -29,7 +29,9 @@
 			if e.Started > r.started {
 				p.clear(r)
 				r.pace = 1
-				r.started, r.credit, r.creditAt = e.Started, p.phase(e.Common), e.Started-p.cfg.TipAfter
+				span, n := coldMemory*p.cfg.TipAfter, float64(p.done.count(p.now-coldMemory*p.cfg.TipAfter))
+				back := p.cfg.TipAfter + span*float64(p.up)*n/((n+leastSeen)*(n+leastSeen))
+				r.started, r.credit, r.creditAt = e.Started, p.phase(e.Common), e.Started-back
 			}
 		}
 		r.state = e.State
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,7 +51,7 @@
 	fellSpan   = 24.0 // promises after a death in which queries send scouts: what kills comes seconds apart
 
 	// Cold replicas.
-	coldChance = 1.5 // roots of the expected parts: refills come evenly, when they are used is left to chance
+	coldChance = 2.0 // roots of the expected parts: refills come evenly, when they are used is left to chance
 	swiftShare = 0.2 // quantile of latencies that is taken for the work of a part
 	coldMemory = 5.0 // tip_after: how far back answers are counted to infer what a warm one gives
 
