Grant the request of a machine that may go, not the first that names it

The leader proposed the first of them; the state refused it each time, since the second, an urgent one of the same machine, had reserved the turn, while it would have granted that one. The leader now asks the state which request is meant (Next) and proposes that. A test with a request that may not go yet fails without it.

Ends are told first now.

--- a/internal/fleet/lead/grant.go
+++ b/internal/fleet/lead/grant.go
@@ -59,10 +59,13 @@
 	}
 	if stop, _ := l.state.Paused(l.time); !stop {
 		for _, it := range l.order(l.state, l.time) {
-			if it.Phase != takeout.Asked || l.time < hold(it) || l.near(limits, it.Machine) {
+			if it.Phase != takeout.Asked || l.near(limits, it.Machine) {
 				continue
 			}
-			if _, err := l.state.MayGo(l.time, it.Machine); err != nil {
+			// Of several requests for the machine the state says which: another may be refused for ever, as one that
+			// leaves room for a turn which the next has reserved.
+			it, _, err := l.state.Next(l.time, it.Machine)
+			if err != nil || l.time < hold(it) {
 				continue
 			}
 			body := takeout.GrantBody{Request: it.Request, Machine: it.Machine, Until: l.until(limits)}
--- a/internal/fleet/lead/lead_test.go
+++ b/internal/fleet/lead/lead_test.go
@@ -208,6 +208,19 @@
 	r.want("refused", r.refused, "[]")
 }
 
+// Two requests name one machine, and the first may not go yet: the state is asked which is meant, or the first would be
+// proposed and refused for ever.
+func TestTheRequestThatMayGoIsProposed(t *testing.T) {
+	r := begin(t)
+	at := takeout.Request{ID: "later", Names: []string{"r1"}, Reason: "disk", For: 100 * s, Earliest: 5000*s + r.now + 3600*s}
+	now := takeout.Request{ID: "now", Names: []string{"r1"}, Reason: "fan", For: 100 * s}
+	r.in = append(r.in, Asks{Asks: takeout.AsksBody{Revision: 1, Requests: []takeout.Request{at, now}}})
+	r.until("r1", takeout.Granted)
+	if it, _ := r.state.Item("r1"); it.Request != "now" {
+		t.Errorf("granted to %s", it.Request)
+	}
+}
+
 func TestARepeatedProposalIsTheSameAndEnds(t *testing.T) {
 	r := begin(t)
 	r.deaf = true
--- a/internal/fleet/takeout/rules.go
+++ b/internal/fleet/takeout/rules.go
@@ -126,22 +126,28 @@
 // machine the first that may go is meant, urgent ones first. now before the agreed time counts as that; later, it
 // still counts what a tick would end.
 func (s *State) MayGo(now time.Duration, name string) (left int, err error) {
+	_, left, err = s.Next(now, name)
+	return left, err
+}
+
+// Next is MayGo with the item that is meant: a grant for another request of the machine may be refused.
+func (s *State) Next(now time.Duration, name string) (next Item, left int, err error) {
 	now = max(now, s.now)
 	m := s.machines[name]
 	if m == nil {
-		return 0, fmt.Errorf("W4: %s is not in the inventory", name)
+		return Item{}, 0, fmt.Errorf("W4: %s is not in the inventory", name)
 	}
 	err = fmt.Errorf("W4: no request asks for %s", name)
 	for _, p := range []Priority{Urgent, Routine} {
 		for _, e := range m.asked {
 			if e.req.Priority == p {
 				if left, _, err = s.mayGo(now, e); err == nil {
-					return left, nil
+					return e.Item, left, nil
 				}
 			}
 		}
 	}
-	return 0, err
+	return Item{}, 0, err
 }
 
 // mayGo is the one choke point of a grant.
--- a/internal/fleet/world/world.go
+++ b/internal/fleet/world/world.go
@@ -325,7 +325,13 @@
 
 func (w *World) differences(index int, voters int, stored time.Duration) {
 	id := w.decoded[index-1].ID
-	for order, item := range w.top.out.Items() {
+	items := w.top.out.Items()
+	for i := range 2 * len(items) { // what ended by time did so before the entry itself granted
+		order := i % len(items)
+		item := items[order]
+		if (item.Phase == takeout.Granted) != (i >= len(items)) {
+			continue
+		}
 		key := wasKey{item.Request, item.Machine, item.AskedAt, item.Try}
 		if old, ok := w.was[key]; ok && old.Phase == item.Phase && old.Fence == item.Fence && old.Until == item.Until {
 			continue
