Give a lease only to co-ordinators that the agreed inventory has

A leader answered the poll of one that had just joined, and gave it a lease; if it went before its observation, the next leader did not count that one, and a told could come while it served by its lease without the drain. The word now says that its receiver is not listed: it gets the entries, lays what they say, and stays cut off until it is observed.

--- a/cmd/birchcart-fleet/main_test.go
+++ b/cmd/birchcart-fleet/main_test.go
@@ -396,7 +396,7 @@
 	t.Parallel()
 	s := newSite(t, 4, 0, 1, 2)
 	s.startAll()
-	s.until("n3 follows", s.says(3, "grants' end: false"))
+	s.until("n3 follows", s.says(3, "in touch with the council"))
 	s.voters = []int{1, 2, 3}
 	s.ask(false)
 	s.hangUp()
@@ -418,7 +418,7 @@
 	s.start(0)
 	end := s.stream()
 	s.until("n0 goes by the drains of before", s.says(0, "of the process before stay"))
-	s.until("n0 knows what was agreed", s.says(0, "grants' end: false"))
+	s.until("n0 knows what was agreed", s.says(0, "in touch with the council"))
 	s.until("queries", func() bool { return len(s.fleet.Replicas[11].Asked()) > others+20 })
 	if _, _, whole := end(); whole == 0 {
 		t.Error("no query was answered")
@@ -482,7 +482,7 @@
 	t.Parallel()
 	s := newSite(t, 4, 0, 1, 2)
 	s.startAll()
-	s.until("n3 follows", s.says(3, "grants' end: false"))
+	s.until("n3 follows", s.says(3, "in touch with the council"))
 	laid := filepath.Join(s.dir, "disk3", "laid.json")
 	if err := os.MkdirAll(filepath.Join(laid, "in its place"), 0o700); err != nil {
 		t.Fatal(err)
@@ -511,7 +511,7 @@
 	s := newSite(t, 4, 0, 1, 2)
 	s.extra["drain_self"] = true
 	s.startAll()
-	s.until("n3 follows", s.says(3, "grants' end: false"))
+	s.until("n3 follows", s.says(3, "in touch with the council"))
 	s.ask(false, map[string]any{"names": []string{"n3"}, "reason": "kernel", "for_s": 30})
 	s.hangUp()
 	ended := make(chan error, 1)
@@ -592,7 +592,7 @@
 	t.Parallel()
 	s := newSite(t, 4, 0, 1, 2)
 	s.startAll()
-	s.until("n3 follows", s.says(3, "grants' end: false"))
+	s.until("n3 follows", s.says(3, "in touch with the council"))
 	out := func(names ...string) (work []any) {
 		for _, name := range names {
 			work = append(work, map[string]any{"names": []string{name}, "reason": name, "for_s": 300})
@@ -625,6 +625,9 @@
 	if out, err := restore(1); err == nil || !strings.Contains(out, "holds no council") {
 		t.Errorf("an empty folder was restored: %v, %s", err, out)
 	}
+	if left, err := os.ReadDir(filepath.Join(s.dir, "disk1")); err == nil && len(left) > 0 {
+		t.Errorf("a refused restore left %v, which a start takes for a store", left)
+	}
 	if out, err := restore(0); err != nil || !strings.Contains(out, "n0 is a council of one") {
 		t.Fatalf("%v, %s", err, out)
 	}
--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -42,7 +42,7 @@
 // grantLine is one machine that may be worked on, once the work has begun before StartBefore.
 type grantLine struct {
 	Machine     string    `json:"machine"`
-	Fence       uint64    `json:"fence"` // grows from grant to grant: a tool that saw a higher one must not act on a lower
+	Fence       uint64    `json:"fence"` // of one machine's grants it grows: a tool that saw a higher one of that machine must not act on a lower
 	Request     string    `json:"request"`
 	Reason      string    `json:"reason"`
 	StartBefore time.Time `json:"start_before"`
--- a/internal/fleet/laid.go
+++ b/internal/fleet/laid.go
@@ -40,7 +40,8 @@
 	fence   uint64
 }
 
-func (n *Node) laidPath() string { return filepath.Join(n.file.Fleet.Dir, laidFile) }
+// laidPath is in the folder of the start: another one in the file counts at the next.
+func (n *Node) laidPath() string { return filepath.Join(n.dir, laidFile) }
 
 // keepLaid lays what the process before had laid, until this one knows what was agreed.
 func (n *Node) keepLaid() {
--- a/internal/fleet/lead/told.go
+++ b/internal/fleet/lead/told.go
@@ -62,6 +62,13 @@
 	return need + need/Drift
 }
 
+// Counts says whether a leader of this state waits for the co-ordinator before it tells, though it has never heard of it:
+// the inventory has it. Only such a one may be given a lease; a leader that dies takes with it whom else it has heard.
+func Counts(s *takeout.State, name string) bool {
+	m, ok := s.Machine(name)
+	return ok && m.Kind == takeout.Coordinator
+}
+
 // must are all whose word counts: the co-ordinators of the inventory, in whatever state, and all that have polled.
 func (l *Lead) must() []string {
 	names := slices.Collect(maps.Keys(l.heard))
--- a/internal/fleet/lead/told_test.go
+++ b/internal/fleet/lead/told_test.go
@@ -240,3 +240,20 @@
 		t.Errorf("agreed time is still %v ahead", ahead)
 	}
 }
+
+// Only whom the inventory has counts for a leader that follows: replicas, strangers and one that only polled do not.
+func TestCountsAreOfTheInventory(t *testing.T) {
+	r := begin(t)
+	r.in = append(r.in, Polled{From: "d", No: 1})
+	r.step(100 * time.Millisecond)
+	var got []string
+	for _, name := range []string{"a", "b", "d", "r1", "x"} {
+		if Counts(r.state, name) {
+			got = append(got, name)
+		}
+	}
+	r.want("counted", got, "[a b]")
+	r.members = append(r.members, Member{Name: "d", Status: takeout.Up})
+	r.run(2 * s)
+	r.want("once it was observed", Counts(r.state, "d"), true)
+}
--- a/internal/fleet/member/record.go
+++ b/internal/fleet/member/record.go
@@ -18,7 +18,7 @@
 
 // Record is what a member tells of itself.
 type Record struct {
-	Load     float64 // queries a second that it answers, of its own
+	Load     float64 // mean replicas that it keeps busy
 	Pressure float64 // 0 none, 1 full
 	Voter    bool    // of the council
 	Version  string  // of the program
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -70,6 +70,7 @@
 	name string
 	// of the program, for the others to see
 	version string
+	dir     string // of the start
 
 	member  *member.Members
 	council *council.Council // nil: no vote
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -107,11 +107,18 @@
 	if v.err != nil || v.term != n.term || n.council == nil {
 		return
 	}
+	listed := map[string]bool{}
+	n.copy.look(func() {
+		for from := range v.polls {
+			listed[from] = lead.Counts(n.copy.order, from)
+		}
+	})
 	own := n.copy.era()
 	var whole []byte // the state, for those of an era before
 	var wholeAt uint64
 	for from, p := range v.polls {
-		w := talk.Word{No: p.no, From: n.name, Leader: n.name, Term: n.term, Led: true, Since: p.index, Index: p.index, Era: eraSent(own)}
+		w := talk.Word{No: p.no, From: n.name, Leader: n.name, Term: n.term, Led: true, Since: p.index, Index: p.index, Era: eraSent(own),
+			Unlisted: !listed[from]}
 		if p.era != own {
 			if whole == nil {
 				whole, wholeAt = n.whole()
@@ -186,7 +193,7 @@
 		n.lines.limited(n, n.now(), "what the leader sent can't be taken: "+err.Error())
 		return
 	}
-	n.answer, n.answerAt = &view.Answered{Poll: w.No, Leader: w.From, Term: w.Term, More: w.More}, w.Index
+	n.answer, n.answerAt = &view.Answered{Poll: w.No, Leader: w.From, Term: w.Term, More: w.More, Unlisted: w.Unlisted}, w.Index
 }
 
 // pollNow sends what the view wants asked.
--- a/internal/fleet/restore.go
+++ b/internal/fleet/restore.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/store"
 	"birchcart/internal/operator"
 )
 
@@ -27,6 +30,10 @@
 	if !ok {
 		return fmt.Errorf("operators' file: $.fleet.voters: %s is none of them", name)
 	}
+	// Opening would make one where there is none, and the next start would take it for a store that was never lost.
+	if _, err := os.Stat(filepath.Join(f.Fleet.Dir, store.File)); err != nil {
+		return fmt.Errorf("operators' file: $.fleet.dir: %s holds no council: %w", f.Fleet.Dir, err)
+	}
 	return council.Restore(council.Options{
 		Name: name, Dir: f.Fleet.Dir, Bind: bindOf(f.Fleet, own), Advertise: own.Address, Machine: &renewed{newCopy(), stopped}, Log: log,
 	}, nil, 0)
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -21,7 +21,7 @@
 
 func (n *Node) init(s serve.Serving) {
 	n.name, n.file, n.start, n.news = s.Config.Name, s.Operator, time.Now(), true
-	n.version = serve.Version()
+	n.version, n.dir = serve.Version(), s.Operator.Fleet.Dir
 	n.copy, n.mail = newCopy(), newMail()
 	n.ended, n.verified, n.closed = make(chan lead.Ended, ProposingMost), make(chan verified, 1), make(chan struct{}, 1)
 	n.known = make(chan struct{})
--- a/internal/fleet/takeout/apply.go
+++ b/internal/fleet/takeout/apply.go
@@ -102,7 +102,7 @@
 		return fmt.Errorf("W4: request %s does not ask for %s now", b.Request, b.Machine)
 	}
 	if b.Until <= s.now || b.Until > s.now+GrantMost {
-		return fmt.Errorf("W7: until %v, it is %v and %v is the most", b.Until, s.now, GrantMost)
+		return fmt.Errorf("W7: until %s, it is %s and %v is the most", clock(b.Until), clock(s.now), GrantMost)
 	}
 	left, room, err := s.mayGo(s.now, e)
 	if err != nil {
--- a/internal/fleet/takeout/asks.go
+++ b/internal/fleet/takeout/asks.go
@@ -81,7 +81,7 @@
 	case r.For <= 0 || r.For > ForMost:
 		return fmt.Errorf("request %s: out for %v, it has to be over 0 and at most %v", r.ID, r.For, ForMost)
 	case r.Earliest < 0 || r.Latest < 0 || r.Latest > 0 && r.Latest < r.Earliest:
-		return fmt.Errorf("request %s: from %v to %v", r.ID, r.Earliest, r.Latest)
+		return fmt.Errorf("request %s: from %s to %s", r.ID, clock(r.Earliest), clock(r.Latest))
 	case r.Priority != Routine && r.Priority != Urgent:
 		return fmt.Errorf("request %s: priority %d is not known", r.ID, r.Priority)
 	}
--- a/internal/fleet/takeout/check.go
+++ b/internal/fleet/takeout/check.go
@@ -130,12 +130,12 @@
 func (s *State) checkTimes() error {
 	for _, e := range s.open {
 		if (e.Phase == Granted || e.Phase == Told || e.Phase == Out) && e.Until <= s.now {
-			return fmt.Errorf("W7: %s is %s past its time, %v, at %v", e.Machine, e.Phase, e.Until, s.now)
+			return fmt.Errorf("W7: %s is %s past its time, %s, at %s", e.Machine, e.Phase, clock(e.Until), clock(s.now))
 		}
 	}
 	for i, e := range s.ended {
 		if i > 0 && s.ended[i-1].EndedAt > e.EndedAt || e.EndedAt > s.now {
-			return fmt.Errorf("W7: %s ended at %v, out of order at %v", e.Machine, e.EndedAt, s.now)
+			return fmt.Errorf("W7: %s ended at %s, out of order at %s", e.Machine, clock(e.EndedAt), clock(s.now))
 		}
 	}
 	return nil
--- a/internal/fleet/takeout/observe.go
+++ b/internal/fleet/takeout/observe.go
@@ -72,7 +72,7 @@
 		seen = min(b.Seen, s.now)
 	}
 	if seen < s.listAt {
-		return fmt.Errorf("seen at %v, before what is known, of %v", seen, s.listAt)
+		return fmt.Errorf("seen at %s, before what is known, of %s", clock(seen), clock(s.listAt))
 	}
 	if b.Load < 0 || math.IsNaN(b.Load) {
 		return fmt.Errorf("a load of %v", b.Load)
--- a/internal/fleet/takeout/phases_test.go
+++ b/internal/fleet/takeout/phases_test.go
@@ -48,7 +48,7 @@
 	p.phase("r0", Out)
 	p.wait(sec)
 	p.phase("r0", Lapsed)
-	if paused, why := p.s.Paused(p.now); !paused || why != "W6: paused until 22m40s: r0 is not back by its time" {
+	if paused, why := p.s.Paused(p.now); !paused || why != "W6: paused until 1970-01-01T00:22:40Z, for 1m0s more: r0 is not back by its time" {
 		t.Fatal(why)
 	}
 }
--- a/internal/fleet/takeout/rules.go
+++ b/internal/fleet/takeout/rules.go
@@ -7,6 +7,12 @@
 	"time"
 )
 
+// clock is an agreed time as people read it: UTC, to the second.
+func clock(at time.Duration) string { return time.Unix(0, int64(at)).UTC().Format(time.RFC3339) }
+
+// rounded is a span as people read it.
+func rounded(d time.Duration) time.Duration { return d.Round(100 * time.Millisecond) }
+
 // sums are what the rules read of the inventory at one time.
 type sums struct {
 	at        time.Duration
@@ -160,16 +166,16 @@
 		return 0, 0, err
 	}
 	if now < e.req.Earliest {
-		return 0, 0, fmt.Errorf("not before its earliest time, %v", e.req.Earliest)
+		return 0, 0, fmt.Errorf("not before its earliest time, %s", clock(e.req.Earliest))
 	}
 	if e.req.Latest > 0 && now > e.req.Latest {
-		return 0, 0, fmt.Errorf("its latest time, %v, has passed", e.req.Latest)
+		return 0, 0, fmt.Errorf("its latest time, %s, has passed", clock(e.req.Latest))
 	}
 	if m.live != nil {
 		return 0, 0, fmt.Errorf("W4: %s is %s by number %d", e.Machine, m.live.Phase, m.live.Fence)
 	}
 	if m.Settle > now {
-		return 0, 0, fmt.Errorf("W4: an ended grant of %s settles until %v", e.Machine, m.Settle)
+		return 0, 0, fmt.Errorf("W4: an ended grant of %s settles until %s", e.Machine, clock(m.Settle))
 	}
 	t := s.sum(now)
 	if err := s.places(t, m); err != nil {
@@ -204,10 +210,12 @@
 		return errors.New("paused by the operators")
 	case s.stale:
 		return errors.New("W1: the limits changed, and no whole inventory has come since")
-	case !s.listed || now-s.listAt > s.limits.ListAge:
-		return fmt.Errorf("W3: the inventory is %v old, %v is allowed", now-s.listAt, s.limits.ListAge)
+	case !s.listed:
+		return errors.New("W3: no inventory has come yet")
+	case now-s.listAt > s.limits.ListAge:
+		return fmt.Errorf("W3: the inventory is %v old, %v is allowed", rounded(now-s.listAt), s.limits.ListAge)
 	case now < s.pauseUntil:
-		return fmt.Errorf("W6: paused until %v: %s", s.pauseUntil, s.pauseWhy)
+		return fmt.Errorf("W6: paused until %s, for %v more: %s", clock(s.pauseUntil), rounded(s.pauseUntil-now), s.pauseWhy)
 	}
 	return nil
 }
@@ -261,7 +269,7 @@
 		return 0, errors.New("W3: the load is not known")
 	}
 	if age := now - s.loadAt; age > s.limits.LoadAge {
-		return 0, fmt.Errorf("W3: the load is %v old, %v is allowed", age, s.limits.LoadAge)
+		return 0, fmt.Errorf("W3: the load is %v old, %v is allowed", rounded(age), s.limits.LoadAge)
 	}
 	left := t.size
 	if s.ready(m, now) {
--- a/internal/fleet/takeout/rules_test.go
+++ b/internal/fleet/takeout/rules_test.go
@@ -240,7 +240,7 @@
 	p := start(t, limits, names("a", "r0", "r3"))
 	p.see(cell(5).as(Gone))
 	p.wait(59 * sec)
-	p.no("W6: paused until 17m40s: r5 is gone", "a", "r0")
+	p.no("W6: paused until 1970-01-01T00:17:40Z, for 1s more: r5 is gone", "a", "r0")
 	p.wait(0, cell(5).since(p.now)) // back: no failure
 	p.wait(sec)
 	p.grant("a", "r0")
--- a/internal/fleet/talk/check.go
+++ b/internal/fleet/talk/check.go
@@ -56,6 +56,9 @@
 	if !w.Led && (len(w.Entries) > 0 || len(w.Snapshot) > 0) {
 		return errors.New("a word of one that does not lead has entries or a snapshot")
 	}
+	if !w.Led && w.Unlisted {
+		return errors.New("a word of one that does not lead tells who is in the inventory")
+	}
 	if len(w.Entries) > EntryCount {
 		return fmt.Errorf("a word has %d entries, %d at most", len(w.Entries), EntryCount)
 	}
--- a/internal/fleet/talk/talk.go
+++ b/internal/fleet/talk/talk.go
@@ -83,6 +83,9 @@
 	Term   uint64 `json:"term,omitempty"`
 	Led    bool   `json:"led,omitempty"` // the sender led in this term when it answered
 	Era    uint64 `json:"era,omitempty"` // of the sender's log; 0: the first
+	// Unlisted says, with Led, that the agreed inventory does not have who polled: it is told what was agreed, and gets
+	// no lease, since a leader that follows this one would not wait for it.
+	Unlisted bool `json:"unlisted,omitempty"`
 	// Since is the index that the entries follow on. Who stands before it has missed some and must not apply them.
 	Since uint64 `json:"since,omitempty"`
 	// Index is how far the sender's copy stands; with a snapshot, where that stands.
--- a/internal/fleet/view/lease_test.go
+++ b/internal/fleet/view/lease_test.go
@@ -221,3 +221,34 @@
 		t.Error("the same life gave something else on one processor")
 	}
 }
+
+// A co-ordinator that the inventory does not have yet is told what was agreed and lays it, and holds no lease: the next
+// leader would not wait for it. One that had a lease keeps what its older answers gave.
+func TestOneThatIsNotListedHoldsNoLease(t *testing.T) {
+	r := &rig{t: t, v: New("a", 10*s), now: 100 * s, at: 5000 * s, deaf: true, pending: []Input{Listed{list}}}
+	r.step(0)
+	unlisted := func() {
+		r.pending = append(r.pending, Answered{Poll: r.polls[len(r.polls)-1].No, Leader: "b", Unlisted: true})
+	}
+	r.applied(r.item("r1", 7, takeout.Told))
+	for range 30 {
+		unlisted()
+		r.run(100 * time.Millisecond)
+		r.want("cut off before it is listed", r.v.CutOff(r.now), true)
+	}
+	r.want("laid all the same", r.drains, "[r1]")
+	r.want("for the file", r.grants, "[]")
+	n := len(r.polls)
+	if n > 15 {
+		t.Errorf("%d polls in 3 s", n)
+	}
+	r.deaf = false
+	r.run(2 * s)
+	r.want("cut off once listed", r.v.CutOff(r.now), false)
+	r.deaf = true
+	for range 120 {
+		unlisted()
+		r.run(100 * time.Millisecond)
+	}
+	r.want("cut off once it is listed no more", r.v.CutOff(r.now), true)
+}
--- a/internal/fleet/view/polls.go
+++ b/internal/fleet/view/polls.go
@@ -41,7 +41,9 @@
 	if !p.answered {
 		p.next = p.at + PollEvery
 	}
-	if !a.More { // one cut short leaves this copy without grants that may be told already: no lease upon it
+	// One cut short leaves this copy without grants that may be told already, and for one that is not in the inventory
+	// the next leader would not wait: no lease upon either.
+	if !a.More && !a.Unlisted {
 		p.answered, p.answeredAt = true, p.sent[i].at
 	}
 	p.term = max(p.term, a.Term)
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -57,11 +57,13 @@
 
 type (
 	// Answered says that the poll of this number was answered by a leader that led then. More: the answer was cut short.
+	// Unlisted: the agreed inventory does not have this co-ordinator yet. Neither gives a lease.
 	Answered struct {
-		Poll   uint64
-		Leader string
-		Term   uint64 // 0: not told; one lower than seen before counts for nothing
-		More   bool
+		Poll     uint64
+		Leader   string
+		Term     uint64 // 0: not told; one lower than seen before counts for nothing
+		More     bool
+		Unlisted bool
 	}
 	// Applied is the own copy of the ledger after it moved; State is only read during the Step.
 	Applied struct {
@@ -191,7 +193,11 @@
 	v.confirm(now, gap)
 	cut := v.CutOff(now)
 	if cut != v.cut {
-		v.say("cut off %v; drains laid stay until their grants' end: %t", v.Age(now).Round(time.Millisecond), cut)
+		if age := v.Age(now).Round(time.Millisecond); cut {
+			v.say("cut off: no word of the council for %v; the drains that are laid stay until their grants end", age)
+		} else {
+			v.say("in touch with the council: what is known is %v old", age)
+		}
 	}
 	v.cut = cut
 	v.settle(now)
--- a/internal/fleet/world/node.go
+++ b/internal/fleet/world/node.go
@@ -220,7 +220,7 @@
 	rest := n.owed[:0]
 	for _, o := range n.owed {
 		if o.index <= n.applied || o.more {
-			in = append(in, view.Answered{Poll: o.no, Leader: o.leader, Term: o.term, More: o.more})
+			in = append(in, view.Answered{Poll: o.no, Leader: o.leader, Term: o.term, More: o.more, Unlisted: o.unlisted})
 		} else {
 			rest = append(rest, o)
 		}
@@ -295,7 +295,7 @@
 		n.w.fail(fmt.Errorf("view of %s: %w", n.name, err))
 	}
 	for _, i := range in {
-		if a, ok := i.(view.Answered); ok && !a.More {
+		if a, ok := i.(view.Answered); ok && !a.More && !a.Unlisted {
 			n.w.leased(n, a.Poll)
 		}
 	}
--- a/internal/fleet/world/polls.go
+++ b/internal/fleet/world/polls.go
@@ -20,6 +20,8 @@
 	term   uint64
 	more   bool
 	index  int
+	// not in the inventory yet: no lease
+	unlisted bool
 }
 
 // poll goes to the leader, or to any voter while it is not known. The history learns when it was sent.
@@ -104,6 +106,7 @@
 
 func (n *node) answer(p pending) {
 	w := talk.Word{No: p.poll.No, From: n.name, Leader: n.name, Term: n.v.term, Led: true, Since: p.poll.Index, Index: uint64(n.applied)}
+	w.Unlisted = !lead.Counts(n.book.out, p.poll.From)
 	state := n.snap
 	if since := int(p.poll.Index); since >= n.v.base {
 		for i := since + 1; i <= n.applied; i++ {
@@ -129,7 +132,7 @@
 	if !w.Led {
 		return
 	}
-	n.owed = append(n.owed, owed{w.No, w.Leader, w.Term, w.More, int(w.Index)})
+	n.owed = append(n.owed, owed{w.No, w.Leader, w.Term, w.More, int(w.Index), w.Unlisted})
 	if len(n.owed) > heldMost {
 		n.owed = n.owed[1:]
 	}
--- a/internal/fleet/world/world_test.go
+++ b/internal/fleet/world/world_test.go
@@ -48,9 +48,14 @@
 		}
 	}
 	s.Asks = s.Asks[:1]
-	s.Asks[0].At, s.Asks[0].By = 10*time.Second, []int{0, 1, 2}
+	s.Asks[0].At, s.Asks[0].By = 0, []int{0, 1, 2} // limits, so that there is an inventory, and leases
 	s.Asks[0].Limits.Limits = s.Limits
-	s.Asks[0].Asks.Requests = []takeout.Request{{ID: "q", Names: []string{"r000"}, Reason: "disk", For: 20 * time.Second}}
+	s.Asks[0].Asks.Requests = nil
+	s.Asks = append(s.Asks, s.Asks[0])
+	s.Asks[1].At = 10 * time.Second
+	s.Asks[1].Limits.Revision++
+	s.Asks[1].Asks.Revision++
+	s.Asks[1].Asks.Requests = []takeout.Request{{ID: "q", Names: []string{"r000"}, Reason: "disk", For: 20 * time.Second}}
 	return s
 }
 
