Send a council's entries one at a time, so that a seat always comes to its end

Seen: the council's tests once hung for ten minutes and once, caught in its fourth minute, in Close. The stack: raft's netPipeline.AppendEntries waits for room in its queue of requests in flight; decodeResponses waits for a consumer; that one has left with the broken connection, and pipelineReplicate, which alone would close the pipeline, is the one that waits. Ruled out: our layer (its connections were closed), the store, the machine. Lines at fault: council.go left MaxRPCsInFlight at the engine's 2, which turns the pipeline on.

Now it is 1, by which the engine leaves its pipeline out; the log moves a few times a second, so nothing is lost by it.

--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -241,8 +241,10 @@
 	if o.Stream != nil {
 		p.stream = o.Stream(p.layer)
 	}
+	// One request at a time to a voter: with more the engine's sender waits for room that its reader, who left when the
+	// connection broke, never makes, and a seat never ends (the sender can't see the end there). The log moves a few times a second.
 	p.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
-		Stream: p.stream, MaxPool: 3, Timeout: WireMost, Logger: log,
+		Stream: p.stream, MaxPool: 3, MaxRPCsInFlight: 1, Timeout: WireMost, Logger: log,
 	})
 	return p, nil
 }
