Write one line of each kind of the engine's in ten seconds

Need: while a council's majority is lost, raft writes the same lines at each election, up to 20 in 10 s on every voter, and what explains them goes under.

Change: the writer of the engines' lines keeps one of a kind (level and text without numbers) in its window of 10 s; what is over is counted as before.

--- a/internal/fleet/enginelog/enginelog.go
+++ b/internal/fleet/enginelog/enginelog.go
@@ -10,14 +10,17 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/sirupsen/logrus"
 )
 
 const (
-	// Window and Most: at most Most lines in a Window; what is over is counted and told with the first line of the
-	// next window. Twice as many: a broken link fills the log; half: the line that explains may be left out.
+	// Window and Most: at most Most lines in a Window, and one of each kind; what is over is counted and told with the
+	// first line of the next window. A kind is a line's level and its text without numbers and what follows them in a
+	// word (terms, addresses, times). Twice as many: a broken link or a lost majority fills the log; half: the line that
+	// explains may be left out.
 	Window = 10 * time.Second
 	Most   = 20
 
@@ -33,6 +36,25 @@
 	opened time.Time // the window
 	lines  int
 	over   int
+	kinds  map[string]bool // that were written in the window: Most at the most
+}
+
+// kind of a line.
+func kind(level logrus.Level, text string) string {
+	var b strings.Builder
+	b.WriteString(level.String())
+	number := false
+	for _, r := range text {
+		switch {
+		case r >= '0' && r <= '9':
+			number = true
+		case number && !unicode.IsSpace(r): // the rest of an address, a time, a name of a machine
+		default:
+			number = false
+			b.WriteRune(r)
+		}
+	}
+	return b.String()
 }
 
 // New writes to an entry; a nil one drops everything.
@@ -69,23 +91,28 @@
 	if i := strings.Index(text, "] "); i >= 0 && strings.HasPrefix(text, "[") {
 		text = text[i+2:]
 	}
+	text = strings.TrimSpace(text)
+	of := kind(out, text)
 	w.mu.Lock()
 	now := time.Now()
 	over := 0
 	if now.Sub(w.opened) >= Window {
 		w.opened, w.lines, over, w.over = now, 0, w.over, 0
+		w.kinds = map[string]bool{}
 	}
-	w.lines++
-	drop := w.lines > Most
+	drop := w.kinds[of] || w.lines >= Most
 	if drop {
 		w.over++
+	} else {
+		w.lines++
+		w.kinds[of] = true
 	}
 	w.mu.Unlock()
 	if over > 0 {
 		w.to.Warnf("%d lines of the engine left out", over)
 	}
 	if !drop {
-		w.to.Log(out, strings.TrimSpace(text))
+		w.to.Log(out, text)
 	}
 	return len(line), nil
 }
--- a/internal/fleet/enginelog/enginelog_test.go
+++ b/internal/fleet/enginelog/enginelog_test.go
@@ -16,8 +16,8 @@
 	w.Standard().Printf("[WARN] memberlist: first %s", "word")
 	w.Hclog("raft").Error("second", "peer", 3)
 	w.Standard().Printf("[DEBUG] not at this level")
-	for range 3 * Most {
-		w.Hclog("raft").Warn("again")
+	for i := range 3 * Most {
+		w.Hclog("raft").Warn("again " + strings.Repeat("x", i))
 	}
 	s := out.String()
 	for _, want := range []string{"level=warning msg=\"memberlist: first word\"", "level=error", "raft: second: peer=3"} {
@@ -32,3 +32,30 @@
 		t.Error("debug was written")
 	}
 }
+
+// What raft says at each vote of a lost majority is one line of each kind, whatever term and address it names.
+func TestOneOfAKind(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	w := New(logrus.NewEntry(log))
+	raft := w.Hclog("raft")
+	for term := range 100 {
+		raft.Warn("Election timeout reached, restarting election")
+		raft.Error("failed to make requestVote RPC", "target", "{Voter n1 10.0.0.2:8702}", "error", "dial tcp 10.0.0.2:8702: connect: connection refused", "term", term)
+		raft.Error("failed to make requestVote RPC", "target", "{Voter n1 10.0.0.3:8702}", "error", "dial tcp 10.0.0.3:8702: i/o timeout", "term", term)
+	}
+	if n := strings.Count(out.String(), "\n"); n != 3 {
+		t.Errorf("%d lines, want 3:\n%s", n, out.String())
+	}
+	if s := w.String(); s != "3 lines, 297 left out" {
+		t.Error(s)
+	}
+	w.mu.Lock()
+	w.opened = w.opened.Add(-Window)
+	w.mu.Unlock()
+	raft.Warn("Election timeout reached, restarting election")
+	if !strings.Contains(out.String(), "297 lines of the engine left out") {
+		t.Error("what was left out is not told")
+	}
+}
