Forecast how many sessions a rolling swap of co-ordinators has to move

Operators who swap all co-ordinators want to know before it how often pinned sessions move, when it ends and whether the deadlines are met. A lower bound on moves stands beside the forecast with its argument, and a property test tries random placements against it. A swap of ten one by one with 200 sessions each comes to 2,200 moves, which is the bound: the first wave's sessions can only go to machines that are still to be swapped.

--- /dev/null
+++ b/internal/fleet/migrate/forecast.go
@@ -0,0 +1,238 @@
+package migrate
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// MoveTakes is what one move is taken to need from its offer to its adoption while none has been seen: two rounds of polls.
+// Twice as much: a forecast is late by as much where sessions in flight are the limit; half: it is early.
+const MoveTakes = 2 * time.Second
+
+// GivesMost lines say what would have to give; the rest are counted in the last.
+const GivesMost = 16
+
+// Forecast is what a swap comes to, from now on, if nobody opens or ends a session meanwhile.
+type Forecast struct {
+	Moves int // this plan makes
+	Bound int // no plan makes fewer, see bound
+	Waves int
+	Kept  int           // sessions for which there will be no room anywhere when their owner goes
+	Ends  time.Duration // agreed time by which the last machine is back; 0: never
+	Meets bool          // all deadlines are met, by this forecast
+	Gives []string      // what would have to give, in words
+}
+
+// String is the line for the log.
+func (f Forecast) String() string {
+	s := fmt.Sprintf("%d moves in %d waves, at least %d", f.Moves, f.Waves, f.Bound)
+	if f.Ends > 0 {
+		s += ", ends " + time.Unix(0, int64(f.Ends)).UTC().Format(time.RFC3339)
+	}
+	if !f.Meets {
+		s += ", deadlines are not met"
+	}
+	return s
+}
+
+func (f *Forecast) give(format string, args ...any) {
+	f.Meets = false
+	f.Gives = append(f.Gives, fmt.Sprintf(format, args...))
+}
+
+// turn is what goes out together.
+type turn struct {
+	rank  int
+	who   []int // indexes of co-ordinators
+	moves int
+}
+
+// turns are the waves still to come, in order; those that leave now are the first.
+func turns(cs []Coordinator) []turn {
+	var out []turn
+	at := map[int]int{}
+	for i := range cs {
+		rank := cs[i].Rank
+		if cs[i].Leaving {
+			rank = math.MinInt
+		} else if rank < 0 {
+			continue
+		}
+		k, ok := at[rank]
+		if !ok {
+			k, at[rank] = len(out), len(out)
+			out = append(out, turn{rank: rank})
+		}
+		out[k].who = append(out[k].who, i)
+	}
+	slices.SortFunc(out, func(a, b turn) int { return cmp.Compare(a.rank, b.rank) })
+	return out
+}
+
+// bound is a number of moves that no plan goes below. Each session whose owner goes has to move at least once: that is their
+// sum. A move to one that goes later is followed by another; a move to one that stays or is back need not be. Look at the time
+// at which a wave is out: the sessions of all owners that went by then are elsewhere, at most as many as there is room for at those
+// that stay or are back; each of the others sits at one that goes later, has made a move there, and has one more before
+// it. So to the sum comes, for the wave where that is the most, what was off by then less that room. Before the first wave
+// nobody is back: without one that stays, all of the first wave's sessions move twice.
+func bound(cs []Coordinator, waves []turn, owned []int) int {
+	sum, safe, extra := 0, 0, 0
+	for i := range cs {
+		if c := &cs[i]; c.Live && c.Rank < 0 && !c.Leaving {
+			safe += max(0, c.capacity()-owned[i])
+		}
+	}
+	for _, w := range waves {
+		for _, i := range w.who {
+			sum += owned[i]
+		}
+		extra = max(extra, sum-safe)
+		for _, i := range w.who {
+			safe += cs[i].capacity()
+		}
+	}
+	return sum + extra
+}
+
+// Foresee plays the whole order by numbers of sessions. takes is how long a move was seen to take; 0: MoveTakes.
+func Foresee(now time.Duration, v View, takes time.Duration) Forecast {
+	if takes <= 0 {
+		takes = MoveTakes
+	}
+	cs := v.Coordinators
+	waves, owned := turns(cs), make([]int, len(cs))
+	for i := range cs {
+		owned[i] = v.Book.Owned(cs[i].Name)
+	}
+	f := Forecast{Waves: len(waves), Meets: true, Bound: bound(cs, waves, owned)}
+	if len(waves) == 0 {
+		f.Ends = now
+		return f
+	}
+	f.slots(v, owned)
+	f.play(cs, waves, owned)
+	f.times(now, v, waves, takes)
+	if n := len(f.Gives); n > GivesMost {
+		f.Gives = append(f.Gives[:GivesMost-1], fmt.Sprintf("%d more of the kind", n-GivesMost+1))
+	}
+	return f
+}
+
+// play moves each wave's sessions to those that stay or are back, the rest to those that go last.
+func (f *Forecast) play(cs []Coordinator, waves []turn, owned []int) {
+	safe := 0
+	for i := range cs {
+		if c := &cs[i]; c.Live && c.Rank < 0 && !c.Leaving {
+			safe += c.room(owned[i], 0, 0)
+		}
+	}
+	for k := range waves {
+		load := 0
+		for _, i := range waves[k].who {
+			load += owned[i]
+		}
+		fits := min(load, safe)
+		safe -= fits
+		left := load - fits
+		for l := len(waves) - 1; l > k && left > 0; l-- {
+			for _, i := range waves[l].who {
+				if c := &cs[i]; c.Live {
+					n := min(left, c.room(owned[i], 0, 0))
+					owned[i] += n
+					left -= n
+				}
+			}
+		}
+		if left > 0 {
+			f.Kept += left
+			first := cs[waves[k].who[0]].Name
+			f.give("room for %d more sessions at the others while %s is away", left, first)
+		}
+		waves[k].moves = load - left
+		f.Moves += load - left
+		for _, i := range waves[k].who {
+			safe += cs[i].capacity()
+		}
+	}
+}
+
+// slots says at which replicas the slots are fewer than all sessions need, each co-ordinator for itself.
+func (f *Forecast) slots(v View, owned []int) {
+	if v.PerSlot <= 0 || v.Slots == nil {
+		return
+	}
+	need := 0
+	for _, n := range owned {
+		need += (n + v.PerSlot - 1) / v.PerSlot
+	}
+	for _, r := range v.Replicas {
+		if n := v.Slots.Cap(r); n < need {
+			f.give("%d slots at %s instead of %d", need, r, n)
+		}
+	}
+}
+
+// times says when each wave ends, and what would make the deadlines.
+func (f *Forecast) times(now time.Duration, v View, waves []turn, takes time.Duration) {
+	rate := v.rate(takes)
+	if rate <= 0 && f.Moves > 0 {
+		f.give("a limit of more than none: %d in flight, %d a minute", v.InFlight, v.PerMinute)
+		return
+	}
+	at := now
+	for k := range waves {
+		if waves[k].moves > 0 {
+			at += max(takes, time.Duration(float64(waves[k].moves)/rate*float64(time.Second)))
+		}
+		for _, i := range waves[k].who {
+			if c := &v.Coordinators[i]; c.Leaving && c.Deadline > 0 && at > c.Deadline {
+				f.faster(c.Name, v, waves[k].moves, c.Deadline-now, at, takes)
+			}
+		}
+		at += v.Away
+	}
+	f.Ends = at
+	if v.Deadline > 0 && at > v.Deadline {
+		if left := v.Deadline - now - time.Duration(len(waves))*v.Away; left > 0 {
+			f.faster("the swap", v, f.Moves, left, at, takes)
+		} else {
+			f.give("a deadline of %s or later for the swap, or more out at once: %d waves of %v are longer than what is left",
+				clock(at), len(waves), v.Away)
+		}
+	}
+}
+
+// rate is how many sessions can move in a second.
+func (v *View) rate(takes time.Duration) float64 {
+	return min(float64(v.PerMinute)/60, float64(v.InFlight)/takes.Seconds())
+}
+
+// faster says what would get so many moves done in what is left.
+func (f *Forecast) faster(what string, v View, moves int, left, at, takes time.Duration) {
+	if left < takes {
+		f.give("a deadline of %s or later for %s", clock(at), what)
+		return
+	}
+	need, words := float64(moves)/left.Seconds(), ""
+	if n := int(math.Ceil(need * takes.Seconds())); n > v.InFlight {
+		words = fmt.Sprintf("%d in flight instead of %d", n, v.InFlight)
+	}
+	if n := int(math.Ceil(need * 60)); n > v.PerMinute {
+		if words != "" {
+			words += " and "
+		}
+		words += fmt.Sprintf("%d a minute instead of %d", n, v.PerMinute)
+	}
+	if words == "" {
+		words = "waves that move more evenly"
+	}
+	f.give("%s, or a deadline of %s or later for %s", words, clock(at), what)
+}
+
+// clock is an agreed time as people read it: UTC, rounded up to the second.
+func clock(at time.Duration) string {
+	return time.Unix(0, int64(at+time.Second-1)).UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/internal/fleet/migrate/forecast_test.go
@@ -0,0 +1,120 @@
+package migrate
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+type owned map[string]int
+
+func (o owned) Owned(co string) int { return o[co] }
+
+// site is n co-ordinators that go one wave after the other, each with so many sessions and room for most.
+func site(n, each, most, wave int) View {
+	o := owned{}
+	v := View{Book: o, InFlight: 100, PerMinute: 6000, Away: time.Minute}
+	for i := range n {
+		name := fmt.Sprintf("c%03d", i)
+		o[name] = each
+		v.Coordinators = append(v.Coordinators, Coordinator{Name: name, Zone: fmt.Sprintf("z%d", i%3), Live: true, Rank: i / wave,
+			Room: Room{Sessions: most, Told: each, Queries: 1 << 20, Memory: 1 << 40}})
+	}
+	return v
+}
+
+func TestForecast(t *testing.T) {
+	const s = time.Second
+	slow := site(10, 200, 300, 1)
+	slow.InFlight, slow.PerMinute, slow.Deadline = 4, 60, 1200*s
+	one := site(10, 200, 300, 1)
+	one.Coordinators[3].Leaving, one.Coordinators[3].Deadline = true, 1001*s
+	spare := site(10, 200, 300, 1)
+	spare.Coordinators[9].Rank = Stays
+	full := site(4, 100, 100, 1)
+	for _, c := range []struct {
+		name         string
+		v            View
+		moves, bound int
+		ends         time.Duration
+		kept         int
+		gives        string
+	}{
+		{"nobody is back: the first wave moves twice", site(10, 200, 300, 1), 2200, 2200, 1000*s + 10*time.Minute + 44*s, 0, ""},
+		{"two at once", site(10, 200, 300, 2), 2400, 2400, 1000*s + 5*time.Minute + 48*s, 0, ""},
+		{"one that stays has room for half of them", spare, 1900, 1900, 1000*s + 9*time.Minute + 38*s, 0, ""},
+		{"no room anywhere", full, 300, 500, 1000*s + 4*time.Minute + 6*s, 100, "room for 100 more sessions at the others while c000 is away"},
+		{"too slow", slow, 2200, 2200, 1000*s + 10*time.Minute + 2200*s, 0, "or more out at once: 10 waves of 1m0s are longer than what is left"},
+		{"its own deadline", one, 2200, 2200, 1000*s + 10*time.Minute + 44*s, 0,
+			"a deadline of 1970-01-01T00:16:44Z or later for c003"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := Foresee(1000*s, c.v, 2*s)
+			if f.Moves != c.moves || f.Bound != c.bound || f.Ends != c.ends || f.Kept != c.kept || f.Meets != (c.gives == "") {
+				t.Errorf("%+v, ends %v", f, f.Ends)
+			}
+			if !strings.Contains(strings.Join(f.Gives, "; "), c.gives) {
+				t.Errorf("gives %q", f.Gives)
+			}
+		})
+	}
+	slow.Deadline = 1000*s + 20*time.Minute // half of it for moves
+	f := Foresee(1000*s, slow, 2*s)
+	want := "8 in flight instead of 4 and 220 a minute instead of 60, or a deadline of 1970-01-01T01:03:20Z or later for the swap"
+	if len(f.Gives) != 1 || f.Gives[0] != want {
+		t.Errorf("%q", f.Gives)
+	}
+	slow.InFlight, slow.PerMinute = 8, 220
+	if f := Foresee(1000*s, slow, 2*s); !f.Meets {
+		t.Errorf("what was to give does not do: %v", f.Gives)
+	}
+}
+
+// No way of placing sessions, tried at random wave by wave, makes fewer moves than the bound, and the forecast's is none that
+// is below it.
+func TestNoPlanGoesBelowTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(t, "n")
+		v := site(n, 0, 0, 1)
+		have := v.Book.(owned)
+		for i := range v.Coordinators {
+			c := &v.Coordinators[i]
+			c.Rank = rapid.IntRange(Stays, n-1).Draw(t, "rank")
+			c.Room.Sessions = rapid.IntRange(0, 12).Draw(t, "room")
+			have[c.Name] = rapid.IntRange(0, c.Room.Sessions).Draw(t, "sessions")
+			c.Room.Told = have[c.Name]
+		}
+		f := Foresee(0, v, 0)
+		if f.Kept == 0 && f.Moves < f.Bound {
+			t.Fatalf("forecast of %d moves, bound %d", f.Moves, f.Bound)
+		}
+		at := make([]int, n) // sessions by place
+		for i := range at {
+			at[i] = have[v.Coordinators[i].Name]
+		}
+		moves := 0
+		for _, w := range turns(v.Coordinators) {
+			for _, from := range w.who {
+				for ; at[from] > 0; at[from]-- {
+					var to []int
+					for i := range at {
+						if v.Coordinators[i].Rank != v.Coordinators[from].Rank && at[i] < v.Coordinators[i].Room.Sessions {
+							to = append(to, i)
+						}
+					}
+					if len(to) == 0 {
+						return // this way leads nowhere
+					}
+					at[rapid.SampledFrom(to).Draw(t, "to")]++
+					moves++
+				}
+			}
+		}
+		if moves < f.Bound {
+			t.Fatalf("%d moves were enough, the bound is %d", moves, f.Bound)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/migrate/migrate.go
@@ -0,0 +1,75 @@
+// Package migrate plans where pinned sessions go when the machine of their co-ordinator goes out for work: which session to
+// which co-ordinator, in which order, and which slots at replicas go with them. It is pure: no clock, goroutine, I/O or
+// random number, and no order from a map. A plan is only a proposal of the leader's: what the agreed state does not allow
+// is refused when it is applied. A planner of a new leader goes on from the agreed state alone. All times are agreed time.
+package migrate
+
+import "time"
+
+// Stays is the rank of a co-ordinator that does not go out in this order of work, or has gone and is back.
+const Stays = -1
+
+// SessionBytes is what one more session is taken to need at its owner: its state at most, and as much again. Twice as
+// much: a receiver with little memory left is full at half its sessions; half: it declines the last ones.
+const SessionBytes = 2048
+
+// Book is what the planner reads of the agreed state of sessions.
+type Book interface {
+	Owned(co string) int // sessions that it owns, handed ones that it has not adopted too
+}
+
+// Slots is what the planner reads of the agreed slots at replicas.
+type Slots interface {
+	Held(co, replica string) int // that it may use
+	Free(replica string) int
+	Cap(replica string) int
+}
+
+// Room is what a co-ordinator last told of itself. Where it told nothing, nothing is known, and nothing goes there.
+type Room struct {
+	Sessions int   // it may own at most
+	Told     int   // it owned when it told of Open and Memory
+	Open     int   // open queries of sessions
+	Queries  int   // that may be open at most
+	Memory   int64 // bytes left for sessions
+}
+
+// Coordinator is one line of the site as the planner sees it.
+type Coordinator struct {
+	Name, Zone string
+	Live       bool          // its lease runs, and it is neither terminating nor gone
+	Rank       int           // its turn in the order of work, from 0; those that go together have the same; Stays: none
+	Leaving    bool          // its going out was granted: its sessions are to be off by Deadline
+	Deadline   time.Duration // 0: none
+	Room       Room
+}
+
+// View is all that a step sees. Slices are sorted by name; they are read only.
+type View struct {
+	Book         Book
+	Slots        Slots
+	Coordinators []Coordinator
+	Replicas     []string      // at which a co-ordinator with sessions needs slots
+	InFlight     int           // sessions offered or handed at once, at most
+	PerMinute    int           // sessions offered within a minute, at most
+	PerSlot      int           // sessions that share one slot at a replica; 0: slots are not looked at
+	Away         time.Duration // that a machine is out for, as the operators say
+	Deadline     time.Duration // of the whole swap; 0: none
+}
+
+// room is how many more sessions a co-ordinator can take, with inbound ones on their way to it, each bringing open queries.
+// Slots are looked at apart.
+func (c *Coordinator) room(owned, inbound int, open float64) int {
+	r := &c.Room
+	n := r.Sessions - owned - inbound
+	since := float64(max(0, owned-r.Told) + inbound) // it has not told of these
+	if open > 0 {
+		n = min(n, int((float64(r.Queries-r.Open)-float64(since*open))/open))
+	} else if r.Queries <= r.Open {
+		return 0
+	}
+	return max(0, min(n, int(r.Memory/SessionBytes)-int(since)))
+}
+
+// capacity is how many sessions it can own in all, once it is empty and back.
+func (c *Coordinator) capacity() int { return max(0, c.Room.Sessions) }
