Have queries that name a session wait for its turn before the decisions see them

Need: pinned sessions keep their queries in order at one co-ordinator. What keeps the order runs beside the exchange and must not delay its turn. Change: exchange.Pin takes a Pins; a query whose class it pins waits, with its id taken, for Release or TurnAway; the answer of a released one passes Final before it is given, and Over tells whether parts ran and until when they may. Without Pin nothing changes: one comparison a query. The front reads the key from one header and names the owner in another only after Server.Pin; no program calls it yet.

--- a/internal/exchange/action.go
+++ b/internal/exchange/action.go
@@ -58,6 +58,7 @@
 	}
 	pt.attempts = append(pt.attempts, a)
 	pt.q.sent = true
+	pt.q.out++
 	e.sums.attempts++
 	e.load.change(e.turned, 1)
 	e.after(a.Due.Sub(e.turned).Seconds(), timer{attempt: a})
@@ -164,6 +165,10 @@
 	if q == nil {
 		return
 	}
+	if q.pinned {
+		r = e.pins.Final(q.Query, r)
+	}
+	q.served = r.Status == Served
 	e.close(q)
 	e.recordEnd(q, r.ending(), len(r.Found))
 	q.count(r)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,6 +55,7 @@
 
 	narrowing *narrowing // nil: nothing is laid over the list
 	load      *Load      // nil: not measured
+	pins      Pins       // nil: no query is pinned
 }
 
 // query is one that is open.
@@ -69,6 +70,11 @@
 	route int
 
 	opened time.Time // the turn in which the first part of the second step went
+
+	// Of a session: pinned until its end was told, and whether it waits, ran, and may have parts that still run.
+	pinned, waits, served, ran, strays bool
+	out                                int    // attempts that have not ended
+	last                               *Reply // by which its session ended it; nil: it did not
 }
 
 // part of a query's present step.
@@ -211,6 +217,10 @@
 			e.arrived(m)
 		case left:
 			e.left(m.q)
+		case release:
+			e.released(m.q)
+		case turnAway:
+			e.turnedAway(m.q, m.r)
 		case Result:
 			e.ended(m)
 		case Probed:
--- a/internal/exchange/outcome.go
+++ b/internal/exchange/outcome.go
@@ -23,6 +23,7 @@
 func (e *Exchange) endOf(a *Attempt, o policy.Outcome, at time.Time, report []float64) policy.Event {
 	a.ended, a.Text = true, nil // its timer lives on for a while
 	e.sums.outcomes[o]++
+	a.part.q.attemptOver(o)
 	e.load.change(e.turned, -1)
 	if pt := a.part; !pt.out() && (pt.q.over || pt.q.step == 2 && pt.from == nil) {
 		delete(e.parts, pt.id) // its step has ended
--- a/internal/exchange/query.go
+++ b/internal/exchange/query.go
@@ -22,9 +22,18 @@
 	}
 	q := &query{Query: m, id: e.newID(), step: 1}
 	e.recordQuery(q)
+	if !e.hold(q) {
+		e.open(q)
+	}
+}
+
+// open hands a query to the decisions, or tells that its route's gate turned it away.
+func (e *Exchange) open(q *query) bool {
+	m := q.Query
 	if !e.admit(q) {
+		q.over = true
 		e.recordEnd(q, "refused", 0)
-		return
+		return false
 	}
 	e.queries[q.id], e.byID[m.ID] = q, q
 	e.held++
@@ -42,7 +51,10 @@
 	for _, p := range m.Parts {
 		e.events = append(e.events, e.newPart(q, &part{shard: p.Shard}, p.Weight, p.Work))
 	}
-	heap.Push(&e.timers, timer{at: m.Due.Add(e.limits.AnswerBy), query: q})
+	if !q.pinned {
+		heap.Push(&e.timers, timer{at: m.Due.Add(e.limits.AnswerBy), query: q})
+	}
+	return true
 }
 
 func (e *Exchange) newID() uint64 {
@@ -69,7 +81,9 @@
 // left tells the decisions that a query's client has gone. The query is closed when the turn's actions are done: what
 // they sent for it before they came to this event has an end then like any other.
 func (e *Exchange) left(m *Query) {
-	if q := e.byID[m.ID]; q != nil && q.Query == m && !q.over {
+	if q := e.byID[m.ID]; q != nil && q.Query == m && q.waits {
+		e.leftWaiting(q)
+	} else if q != nil && q.Query == m && !q.over {
 		e.events = append(e.events, policy.Event{Kind: policy.ClientLeft, Query: q.id})
 		e.leaving = append(e.leaving, q)
 	}
@@ -78,7 +92,11 @@
 // closeLeft closes the queries whose clients have gone in this turn.
 func (e *Exchange) closeLeft() {
 	for _, q := range e.leaving {
-		if !q.over {
+		switch {
+		case q.over:
+		case q.last != nil:
+			e.finish(q.id, *q.last)
+		default:
 			e.sums.left++
 			e.recordEnd(q, "left", 0)
 			e.close(q)
@@ -98,6 +116,10 @@
 		return
 	}
 	e.log.WithField("query", q.ID).Error("a query was still open after its end")
+	if q.waits {
+		e.endWaiting(q, Reply{Status: Failed})
+		return
+	}
 	e.events = append(e.events, policy.Event{Kind: policy.ClientLeft, Query: q.id})
 	e.close(q)
 	e.sums.replies[Failed]++
@@ -115,6 +137,7 @@
 		delete(e.byID, q.ID)
 	}
 	q.Text = nil // its timers live on for a while
+	e.unpin(q)
 }
 
 // closeStep ends the parts of a step. Those still out can be cancelled until their end is told.
--- a/internal/exchange/routes.go
+++ b/internal/exchange/routes.go
@@ -42,13 +42,12 @@
 	}
 }
 
-// admit finds a query's route and asks its gate. What is turned away is told so at once.
-func (e *Exchange) admit(q *query) bool {
-	r := e.routes
-	if r == nil {
-		return true
+// routeOf finds a query's route in the table in force; -1 for none.
+func (e *Exchange) routeOf(q *query) int {
+	if e.routes == nil {
+		return -1
 	}
-	i := r.table.Find(&route.Query{
+	return e.routes.table.Find(&route.Query{
 		Front: q.Front, Class: q.Class, Tenant: q.Tenant, Retry: q.Retry, Header: q.Header,
 		Shards: func(yield func(int) bool) {
 			for _, p := range q.Parts {
@@ -58,6 +57,12 @@
 			}
 		},
 	})
+}
+
+// admit finds a query's route and asks its gate. What is turned away is told so at once.
+func (e *Exchange) admit(q *query) bool {
+	r := e.routes
+	i := e.routeOf(q)
 	if i < 0 {
 		return true
 	}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -18,6 +18,7 @@
 	Front         route.Front
 	Header        func(name string) string // nil: routes see no headers of it; names in lower case
 	Client        string                   // its client, for a budget of retries; "" where none is told
+	Session       string                   // key of its session, as the client named it; "" for none
 	Received, Due time.Time                // Received: the last byte was read
 	Parts         []Part
 	Text          []byte
@@ -47,6 +48,7 @@
 	Whole  bool
 	Found  []Value
 	After  time.Duration // Refused: when to come back; 0 for no advice
+	Owner  string        // Refused: the co-ordinator that has its session; "" if none is named
 }
 
 // Value is what a replica gave for one part.
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -37,6 +37,8 @@
 	sink   Sink
 	ready  func() bool
 	log    *logs.Limited
+	pinned string // request header with a session's key; "": none is read
+	owner  string // header of a refusal that names the session's co-ordinator; "": none is written
 
 	ln      net.Listener
 	taken   chan struct{} // closed when Serve has ended
@@ -64,6 +66,10 @@
 	return s
 }
 
+// Pin has the key of a query's session read from one request header, and the co-ordinator that has it named in another of
+// a refusal, "" for not at all. To be called before Serve.
+func (s *Server) Pin(key, owner string) { s.pinned, s.owner = key, owner }
+
 // Listen takes the address; from then on connections are accepted by the machine.
 func (s *Server) Listen(address string) error {
 	ln, err := net.Listen("tcp", address)
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -79,6 +79,16 @@
 		q.Due = *end
 	}
 	q.Retry = r.Header.Get("X-Retried") == "1"
+	if s.pinned != "" {
+		switch n := r.Header.Count(s.pinned); {
+		case n > 1: // which one holds?
+			return nil, unfit(400, s.pinned+" twice")
+		case n == 1:
+			if q.Session = r.Header.Get(s.pinned); q.Session == "" {
+				return nil, unfit(400, "empty key of a session")
+			}
+		}
+	}
 	if err := s.readBody(q, r.Body); err != nil {
 		return nil, err
 	}
--- a/internal/front/reply.go
+++ b/internal/front/reply.go
@@ -21,6 +21,9 @@
 		body = appendAnswer(nil, r)
 	case exchange.Refused:
 		header = comeBack(r.After)
+		if r.Owner != "" && c.s.owner != "" {
+			header = append(header, h1.Header{{Name: c.s.owner, Value: r.Owner}}...)
+		}
 	}
 	c.mu.Lock()
 	if c.asked != q { // its client has gone
