--- a/internal/fleet/pool/pool.go
+++ b/internal/fleet/pool/pool.go
@@ -8,7 +8,6 @@
 package pool
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -28,44 +27,6 @@
 	NameMost = 128
 )
 
-// ErrNone is wrapped when a number names no transfer that is open: it never was, or it is over. Nothing has changed.
-var ErrNone = errors.New("no such transfer is open")
-
-// Stage of a transfer.
-type Stage uint8
-
-const (
-	Moving    Stage = iota // its source has still to say that it uses no more than what is left
-	Lent                   // its target uses it until a time
-	Returning              // the time is over, its target has still to say that it uses it no more
-)
-
-func (s Stage) String() string {
-	return [...]string{"moving", "lent", "returning"}[min(s, Returning)]
-}
-
-// Transfer of n slots at a replica. It goes on until Land, Back or Return, or until one of both ends is dropped.
-type Transfer struct {
-	Fence   uint64        `json:"fence"`          // its number
-	From    string        `json:"from,omitempty"` // of a loan "" once the lender was dropped: it goes back to the free ones
-	To      string        `json:"to,omitempty"`   // "": to the free ones
-	Replica string        `json:"replica"`
-	N       int           `json:"n"`
-	Until   time.Duration `json:"until,omitempty"` // of a loan, else 0
-	Stage   Stage         `json:"stage,omitempty"`
-}
-
-// Word is who has to say that it uses the slots no more, or "" while no one has to.
-func (t Transfer) Word() string {
-	switch t.Stage {
-	case Moving:
-		return t.From
-	case Returning:
-		return t.To
-	}
-	return ""
-}
-
 // site is one replica.
 type site struct {
 	cap    int // free + held + lent + in transfer
@@ -181,160 +142,6 @@
 	return nil
 }
 
-// Move takes n slots out of the hand of from, for good. They are in the hand of to, or free if that is "", once from has
-// said so (Land). fence is the number of the transfer; one that is open already is refused.
-func (p *Pool) Move(fence uint64, from, to, replica string, n int) error {
-	return p.begin(Transfer{Fence: fence, From: from, To: to, Replica: replica, N: n})
-}
-
-// Lend is Move until a time. What was not yet taken over by then stays with from; else to has to say that it uses them
-// no more (Return), at the latest after that time.
-func (p *Pool) Lend(fence uint64, from, to, replica string, n int, until time.Duration) error {
-	if until <= p.now || to == "" {
-		return fmt.Errorf("pool: a loan of %s to %q until %v, now %v", from, to, until, p.now)
-	}
-	return p.begin(Transfer{Fence: fence, From: from, To: to, Replica: replica, N: n, Until: until})
-}
-
-func (p *Pool) begin(t Transfer) error {
-	_, twice := p.moves[t.Fence]
-	switch {
-	case t.From == "" || t.From == t.To || len(t.To) > NameMost:
-		return fmt.Errorf("pool: a transfer from %q to %q", t.From, t.To)
-	case t.Fence == 0 || twice:
-		return fmt.Errorf("pool: transfer %d is open already", t.Fence)
-	case len(p.moves) >= TransfersMost:
-		return fmt.Errorf("pool: %d transfers are open, no more are allowed", len(p.moves))
-	}
-	if err := p.leave(t.From, t.Replica, t.N); err != nil {
-		return err
-	}
-	p.sites[t.Replica].open += t.N
-	p.put(t)
-	return nil
-}
-
-func (p *Pool) put(t Transfer) {
-	p.moves[t.Fence] = t
-	if t.Until > 0 && t.Stage != Returning && (p.next < 0 || t.Until < p.next) {
-		p.next = t.Until
-	}
-}
-
-// Land is the word of the source that it uses no more than what is left to it: the target has the slots.
-func (p *Pool) Land(fence uint64) error {
-	t, ok := p.moves[fence]
-	if !ok || t.Stage != Moving {
-		return fmt.Errorf("pool: land %d: %w", fence, ErrNone)
-	}
-	if t.Until > 0 {
-		t.Stage = Lent
-		p.put(t)
-		return nil
-	}
-	p.close(t, t.To)
-	return nil
-}
-
-// Back ends a transfer that the source has not yet let go: it keeps the slots.
-func (p *Pool) Back(fence uint64) error {
-	t, ok := p.moves[fence]
-	if !ok || t.Stage != Moving {
-		return fmt.Errorf("pool: back %d: %w", fence, ErrNone)
-	}
-	p.close(t, t.From)
-	return nil
-}
-
-// Return is the word of who borrowed that it uses the slots no more: they are the lender's again.
-func (p *Pool) Return(fence uint64) error {
-	t, ok := p.moves[fence]
-	if !ok || t.Stage == Moving {
-		return fmt.Errorf("pool: return %d: %w", fence, ErrNone)
-	}
-	p.close(t, t.From)
-	return nil
-}
-
-// close ends a transfer: its slots go to co, or are free if that is "".
-func (p *Pool) close(t Transfer, co string) {
-	s := p.sites[t.Replica]
-	s.open -= t.N
-	delete(p.moves, t.Fence)
-	if co != "" {
-		s.held[co] += t.N
-		return
-	}
-	s.free += t.N
-	p.settle(t.Replica)
-}
-
-// Drop is for a co-ordinator that surely uses nothing any more: what it holds is free. What was on its way from it goes
-// to its target, or is free if it was a loan; what was on its way or lent to it goes back; what it lent stays lent until
-// its time, and is free after that. It says whether there was anything.
-func (p *Pool) Drop(co string) bool {
-	if co == "" {
-		return false
-	}
-	any := false
-	for _, t := range p.Transfers() {
-		if t.From != co && t.To != co {
-			continue
-		}
-		any = true
-		switch {
-		case t.From == co && t.Stage == Moving && t.Until == 0:
-			p.close(t, t.To)
-		case t.From == co && t.Stage == Moving:
-			p.close(t, "")
-		case t.From == co:
-			t.From = ""
-			p.moves[t.Fence] = t
-		case t.To == co:
-			p.close(t, t.From)
-		}
-	}
-	for _, replica := range p.Replicas() {
-		if n := p.sites[replica].held[co]; n > 0 {
-			_ = p.Give(co, replica, n) // it holds them, as just seen
-			any = true
-		}
-	}
-	return any
-}
-
-// Clear frees all slots, when none is surely in use.
-func (p *Pool) Clear() {
-	clear(p.moves)
-	p.next = -1
-	for name, s := range p.sites { // in any order: each is on its own
-		s.free, s.open = s.cap, 0
-		clear(s.held)
-		p.settle(name)
-	}
-}
-
-// Tick moves agreed time on: loans whose time is over end.
-func (p *Pool) Tick(now time.Duration) {
-	p.now = max(p.now, now)
-	if p.next < 0 || p.next > p.now {
-		return
-	}
-	p.next = -1
-	for _, t := range p.Transfers() {
-		switch {
-		case t.Until == 0 || t.Stage == Returning:
-		case t.Until > p.now:
-			p.put(t)
-		case t.Stage == Moving:
-			p.close(t, t.From)
-		default:
-			t.Stage = Returning
-			p.put(t)
-		}
-	}
-}
-
 // Held is how many slots co may use at a replica: in its hand, and lent to it; what it lent or lets go is out of it.
 func (p *Pool) Held(co, replica string) int {
 	s := p.sites[replica]
@@ -386,23 +193,3 @@
 	}
 	return nil
 }
-
-// Transfers that are open, by number.
-func (p *Pool) Transfers() []Transfer {
-	out := make([]Transfer, 0, len(p.moves))
-	for _, fence := range slices.Sorted(maps.Keys(p.moves)) {
-		out = append(out, p.moves[fence])
-	}
-	return out
-}
-
-// Transfer by its number, while it is open.
-func (p *Pool) Transfer(fence uint64) (Transfer, bool) {
-	t, ok := p.moves[fence]
-	return t, ok
-}
-
-// Asked are the transfers that wait for the word of co, by number.
-func (p *Pool) Asked(co string) []Transfer {
-	return slices.DeleteFunc(p.Transfers(), func(t Transfer) bool { return co == "" || t.Word() != co })
-}
--- a/internal/fleet/session/apply.go
+++ b/internal/fleet/session/apply.go
@@ -25,15 +25,20 @@
 	b.forget()
 }
 
-// lapse withdraws the offers whose time is over.
+// lapse ends the moves whose time is over: an offer is withdrawn, a handed session goes back to its source, or is free if
+// that had it back already. No one acts for a handed one, so that an adoption which comes late finds another epoch.
 func (b *Book) lapse() {
 	b.next = ledger.AtMost
-	for id, f := range b.flights { // in any order: each is on its own
-		switch l := b.live[id]; {
-		case l.phase != Offered:
-		case f.Until <= b.now:
+	for _, id := range sorted(b.flights) {
+		f, l := b.flights[id], b.live[id]
+		switch {
+		case f.Until > b.now:
+		case l.phase == Offered:
 			b.pin(id, l)
 		default:
+			b.back(id, l, "no co-ordinator took it over in time")
+		}
+		if f, ok := b.flights[id]; ok {
 			b.next = min(b.next, f.Until)
 		}
 	}
@@ -194,7 +199,7 @@
 		return err
 	}
 	f.Source, f.State, f.Hand = from, a.State, &word{from, a.Epoch, a.Fence}
-	b.flights[a.ID] = f
+	b.fly(a.ID, f)
 	b.names[l.owner].owned--
 	b.names[to].owned++
 	l.owner, l.epoch, l.phase, l.since, l.seq, l.lane = to, l.epoch+1, Handed, b.now, a.Seq, a.Lane
@@ -222,13 +227,20 @@
 		return
 	}
 	f.Source = ""
-	b.flights[id] = f
+	b.fly(id, f)
 	b.names[l.owner].owned--
 	b.names[to].owned++
 	l.owner, l.epoch, l.since = to, l.epoch+1, b.now
 	b.live[id] = l
 }
 
+// fly gives a flight its time: OfferFor for each step of it, offered, handed, handed back.
+func (b *Book) fly(id ID, f flight) {
+	f.Until = b.now + b.limits.OfferFor
+	b.flights[id] = f
+	b.next = min(b.next, f.Until)
+}
+
 // end frees a session and keeps how it ended.
 func (b *Book) end(id ID, l live, why string) {
 	b.names[l.owner].owned--
--- a/internal/fleet/session/book.go
+++ b/internal/fleet/session/book.go
@@ -66,7 +66,7 @@
 	To       string        // who it was offered to
 	Epoch    uint64        // when it was offered
 	Fence    uint64        // of the offer
-	Until    time.Duration // of the offer
+	Until    time.Duration // of the offer; handed, and handed back: of that
 	Revision int           // of the limits that the offer was checked against
 	Source   string        // handed: who gets it back
 	State    []byte        // handed
@@ -111,7 +111,7 @@
 
 	live    map[ID]live
 	flights map[ID]flight
-	next    time.Duration // no offer ends before
+	next    time.Duration // no flight ends before
 	names   []name
 	byName  map[string]uint16
 	offers  []second // of the last minute, by time
@@ -131,6 +131,7 @@
 func New() *Book {
 	return &Book{
 		live: map[ID]live{}, flights: map[ID]flight{}, byName: map[string]uint16{}, ended: map[ID]ended{}, pool: pool.New(),
+		next: ledger.AtMost,
 	}
 }
 
@@ -160,9 +161,9 @@
 	r := Record{ID: id, Owner: b.names[l.owner].name, Epoch: l.epoch, Phase: l.phase, Seq: l.seq, Lane: l.lane, Since: l.since}
 	if l.phase != Pinned {
 		f := b.flights[id]
-		r.Fence = f.Fence
+		r.Fence, r.Until = f.Fence, f.Until
 		if l.phase == Offered {
-			r.To, r.Until = f.To, f.Until
+			r.To = f.To
 		} else {
 			r.Source, r.State = f.Source, f.State
 		}
--- a/internal/fleet/session/check.go
+++ b/internal/fleet/session/check.go
@@ -82,12 +82,13 @@
 		if f.Revision == b.limits.Revision {
 			current++
 		}
+		if f.Until <= b.now || f.Until > b.now+TimeMost {
+			return fmt.Errorf("S7: %s is %s to %s until %v, it is %v", id, l.phase, f.To, f.Until, b.now)
+		}
 		if l.phase == Offered {
 			switch {
 			case owner != f.From || l.epoch != f.Epoch || f.Hand != nil || f.To == f.From:
 				return fmt.Errorf("S1: %s of %s in epoch %d is offered by %s in %d to %s", id, owner, l.epoch, f.From, f.Epoch, f.To)
-			case f.Until <= b.now:
-				return fmt.Errorf("S7: %s is offered to %s until %v, it is %v", id, f.To, f.Until, b.now)
 			}
 			continue
 		}
--- a/internal/fleet/session/plan.go
+++ b/internal/fleet/session/plan.go
@@ -106,12 +106,10 @@
 	case b.Begun() >= b.limits.PerMinute:
 		return fmt.Errorf("%d were offered in the last minute, %d are allowed", b.Begun(), b.limits.PerMinute)
 	}
-	if len(b.flights) == 0 || o.Until < b.next {
-		b.next = o.Until
-	}
 	n := fence()
 	b.fence = max(b.fence, n)
 	b.flights[o.ID] = flight{From: o.From, To: o.To, Epoch: l.epoch, Fence: n, Until: o.Until, Revision: b.limits.Revision}
+	b.next = min(b.next, o.Until)
 	l.phase, l.since = Offered, b.now
 	b.live[o.ID] = l
 	at := b.now - b.now%time.Second
--- a/internal/fleet/session/types.go
+++ b/internal/fleet/session/types.go
@@ -45,7 +45,7 @@
 	Free    Phase = iota // no one's: not stored, but for how it ended, for a while
 	Pinned               // the owner acts for it
 	Offered              // the owner acts for it, and hands it to another when nothing of it is open
-	Handed               // the new owner may adopt it, and acts for it from then on; no one does before
+	Handed               // its new owner may adopt it; no one acts for it before that is seen in the state
 )
 
 func (p Phase) String() string {
@@ -68,7 +68,7 @@
 	State  []byte // handed: what the hand carried. The adopter takes it before it adopts; it is not kept after that
 	Lane   uint8
 	Fence  uint64        // offered or handed: the number of the offer
-	Until  time.Duration // offered: the end of the offer
+	Until  time.Duration // offered: the end of the offer. Handed: when it goes back, or is free
 	Since  time.Duration // of the phase
 	Why    string        // free: why it ended, for its client
 }
@@ -160,7 +160,7 @@
 	Caps         map[string]int `json:"caps,omitempty"` // slots by replica; one that is not named has none
 	InFlight     int            `json:"in_flight"`      // offered or handed at once; 0 begins no move
 	PerMinute    int            `json:"per_minute"`     // offers in any minute; 0 begins no move
-	OfferFor     time.Duration  `json:"offer_for"`      // an offer's longest time
+	OfferFor     time.Duration  `json:"offer_for"`      // the longest time of each step of a move: offered, handed, handed back
 	IdleFor      time.Duration  `json:"idle_for"`       // the owner ends a session that had no query for so long
 	Lease        time.Duration  `json:"lease"`          // of a co-ordinator's part in the fleet
 	Grace        time.Duration  `json:"grace"`          // after its lease. Silent for both and 1 % longer, it may be released
