Add the keeper of pinned sessions, types and a first working core

One co-ordinator's side of pinned sessions is needed by the emulator and by the wiring into the exchange. This lands its inputs, outputs and constants, and a core that claims, orders, quiesces, freezes, hands, adopts, ends and reserves slots. Seen: the order of seven queries and one hand-over with a lost word, in tests that ask Check after each step.

--- /dev/null
+++ b/internal/fleet/keeper/keeper_test.go
@@ -0,0 +1,46 @@
+package keeper
+
+import (
+	"testing"
+
+	"birchcart/internal/fleet/session"
+)
+
+func TestQueriesOfASessionInOrder(t *testing.T) {
+	r := claimed(t)
+	r.step(r.q(2, Safe), r.q(3, Safe), r.q(4, Safe))
+	r.want(r.ran(2) && r.ran(3) && !r.ran(4), "three safe ones at once, by the session's slots")
+	r.step(Ended{Token: 1, Outcome: Done}, r.q(5, Unsafe), r.q(6, Safe))
+	r.want(r.refused(1, Lost), "an answer that was not asked for") // MayAnswer was not asked
+	r.want(r.ran(4) && !r.ran(5) && !r.ran(6), "the next by arrival")
+	r.want(r.k.MayAnswer(r.now, 2) && r.k.MayAnswer(r.now, 3) && r.k.MayAnswer(r.now, 4), "answers")
+	r.step(Ended{Token: 2, Outcome: Done}, Ended{Token: 3, Outcome: Done})
+	r.want(!r.ran(5), "an unsafe one beside a safe one")
+	r.step(Ended{Token: 4, Outcome: Done})
+	r.want(r.ran(5) && !r.ran(6), "an unsafe one alone")
+	r.step(Ended{Token: 5, Outcome: MayHaveRun})
+	r.want(r.failed(5, Broken) && r.ran(6), "its end")
+	if _, ok := word(r, func(o Run) bool { return o.Seq == 6 }); !ok {
+		t.Fatal("the sixth that began is not the sixth")
+	}
+}
+
+func TestHandOver(t *testing.T) {
+	r := claimed(t)
+	r.offer(1, "b")
+	r.step(r.applied(), r.q(2, Safe))
+	r.want(!r.ran(2) && r.k.Phase(id(1)) == Quiescing, "begins no more")
+	r.want(r.k.MayAnswer(r.now, 1), "what is open may be answered")
+	r.step(Ended{Token: 1, Outcome: Done, State: []byte("carried")})
+	r.want(r.k.Phase(id(1)) == Frozen && len(r.acts) == 1 && r.acts[0].Kind == session.Hand && r.acts[0].Seq == 1 &&
+		string(r.acts[0].State) == "carried", "the hand")
+	r.acts = nil // its word is lost
+	r.pass(ActAgain)
+	r.want(len(r.acts) == 1, "the hand again")
+	r.agree()
+	w, ok := word(r, func(o Refuse) bool { return o.Token == 2 })
+	r.want(ok && w.Why == Elsewhere && w.Owner == "b" && r.k.Phase(id(1)) == Unknown, "one that waits is told where")
+	r.step(r.q(3, Safe))
+	w, ok = word(r, func(o Refuse) bool { return o.Token == 3 })
+	r.want(ok && w.Why == Elsewhere && w.Owner == "b", "one that comes is told where")
+}
--- /dev/null
+++ b/internal/fleet/keeper/phases.go
@@ -0,0 +1,419 @@
+package keeper
+
+import (
+	"time"
+
+	"birchcart/internal/fleet/session"
+)
+
+// newSession makes a session known.
+func (k *Keeper) newSession(id session.ID) *sess {
+	var s *sess
+	if n := len(k.freeSessions); n > 0 {
+		s, k.freeSessions = k.freeSessions[n-1], k.freeSessions[:n-1]
+	} else {
+		s = new(sess)
+	}
+	*s = sess{id: id, phase: Gone, used: k.now, state: s.state[:0]}
+	k.sessions[id] = s
+	return s
+}
+
+// found starts a session that is Gone by what is agreed of it: free, or here.
+func (k *Keeper) found(s *sess, r session.Record, ok bool) {
+	s.epoch, s.used = r.Epoch, k.now
+	switch {
+	case !ok:
+		k.enter(s, Claiming)
+	case r.Phase == session.Handed:
+		k.handedHere(s, r)
+	default: // of a process before, or of a claim given up: what it began is not known here
+		s.seq = r.Seq
+		k.enter(s, Ending)
+	}
+}
+
+// handedHere takes over what a hand carried.
+func (k *Keeper) handedHere(s *sess, r session.Record) {
+	s.epoch, s.seq, s.lane = r.Epoch, r.Seq, r.Lane
+	s.state = append(s.state[:0], r.State...)
+	k.enter(s, Adopting)
+}
+
+// enter brings a session into a phase in which something is proposed or waited for.
+func (k *Keeper) enter(s *sess, p Phase) {
+	k.loose(s)
+	s.phase = p
+	s.acts, s.again = true, k.now+ActAgain
+	k.acts.add(s)
+	if k.ready() {
+		k.propose(s)
+	}
+}
+
+// loose takes a session out of the ring that it is in, and out of a slot's queue.
+func (k *Keeper) loose(s *sess) {
+	k.rest(s, false)
+	if s.acts {
+		k.acts.drop(s)
+		s.acts = false
+	}
+	if s.at != nil {
+		s.at.unblock(s)
+	}
+}
+
+// rest puts a session among the idle ones, or takes it out.
+func (k *Keeper) rest(s *sess, idle bool) {
+	if s.idle == idle {
+		return
+	}
+	s.idle = idle
+	if idle {
+		k.idle.add(s)
+		return
+	}
+	k.idle.drop(s)
+}
+
+// settle goes on with a session after something of it ended.
+func (k *Keeper) settle(s *sess) {
+	switch s.phase {
+	case Pinned:
+		k.pump(s, nil)
+		if s.phase == Pinned && s.wait.head == nil && s.runs == 0 {
+			k.rest(s, true)
+		}
+	case Quiescing:
+		if s.runs == 0 {
+			k.sums.Frozen++
+			k.enter(s, Frozen)
+		}
+	case Gone:
+		if s.wait.head == nil && s.open.head == nil {
+			k.drop(s)
+		}
+	}
+}
+
+// drop knows a session no more.
+func (k *Keeper) drop(s *sess) {
+	k.loose(s)
+	delete(k.sessions, s.id)
+	if s.counted {
+		k.count(s.client, -1, 0)
+	}
+	if len(k.freeSessions) < freeMost {
+		k.freeSessions = append(k.freeSessions, s)
+	}
+}
+
+// look brings a session to what is agreed of it.
+func (k *Keeper) look(s *sess, r session.Record, ok bool) {
+	mine := ok && r.Owner == k.name
+	switch s.phase {
+	case Gone:
+		return
+	case Claiming:
+		switch {
+		case !ok:
+			s.epoch = r.Epoch
+		case mine && r.Phase != session.Handed:
+			k.sums.Claimed++
+			k.pin(s, r)
+		case mine:
+			k.handedHere(s, r)
+		default:
+			k.lose(s, r.Owner)
+		}
+	case Ending:
+		switch {
+		case !ok:
+			k.sums.Ended++
+			k.lose(s, "")
+		case !mine:
+			k.lose(s, r.Owner)
+		case r.Epoch != s.epoch:
+			k.found(s, r, ok)
+		}
+	case Adopting:
+		switch {
+		case !mine:
+			k.lose(s, r.Owner)
+		case r.Phase != session.Handed && r.Epoch == s.epoch:
+			k.sums.Adopted++
+			k.pin(s, r)
+		case r.Epoch != s.epoch:
+			k.found(s, r, ok)
+		}
+	default:
+		k.lookOwned(s, r, mine)
+	}
+}
+
+// lookOwned is look at one that was this co-ordinator's when it was last looked at.
+func (k *Keeper) lookOwned(s *sess, r session.Record, mine bool) {
+	switch {
+	case !mine:
+		if s.phase == Frozen && r.Owner != "" {
+			k.sums.Handed++
+		}
+		k.lose(s, r.Owner)
+	case r.Epoch != s.epoch: // handed and back, or of another life
+		k.tellAll(s, Lost, "")
+		if r.Phase == session.Handed {
+			k.sums.RolledBack++
+		}
+		k.found(s, r, true)
+	case r.Phase == session.Pinned && s.phase != Pinned:
+		k.sums.Thawed++
+		k.pinned(s)
+	case r.Phase == session.Offered && s.phase == Pinned:
+		k.quiesce(s, r)
+	case r.Phase == session.Offered && s.fence != r.Fence: // that offer is over, and there is another
+		s.fence = r.Fence
+		if s.phase == Frozen && k.ready() {
+			k.propose(s)
+		}
+	}
+}
+
+// pin begins to serve a session that was claimed or adopted.
+func (k *Keeper) pin(s *sess, r session.Record) {
+	s.epoch, s.seq, s.lane, s.used = r.Epoch, r.Seq, r.Lane, k.now
+	if r.Phase == session.Offered {
+		s.phase = Pinned
+		k.quiesce(s, r)
+		return
+	}
+	k.pinned(s)
+}
+
+// pinned lets a session be served, at first or again.
+func (k *Keeper) pinned(s *sess) {
+	k.loose(s)
+	s.phase = Pinned
+	for q := s.open.head; q != nil; q = q.next {
+		if !q.over && !q.strays {
+			k.timers.set(q, q.due)
+		}
+	}
+	k.settle(s)
+}
+
+// quiesce begins nothing more of a session that is offered.
+func (k *Keeper) quiesce(s *sess, r session.Record) {
+	k.sums.Offered++
+	s.fence = r.Fence
+	k.enter(s, Quiescing)
+	at := k.now + RecallAfter
+	for q := s.open.head; q != nil; q = q.next {
+		if !q.over && !q.told && !q.allowed && q.effect != Unsafe {
+			k.timers.set(q, min(q.due, at))
+		}
+	}
+	if k.leaving {
+		k.hurry(s)
+	}
+	if s.phase == Quiescing {
+		k.settle(s)
+	}
+}
+
+// hurry lets what may be recalled be so at once.
+func (k *Keeper) hurry(s *sess) {
+	for q := s.open.head; q != nil; q = q.next {
+		if !q.over && !q.told && !q.allowed && q.effect != Unsafe {
+			k.timers.set(q, k.now)
+		}
+	}
+}
+
+// lose ends what is here of a session that is another's now, or free.
+func (k *Keeper) lose(s *sess, owner string) {
+	if s.phase != Claiming && s.phase != Ending {
+		k.sums.Lost++
+	}
+	k.loose(s)
+	s.phase = Gone
+	why := Lost
+	if owner != "" {
+		why = Elsewhere
+	}
+	waiting := s.wait.head != nil
+	if owner == "" && waiting && k.ready() && !k.leaving { // free again: claimed for those that wait
+		r, ok := k.book.Get(s.id)
+		k.tellAll(s, why, "")
+		k.found(s, r, ok)
+		return
+	}
+	k.tellAll(s, why, owner)
+	k.refuseAll(s, why, owner)
+	k.settle(s)
+}
+
+// tellAll gives its word to each that runs. None of them may have its answer any more.
+func (k *Keeper) tellAll(s *sess, why Reason, owner string) {
+	for q := s.open.head; q != nil; q = q.next {
+		if !q.over {
+			k.tell(q, why, owner)
+		}
+	}
+}
+
+// applied looks at all for which the agreed state is waited for, and at what moves.
+func (k *Keeper) applied(a Applied) {
+	if k.book != nil && a.Index < k.index {
+		return
+	}
+	if k.book == nil || a.Agreed > k.agreed {
+		k.agreed, k.agreedAt = a.Agreed, k.now
+	}
+	k.book, k.index = a.Book, a.Index
+	k.limits, _ = a.Book.Limits()
+	k.limits.Slots = max(k.limits.Slots, 1)
+	s := k.acts.head
+	for n := k.acts.n; n > 0 && s != nil; n-- {
+		next := s.next
+		r, ok := k.book.Get(s.id)
+		k.look(s, r, ok)
+		s = next
+	}
+	k.flights()
+	k.shifted()
+	k.acting = k.acting || k.ready()
+}
+
+// flights looks at the sessions that are offered or handed, from here and to here.
+func (k *Keeper) flights() {
+	k.lookAt = 0
+	old := k.offers
+	k.offers = nil
+	k.book.Flights(func(r session.Record) bool {
+		s := k.sessions[r.ID]
+		here := r.Owner == k.name
+		switch {
+		case here && s != nil && s.phase != Gone:
+			if !s.acts { // else it was just looked at
+				k.look(s, r, true)
+			}
+			return true
+		case here && s == nil && len(k.sessions) >= k.o.SessionsMost:
+			if r.Phase != session.Handed {
+				return true
+			}
+		case here && (r.Phase == session.Handed || k.ready()):
+			if s == nil {
+				s = k.newSession(r.ID)
+			}
+			k.found(s, r, true)
+			return true
+		case here || r.Phase != session.Offered || r.To != k.name:
+			return true
+		}
+		k.noRoom(r, old)
+		return true
+	})
+}
+
+// noRoom declines what is offered to this co-ordinator, or handed, if it has no room for it.
+func (k *Keeper) noRoom(r session.Record, old []paced) {
+	due := paced{fence: r.Fence, at: k.now}
+	for _, p := range old {
+		if p.fence == r.Fence {
+			due.at = p.at
+		}
+	}
+	full := len(k.sessions) >= k.o.SessionsMost || k.leaving || !k.roomy && k.since(r.Since) >= AdoptWait
+	if full && k.ready() && due.at <= k.now {
+		due.at = k.now + ActAgain
+		k.act(session.Act{Kind: session.Decline, ID: r.ID, Epoch: r.Epoch, Fence: r.Fence})
+	}
+	k.offers = append(k.offers, due)
+	k.lookAt = k.now + ActAgain
+}
+
+// since is how long ago an agreed time was, as far as this co-ordinator knows.
+func (k *Keeper) since(at time.Duration) time.Duration { return k.agreed + k.now - k.agreedAt - at }
+
+func (k *Keeper) act(a session.Act) { k.out = append(k.out, Act{a}) }
+
+// propose puts the act of a session's phase out.
+func (k *Keeper) propose(s *sess) {
+	switch s.phase {
+	case Claiming:
+		if s.wait.head != nil && !k.leaving || s.used == k.now {
+			k.act(session.Act{Kind: session.Claim, ID: s.id, Epoch: s.epoch, Lane: s.lane})
+		}
+	case Frozen:
+		k.seen.hands(s)
+		// The state goes as a copy: the act may be on its way when the session has thawed.
+		k.act(session.Act{
+			Kind: session.Hand, ID: s.id, Epoch: s.epoch, Fence: s.fence, Seq: s.seq, State: append([]byte(nil), s.state...), Lane: s.lane,
+		})
+	case Adopting:
+		r, _ := k.book.Get(s.id)
+		switch {
+		case k.roomy:
+			k.act(session.Act{Kind: session.Adopt, ID: s.id, Epoch: s.epoch})
+		case k.since(r.Since) >= AdoptWait:
+			k.act(session.Act{Kind: session.Decline, ID: s.id, Epoch: s.epoch, Fence: r.Fence})
+		}
+	case Ending:
+		why := "its co-ordinator began anew"
+		if k.limits.IdleFor > 0 && k.now-s.used >= k.limits.IdleFor {
+			why = "idle"
+		}
+		k.act(session.Act{Kind: session.End, ID: s.id, Epoch: s.epoch, Seq: s.seq, Why: why})
+	}
+}
+
+// repeat proposes again what is due.
+func (k *Keeper) repeat() {
+	for n := 0; n < ActsMost && k.acts.head != nil && k.acts.head.again <= k.now; n++ {
+		s := k.acts.head
+		if s.phase == Claiming && s.wait.head == nil && (k.leaving || k.now >= s.used+ClaimKeep) {
+			k.lose(s, "")
+			continue
+		}
+		k.acts.drop(s)
+		s.again = k.now + ActAgain
+		k.acts.add(s)
+		k.propose(s)
+	}
+	if k.lookAt > 0 && k.lookAt <= k.now {
+		k.flights()
+	}
+}
+
+// endIdle ends the sessions that had no query for long.
+func (k *Keeper) endIdle() {
+	for n := 0; n < ActsMost && k.limits.IdleFor > 0; n++ {
+		s := k.idle.head
+		if s == nil || k.now-s.used < k.limits.IdleFor {
+			return
+		}
+		k.enter(s, Ending)
+	}
+}
+
+// adrift ends the sessions that are agreed to be here and that nobody here knows.
+func (k *Keeper) adrift() {
+	if k.sweep > k.now {
+		return
+	}
+	k.sweep = k.now + SweepEvery
+	n := 0
+	k.book.ByOwner(k.name, func(r session.Record) bool {
+		if k.sessions[r.ID] != nil {
+			return true
+		}
+		if n++; n > ActsMost || len(k.sessions) >= k.o.SessionsMost {
+			k.sweep = k.now + ActAgain
+			return false
+		}
+		k.found(k.newSession(r.ID), r, true)
+		return true
+	})
+	k.trim()
+}
--- /dev/null
+++ b/internal/fleet/keeper/rig_test.go
@@ -0,0 +1,164 @@
+package keeper
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"birchcart/internal/fleet/session"
+)
+
+const (
+	ms  = time.Millisecond
+	sec = time.Second
+)
+
+// rig is a keeper "a" beside one book, which the test moves on by words of the others.
+type rig struct {
+	t      testing.TB
+	k      *Keeper
+	b      *session.Book
+	now    time.Duration
+	index  uint64
+	fence  uint64
+	acts   []session.Act // proposed and not yet applied, the newest of each kind and session
+	out    []Output      // of the last step
+	limits session.Limits
+}
+
+func newRig(t testing.TB, o Options) *rig {
+	r := &rig{t: t, k: New("a", o), b: session.New(), now: sec, limits: session.Limits{
+		Revision: 1, Caps: map[string]int{"r1": 4, "r2": 2}, InFlight: 1000, PerMinute: 10_000, OfferFor: 10 * sec, IdleFor: 60 * sec,
+		Lease: 6 * sec, Grace: sec, SessionsMost: 100_000, StateMost: 1024, Slots: 3,
+	}}
+	r.apply(session.KindLimits, session.LimitsBody{Limits: r.limits})
+	r.plan(session.PlanBody{Shifts: []session.Shift{{To: "a", Replica: "r1", N: 3}, {To: "a", Replica: "r2", N: 1}}})
+	r.step(r.applied(), Lease{r.now + 1000*sec, true})
+	return r
+}
+
+func (r *rig) step(in ...Input) []Output {
+	r.t.Helper()
+	r.out = slices.Clone(r.k.Step(r.now, in))
+	for _, o := range r.out {
+		if a, ok := o.(Act); ok {
+			r.acts = append(r.acts, a.Act)
+		}
+	}
+	if err := r.k.Check(); err != nil {
+		r.t.Fatal(err)
+	}
+	return r.out
+}
+
+// at moves the time on, step by step.
+func (r *rig) pass(d time.Duration) (all []Output) {
+	r.t.Helper()
+	for end := r.now + d; r.now < end; {
+		r.now = min(end, r.now+50*ms)
+		all = append(all, r.step()...)
+	}
+	r.out = all
+	return all
+}
+
+func (r *rig) apply(kind string, body any) {
+	r.t.Helper()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.index++
+	r.b.Tick(r.now)
+	if err := r.b.Apply(r.now, func() uint64 { r.fence++; return r.fence }, kind, raw); err != nil {
+		r.t.Logf("%s refused: %v", kind, err)
+	}
+	if err := r.b.Check(); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *rig) plan(p session.PlanBody) { r.t.Helper(); r.apply(session.KindPlan, p) }
+
+func (r *rig) by(co string, acts ...session.Act) {
+	r.t.Helper()
+	r.apply(session.KindActs, session.ActsBody{From: co, Acts: acts})
+}
+
+func (r *rig) applied() Applied { return Applied{Book: r.b, Index: r.index, Agreed: r.now} }
+
+// agree applies what was proposed and shows the outcome.
+func (r *rig) agree() []Output {
+	r.t.Helper()
+	if len(r.acts) > 0 {
+		r.by("a", r.acts...)
+		r.acts = nil
+	}
+	return r.step(r.applied())
+}
+
+func id(n int) session.ID { return session.IDOf(n, []byte("key")) }
+
+// q is a safe query of session 1 with 4 s of time.
+func (r *rig) q(token uint64, e Effect) Arrived {
+	return Arrived{Token: token, Session: id(1), Effect: e, Due: r.now + 4*sec, Window: 10 * sec, Needs: []string{"r1"}}
+}
+
+func (r *rig) offer(n int, to string) {
+	r.t.Helper()
+	rec, _ := r.b.Get(id(n))
+	r.plan(session.PlanBody{Offers: []session.Offer{{ID: id(n), Epoch: rec.Epoch, From: rec.Owner, To: to}}})
+	if rec, _ = r.b.Get(id(n)); rec.Phase != session.Offered {
+		r.t.Fatalf("not offered: %+v", rec)
+	}
+}
+
+// word finds the one output of type T about a token.
+func word[T Output](r *rig, match func(T) bool) (T, bool) {
+	for _, o := range r.out {
+		if w, ok := o.(T); ok && match(w) {
+			return w, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+func (r *rig) ran(token uint64) bool {
+	_, ok := word(r, func(o Run) bool { return o.Token == token })
+	return ok
+}
+
+func (r *rig) refused(token uint64, why Reason) bool {
+	_, ok := word(r, func(o Refuse) bool { return o.Token == token && o.Why == why && o.After > 0 })
+	return ok
+}
+
+func (r *rig) failed(token uint64, why Reason) bool {
+	_, ok := word(r, func(o Fail) bool { return o.Token == token && o.Why == why })
+	return ok
+}
+
+func (r *rig) recalled(token uint64, why Reason) bool {
+	_, ok := word(r, func(o Recall) bool { return o.Token == token && o.Why == why && o.After > 0 })
+	return ok
+}
+
+func (r *rig) want(ok bool, what string) {
+	r.t.Helper()
+	if !ok {
+		r.t.Fatalf("%s; at %v came %+v", what, r.now, r.out)
+	}
+}
+
+// claimed opens session 1 with a first safe query, token 1.
+func claimed(t testing.TB) *rig {
+	t.Helper()
+	r := newRig(t, Options{})
+	r.step(r.q(1, Safe))
+	r.want(!r.ran(1), "ran without a claim")
+	r.agree()
+	r.want(r.ran(1), "did not run after the claim")
+	return r
+}
