Read and check the section of pinned sessions in the operators' file

Need: operators name the header of a session's key, the classes and routes that it pins, slots, limits on moves and the tenants that go first. Change: $.fleet.sessions with its keys, units and bounds; contradictions, headers that have a meaning already, unknown classes, routes and tenants, and machines without room for so many sessions are refused with their place. birchcart refuses the whole fleet section as before; birchcart-fleet refuses this one until it keeps sessions.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -220,6 +220,8 @@
 		return nil
 	case f.Fleet == nil:
 		return errors.New("$.fleet: is missing; a fleet ends with the program")
+	case f.Fleet.Sessions != nil:
+		return errSessions
 	}
 	if err := n.member.ReloadKeys(); err != nil {
 		return err
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -26,6 +26,7 @@
 	Bears    float64          `json:"parts_per_replica" need:"true" min:"0.01" max:"1000000" unit:"parts"` // out at once, that a replica of size 1 bears
 	Paused   bool             `json:"paused"`                                                              // nothing is granted
 	Work     []Work           `json:"work"`
+	Sessions *Sessions        `json:"sessions"` // pinned to one co-ordinator; absent: there are none
 }
 
 // Voter is one of the council.
--- a/internal/operator/fleetcheck.go
+++ b/internal/operator/fleetcheck.go
@@ -58,6 +58,7 @@
 		ms.Add(fleetAt+".out_by_zone", fmt.Sprint(fl.Zone), "at most out_most, %d", fl.Most)
 	}
 	fl.checkWork(ms)
+	fl.checkSessions(ms)
 }
 
 func (f *Fleet) checkWork(ms *schema.Mistakes) {
@@ -132,6 +133,7 @@
 			}
 		}
 	}
+	f.againstSessions(names, cfg, ms)
 	for i := range fl.Work {
 		if zone := fl.Work[i].Zone; zone != "" && settings.Place(names.Zones, zone) < 0 {
 			ms.Add(fmt.Sprintf("%s.work[%d].zone", fleetAt, i), schema.Shown(zone), "%s", schema.Unknown(zone, names.Zones))
@@ -146,9 +148,13 @@
 		return nil
 	}
 	var out schema.Mistakes
-	if least := int64(servingMemory + FleetMemory); m.Memory < least {
+	beside := int64(FleetMemory)
+	if s := f.Fleet.Sessions; s != nil {
+		beside += int64(s.Most) * SessionMemory
+	}
+	if least := servingMemory + beside; m.Memory < least {
 		out.Add(fleetAt, "", "limits.memory_mb gives %d MB; a fleet needs %d, of which %d beside the serving",
-			m.Memory>>20, least>>20, FleetMemory>>20)
+			m.Memory>>20, least>>20, beside>>20)
 	}
 	if least := servingSockets + FleetSockets; m.Sockets < least {
 		out.Add(fleetAt, "", "limits.sockets gives %d descriptors; a fleet needs %d, of which %d beside the serving",
