Test that slots add up and are never used twice by late copies, and refuse old releases

A release measured before the last one of the same co-ordinator, or while acts of it were applied, is refused: repeated after a return it would have freed slots in use.

--- /dev/null
+++ b/internal/fleet/pool/pool_test.go
@@ -0,0 +1,298 @@
+package pool
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// user is a co-ordinator that uses all it may by its own copy, which is behind, and says so when it uses less.
+type user struct {
+	at    int             // its copy: the pool after so many changes
+	said  map[uint64]bool // transfers of which it uses the slots no more, by its word
+	stops bool            // its lease is over: it uses nothing
+}
+
+// world plays co-ordinators whose words are lost, late, repeated and out of order.
+type world struct {
+	t     *rapid.T
+	p     *Pool
+	log   []*Pool
+	users map[string]*user
+	words []func() error // said by someone, at any time after that, any number of times
+	fence uint64
+	now   time.Duration
+}
+
+var cos, replicas = []string{"c0", "c1", "c2"}, []string{"r0", "r1"}
+
+// uses is what a co-ordinator uses of a replica's slots: all that its copy gives it, but for what it said.
+func (w *world) uses(co, replica string) int {
+	u := w.users[co]
+	if u.stops {
+		return 0
+	}
+	copied := w.log[u.at]
+	n := copied.Held(co, replica)
+	for fence := range u.said {
+		if t, ok := copied.Transfer(fence); ok && t.Replica == replica && t.To == co && t.Stage == Lent {
+			n -= t.N
+		}
+	}
+	return n
+}
+
+// say is a word of co about a transfer that its copy shows.
+func (w *world) say() {
+	co := rapid.SampledFrom(cos).Draw(w.t, "who")
+	u := w.users[co]
+	copied := w.log[u.at]
+	open := slices.DeleteFunc(copied.Transfers(), func(t Transfer) bool { return t.Word() != co && (t.To != co || t.Stage != Lent) })
+	if u.stops || len(open) == 0 {
+		return
+	}
+	t := rapid.SampledFrom(open).Draw(w.t, "of")
+	if t.Stage == Moving {
+		w.words = append(w.words, func() error { return w.p.Land(t.Fence) })
+	} else {
+		u.said[t.Fence] = true
+		w.words = append(w.words, func() error { return w.p.Return(t.Fence) })
+	}
+}
+
+func (w *world) step() {
+	co, to := rapid.SampledFrom(cos).Draw(w.t, "co"), rapid.SampledFrom(append([]string{""}, cos...)).Draw(w.t, "to")
+	replica, n := rapid.SampledFrom(replicas).Draw(w.t, "replica"), rapid.IntRange(-1, 5).Draw(w.t, "n")
+	u := w.users[co]
+	before := w.p.Save()
+	var err error
+	switch op := rapid.IntRange(0, 12).Draw(w.t, "op"); op {
+	case 0:
+		err = w.p.SetCap(replica, 2*n)
+	case 1:
+		err = w.p.Take(co, replica, n)
+	case 2: // its own word, once, and its copy follows at once
+		if !u.stops {
+			err = w.p.Give(co, replica, n)
+			u.at = len(w.log)
+		}
+	case 3:
+		w.fence++
+		err = w.p.Move(w.fence, co, to, replica, n)
+	case 4:
+		w.fence++
+		err = w.p.Lend(w.fence, co, to, replica, n, w.now+time.Duration(n)*time.Second)
+	case 5:
+		err = w.p.Back(uint64(rapid.IntRange(0, int(w.fence)).Draw(w.t, "fence")))
+	case 6:
+		w.say()
+	case 7, 8:
+		if len(w.words) > 0 {
+			err = rapid.SampledFrom(w.words).Draw(w.t, "word")()
+		}
+	case 9:
+		w.now += time.Duration(rapid.IntRange(0, 3).Draw(w.t, "seconds")) * time.Second
+		w.p.Tick(w.now)
+	case 10: // silent for long enough, and released; it begins anew with a copy that knows of it
+		if u.stops {
+			w.p.Drop(co)
+			*u = user{said: map[uint64]bool{}, at: len(w.log)}
+			w.log = append(w.log, w.p.Clone())
+		}
+	case 11:
+		u.stops = true
+	case 12:
+		u.at = rapid.IntRange(u.at, len(w.log)-1).Draw(w.t, "copy")
+	}
+	if err != nil && !reflect.DeepEqual(before, w.p.Save()) {
+		w.t.Fatalf("refused and changed: %v\n%+v\n%+v", err, before, w.p.Save())
+	}
+	w.log = append(w.log, w.p.Clone())
+}
+
+// check compares with what is counted outside: what all use at a replica is never more than it has.
+func (w *world) check() {
+	if err := w.p.Check(); err != nil {
+		w.t.Fatal(err)
+	}
+	for _, r := range replicas {
+		used, words := 0, ""
+		for _, co := range cos {
+			used += w.uses(co, r)
+			words += fmt.Sprintf(" %s %d (copy %d)", co, w.uses(co, r), w.users[co].at)
+		}
+		if used > w.p.Cap(r) {
+			w.t.Fatalf("%d in use at %s, which has %d:%s at %d\n%+v", used, r, w.p.Cap(r), words, len(w.log), w.p.Save())
+		}
+		sum := w.p.Free(r)
+		for _, co := range w.p.Holders(r) {
+			sum += w.p.sites[r].held[co]
+		}
+		for _, t := range w.p.Transfers() {
+			if t.Replica == r {
+				sum += t.N
+			}
+		}
+		if sum != w.p.Cap(r) || w.p.Wanted(r) > sum {
+			w.t.Fatalf("%d slots at %s, cap %d, wanted %d", sum, r, w.p.Cap(r), w.p.Wanted(r))
+		}
+	}
+	raw, err := json.Marshal(w.p.Save())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	var v Saved
+	n := New()
+	if err := errors.Join(json.Unmarshal(raw, &v), n.Load(v)); err != nil || !reflect.DeepEqual(n.Save(), w.p.Save()) {
+		w.t.Fatalf("loaded %v\n%+v\n%+v", err, n.Save(), w.p.Save())
+	}
+	n.next, w.p.next = 0, 0 // no earlier than it has to look
+	if !reflect.DeepEqual(n, w.p) {
+		w.t.Fatalf("loaded\n%+v\n%+v", n, w.p)
+	}
+}
+
+// S2 with late copies: co-ordinators that use all that they may never use more than there is.
+func TestSlotsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, p: New(), users: map[string]*user{}}
+		for _, co := range cos {
+			w.users[co] = &user{said: map[uint64]bool{}}
+		}
+		w.log = append(w.log, w.p.Clone())
+		for _, r := range replicas {
+			if err := w.p.SetCap(r, 6); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			w.step()
+			w.check()
+		}
+	})
+}
+
+// The life of a loan, of a lowered cap and of a replica that dies, in order.
+func TestLoanCapAndDeath(t *testing.T) {
+	p := New()
+	ok := func(err error) {
+		t.Helper()
+		if err = errors.Join(err, p.Check()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	is := func(want string) {
+		t.Helper()
+		got := fmt.Sprintf("cap %d wanted %d free %d c0 %d c1 %d", p.Cap("r"), p.Wanted("r"), p.Free("r"), p.Held("c0", "r"), p.Held("c1", "r"))
+		if got != want {
+			t.Fatalf("%s, want %s", got, want)
+		}
+	}
+	ok(p.SetCap("r", 6))
+	ok(p.Take("c0", "r", 4))
+	ok(p.Lend(1, "c0", "c1", "r", 3, 10))
+	is("cap 6 wanted 6 free 2 c0 1 c1 0")
+	ok(p.Land(1))
+	is("cap 6 wanted 6 free 2 c0 1 c1 3")
+	if err := p.Land(1); !errors.Is(err, ErrNone) {
+		t.Fatal(err)
+	}
+	ok(p.SetCap("r", 0)) // it dies
+	is("cap 4 wanted 0 free 0 c0 1 c1 3")
+	p.Tick(10)
+	is("cap 4 wanted 0 free 0 c0 1 c1 0")
+	if a := p.Asked("c1"); len(a) != 1 || a[0].Fence != 1 || len(p.Asked("c0")) != 0 {
+		t.Fatalf("%+v", a)
+	}
+	p.Drop("c0") // what it lent is free once it comes back
+	is("cap 3 wanted 0 free 0 c0 0 c1 0")
+	ok(p.Return(1))
+	if len(p.Replicas()) != 0 || p.Cap("r") != 0 {
+		t.Fatalf("%+v", p.Save())
+	}
+	ok(p.SetCap("r", 2)) // and comes back, with less
+	ok(p.Take("c1", "r", 2))
+	ok(p.Move(7, "c1", "", "r", 1))
+	is("cap 2 wanted 2 free 0 c0 0 c1 1")
+	ok(p.Land(7))
+	is("cap 2 wanted 2 free 1 c0 0 c1 1")
+	ok(p.Move(8, "c1", "c0", "r", 1))
+	p.Drop("c1")
+	is("cap 2 wanted 2 free 1 c0 1 c1 0")
+	p.Clear()
+	is("cap 2 wanted 2 free 2 c0 0 c1 0")
+	ok(nil)
+}
+
+// What does not fit is refused in words, by Load too.
+func TestRefused(t *testing.T) {
+	p := New()
+	long := strings.Repeat("x", NameMost+1)
+	_ = p.SetCap("r", 4)
+	_ = p.Take("c0", "r", 2)
+	_ = p.Move(5, "c0", "c1", "r", 1)
+	for name, f := range map[string]func() error{
+		"cap under 0": func() error { return p.SetCap("r", -1) }, "cap": func() error { return p.SetCap("r", SlotsMost+1) },
+		"no replica": func() error { return p.SetCap("", 1) }, "long replica": func() error { return p.SetCap(long, 1) },
+		"take more": func() error { return p.Take("c1", "r", 3) }, "take none": func() error { return p.Take("c1", "r", 0) },
+		"take by none": func() error { return p.Take("", "r", 1) }, "give more": func() error { return p.Give("c0", "r", 2) },
+		"move more": func() error { return p.Move(6, "c0", "c1", "r", 2) }, "move twice": func() error { return p.Move(5, "c0", "c1", "r", 1) },
+		"move to itself": func() error { return p.Move(6, "c0", "c0", "r", 1) }, "move 0": func() error { return p.Move(0, "c0", "c1", "r", 1) },
+		"lend till now": func() error { return p.Lend(6, "c0", "c1", "r", 1, 0) }, "lend to none": func() error { return p.Lend(6, "c0", "", "r", 1, 9) },
+		"land": func() error { return p.Land(6) }, "back": func() error { return p.Back(6) }, "return moving": func() error { return p.Return(5) },
+	} {
+		before := p.Clone()
+		if err := f(); err == nil || !reflect.DeepEqual(before, p) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	good := p.Save()
+	for name, spoil := range map[string]func(*Saved){
+		"order": func(v *Saved) { v.Sites = append(v.Sites, v.Sites[0]) }, "site": func(v *Saved) { v.Transfers[0].Replica = "q" },
+		"fence": func(v *Saved) { v.Transfers[0].Fence = 0 }, "none": func(v *Saved) { v.Transfers[0].N = 0 },
+		"stage": func(v *Saved) { v.Transfers[0].Stage = Lent }, "past": func(v *Saved) { v.Now, v.Transfers[0].Until = 9, 3 },
+		"held": func(v *Saved) { v.Sites[0].Held[0].N = 0 }, "free": func(v *Saved) { v.Sites[0].Free = -1 },
+		"wanted": func(v *Saved) { v.Sites[0].Wanted = 5 }, "less": func(v *Saved) { v.Sites[0].Wanted = 3 },
+	} {
+		raw, _ := json.Marshal(good)
+		var v Saved
+		_ = json.Unmarshal(raw, &v)
+		if err := New().Load(v); err != nil {
+			t.Fatal(err)
+		}
+		spoil(&v)
+		before := p.Clone()
+		if err := p.Load(v); err == nil || !reflect.DeepEqual(before, p) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for i := range ReplicasMost + 1 {
+		if err := p.SetCap(fmt.Sprint(i), 1); (err == nil) != (i < ReplicasMost-1) {
+			t.Fatal(i, err)
+		}
+	}
+	for i := range HoldersMost + 1 {
+		_ = p.SetCap("0", i+1)
+		if err := p.Take(fmt.Sprint("h", i), "0", 1); (err == nil) != (i < HoldersMost) {
+			t.Fatal(i, err)
+		}
+	}
+	for i := range TransfersMost + 1 {
+		_ = p.SetCap("0", HoldersMost+i+1)
+		_ = p.Take("h0", "0", 1)
+		if err := p.Move(uint64(i+10), "h0", "h1", "0", 1); (err == nil) != (i < TransfersMost-1) {
+			t.Fatal(i, err)
+		}
+	}
+	if err := p.Check(); err != nil || maps.Equal(p.sites["0"].held, map[string]int{}) {
+		t.Fatal(err)
+	}
+}
--- a/internal/fleet/session/apply.go
+++ b/internal/fleet/session/apply.go
@@ -118,7 +118,7 @@
 	}
 	if done > 0 {
 		if i, err := b.named(c.From); err == nil {
-			b.names[i].heard = b.now
+			b.names[i].heard, b.names[i].known = b.now, b.now
 		}
 	}
 	return b.outcome(done)
--- a/internal/fleet/session/book.go
+++ b/internal/fleet/session/book.go
@@ -90,9 +90,11 @@
 
 // name is a co-ordinator that owns or owned something.
 type name struct {
-	name  string
-	owned int
-	heard time.Duration // its last act
+	name     string
+	owned    int
+	heard    time.Duration // its last act that was not refused; 0: none
+	released time.Duration // its last release; 0: none
+	known    time.Duration // the later of both, and of when it was entered
 }
 
 // second counts the offers in one second of agreed time.
@@ -258,6 +260,9 @@
 // named finds or enters a co-ordinator. One that owns nothing and was not heard of for Remember makes room.
 func (b *Book) named(co string) (uint16, error) {
 	if i, ok := b.byName[co]; ok {
+		if b.gone(int(i)) {
+			b.names[i] = name{name: co, known: b.now}
+		}
 		return i, nil
 	}
 	if co == "" || len(co) > NameMost {
@@ -278,10 +283,10 @@
 	default:
 		delete(b.byName, b.names[at].name)
 	}
-	b.names[at] = name{name: co, heard: b.now}
+	b.names[at] = name{name: co, known: b.now}
 	b.byName[co] = uint16(at)
 	return uint16(at), nil
 }
 
-// gone says that a co-ordinator is forgotten: nothing is its, and its last act is over.
-func (b *Book) gone(i int) bool { return b.names[i].owned == 0 && b.names[i].heard < b.now-Remember }
+// gone says that a co-ordinator is forgotten: it owns nothing, and nothing was heard of it for Remember.
+func (b *Book) gone(i int) bool { return b.names[i].owned == 0 && b.names[i].known < b.now-Remember }
--- a/internal/fleet/session/check.go
+++ b/internal/fleet/session/check.go
@@ -39,8 +39,8 @@
 		return fmt.Errorf("S1: %d sessions move, %d are owned of them", len(b.flights), moving)
 	}
 	for i, n := range b.names {
-		if n.owned != owned[i] || b.byName[n.name] != uint16(i) || n.heard > b.now {
-			return fmt.Errorf("S1: %s owns %d, %d are counted, its last act at %v, now %v", n.name, owned[i], n.owned, n.heard, b.now)
+		if n.owned != owned[i] || b.byName[n.name] != uint16(i) || max(n.heard, n.released, n.known) > b.now {
+			return fmt.Errorf("S1: %s owns %d, %d are counted, known at %v, now %v", n.name, owned[i], n.owned, n.known, b.now)
 		}
 	}
 	if len(b.byName) != len(b.names) || len(b.names) > NamesMost || len(b.live) > SessionsMost {
--- a/internal/fleet/session/plan.go
+++ b/internal/fleet/session/plan.go
@@ -133,22 +133,30 @@
 	case r.Name == "" || len(r.Name) > NameMost:
 		return fmt.Errorf("session: release of %.20q", r.Name)
 	case b.limits.Revision == 0:
-		return errors.New("session: release without limits")
+		return errors.New("session: release before there are limits")
 	case r.At < 0 || r.At > b.now || r.Silent < need:
 		return fmt.Errorf("session: release of %s, silent for %v at %v: it is %v, and %v are needed", r.Name, r.Silent, r.At, b.now, need)
 	}
-	if i, ok := b.byName[r.Name]; ok && !b.gone(int(i)) && b.names[i].heard > r.At-r.Silent {
-		return fmt.Errorf("session: release of %s, silent for %v at %v: it acted at %v", r.Name, r.Silent, r.At, b.names[i].heard)
+	if i, ok := b.byName[r.Name]; ok && !b.gone(int(i)) {
+		switch n := b.names[i]; {
+		case n.released > 0 && r.At <= n.released:
+			return fmt.Errorf("session: release of %s, silent at %v: it was released at %v", r.Name, r.At, n.released)
+		case n.heard > 0 && n.heard > r.At-need:
+			return fmt.Errorf("session: release of %s, silent for %v at %v: it acted at %v", r.Name, r.Silent, r.At, n.heard)
+		}
 	}
-	if !b.letGo(r.Name, "its co-ordinator was silent") {
-		return fmt.Errorf("session: release of %s: nothing is its", r.Name)
+	i, err := b.named(r.Name)
+	if err != nil {
+		return fmt.Errorf("session: release of %s: %w", r.Name, err)
 	}
+	b.names[i].released, b.names[i].known = b.now, b.now
+	b.letGo(r.Name, "its co-ordinator was silent")
 	return nil
 }
 
-// letGo frees what a co-ordinator has that surely acts no more. It says whether there was anything.
-func (b *Book) letGo(co, why string) bool {
-	any := b.pool.Drop(co) || b.Owned(co) > 0
+// letGo frees what a co-ordinator has that surely acts no more.
+func (b *Book) letGo(co, why string) {
+	b.pool.Drop(co)
 	for _, id := range sorted(b.flights) {
 		f, l := b.flights[id], b.live[id]
 		switch {
@@ -159,10 +167,7 @@
 			b.flights[id] = f
 		case l.phase == Handed && b.names[l.owner].name == co:
 			b.back(id, l, why)
-		default:
-			continue
 		}
-		any = true
 	}
 	var all []ID
 	b.ByOwner(co, func(r Record) bool {
@@ -172,7 +177,6 @@
 	for _, id := range all {
 		b.end(id, b.live[id], why)
 	}
-	return any
 }
 
 func (b *Book) applyLimits(c LimitsBody) error {
--- a/internal/fleet/session/save.go
+++ b/internal/fleet/session/save.go
@@ -43,8 +43,10 @@
 }
 
 type savedName struct {
-	Name  string        `json:"name"`
-	Heard time.Duration `json:"heard"`
+	Name     string        `json:"name"`
+	Heard    time.Duration `json:"heard,omitempty"`
+	Released time.Duration `json:"released,omitempty"`
+	Known    time.Duration `json:"known"`
 }
 
 type savedFlight struct {
@@ -63,7 +65,7 @@
 	}
 	for i, n := range b.names {
 		if !b.gone(i) {
-			v.Names = append(v.Names, savedName{n.name, n.heard})
+			v.Names = append(v.Names, savedName{n.name, n.heard, n.released, n.known})
 		}
 	}
 	slices.SortFunc(v.Names, func(x, y savedName) int { return cmp.Compare(x.Name, y.Name) })
@@ -177,7 +179,7 @@
 			return fmt.Errorf("co-ordinator %.20q is out of order", n.Name)
 		}
 		b.byName[n.Name] = uint16(i)
-		b.names = append(b.names, name{name: n.Name, heard: n.Heard})
+		b.names = append(b.names, name{name: n.Name, heard: n.Heard, released: n.Released, known: n.Known})
 	}
 	for i, s := range v.Offers {
 		if s.N < 1 || s.At%time.Second != 0 || i > 0 && v.Offers[i-1].At >= s.At {
