Let a leader whose clock is far behind go by that of most, so that agreed time never leaps

A leader over 5 s behind more than half of the clocks known now waits for 3 s (ClockWait), unless agreed time is right already, and then goes by the most known. To hand over as one that is ahead does would go round without end where all voters are behind; to carry pauses over a leap would need to tell a wrong leap from hours at rest. Of two clocks known nobody can say which is right, and the one behind goes on as before.

--- a/internal/fleet/lead/lead.go
+++ b/internal/fleet/lead/lead.go
@@ -189,6 +189,9 @@
 	wrongAt, handAt time.Duration
 	unsure          bool // too few others' clocks are known, since unsureAt
 	unsureAt        time.Duration
+	behind          bool // the own wall's clock is behind the others', since behindAt; a line says so
+	behindAt        time.Duration
+	behindSaid      bool
 
 	heard    map[string]*heard
 	granted  map[uint64]time.Duration // by fence, own time since when a granted item is known in this term
@@ -223,8 +226,9 @@
 		l.take(i)
 	}
 	pace := max(l.base+(l.now-l.baseAt)-(l.now-l.baseAt)/CatchUp, 0)
+	wall, wait := l.goBy(wall, pace)
 	l.time = max(wall, pace)
-	if !l.leading || l.state == nil || !l.clockRight(wall, pace) {
+	if !l.leading || l.state == nil || wait || !l.clockRight(wall, pace) {
 		return l.out
 	}
 	l.tidy()
@@ -304,7 +308,7 @@
 	l.granted = map[uint64]time.Duration{}
 	l.refused = map[string]time.Duration{}
 	l.waiting, l.looked, l.passed, l.news = nil, false, mark{}, true
-	l.wrong, l.unsure = false, false
+	l.wrong, l.unsure, l.behind = false, false, false
 }
 
 func (l *Lead) say(format string, a ...any) {
