--- /dev/null
+++ b/internal/fleet/keeper/acts.go
@@ -0,0 +1,85 @@
+package keeper
+
+import "birchcart/internal/fleet/session"
+
+func (k *Keeper) act(a session.Act) { k.out = append(k.out, Act{a}) }
+
+// propose puts the act of a session's phase out.
+func (k *Keeper) propose(s *sess) {
+	switch s.phase {
+	case Claiming:
+		if s.wait.head != nil && !k.leaving || s.used == k.now {
+			k.act(session.Act{Kind: session.Claim, ID: s.id, Epoch: s.epoch, Lane: s.lane})
+		}
+	case Frozen:
+		k.seen.hands(s)
+		// The state goes as a copy: the act may be on its way when the session has thawed.
+		k.act(session.Act{
+			Kind: session.Hand, ID: s.id, Epoch: s.epoch, Fence: s.fence, Seq: s.seq, State: append([]byte(nil), s.state...), Lane: s.lane,
+		})
+	case Adopting:
+		r, _ := k.book.Get(s.id)
+		switch {
+		case k.roomy:
+			k.act(session.Act{Kind: session.Adopt, ID: s.id, Epoch: s.epoch})
+		case k.since(r.Since) >= AdoptWait:
+			k.act(session.Act{Kind: session.Decline, ID: s.id, Epoch: s.epoch, Fence: r.Fence})
+		}
+	case Ending:
+		why := "its co-ordinator began anew"
+		if k.limits.IdleFor > 0 && k.now-s.used >= k.limits.IdleFor {
+			why = "idle"
+		}
+		k.act(session.Act{Kind: session.End, ID: s.id, Epoch: s.epoch, Seq: s.seq, Why: why})
+	}
+}
+
+// repeat proposes again what is due.
+func (k *Keeper) repeat() {
+	for n := 0; n < ActsMost && k.acts.head != nil && k.acts.head.again <= k.now; n++ {
+		s := k.acts.head
+		if s.phase == Claiming && s.wait.head == nil && (k.leaving || k.now >= s.used+ClaimKeep) {
+			k.lose(s, "")
+			continue
+		}
+		k.acts.drop(s)
+		s.again = k.now + ActAgain
+		k.acts.add(s)
+		k.propose(s)
+	}
+	if k.lookAt > 0 && k.lookAt <= k.now {
+		k.flights()
+	}
+}
+
+// endIdle ends the sessions that had no query for long.
+func (k *Keeper) endIdle() {
+	for n := 0; n < ActsMost && k.limits.IdleFor > 0; n++ {
+		s := k.idle.head
+		if s == nil || k.now-s.used < k.limits.IdleFor {
+			return
+		}
+		k.enter(s, Ending)
+	}
+}
+
+// adrift ends the sessions that are agreed to be here and that nobody here knows.
+func (k *Keeper) adrift() {
+	if k.sweep > k.now {
+		return
+	}
+	k.sweep = k.now + SweepEvery
+	n := 0
+	k.book.ByOwner(k.name, func(r session.Record) bool {
+		if k.sessions[r.ID] != nil {
+			return true
+		}
+		if n++; n > ActsMost || len(k.sessions) >= k.o.SessionsMost {
+			k.sweep = k.now + ActAgain
+			return false
+		}
+		k.found(k.newSession(r.ID), r, true)
+		return true
+	})
+	k.trim()
+}
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -22,6 +22,7 @@
 
 	book     Reader
 	index    uint64
+	era      uint64
 	agreed   time.Duration // and when that was first seen by the own clock
 	agreedAt time.Duration
 	limits   session.Limits
--- a/internal/fleet/keeper/phases.go
+++ b/internal/fleet/keeper/phases.go
@@ -1,10 +1,6 @@
 package keeper
 
-import (
-	"time"
-
-	"birchcart/internal/fleet/session"
-)
+import "birchcart/internal/fleet/session"
 
 // newSession makes a session known.
 func (k *Keeper) newSession(id session.ID) *sess {
@@ -37,6 +33,9 @@
 func (k *Keeper) handedHere(s *sess, r session.Record) {
 	s.epoch, s.seq, s.lane = r.Epoch, r.Seq, r.Lane
 	s.state = append(s.state[:0], r.State...)
+	if r.Source == "" {
+		k.sums.RolledBack++
+	}
 	k.enter(s, Adopting)
 }
 
@@ -161,9 +160,6 @@
 		k.lose(s, r.Owner)
 	case r.Epoch != s.epoch: // handed and back, or of another life
 		k.tellAll(s, Lost, "")
-		if r.Phase == session.Handed {
-			k.sums.RolledBack++
-		}
 		k.found(s, r, true)
 	case r.Phase == session.Pinned && s.phase != Pinned:
 		k.sums.Thawed++
@@ -260,160 +256,3 @@
 		}
 	}
 }
-
-// applied looks at all for which the agreed state is waited for, and at what moves.
-func (k *Keeper) applied(a Applied) {
-	if k.book != nil && a.Index < k.index {
-		return
-	}
-	if k.book == nil || a.Agreed > k.agreed {
-		k.agreed, k.agreedAt = a.Agreed, k.now
-	}
-	k.book, k.index = a.Book, a.Index
-	k.limits, _ = a.Book.Limits()
-	k.limits.Slots = max(k.limits.Slots, 1)
-	s := k.acts.head
-	for n := k.acts.n; n > 0 && s != nil; n-- {
-		next := s.next
-		r, ok := k.book.Get(s.id)
-		k.look(s, r, ok)
-		s = next
-	}
-	k.flights()
-	k.shifted()
-	k.acting = k.acting || k.ready()
-}
-
-// flights looks at the sessions that are offered or handed, from here and to here.
-func (k *Keeper) flights() {
-	k.lookAt = 0
-	old := k.offers
-	k.offers = nil
-	k.book.Flights(func(r session.Record) bool {
-		s := k.sessions[r.ID]
-		here := r.Owner == k.name
-		switch {
-		case here && s != nil && s.phase != Gone:
-			if !s.acts { // else it was just looked at
-				k.look(s, r, true)
-			}
-			return true
-		case here && s == nil && len(k.sessions) >= k.o.SessionsMost:
-			if r.Phase != session.Handed {
-				return true
-			}
-		case here && (r.Phase == session.Handed || k.ready()):
-			if s == nil {
-				s = k.newSession(r.ID)
-			}
-			k.found(s, r, true)
-			return true
-		case here || r.Phase != session.Offered || r.To != k.name:
-			return true
-		}
-		k.noRoom(r, old)
-		return true
-	})
-}
-
-// noRoom declines what is offered to this co-ordinator, or handed, if it has no room for it.
-func (k *Keeper) noRoom(r session.Record, old []paced) {
-	due := paced{fence: r.Fence, at: k.now}
-	for _, p := range old {
-		if p.fence == r.Fence {
-			due.at = p.at
-		}
-	}
-	full := len(k.sessions) >= k.o.SessionsMost || k.leaving || !k.roomy && k.since(r.Since) >= AdoptWait
-	if full && k.ready() && due.at <= k.now {
-		due.at = k.now + ActAgain
-		k.act(session.Act{Kind: session.Decline, ID: r.ID, Epoch: r.Epoch, Fence: r.Fence})
-	}
-	k.offers = append(k.offers, due)
-	k.lookAt = k.now + ActAgain
-}
-
-// since is how long ago an agreed time was, as far as this co-ordinator knows.
-func (k *Keeper) since(at time.Duration) time.Duration { return k.agreed + k.now - k.agreedAt - at }
-
-func (k *Keeper) act(a session.Act) { k.out = append(k.out, Act{a}) }
-
-// propose puts the act of a session's phase out.
-func (k *Keeper) propose(s *sess) {
-	switch s.phase {
-	case Claiming:
-		if s.wait.head != nil && !k.leaving || s.used == k.now {
-			k.act(session.Act{Kind: session.Claim, ID: s.id, Epoch: s.epoch, Lane: s.lane})
-		}
-	case Frozen:
-		k.seen.hands(s)
-		// The state goes as a copy: the act may be on its way when the session has thawed.
-		k.act(session.Act{
-			Kind: session.Hand, ID: s.id, Epoch: s.epoch, Fence: s.fence, Seq: s.seq, State: append([]byte(nil), s.state...), Lane: s.lane,
-		})
-	case Adopting:
-		r, _ := k.book.Get(s.id)
-		switch {
-		case k.roomy:
-			k.act(session.Act{Kind: session.Adopt, ID: s.id, Epoch: s.epoch})
-		case k.since(r.Since) >= AdoptWait:
-			k.act(session.Act{Kind: session.Decline, ID: s.id, Epoch: s.epoch, Fence: r.Fence})
-		}
-	case Ending:
-		why := "its co-ordinator began anew"
-		if k.limits.IdleFor > 0 && k.now-s.used >= k.limits.IdleFor {
-			why = "idle"
-		}
-		k.act(session.Act{Kind: session.End, ID: s.id, Epoch: s.epoch, Seq: s.seq, Why: why})
-	}
-}
-
-// repeat proposes again what is due.
-func (k *Keeper) repeat() {
-	for n := 0; n < ActsMost && k.acts.head != nil && k.acts.head.again <= k.now; n++ {
-		s := k.acts.head
-		if s.phase == Claiming && s.wait.head == nil && (k.leaving || k.now >= s.used+ClaimKeep) {
-			k.lose(s, "")
-			continue
-		}
-		k.acts.drop(s)
-		s.again = k.now + ActAgain
-		k.acts.add(s)
-		k.propose(s)
-	}
-	if k.lookAt > 0 && k.lookAt <= k.now {
-		k.flights()
-	}
-}
-
-// endIdle ends the sessions that had no query for long.
-func (k *Keeper) endIdle() {
-	for n := 0; n < ActsMost && k.limits.IdleFor > 0; n++ {
-		s := k.idle.head
-		if s == nil || k.now-s.used < k.limits.IdleFor {
-			return
-		}
-		k.enter(s, Ending)
-	}
-}
-
-// adrift ends the sessions that are agreed to be here and that nobody here knows.
-func (k *Keeper) adrift() {
-	if k.sweep > k.now {
-		return
-	}
-	k.sweep = k.now + SweepEvery
-	n := 0
-	k.book.ByOwner(k.name, func(r session.Record) bool {
-		if k.sessions[r.ID] != nil {
-			return true
-		}
-		if n++; n > ActsMost || len(k.sessions) >= k.o.SessionsMost {
-			k.sweep = k.now + ActAgain
-			return false
-		}
-		k.found(k.newSession(r.ID), r, true)
-		return true
-	})
-	k.trim()
-}
--- a/internal/fleet/keeper/rig_test.go
+++ b/internal/fleet/keeper/rig_test.go
@@ -14,26 +14,40 @@
 	sec = time.Second
 )
 
-// rig is a keeper "a" beside one book, which the test moves on by words of the others.
+// world is one book, its log's index and numbers, and a clock for all.
+type world struct {
+	t            testing.TB
+	b            *session.Book
+	now          time.Duration
+	index, fence uint64
+}
+
+// rig is a keeper beside the book.
 type rig struct {
-	t      testing.TB
-	k      *Keeper
-	b      *session.Book
-	now    time.Duration
-	index  uint64
-	fence  uint64
-	acts   []session.Act // proposed and not yet applied, the newest of each kind and session
-	out    []Output      // of the last step
-	limits session.Limits
+	*world
+	name string
+	k    *Keeper
+	acts []session.Act // proposed and not yet applied
+	out  []Output      // of the last step
+}
+
+var limits = session.Limits{
+	Revision: 1, Caps: map[string]int{"r1": 40, "r2": 20}, InFlight: 1000, PerMinute: 10_000, OfferFor: 10 * sec, IdleFor: 60 * sec,
+	Lease: 6 * sec, Grace: sec, SessionsMost: 100_000, StateMost: 1024, Slots: 3,
 }
 
+// newRig is keeper "a" with 3 and 1 slots at r1 and r2, and a lease for long.
 func newRig(t testing.TB, o Options) *rig {
-	r := &rig{t: t, k: New("a", o), b: session.New(), now: sec, limits: session.Limits{
-		Revision: 1, Caps: map[string]int{"r1": 4, "r2": 2}, InFlight: 1000, PerMinute: 10_000, OfferFor: 10 * sec, IdleFor: 60 * sec,
-		Lease: 6 * sec, Grace: sec, SessionsMost: 100_000, StateMost: 1024, Slots: 3,
-	}}
-	r.apply(session.KindLimits, session.LimitsBody{Limits: r.limits})
-	r.plan(session.PlanBody{Shifts: []session.Shift{{To: "a", Replica: "r1", N: 3}, {To: "a", Replica: "r2", N: 1}}})
+	w := &world{t: t, b: session.New(), now: sec}
+	w.apply(session.KindLimits, session.LimitsBody{Limits: limits})
+	return w.rig("a", o, 3, 1)
+}
+
+func (w *world) rig(name string, o Options, r1, r2 int) *rig {
+	r := &rig{world: w, name: name, k: New(name, o)}
+	if r1 > 0 {
+		w.plan(session.PlanBody{Shifts: []session.Shift{{To: name, Replica: "r1", N: r1}, {To: name, Replica: "r2", N: r2}}})
+	}
 	r.step(r.applied(), Lease{r.now + 1000*sec, true})
 	return r
 }
@@ -52,7 +66,7 @@
 	return r.out
 }
 
-// at moves the time on, step by step.
+// pass moves the time on, step by step.
 func (r *rig) pass(d time.Duration) (all []Output) {
 	r.t.Helper()
 	for end := r.now + d; r.now < end; {
@@ -63,7 +77,7 @@
 	return all
 }
 
-func (r *rig) apply(kind string, body any) {
+func (r *world) apply(kind string, body any) {
 	r.t.Helper()
 	raw, err := json.Marshal(body)
 	if err != nil {
@@ -79,20 +93,20 @@
 	}
 }
 
-func (r *rig) plan(p session.PlanBody) { r.t.Helper(); r.apply(session.KindPlan, p) }
+func (r *world) plan(p session.PlanBody) { r.t.Helper(); r.apply(session.KindPlan, p) }
 
-func (r *rig) by(co string, acts ...session.Act) {
+func (r *world) by(co string, acts ...session.Act) {
 	r.t.Helper()
 	r.apply(session.KindActs, session.ActsBody{From: co, Acts: acts})
 }
 
-func (r *rig) applied() Applied { return Applied{Book: r.b, Index: r.index, Agreed: r.now} }
+func (r *world) applied() Applied { return Applied{Book: r.b, Index: r.index, Agreed: r.now} }
 
 // agree applies what was proposed and shows the outcome.
 func (r *rig) agree() []Output {
 	r.t.Helper()
 	if len(r.acts) > 0 {
-		r.by("a", r.acts...)
+		r.by(r.name, r.acts...)
 		r.acts = nil
 	}
 	return r.step(r.applied())
@@ -105,7 +119,7 @@
 	return Arrived{Token: token, Session: id(1), Effect: e, Due: r.now + 4*sec, Window: 10 * sec, Needs: []string{"r1"}}
 }
 
-func (r *rig) offer(n int, to string) {
+func (r *world) offer(n int, to string) {
 	r.t.Helper()
 	rec, _ := r.b.Get(id(n))
 	r.plan(session.PlanBody{Offers: []session.Offer{{ID: id(n), Epoch: rec.Epoch, From: rec.Owner, To: to}}})
--- a/internal/fleet/keeper/slots.go
+++ b/internal/fleet/keeper/slots.go
@@ -12,6 +12,7 @@
 	used, held int
 	head, tail *sess // whose first waiting query lacks one here, in their order
 	blocked    int
+	turns      int // of these, how many may try once more
 }
 
 // block lets a session wait for its turn.
@@ -74,7 +75,20 @@
 		k.slots[name].used--
 	}
 	for _, name := range q.needs {
-		k.wake(k.slots[name])
+		l := k.slots[name]
+		l.turns = l.blocked
+	}
+	for {
+		var first *slot // whose turn came first, of those where one is free
+		for _, name := range q.needs {
+			if l := k.slots[name]; l.turn() && (first == nil || l.head.wait.head.no < first.head.wait.head.no) {
+				first = l
+			}
+		}
+		if first == nil {
+			break
+		}
+		k.wake(first)
 	}
 	for i := range k.asked { // what is left may do now
 		if k.asked[i].at == 0 {
@@ -83,15 +97,17 @@
 	}
 }
 
-// wake lets those run that wait for a slot, in their order, each once.
+// turn says that one that waits for a slot here may try again.
+func (l *slot) turn() bool { return l.turns > 0 && l.head != nil && l.used < l.held }
+
+// wake lets the first try again that waits for a slot.
 func (k *Keeper) wake(l *slot) {
-	for n := l.blocked; n > 0 && l.head != nil && l.used < l.held; n-- {
-		s := l.head
-		l.unblock(s)
-		k.pump(s, l)
-		if s.phase == Pinned && s.at == nil {
-			k.settle(s)
-		}
+	l.turns--
+	s := l.head
+	l.unblock(s)
+	k.pump(s, l)
+	if s.phase == Pinned && s.at == nil {
+		k.settle(s)
 	}
 }
 
@@ -120,7 +136,9 @@
 		}
 	}
 	for _, l := range k.sites {
-		k.wake(l)
+		for l.turns = l.blocked; l.turn(); {
+			k.wake(l)
+		}
 	}
 }
 
--- a/internal/fleet/keeper/types.go
+++ b/internal/fleet/keeper/types.go
@@ -97,8 +97,9 @@
 	// poll that brought it.
 	Applied struct {
 		Book   Reader
-		Index  uint64
+		Index  uint64 // of the log; one lower than seen before counts for nothing
 		Agreed time.Duration
+		Era    uint64 // of the log, for which the same holds
 	}
 	// Lease is that of this co-ordinator, sure until then by the own clock; the drift is taken off already.
 	Lease struct {
