--- a/internal/fleet/keeper/check.go
+++ b/internal/fleet/keeper/check.go
@@ -107,6 +107,7 @@
 		case !q.runs:
 			waits++
 			continue
+		case q.place < 0 && q.effect != Safe && k.now >= q.due: // its Ended is waited for
 		case !q.over && (q.place < 0 || q.key > q.due && !q.strays):
 			return fmt.Errorf("S4: query %d runs without an end", token)
 		}
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -44,3 +44,19 @@
 	w, ok = word(r, func(o Refuse) bool { return o.Token == 3 })
 	r.want(ok && w.Why == Elsewhere && w.Owner == "b", "one that comes is told where")
 }
+
+// One that is not safe and whose time is over may run on at its replica: nothing begins beside it, and its session stays.
+func TestOverdueAndNotSafe(t *testing.T) {
+	for _, effect := range []Effect{Keyed, Unsafe} {
+		r := claimed(t)
+		r.step(Ended{Token: 1, Told: true}, r.q(2, effect))
+		r.now += 4 * sec
+		r.step(r.q(3, Safe))
+		r.want(!r.ran(3) && (r.failed(2, Late) || r.recalled(2, Late)), "begins beside one that is overdue")
+		r.offer(1, "b")
+		r.step(r.applied())
+		r.want(r.k.Phase(id(1)) == Quiescing, "freezes with one that is overdue")
+		r.step(Ended{Token: 2, Outcome: MayHaveRun})
+		r.want(r.k.Phase(id(1)) == Frozen && len(r.out) == 1, "its end")
+	}
+}
--- a/internal/fleet/keeper/queries.go
+++ b/internal/fleet/keeper/queries.go
@@ -283,7 +283,11 @@
 			k.close(q)
 		case k.now >= q.due:
 			k.tell(q, Late, "")
-			k.past(q)
+			if q.effect == Safe {
+				k.past(q)
+			} else { // what comes behind it waits until it is surely over at its replicas: S3
+				k.timers.drop(q)
+			}
 		default:
 			k.timers.set(q, q.due)
 			if k.harmless(q, BackLater) {
