--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -60,3 +60,14 @@
 		r.want(r.k.Phase(id(1)) == Frozen && len(r.out) == 1, "its end")
 	}
 }
+
+// After a stall two wait beyond their share: the first that is refused does not let the second begin.
+func TestStallWhileWaiting(t *testing.T) {
+	r := claimed(t)
+	two, three := r.q(2, Safe), r.q(3, Safe)
+	two.Needs, three.Needs = []string{"r2"}, []string{"r2"} // where one slot is held
+	r.step(Ended{Token: 1, Told: true}, two, three, r.q(4, Safe))
+	r.now += 3 * sec
+	r.step()
+	r.want(!r.ran(4) && r.refused(3, Waited) && r.refused(4, Waited), "what waited too long began")
+}
