Stand a keeper of pinned sessions between the exchange and the agreed state

Need: what the pure keeper decides has to reach queries and the council without the exchange's turn waiting for either. Nothing calls them yet.

--- a/internal/fleet/lead/lead.go
+++ b/internal/fleet/lead/lead.go
@@ -160,6 +160,7 @@
 	out   []Output
 
 	leading bool
+	may     bool // propose, as of the last Step
 	own     string
 	term    uint64
 	since   time.Duration // own time of the election
@@ -228,7 +229,7 @@
 	pace := max(l.base+(l.now-l.baseAt)-(l.now-l.baseAt)/CatchUp, 0)
 	wall, wait := l.goBy(wall, pace)
 	l.time = max(wall, pace)
-	if !l.leading || l.state == nil || wait || !l.clockRight(wall, pace) {
+	if l.may = l.leading && l.state != nil && !wait && l.clockRight(wall, pace); !l.may {
 		return l.out
 	}
 	l.tidy()
--- /dev/null
+++ b/internal/fleet/pins/pins.go
@@ -0,0 +1,354 @@
+// Package pins is the thin I/O around a keeper of pinned sessions: it stands between the exchange, where queries come and
+// end, and the agreed state. It decides nothing: what waits, runs or is turned away the keeper says, in a goroutine of its
+// own, so that the exchange's turn never waits for it or for what is agreed.
+//
+//	exchange ──Pinned, Over──> inputs ──┐                    ┌──Release, TurnAway──> exchange
+//	node ──News (index, lease)──────────┼──> keeper.Step ────┤
+//	clock ──────────────────────────────┘                    └──acts──> node, to the council
+package pins
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/exchange"
+	"birchcart/internal/fleet/keeper"
+	"birchcart/internal/fleet/session"
+	"birchcart/internal/operator"
+	"birchcart/internal/settings"
+	"birchcart/policy"
+)
+
+const (
+	// StepBusy is between steps while a query waits or runs, or an act has no answer: a wait ends by time. Twice as long: a
+	// refusal after a wait comes that much later; half: twice the steps under load.
+	StepBusy = 5 * time.Millisecond
+	// StepIdle is between steps of which nothing is waited for. Twice as long: idle sessions end that much later.
+	StepIdle = 100 * time.Millisecond
+	// CheckEvery is between looks at whether the keeper's rules hold. Twice as long: a fault is told of later; half: twice
+	// the walks over all that is known.
+	CheckEvery = 10 * time.Second
+)
+
+// Exchange is what this needs of the exchange.
+type Exchange interface {
+	Release(q *exchange.Query)
+	TurnAway(q *exchange.Query, r exchange.Reply)
+}
+
+// Options of the pins. Functions must not block.
+type Options struct {
+	Name     string
+	Start    time.Time // of the own monotonic time
+	Exchange Exchange
+	Log      *logrus.Entry
+	Names    *settings.Names
+	Policy   *policy.Config
+	// Book is the own copy of the agreed sessions, read only inside of Look.
+	Book *session.Book
+	Look func(do func())
+	// Propose is given what is to be proposed, as of now.
+	Propose func(acts []session.Act)
+}
+
+// Pins keeps the queries of pinned sessions in order. It is an exchange.Pins.
+type Pins struct {
+	o       Options
+	keeper  *keeper.Keeper // run's alone
+	checked time.Duration  // run's alone
+	lease   atomic.Int64   // own time until which a served answer may be given; 0: not
+	holders atomic.Pointer[[][]string]
+	file    atomic.Pointer[rules]
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	in     []keeper.Input
+	by     map[*exchange.Query]*pin
+	tokens map[uint64]*pin
+	last   uint64
+	lent   keeper.Lease // newest, not yet given
+	index  uint64
+	agreed time.Duration
+	moved  bool
+	news   bool
+	sums   keeper.Sums
+	busy   bool // something waits for what is to be agreed
+}
+
+// pin is one query that was taken.
+type pin struct {
+	token  uint64
+	q      *exchange.Query
+	effect policy.Effect
+	told   atomic.Bool // the keeper gave its word: no served answer any more
+}
+
+// rules are what the operators' file pins.
+type rules struct {
+	classes []bool // by class
+	routes  []string
+	lanes   []uint8 // by tenant + 1
+}
+
+// New makes them. Run begins.
+func New(o Options) *Pins {
+	p := &Pins{o: o, wake: make(chan struct{}, 1), by: map[*exchange.Query]*pin{}, tokens: map[uint64]*pin{}}
+	p.holders.Store(&[][]string{})
+	p.file.Store(&rules{classes: make([]bool, len(o.Policy.Classes)), lanes: make([]uint8, len(o.Names.Tenants)+1)})
+	return p
+}
+
+// File puts a section into force, for queries from now on. The first one also bounds the keeper.
+func (p *Pins) File(s *operator.Sessions) {
+	r := &rules{classes: make([]bool, len(p.o.Policy.Classes)), lanes: make([]uint8, len(p.o.Names.Tenants)+1), routes: slices.Clone(s.Routes)}
+	for _, name := range s.Classes {
+		if c := settings.Place(p.o.Names.Classes, name); c >= 0 {
+			r.classes[c] = true
+		}
+	}
+	for i := range r.lanes {
+		r.lanes[i] = uint8(min(len(s.Premium), 255))
+	}
+	for i, name := range s.Premium {
+		if t := settings.Place(p.o.Names.Tenants, name); t >= 0 {
+			r.lanes[t+1] = uint8(min(i, 255))
+		}
+	}
+	p.file.Store(r)
+	if p.keeper == nil {
+		p.keeper = keeper.New(p.o.Name, keeper.Options{SessionsMost: s.Most})
+	}
+}
+
+// Holders says which replicas hold each shard.
+func (p *Pins) Holders(by [][]string) { p.holders.Store(&by) }
+
+// News tells of the agreed state, as far as it is applied here, and of the own lease: sure until then, by the own monotonic
+// time; 0 for none.
+func (p *Pins) News(index uint64, agreed, until time.Duration) {
+	p.mu.Lock()
+	p.moved = p.moved || index != p.index
+	p.index, p.agreed = index, agreed
+	p.lent, p.news = keeper.Lease{Until: until, Sure: until > 0}, true
+	p.mu.Unlock()
+	p.nudge()
+}
+
+// Leave says that this co-ordinator goes.
+func (p *Pins) Leave() { p.put(keeper.Leaving{}) }
+
+// Sums are the keeper's counts as of its last step.
+func (p *Pins) Sums() keeper.Sums {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sums
+}
+
+// Waits says that something here waits for what is to be agreed, so that news of it is wanted soon.
+func (p *Pins) Waits() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.busy
+}
+
+func (p *Pins) put(in keeper.Input) {
+	p.mu.Lock()
+	p.in = append(p.in, in)
+	p.mu.Unlock()
+	p.nudge()
+}
+
+func (p *Pins) nudge() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Pins) now() time.Duration { return time.Since(p.o.Start) }
+
+// Pinned implements exchange.Pins.
+func (p *Pins) Pinned(q *exchange.Query, route string) bool {
+	r := p.file.Load()
+	if !r.classes[q.Class] || len(r.routes) > 0 && !slices.Contains(r.routes, route) {
+		return false
+	}
+	class := &p.o.Policy.Classes[q.Class]
+	h := fnv.New64a()
+	h.Write([]byte(q.Client))
+	var needs []string
+	held := *p.holders.Load()
+	for _, part := range q.Parts {
+		if part.Shard < len(held) {
+			needs = append(needs, held[part.Shard]...)
+		}
+	}
+	in := &keeper.Arrived{
+		Session: session.IDOf(q.Tenant, []byte(q.Session)), Client: h.Sum64(), Effect: effects[class.Effect], Lane: r.lanes[q.Tenant+1],
+		Due: q.Due.Sub(p.o.Start), Window: time.Duration(class.Window * float64(time.Second)), Needs: needs,
+	}
+	p.mu.Lock()
+	p.last++
+	in.Token = p.last
+	n := &pin{token: in.Token, q: q, effect: class.Effect}
+	p.by[q], p.tokens[n.token] = n, n
+	p.in = append(p.in, in)
+	p.mu.Unlock()
+	p.nudge()
+	return true
+}
+
+var effects = map[policy.Effect]keeper.Effect{policy.Safe: keeper.Safe, policy.Keyed: keeper.Keyed, policy.Unsafe: keeper.Unsafe}
+
+// Final implements exchange.Pins: an answer is given as served only while the lease is sure at this very moment and the
+// keeper has not given its word. The keeper publishes a lease only after all words of the one before.
+func (p *Pins) Final(q *exchange.Query, r exchange.Reply) exchange.Reply {
+	if r.Status != exchange.Served {
+		return r
+	}
+	p.mu.Lock()
+	n := p.by[q]
+	p.mu.Unlock()
+	if n == nil || !n.told.Load() && p.now() < time.Duration(p.lease.Load()) {
+		return r
+	}
+	if n.effect == policy.Unsafe {
+		return exchange.Reply{Status: exchange.Failed}
+	}
+	return exchange.Reply{Status: exchange.Refused, After: p.after(keeper.BackLater)}
+}
+
+// after is a time to come back as the settings allow it.
+func (p *Pins) after(d time.Duration) time.Duration {
+	if !p.o.Policy.RetryAfter {
+		return 0
+	}
+	return min(d, time.Duration(p.o.Policy.MaxRetryAfter*float64(time.Second)))
+}
+
+// Over implements exchange.Pins.
+func (p *Pins) Over(q *exchange.Query, o exchange.Over) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.by[q]
+	if n == nil {
+		return
+	}
+	delete(p.by, q)
+	delete(p.tokens, n.token)
+	in := &keeper.Ended{Token: n.token, Told: true}
+	switch {
+	case o.Served:
+		in.Outcome = keeper.Done
+	case o.Ran:
+		in.Outcome = keeper.MayHaveRun
+	}
+	if !o.Until.IsZero() {
+		in.Until = o.Until.Sub(p.o.Start)
+	}
+	p.in = append(p.in, in)
+	p.nudge()
+}
+
+// Run steps the keeper until ctx ends.
+func (p *Pins) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		case <-timer.C:
+		}
+		if p.step() {
+			timer.Reset(StepBusy)
+		} else {
+			timer.Reset(StepIdle)
+		}
+	}
+}
+
+// step gives the keeper all news, and carries out what it wants. It says whether something waits or runs.
+func (p *Pins) step() (busy bool) {
+	p.mu.Lock()
+	in := p.in
+	p.in = nil
+	if p.moved {
+		in = append(in, keeper.Applied{Book: p.o.Book, Index: p.index, Agreed: p.agreed})
+	}
+	lent := p.lent
+	if p.news {
+		in = append(in, lent)
+	}
+	p.moved, p.news = false, false
+	p.mu.Unlock()
+	var out []keeper.Output
+	p.o.Look(func() { out = p.keeper.Step(p.now(), in) })
+	var acts []session.Act
+	for _, o := range out {
+		if a, ok := o.(keeper.Act); ok {
+			acts = append(acts, a.Act)
+		} else {
+			p.do(o)
+		}
+	}
+	until := time.Duration(0)
+	now := p.now()
+	if lent.Sure {
+		until = lent.Until
+	}
+	p.lease.Store(int64(until))
+	if len(acts) > 0 {
+		p.o.Propose(acts)
+	}
+	sums := p.keeper.Sums()
+	if now >= p.checked+CheckEvery {
+		p.checked = now
+		if err := p.keeper.Check(); err != nil {
+			p.o.Log.WithError(err).Error("a rule of the pinned sessions does not hold")
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sums, p.busy = sums, len(acts) > 0 || sums.Waiting > 0
+	return sums.Waiting > 0 || sums.Open > 0 || len(acts) > 0
+}
+
+// do carries out one word of the keeper's.
+func (p *Pins) do(o keeper.Output) {
+	find := func(token uint64) *pin {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.tokens[token]
+	}
+	switch o := o.(type) {
+	case keeper.Run:
+		if n := find(o.Token); n != nil {
+			p.o.Exchange.Release(n.q)
+		}
+	case keeper.Refuse:
+		p.turn(find(o.Token), exchange.Reply{Status: exchange.Refused, After: p.after(o.After), Owner: o.Owner})
+	case keeper.Recall:
+		p.turn(find(o.Token), exchange.Reply{Status: exchange.Refused, After: p.after(o.After), Owner: o.Owner})
+	case keeper.Fail:
+		p.turn(find(o.Token), exchange.Reply{Status: exchange.Failed})
+	case keeper.Log:
+		p.o.Log.Info(o.Text)
+	}
+}
+
+// turn ends a query by the keeper's word. From here on no served answer of it is given.
+func (p *Pins) turn(n *pin, r exchange.Reply) {
+	if n == nil {
+		return
+	}
+	n.told.Store(true)
+	p.o.Exchange.TurnAway(n.q, r)
+}
--- a/internal/fleet/talk/check.go
+++ b/internal/fleet/talk/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 
+	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
 )
 
@@ -102,3 +103,21 @@
 	}
 	return errors.Join(named("a request", r.ID), short("a reason", r.Reason), short("a zone", r.Zone), short("a prefix", r.Prefix))
 }
+
+func (a Acts) check() error {
+	if a.No == 0 {
+		return errors.New("a message of acts has no number")
+	}
+	if n := len(a.Acts); n == 0 || n > session.ActsMost {
+		return fmt.Errorf("a message of %d acts, 1 to %d are right", n, session.ActsMost)
+	}
+	for _, x := range a.Acts {
+		if len(x.State) > session.StateMost {
+			return fmt.Errorf("an act carries a state of %d bytes, %d at most", len(x.State), session.StateMost)
+		}
+		if err := short("the reason of an act", x.Why); err != nil {
+			return err
+		}
+	}
+	return named("the sender", a.From)
+}
--- a/internal/fleet/talk/talk.go
+++ b/internal/fleet/talk/talk.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"time"
 
+	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
 )
 
@@ -42,7 +43,7 @@
 // ErrVersion says that a message is of a version that is not known here. Its sender is newer, or is no co-ordinator.
 var ErrVersion = errors.New("unknown version of a message")
 
-// Message is Poll, Word or Ask.
+// Message is Poll, Word, Ask or Acts.
 type Message interface{ check() error }
 
 // Laid is what a co-ordinator says of one live grant.
@@ -103,10 +104,19 @@
 	Asks   takeout.AsksBody   `json:"asks"`
 }
 
+// Acts hands the leader what a co-ordinator wants agreed of its pinned sessions. No grows as that of polls does; the same
+// message twice acts once.
+type Acts struct {
+	From string        `json:"from"`
+	No   uint64        `json:"no"`
+	Acts []session.Act `json:"acts"`
+}
+
 const (
 	kindPoll byte = 'p'
 	kindWord byte = 'w'
 	kindAsk  byte = 'a'
+	kindActs byte = 's'
 )
 
 // Fill puts as many entries into the Word as its bounds allow, in order, and sets More if some stay for the next one.
@@ -137,6 +147,8 @@
 		kind, most = kindWord, WordMost
 	case Ask:
 		kind = kindAsk
+	case Acts:
+		kind = kindActs
 	default:
 		return nil, fmt.Errorf("%T is not a message", m)
 	}
@@ -169,6 +181,8 @@
 		return read[Word](raw, "word", WordMost)
 	case kindAsk:
 		return read[Ask](raw, "ask", PollMost)
+	case kindActs:
+		return read[Acts](raw, "message of acts", PollMost)
 	}
 	return nil, fmt.Errorf("unknown kind of message: %q", raw[1])
 }
--- a/internal/fleet/view/lease_test.go
+++ b/internal/fleet/view/lease_test.go
@@ -252,3 +252,32 @@
 	}
 	r.want("cut off once it is listed no more", r.v.CutOff(r.now), true)
 }
+
+// Who waits for something agreed polls as soon as polls may be, and not much later where a packet was lost.
+func TestAHurryPollsSoon(t *testing.T) {
+	v := New("c1", 10*time.Second)
+	polls := func(now time.Duration, in ...Input) (no uint64) {
+		for _, o := range v.Step(now, in) {
+			if p, ok := o.(Poll); ok {
+				no = p.No
+			}
+		}
+		return no
+	}
+	first := polls(0)
+	at := 2 * time.Second // past the start
+	second := polls(at, Answered{Poll: first, Leader: "l"})
+	if second == 0 || polls(at+PollSoonest, Answered{Poll: second, Leader: "l"}) != 0 {
+		t.Fatal("no second poll, or a third without need")
+	}
+	third := polls(at+2*PollSoonest, Hurry{On: true})
+	if third == 0 || polls(at+3*PollSoonest) != 0 {
+		t.Fatal("no poll in a hurry, or one while that is not answered")
+	}
+	if lost := polls(at + 2*PollSoonest + HurryAgain); lost == 0 {
+		t.Error("nothing after a lost one")
+	}
+	if until := v.SureUntil(); until != at+10*time.Second-100*time.Millisecond || v.CutOff(until-1) || !v.CutOff(until) {
+		t.Errorf("sure until %v", until)
+	}
+}
--- a/internal/fleet/view/polls.go
+++ b/internal/fleet/view/polls.go
@@ -15,6 +15,7 @@
 	next       time.Duration // the next is due then
 	unanswered int
 	more       bool // the newest answer was cut short
+	hurry      bool // something agreed is waited for
 
 	answered   bool
 	answeredAt time.Duration // when that one was sent
@@ -72,9 +73,10 @@
 	p := &v.polls
 	laid := v.tell(now)
 	due := now >= p.next
-	if p.unanswered == 0 && p.more || !slices.Equal(laid, p.said) {
+	if p.unanswered == 0 && (p.more || p.hurry) || !slices.Equal(laid, p.said) {
 		due = due || now >= p.at+PollSoonest
 	}
+	due = due || p.hurry && now >= p.at+HurryAgain
 	if !due {
 		return
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -30,6 +30,9 @@
 	// PollSoonest is between any two polls: those after a Word that was cut short, and those that have news. Twice as
 	// long: a follower far behind takes twice as long; half as long: an answer cut short without end costs twice as much.
 	PollSoonest = 50 * time.Millisecond
+	// HurryAgain is after a poll that went unanswered while something agreed is waited for. Twice as long: a lost packet costs a
+	// session's pause so much more; half: twice the polls at a leader that is slow.
+	HurryAgain = 200 * time.Millisecond
 	// PollStart is between polls of a process that has no answer yet and whose clients wait, StartFor from its first Step.
 	// Twice as long: a start waits 0.1 s longer after a lost one; half: twice the messages of a fleet that starts at once.
 	PollStart = 100 * time.Millisecond
@@ -74,6 +77,8 @@
 	}
 	// Listed is the own list of replicas, whole, whenever it changed.
 	Listed struct{ Own []takeout.Machine }
+	// Hurry says that something agreed is waited for here, or no more: polls come as soon as they may meanwhile.
+	Hurry struct{ On bool }
 	// Halted says that the own copy of the ledger can't go on. Nothing is polled or granted any more.
 	Halted struct{ Err error }
 )
@@ -82,6 +87,7 @@
 func (Applied) input()  {}
 func (Listed) input()   {}
 func (Halted) input()   {}
+func (Hurry) input()    {}
 
 // Output is something to be done before the next Step.
 type Output interface{ output() }
@@ -166,7 +172,15 @@
 // CutOff says that no word of the council came within the lease, counted from the sending of the newest poll that was
 // answered and shortened by the drift; so it is before the first answer and once halted.
 func (v *View) CutOff(now time.Duration) bool {
-	return v.halted || !v.polls.answered || now >= v.polls.answeredAt+v.lease-v.lease/Drift
+	return now >= v.SureUntil()
+}
+
+// SureUntil is the own time until which the lease holds, however clocks drift; 0 for none.
+func (v *View) SureUntil() time.Duration {
+	if v.halted || !v.polls.answered {
+		return 0
+	}
+	return v.polls.answeredAt + v.lease - v.lease/Drift
 }
 
 // Age of what was agreed: since the sending of the newest answered poll; before any, since the first Step.
@@ -229,6 +243,8 @@
 		}
 	case Listed:
 		v.listed, v.own = true, slices.Clone(in.Own)
+	case Hurry:
+		v.polls.hurry = in.On
 	case Halted:
 		if !v.halted {
 			v.halted = true
