Plan where pinned sessions go when their co-ordinators go out for work

A session should move once in a rolling swap, not at each machine's turn. The planner prefers receivers that are back or stay, then those that go last; it keeps to room by sessions, open queries, memory and slots, to the limits in flight and a minute, and takes premium lanes and idle sessions first. Slots are shifted before the offers that need them; offers are withdrawn when their target or the request goes; who declined is not asked again for a while. What it knows beside the agreed book is only for better plans, so a new leader goes on at once.

A property test meddles with co-ordinators, words and leaders and judges each plan from outside.

--- a/internal/fleet/migrate/forecast.go
+++ b/internal/fleet/migrate/forecast.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"birchcart/internal/fleet/session"
 )
 
 // MoveTakes is what one move is taken to need from its offer to its adoption while none has been seen: two rounds of polls.
@@ -177,9 +179,10 @@
 
 // times says when each wave ends, and what would make the deadlines.
 func (f *Forecast) times(now time.Duration, v View, waves []turn, takes time.Duration) {
-	rate := v.rate(takes)
+	limits, _ := v.Book.Limits()
+	rate := min(float64(limits.PerMinute)/60, float64(limits.InFlight)/takes.Seconds()) // in a second
 	if rate <= 0 && f.Moves > 0 {
-		f.give("a limit of more than none: %d in flight, %d a minute", v.InFlight, v.PerMinute)
+		f.give("a limit of more than none: %d in flight, %d a minute", limits.InFlight, limits.PerMinute)
 		return
 	}
 	at := now
@@ -189,7 +192,7 @@
 		}
 		for _, i := range waves[k].who {
 			if c := &v.Coordinators[i]; c.Leaving && c.Deadline > 0 && at > c.Deadline {
-				f.faster(c.Name, v, waves[k].moves, c.Deadline-now, at, takes)
+				f.faster(c.Name, limits, waves[k].moves, c.Deadline-now, at, takes)
 			}
 		}
 		at += v.Away
@@ -197,7 +200,7 @@
 	f.Ends = at
 	if v.Deadline > 0 && at > v.Deadline {
 		if left := v.Deadline - now - time.Duration(len(waves))*v.Away; left > 0 {
-			f.faster("the swap", v, f.Moves, left, at, takes)
+			f.faster("the swap", limits, f.Moves, left, at, takes)
 		} else {
 			f.give("a deadline of %s or later for the swap, or more out at once: %d waves of %v are longer than what is left",
 				clock(at), len(waves), v.Away)
@@ -205,26 +208,21 @@
 	}
 }
 
-// rate is how many sessions can move in a second.
-func (v *View) rate(takes time.Duration) float64 {
-	return min(float64(v.PerMinute)/60, float64(v.InFlight)/takes.Seconds())
-}
-
 // faster says what would get so many moves done in what is left.
-func (f *Forecast) faster(what string, v View, moves int, left, at, takes time.Duration) {
+func (f *Forecast) faster(what string, l session.Limits, moves int, left, at, takes time.Duration) {
 	if left < takes {
 		f.give("a deadline of %s or later for %s", clock(at), what)
 		return
 	}
 	need, words := float64(moves)/left.Seconds(), ""
-	if n := int(math.Ceil(need * takes.Seconds())); n > v.InFlight {
-		words = fmt.Sprintf("%d in flight instead of %d", n, v.InFlight)
+	if n := int(math.Ceil(need * takes.Seconds())); n > l.InFlight {
+		words = fmt.Sprintf("%d in flight instead of %d", n, l.InFlight)
 	}
-	if n := int(math.Ceil(need * 60)); n > v.PerMinute {
+	if n := int(math.Ceil(need * 60)); n > l.PerMinute {
 		if words != "" {
 			words += " and "
 		}
-		words += fmt.Sprintf("%d a minute instead of %d", n, v.PerMinute)
+		words += fmt.Sprintf("%d a minute instead of %d", n, l.PerMinute)
 	}
 	if words == "" {
 		words = "waves that move more evenly"
--- a/internal/fleet/migrate/forecast_test.go
+++ b/internal/fleet/migrate/forecast_test.go
@@ -7,19 +7,27 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"birchcart/internal/fleet/session"
 )
 
-type owned map[string]int
+// owned is a book of numbers only.
+type owned struct {
+	Book
+	n      map[string]int
+	limits session.Limits
+}
 
-func (o owned) Owned(co string) int { return o[co] }
+func (o *owned) Owned(co string) int           { return o.n[co] }
+func (o *owned) Limits() (session.Limits, int) { return o.limits, 1 }
 
-// site is n co-ordinators that go one wave after the other, each with so many sessions and room for most.
-func site(n, each, most, wave int) View {
-	o := owned{}
-	v := View{Book: o, InFlight: 100, PerMinute: 6000, Away: time.Minute}
+// order is n co-ordinators that go one wave after the other, each with so many sessions and room for most.
+func order(n, each, most, wave int) View {
+	o := &owned{n: map[string]int{}, limits: session.Limits{InFlight: 100, PerMinute: 6000}}
+	v := View{Book: o, Away: time.Minute}
 	for i := range n {
 		name := fmt.Sprintf("c%03d", i)
-		o[name] = each
+		o.n[name] = each
 		v.Coordinators = append(v.Coordinators, Coordinator{Name: name, Zone: fmt.Sprintf("z%d", i%3), Live: true, Rank: i / wave,
 			Room: Room{Sessions: most, Told: each, Queries: 1 << 20, Memory: 1 << 40}})
 	}
@@ -28,13 +36,13 @@
 
 func TestForecast(t *testing.T) {
 	const s = time.Second
-	slow := site(10, 200, 300, 1)
-	slow.InFlight, slow.PerMinute, slow.Deadline = 4, 60, 1200*s
-	one := site(10, 200, 300, 1)
+	slow := order(10, 200, 300, 1)
+	slow.Book.(*owned).limits, slow.Deadline = session.Limits{InFlight: 4, PerMinute: 60}, 1200*s
+	one := order(10, 200, 300, 1)
 	one.Coordinators[3].Leaving, one.Coordinators[3].Deadline = true, 1001*s
-	spare := site(10, 200, 300, 1)
+	spare := order(10, 200, 300, 1)
 	spare.Coordinators[9].Rank = Stays
-	full := site(4, 100, 100, 1)
+	full := order(4, 100, 100, 1)
 	for _, c := range []struct {
 		name         string
 		v            View
@@ -43,8 +51,8 @@
 		kept         int
 		gives        string
 	}{
-		{"nobody is back: the first wave moves twice", site(10, 200, 300, 1), 2200, 2200, 1000*s + 10*time.Minute + 44*s, 0, ""},
-		{"two at once", site(10, 200, 300, 2), 2400, 2400, 1000*s + 5*time.Minute + 48*s, 0, ""},
+		{"nobody is back: the first wave moves twice", order(10, 200, 300, 1), 2200, 2200, 1000*s + 10*time.Minute + 44*s, 0, ""},
+		{"two at once", order(10, 200, 300, 2), 2400, 2400, 1000*s + 5*time.Minute + 48*s, 0, ""},
 		{"one that stays has room for half of them", spare, 1900, 1900, 1000*s + 9*time.Minute + 38*s, 0, ""},
 		{"no room anywhere", full, 300, 500, 1000*s + 4*time.Minute + 6*s, 100, "room for 100 more sessions at the others while c000 is away"},
 		{"too slow", slow, 2200, 2200, 1000*s + 10*time.Minute + 2200*s, 0, "or more out at once: 10 waves of 1m0s are longer than what is left"},
@@ -67,7 +75,7 @@
 	if len(f.Gives) != 1 || f.Gives[0] != want {
 		t.Errorf("%q", f.Gives)
 	}
-	slow.InFlight, slow.PerMinute = 8, 220
+	slow.Book.(*owned).limits = session.Limits{InFlight: 8, PerMinute: 220}
 	if f := Foresee(1000*s, slow, 2*s); !f.Meets {
 		t.Errorf("what was to give does not do: %v", f.Gives)
 	}
@@ -78,8 +86,8 @@
 func TestNoPlanGoesBelowTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 6).Draw(t, "n")
-		v := site(n, 0, 0, 1)
-		have := v.Book.(owned)
+		v := order(n, 0, 0, 1)
+		have := v.Book.(*owned).n
 		for i := range v.Coordinators {
 			c := &v.Coordinators[i]
 			c.Rank = rapid.IntRange(Stays, n-1).Draw(t, "rank")
--- a/internal/fleet/migrate/migrate.go
+++ b/internal/fleet/migrate/migrate.go
@@ -4,7 +4,12 @@
 // is refused when it is applied. A planner of a new leader goes on from the agreed state alone. All times are agreed time.
 package migrate
 
-import "time"
+import (
+	"time"
+
+	"birchcart/internal/fleet/pool"
+	"birchcart/internal/fleet/session"
+)
 
 // Stays is the rank of a co-ordinator that does not go out in this order of work, or has gone and is back.
 const Stays = -1
@@ -13,16 +18,25 @@
 // much: a receiver with little memory left is full at half its sessions; half: it declines the last ones.
 const SessionBytes = 2048
 
-// Book is what the planner reads of the agreed state of sessions.
+// Book is what the planner reads of the agreed state of sessions; *session.Book is one.
 type Book interface {
-	Owned(co string) int // sessions that it owns, handed ones that it has not adopted too
+	Get(session.ID) (session.Record, bool)
+	ByOwner(co string, yield func(session.Record) bool)
+	Flights(yield func(session.Record) bool) // offered or handed
+	Owned(co string) int                     // handed ones that it has not adopted too
+	Moving() int
+	Begun() int
+	Limits() (session.Limits, int)
+	Now() time.Duration
+	Quiet() time.Duration
 }
 
-// Slots is what the planner reads of the agreed slots at replicas.
+// Slots is what the planner reads of the agreed slots at replicas; *pool.Pool is one.
 type Slots interface {
-	Held(co, replica string) int // that it may use
+	Held(co, replica string) int
 	Free(replica string) int
 	Cap(replica string) int
+	Transfers() []pool.Transfer
 }
 
 // Room is what a co-ordinator last told of itself. Where it told nothing, nothing is known, and nothing goes there.
@@ -34,6 +48,12 @@
 	Memory   int64 // bytes left for sessions
 }
 
+// Unsafe is a session with an open query that can neither be ended nor begun again elsewhere.
+type Unsafe struct {
+	ID  session.ID
+	Due time.Duration // the latest that it ends
+}
+
 // Coordinator is one line of the site as the planner sees it.
 type Coordinator struct {
 	Name, Zone string
@@ -42,17 +62,18 @@
 	Leaving    bool          // its going out was granted: its sessions are to be off by Deadline
 	Deadline   time.Duration // 0: none
 	Room       Room
+	Idle       []session.ID // of its sessions, some without an open query by its last word, IdleMost are looked at
+	Unsafe     []Unsafe     // of its sessions, by its last word; UnsafeMost are looked at
 }
 
-// View is all that a step sees. Slices are sorted by name; they are read only.
+// View is all that a step sees. Slices are read only.
 type View struct {
 	Book         Book
-	Slots        Slots
-	Coordinators []Coordinator
-	Replicas     []string      // at which a co-ordinator with sessions needs slots
-	InFlight     int           // sessions offered or handed at once, at most
-	PerMinute    int           // sessions offered within a minute, at most
-	PerSlot      int           // sessions that share one slot at a replica; 0: slots are not looked at
+	Slots        Slots         // nil: none
+	Coordinators []Coordinator // by name
+	Replicas     []string      // sorted; at each a co-ordinator with sessions needs slots
+	PerSlot      int           // sessions that share one slot at a replica, at most; 0: slots are not looked at
+	Paused       bool          // by the operators: open offers are withdrawn, none is made
 	Away         time.Duration // that a machine is out for, as the operators say
 	Deadline     time.Duration // of the whole swap; 0: none
 }
--- /dev/null
+++ b/internal/fleet/migrate/swap/swap_test.go
@@ -0,0 +1,52 @@
+package swap
+
+import (
+	"testing"
+	"time"
+
+	"birchcart/internal/fleet/migrate"
+	"birchcart/internal/fleet/migrate/baseline"
+)
+
+func settings(n, sessions int) Settings {
+	return Settings{Coordinators: n, Sessions: sessions, Room: 1.5, Wave: 1, Zones: 3, Away: 30 * time.Second,
+		InFlight: 200, PerMinute: 6000, Idle: 60}
+}
+
+// A whole swap stays at the bound: each session moves once, and the first wave's twice, since nobody was back yet.
+func TestSwapMovesSessionsOnce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  func(*Settings)
+		each float64
+	}{
+		{"ten", func(*Settings) {}, 1.1},
+		{"with slots", func(s *Settings) { s.Replicas, s.PerSlot = 5, 8 }, 1.1},
+		{"two at once", func(s *Settings) { s.Wave = 2 }, 1.2},
+		{"a hundred", func(s *Settings) { s.Coordinators = 100 }, 1.01},
+		{"little room", func(s *Settings) { s.Room = 1.15 }, 1.1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := settings(10, 2000)
+			c.set(&s)
+			r, err := Play(s)
+			if err != nil || r.Gone != 0 || r.Each > c.each+1e-9 || r.Moves != r.Bound || r.Forecast.Moves != r.Moves {
+				t.Errorf("%+v, %v", r, err)
+			}
+			if late := r.Took - (r.Forecast.Ends - time.Hour); late > time.Duration(r.Forecast.Waves)*6*time.Second {
+				t.Errorf("it took %v, %v longer than was foreseen", r.Took, late)
+			}
+		})
+	}
+}
+
+// The ways that know less move sessions more often.
+func TestBaselinesMoveThemMoreOften(t *testing.T) {
+	for name, p := range map[string]migrate.Prefer{"random": baseline.Random(1), "ring": baseline.Ring} {
+		s := settings(10, 2000)
+		s.Prefer = p
+		if r, err := Play(s); err != nil || r.Each < 1.3 {
+			t.Errorf("%s: %+v, %v", name, r, err)
+		}
+	}
+}
