--- a/internal/fleet/keeper/acts.go
+++ b/internal/fleet/keeper/acts.go
@@ -63,23 +63,38 @@
 	}
 }
 
-// adrift ends the sessions that are agreed to be here and that nobody here knows.
+// adrift looks at all, if as many sessions are not known as are agreed to be here: it forgets those that are not, and ends
+// those that nobody here knows.
 func (k *Keeper) adrift() {
 	if k.sweep > k.now {
 		return
 	}
 	k.sweep = k.now + SweepEvery
+	k.trim()
+	if k.owned() == k.book.Owned(k.name) {
+		return
+	}
+	s := k.idle.head
+	for n := k.idle.n; n > 0; n-- {
+		next := s.next
+		r, ok := k.book.Get(s.id)
+		k.look(s, r, ok)
+		s = next
+	}
 	n := 0
 	k.book.ByOwner(k.name, func(r session.Record) bool {
-		if k.sessions[r.ID] != nil {
+		s := k.sessions[r.ID]
+		if s != nil && s.phase != Gone {
 			return true
 		}
-		if n++; n > ActsMost || len(k.sessions) >= k.o.SessionsMost {
+		if n++; n > ActsMost || s == nil && len(k.sessions) >= k.o.SessionsMost {
 			k.sweep = k.now + ActAgain
 			return false
 		}
-		k.found(k.newSession(r.ID), r, true)
+		if s == nil {
+			s = k.newSession(r.ID)
+		}
+		k.found(s, r, true)
 		return true
 	})
-	k.trim()
 }
--- a/internal/fleet/keeper/agreed.go
+++ b/internal/fleet/keeper/agreed.go
@@ -26,7 +26,9 @@
 	}
 	k.flights()
 	k.shifted()
-	k.acting = k.acting || k.ready()
+	if !k.acting && k.ready() {
+		k.acting, k.sweep = true, k.now
+	}
 }
 
 // flights looks at the sessions that are offered or handed, from here and to here.
--- a/internal/fleet/keeper/check.go
+++ b/internal/fleet/keeper/check.go
@@ -127,11 +127,16 @@
 	if waits != k.waits || len(k.queries) > k.o.QueriesMost || len(k.sessions) > k.o.SessionsMost {
 		return fmt.Errorf("bounds: %d wait (%d counted), %d queries, %d sessions", waits, k.waits, len(k.queries), len(k.sessions))
 	}
+	var phases [Gone + 1]int
 	for _, s := range k.sessions {
+		phases[s.phase]++
 		if err := s.check(k); err != nil {
 			return err
 		}
 	}
+	if phases != k.phases {
+		return fmt.Errorf("bounds: sessions by phase are %v, counted %v", phases, k.phases)
+	}
 	return nil
 }
 
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -31,8 +31,9 @@
 	queries  map[uint64]*query
 	clients  map[uint64]account
 	timers   heap
-	idle     ring // pinned, nothing open or waiting, by their last use
-	acts     ring // with something to be proposed or looked at, by when that is due
+	phases   [Gone + 1]int // sessions in each
+	idle     ring          // pinned, nothing open or waiting, by their last use
+	acts     ring          // with something to be proposed or looked at, by when that is due
 	waits    int
 	no       uint64
 
@@ -155,7 +156,9 @@
 func (k *Keeper) lease(l Lease) {
 	k.until, k.sure = l.Until, l.Sure
 	k.lapse()
-	k.acting = k.ready()
+	if !k.acting && k.ready() { // what was agreed meanwhile is not known of each
+		k.acting, k.sweep = true, k.now
+	}
 }
 
 // lapse ends what can't wait for another lease, in the order of arrival, once the one there was is over.
--- a/internal/fleet/keeper/phases.go
+++ b/internal/fleet/keeper/phases.go
@@ -12,9 +12,22 @@
 	}
 	*s = sess{id: id, phase: Gone, used: k.now, state: s.state[:0]}
 	k.sessions[id] = s
+	k.phases[Gone]++
 	return s
 }
 
+// to counts the phases.
+func (k *Keeper) to(s *sess, p Phase) {
+	k.phases[s.phase]--
+	k.phases[p]++
+	s.phase = p
+}
+
+// owned is how many sessions are here, as this co-ordinator knows.
+func (k *Keeper) owned() int {
+	return k.phases[Pinned] + k.phases[Quiescing] + k.phases[Frozen] + k.phases[Adopting] + k.phases[Ending]
+}
+
 // found starts a session that is Gone by what is agreed of it: free, or here.
 func (k *Keeper) found(s *sess, r session.Record, ok bool) {
 	s.epoch, s.used = r.Epoch, k.now
@@ -42,7 +55,7 @@
 // enter brings a session into a phase in which something is proposed or waited for.
 func (k *Keeper) enter(s *sess, p Phase) {
 	k.loose(s)
-	s.phase = p
+	k.to(s, p)
 	s.acts, s.again = true, k.now+ActAgain
 	k.acts.add(s)
 	if k.ready() {
@@ -99,6 +112,7 @@
 func (k *Keeper) drop(s *sess) {
 	k.loose(s)
 	delete(k.sessions, s.id)
+	k.phases[s.phase]--
 	if s.counted {
 		k.count(s.client, -1, 0)
 	}
@@ -178,7 +192,7 @@
 func (k *Keeper) pin(s *sess, r session.Record) {
 	s.epoch, s.seq, s.lane, s.used = r.Epoch, r.Seq, r.Lane, k.now
 	if r.Phase == session.Offered {
-		s.phase = Pinned
+		k.to(s, Pinned)
 		k.quiesce(s, r)
 		return
 	}
@@ -188,7 +202,7 @@
 // pinned lets a session be served, at first or again.
 func (k *Keeper) pinned(s *sess) {
 	k.loose(s)
-	s.phase = Pinned
+	k.to(s, Pinned)
 	for q := s.open.head; q != nil; q = q.next {
 		if !q.over && !q.strays {
 			k.timers.set(q, q.due)
@@ -231,7 +245,7 @@
 		k.sums.Lost++
 	}
 	k.loose(s)
-	s.phase = Gone
+	k.to(s, Gone)
 	why := Lost
 	if owner != "" {
 		why = Elsewhere
--- a/internal/fleet/keeper/queries.go
+++ b/internal/fleet/keeper/queries.go
@@ -127,9 +127,9 @@
 func (k *Keeper) begin(s *sess, woken *slot) {
 	for s.phase == Pinned && s.at == nil && s.wait.head != nil && k.ready() {
 		q := s.wait.head
-		if q.place >= 0 && q.key <= k.now { // it waited its share, and more if this process was stopped
-			k.refuse(q, Waited, BackLater, "")
-			return // that looked at those behind it
+		if q.place >= 0 && q.key <= k.now { // its share is over, and it was not its turn to be told yet
+			k.giveUp(q, Waited, BackLater, "")
+			continue
 		}
 		if q.effect != Safe && s.runs > 0 || s.alone > 0 || s.runs > 0 && int(s.runs) >= k.limits.Slots {
 			return
--- a/internal/fleet/keeper/types.go
+++ b/internal/fleet/keeper/types.go
@@ -59,6 +59,7 @@
 	// Flights yields the sessions that are offered or handed, ByOwner those of a co-ordinator, each in a fixed order.
 	Flights(yield func(session.Record) bool)
 	ByOwner(co string, yield func(session.Record) bool)
+	Owned(co string) int
 	Pool() *pool.Pool
 	Limits() (l session.Limits, revision int)
 }
@@ -138,7 +139,7 @@
 		Token uint64
 		Why   Reason
 	}
-	// Recall ends a query that runs and tells its client as Refuse does.
+	// Recall ends a query that runs, if it still does, and tells its client as Refuse does.
 	Recall struct {
 		Token uint64
 		Why   Reason
@@ -180,8 +181,8 @@
 	// AdoptWait, in agreed time, is how long a session that is offered or handed to this co-ordinator may lack slots here before it is declined: they may be on their way.
 	// Twice as long: a session stands still that much longer for nothing; half: hand-overs come back because of a slow shift.
 	AdoptWait = 2 * time.Second
-	// SweepEvery is between two looks for sessions that are agreed to be here and that nobody here knows, of a process before or
-	// of a claim given up. Twice as long: such a one blocks its client's next claim longer; half: twice the cost of looking at all.
+	// SweepEvery is between two looks at all sessions, if as many are not known here as are agreed to be here: those of a process before,
+	// of a claim given up, or released meanwhile. One comes with each new lease too. Twice as long: such a one is in the way of its client's next claim longer; half: twice the cost.
 	SweepEvery = time.Minute
 	// BackSoon, BackLater and BackFull are when a refused client may come again: of a session that is elsewhere, of one
 	// that waits for something here, and where there is no room. Each is spread by up to as much again. Twice as long: clients idle; half: twice the refusals.
--- a/internal/fleet/keeper/words.go
+++ b/internal/fleet/keeper/words.go
@@ -10,26 +10,28 @@
 	k.out = append(k.out, Refuse{token, why, spread(after, token), owner})
 }
 
-// refuse is for one that waits: it has not run.
-func (k *Keeper) refuse(q *query, why Reason, after time.Duration, owner string) {
-	s := q.s
+// giveUp refuses one that waits: it has not run.
+func (k *Keeper) giveUp(q *query, why Reason, after time.Duration, owner string) {
 	k.word(q)
 	k.turnAway(q.token, why, after, owner)
 	k.unqueue(q, true)
 	k.forget(q)
+}
+
+// refuse is giveUp, and its session goes on.
+func (k *Keeper) refuse(q *query, why Reason, after time.Duration, owner string) {
+	s := q.s
+	k.giveUp(q, why, after, owner)
 	k.settle(s)
 }
 
 func (k *Keeper) refuseAll(s *sess, why Reason, owner string) {
-	for q := s.wait.head; q != nil; q = s.wait.head {
-		after := BackLater
-		if owner != "" {
-			after = BackSoon
-		}
-		k.word(q)
-		k.turnAway(q.token, why, after, owner)
-		k.unqueue(q, true)
-		k.forget(q)
+	after := BackLater
+	if owner != "" {
+		after = BackSoon
+	}
+	for s.wait.head != nil {
+		k.giveUp(s.wait.head, why, after, owner)
 	}
 }
 
