Give large inventories, files and states one bound that each side meets

The council took 1 MB in a command, the ledger 4 MB, an entry of over 512 KB went to followers as the whole state, and a state of over some 6 MB could not go at all, so its follower stayed cut off.

An observation of over 384 KB is told in parts: changes first, each of the time of the look before, then the whole by a sum of the agreed inventory. Commands of over 256 KB lie in the log packed (zstd, as version 2, so that an older program halts) and have one bound of 1 MB in ledger, council and talk.

--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -65,14 +65,18 @@
 	if era < l.Era() {
 		return fmt.Errorf("words of era %d, this copy is of %d", era, l.Era())
 	}
-	if era > l.Era() && len(w.Snapshot) == 0 {
+	if era == l.Era() && w.Index <= l.Index() {
+		w.Snapshot, w.Packed = nil, nil // nothing new
+	}
+	state, err := w.State()
+	if err != nil {
+		return err
+	}
+	if era > l.Era() && len(state) == 0 {
 		return fmt.Errorf("entries of era %d, this copy is of %d", era, l.Era())
 	}
-	if len(w.Snapshot) > 0 {
-		if era == l.Era() && w.Index <= l.Index() {
-			return nil
-		}
-		return l.Load(w.Snapshot)
+	if len(state) > 0 {
+		return l.Load(state)
 	}
 	if len(w.Entries) > 0 && w.Since > l.Index() {
 		return fmt.Errorf("entries follow on %d, this copy stands at %d", w.Since, l.Index())
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -45,7 +45,7 @@
 const (
 	// ProposalsMost are under way at once; further ones get ErrBusy.
 	ProposalsMost = 256
-	// CommandMost is the most bytes of one command.
+	// CommandMost is the most bytes of one command, the ledger's EntryMost.
 	CommandMost = 1 << 20
 	// SnapshotAfter: so many entries after the last, a snapshot is made and the log cut to TrailingLogs. Twice as many:
 	// a restart applies twice as much; half: twice as many writes of whole states.
--- a/internal/fleet/lead/lead.go
+++ b/internal/fleet/lead/lead.go
@@ -40,6 +40,9 @@
 	// only waits. Twice as long: ends are found so much later; half: twice the entries at rest of a plan.
 	TickLive  = time.Second
 	TickAsked = 10 * time.Second
+	// PartMost is the bytes of machines in one observation; more are told one part after the other, ObserveSoonest apart. Twice
+	// as much: a link between voters is held for longer by one entry; half: an inventory of 10,000 takes twice as long to tell.
+	PartMost = 384 << 10
 	// TellSlack is how long, after the time in which any co-ordinator has either polled or is silent for long, a live one
 	// may take to say that it laid a drain. Then the grant is withdrawn. Half as long: a slow list costs a grant.
 	TellSlack = 10 * time.Second
--- a/internal/fleet/lead/observe.go
+++ b/internal/fleet/lead/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -114,6 +115,9 @@
 			body.Machines = append(body.Machines, m)
 		}
 	}
+	if cut := fits(body.Machines); cut < len(body.Machines) {
+		l.inParts(&body, last)
+	}
 	body.Load, body.LoadKnown = l.load(limits.LoadAge)
 	if len(body.Machines) == 0 && !body.Whole {
 		if len(open) == 0 {
@@ -127,12 +131,42 @@
 	}
 	if l.propose("observe", "observe", body, func() bool {
 		when, ok := l.state.ListAt()
-		return ok && when >= at && len(l.differs(body.Machines)) == 0
+		return ok && when >= body.Seen && len(l.differs(body.Machines)) == 0
 	}) {
 		l.looked, l.lookedAt = true, l.now
 	}
 }
 
+// inParts makes a part of an observation that is too large for one command: changes that fit, or, once there are none left of
+// a whole one, the word that all is as agreed. A part is of the time of the look before it, so that it makes nothing of
+// what is not told yet look newer than it is.
+func (l *Lead) inParts(body *takeout.ObserveBody, last time.Duration) {
+	whole := body.Whole
+	body.Whole, body.Machines = false, l.differs(body.Machines)
+	cut := fits(body.Machines)
+	switch {
+	case whole && len(body.Machines) == 0:
+		body.Whole, body.Sum = true, l.state.Sum()
+	case whole || cut < len(body.Machines):
+		body.Machines = body.Machines[:cut]
+		if last > 0 {
+			body.Seen = last
+		}
+	}
+}
+
+// fits is how many of the machines go into PartMost bytes, one at the least.
+func fits(ms []takeout.Machine) int {
+	size := 0
+	for i, m := range ms {
+		raw, err := json.Marshal(m)
+		if size += len(raw) + 1; err == nil && size > PartMost && i > 0 {
+			return i
+		}
+	}
+	return len(ms)
+}
+
 // differs are those that the agreed inventory does not have as they are.
 func (l *Lead) differs(ms []takeout.Machine) []takeout.Machine {
 	return slices.DeleteFunc(slices.Clone(ms), func(m takeout.Machine) bool { return !l.changed(m) })
--- a/internal/fleet/lead/observe_test.go
+++ b/internal/fleet/lead/observe_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/fleet/talk"
 )
 
 func TestAtRestNothingIsProposed(t *testing.T) {
@@ -109,3 +110,57 @@
 		t.Errorf("%d looks in a minute of waiting", looks)
 	}
 }
+
+// The largest inventory is told in parts that each fit, nothing goes before it is whole, and later changes come in parts too.
+func TestALargeInventoryIsToldInParts(t *testing.T) {
+	for _, length := range []int{64, takeout.NameMost} {
+		if testing.Short() && length > 64 {
+			continue
+		}
+		r := begin(t)
+		for i := range takeout.MachinesMost - len(r.list) - len(r.members) {
+			name := fmt.Sprintf("%0*d", length, i)
+			r.list = append(r.list, takeout.Machine{Name: name, Zone: "zone", Cell: i % 16, Status: takeout.Up, Started: time.Duration(i + 1)})
+		}
+		wide := limits
+		wide.Headroom = 0.2 // other limits want the whole inventory once more
+		r.in = append(r.in, Asks{Limits: takeout.LimitsBody{Revision: 2, Limits: wide}})
+		r.ask(1, "r1")
+		before := len(r.all)
+		agreed := func() bool {
+			return !r.state.WantsWhole() && len(r.state.Machines()) == takeout.MachinesMost && len(r.l.differs(r.l.seen())) == 0
+		}
+		for range 400 {
+			if r.step(100 * time.Millisecond); agreed() {
+				break
+			}
+			if r.state.WantsWhole() {
+				r.want("before the whole", r.phases("r1"), "[asked]")
+			}
+		}
+		if !agreed() {
+			t.Fatalf("names of %d: %d machines are agreed, a whole is wanted: %v", length, len(r.state.Machines()), r.state.WantsWhole())
+		}
+		r.until("r1", takeout.Told)
+		for i := range r.list {
+			r.list[i].Zone = "other"
+		}
+		r.in = append(r.in, Listed{List: r.list})
+		looks := len(slices.DeleteFunc(r.kinds(), func(k string) bool { return k != "observe" }))
+		for range 400 {
+			if r.step(100 * time.Millisecond); agreed() {
+				break
+			}
+		}
+		parts := len(slices.DeleteFunc(r.kinds(), func(k string) bool { return k != "observe" })) - looks
+		if !agreed() || parts < 2 {
+			t.Errorf("names of %d: %d machines differ after %d observations", length, len(r.l.differs(r.l.seen())), parts)
+		}
+		for _, p := range r.all[before:] {
+			if raw, err := p.Command.Encode(); err != nil || len(p.Command.Body) > PartMost+4096 || len(raw) > talk.EntriesMost {
+				t.Errorf("names of %d: %s of %d bytes, %d in the log: %v", length, p.Command.Kind, len(p.Command.Body), len(raw), err)
+			}
+		}
+		r.want("refused", r.refused, "[]")
+	}
+}
--- a/internal/fleet/ledger/command.go
+++ b/internal/fleet/ledger/command.go
@@ -10,6 +10,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"birchcart/internal/fleet/pack"
 )
 
 // Version of the commands and of the snapshot. Another one is refused in words, never guessed.
@@ -23,8 +25,16 @@
 	// RememberMost ids are kept. The oldest goes first, and with it all commands as old as it was are refused. At 100
 	// commands a second it holds for Remember.
 	RememberMost = 65_536
-	// CommandMost bytes in a command: an inventory of 10,000 machines takes some 2 MB.
+	// CommandMost bytes in a command as it is read. An operators' file that names 10,000 machines a few times takes some 2 MB;
+	// inventories come in parts, see lead.
 	CommandMost = 4 << 20
+	// EntryMost bytes of a command as it lies in the log, packed or not: what the council takes, and what one word to a
+	// follower may bring. Twice as much holds a narrow link between voters for longer than an election takes; half as much
+	// refuses files of some 6,000 names that do not resemble each other.
+	EntryMost = 1 << 20
+	// PackOver bytes a command is packed. Twice as much: larger entries where the links are narrow; half: more entries that a
+	// program which does not know them yet halts at.
+	PackOver = 256 << 10
 	// AtMost since the epoch is a time in the year 2220: past it, sums of times would overflow.
 	AtMost = 250 * 365 * 24 * time.Hour
 	// IDMost bytes in an id.
@@ -54,7 +64,18 @@
 	Body json.RawMessage `json:"body,omitempty"`
 }
 
-// Encode gives the bytes for the log. It fails for a command that Decode would refuse.
+// versionPacked is of a command that is packed: another program must halt at it, not refuse it.
+const versionPacked = 2
+
+// packed is a command whose bytes are packed into Z.
+type packed struct {
+	V int    `json:"v"`
+	Z []byte `json:"z"`
+}
+
+var packedBegin = fmt.Appendf(nil, `{"v":%d,"z":"`, versionPacked)
+
+// Encode gives the bytes for the log, packed if they are many. It fails for a command that Decode would refuse.
 func (c Command) Encode() ([]byte, error) {
 	if err := c.valid(); err != nil {
 		return nil, err
@@ -66,7 +87,24 @@
 	if len(raw) > CommandMost {
 		return nil, fmt.Errorf("ledger: command %s has %d bytes, %d are allowed", c.ID, len(raw), CommandMost)
 	}
-	return raw, nil
+	if len(raw) <= PackOver {
+		return raw, nil
+	}
+	z, err := pack.Pack(raw)
+	if err != nil {
+		return nil, fmt.Errorf("ledger: command %s: %w", c.ID, err)
+	}
+	small, err := json.Marshal(packed{versionPacked, z})
+	if err != nil {
+		return nil, fmt.Errorf("ledger: command %s: %w", c.ID, err)
+	}
+	if len(small) >= len(raw) {
+		small = raw
+	}
+	if len(small) > EntryMost {
+		return nil, fmt.Errorf("ledger: command %s has %d bytes, packed %d, of which %d are allowed", c.ID, len(raw), len(small), EntryMost)
+	}
+	return small, nil
 }
 
 // Decode reads a command. Another version gives ErrVersion, whatever else is in it, as does a field that is not known.
@@ -74,6 +112,19 @@
 	if len(raw) > CommandMost {
 		return Command{}, fmt.Errorf("ledger: a command of %d bytes, %d are allowed", len(raw), CommandMost)
 	}
+	if bytes.HasPrefix(raw, packedBegin) {
+		var p packed
+		err := Strict(raw, &p)
+		if err == nil {
+			raw, err = pack.Unpack(p.Z, CommandMost)
+		}
+		if errors.Is(err, ErrUnknown) {
+			return Command{}, fmt.Errorf("%w: %w", ErrVersion, err)
+		}
+		if err != nil {
+			return Command{}, fmt.Errorf("ledger: packed command can not be read: %w", err)
+		}
+	}
 	var c Command
 	if err := Strict(raw, &c); err != nil {
 		var head struct {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"birchcart/internal/fleet/pack"
 )
 
 // book is a part that writes down what acted, in order.
@@ -210,3 +212,61 @@
 type picky struct{ book }
 
 func (*picky) Load([]byte) error { return errors.New("not this") }
+
+// A large command goes into the log packed and acts as it would; a packed one that is torn, or holds too much, is refused
+// alike everywhere, and one of a later form halts.
+func TestPackedCommands(t *testing.T) {
+	large := strings.Repeat("name ", PackOver/4)
+	body, _ := json.Marshal(large)
+	c := Command{V: Version, ID: "1", Part: "book", Kind: "put", At: time.Hour, Body: body}
+	raw, err := c.Encode()
+	if err != nil || len(raw) > PackOver/4 || !bytes.HasPrefix(raw, packedBegin) {
+		t.Fatalf("%d bytes: %v", len(raw), err)
+	}
+	l, b := one()
+	if err := l.Apply(1, raw); err != nil || len(b.Lines) != 1 || !strings.HasPrefix(b.Lines[0], string(body)) {
+		t.Fatalf("%v, %d lines", err, len(b.Lines))
+	}
+	if err := l.Apply(2, raw); !errors.Is(err, ErrTwice) {
+		t.Error(err)
+	}
+	hold := func(inner []byte) []byte {
+		z, err := pack.Pack(inner)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out, _ := json.Marshal(packed{versionPacked, z})
+		return out
+	}
+	index := uint64(2)
+	for what, raw := range map[string][]byte{
+		"torn":       hold(raw[:len(raw)/2])[:40],
+		"no frame":   []byte(`{"v":2,"z":"AAAA"}`),
+		"too much":   hold(make([]byte, CommandMost+1)),
+		"no command": hold([]byte("{}x")),
+	} {
+		index++
+		if err := l.Apply(index, raw); !errors.Is(err, ErrRefused) || l.Halted() != nil || l.Index() != index {
+			t.Errorf("%s: %v, stands at %d", what, err, l.Index())
+		}
+	}
+	for _, raw := range [][]byte{hold(raw), []byte(`{"v":2,"z":"AAAA","y":1}`), []byte(`{"v":2,"part":"book"}`), hold(bytes.Replace(mustEncode(t, "9"), []byte(`"v":1`), []byte(`"v":3`), 1))} {
+		l, _ := one()
+		if err := l.Apply(1, raw); !errors.Is(err, ErrVersion) || l.Halted() == nil || l.Index() != 0 {
+			t.Errorf("%.60s: %v", raw, err)
+		}
+	}
+	c.Body, _ = json.Marshal(strings.Repeat(large, 100))
+	if _, err := c.Encode(); err == nil || !strings.Contains(err.Error(), "are allowed") {
+		t.Errorf("a command over all bounds: %v", err)
+	}
+}
+
+func mustEncode(t *testing.T, id string) []byte {
+	t.Helper()
+	raw, err := Command{V: Version, ID: id, Part: "book", Kind: "put", At: time.Hour}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -119,6 +119,7 @@
 	polled    map[string]polled // not yet answered, by sender
 	verifying bool
 	verifyAt  time.Duration
+	states    handed
 	loads     map[string]told
 	own       told
 	proposing int
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -114,39 +114,60 @@
 		}
 	})
 	own := n.copy.era()
-	var whole []byte // the state, for those of an era before
-	var wholeAt uint64
 	for from, p := range v.polls {
 		w := talk.Word{No: p.no, From: n.name, Leader: n.name, Term: n.term, Led: true, Since: p.index, Index: p.index, Era: eraSent(own),
 			Unlisted: !listed[from]}
-		if p.era != own {
-			if whole == nil {
-				whole, wholeAt = n.whole()
-			}
-			if w.Since, w.Index, w.Snapshot = 0, wholeAt, whole; len(whole) > 0 {
-				w.More = w.Index < n.council.Applied()
-				n.answerTo(from, w)
-			}
+		if err := n.bring(&w, p, own); err != nil {
+			n.lines.limited(n, n.now(), "what was agreed can't be handed to "+from+", which stays cut off: "+err.Error())
 			continue
 		}
+		w.More = w.Index < n.council.Applied()
+		n.answerTo(from, w)
+	}
+}
+
+// bring puts what was agreed after a poll's index into its answer: entries, or the state for who is too far behind or of an
+// era before.
+func (n *Node) bring(w *talk.Word, p polled, own uint64) error {
+	if p.era == own {
 		entries, snapshot, at := n.council.Since(p.index, talk.EntriesMost)
+		if len(snapshot) > 0 {
+			return n.states.into(w, snapshot, at, own)
+		}
 		all := make([]talk.Entry, len(entries))
 		for i, e := range entries {
 			all[i] = talk.Entry{Index: e.Index, Raw: e.Raw}
 		}
-		if w.Index, w.Snapshot = at, snapshot; len(snapshot) == 0 && w.Fill(all) != nil {
-			w.Entries = nil // one of them is larger than a word may be: the whole state has it too
-			w.Snapshot, w.Index = n.whole()
-		}
-		if len(w.Snapshot) > 0 {
-			w.Since = 0
-		}
-		if len(w.Entries) > 0 {
-			w.Index = w.Entries[len(w.Entries)-1].Index
+		if w.Fill(all) == nil {
+			if w.Index = at; len(w.Entries) > 0 {
+				w.Index = w.Entries[len(w.Entries)-1].Index
+			}
+			return nil
 		}
-		w.More = w.Index < n.council.Applied()
-		n.answerTo(from, w)
+		w.Entries = nil // one of them is of before there was a bound: the state has it too
+	}
+	raw, at := n.whole()
+	if len(raw) == 0 {
+		return errors.New("it can't be saved")
+	}
+	return n.states.into(w, raw, at, own)
+}
+
+// handed keeps the newest state as it goes out, for all that are behind alike.
+type handed struct {
+	at, era uint64
+	word    talk.Word
+	err     error
+}
+
+// into puts a state into a word.
+func (s *handed) into(w *talk.Word, raw []byte, at, era uint64) error {
+	if s.at != at || s.era != era {
+		*s = handed{at: at, era: era}
+		s.err = s.word.Whole(raw)
 	}
+	w.Since, w.Index, w.Snapshot, w.Packed = 0, at, s.word.Snapshot, s.word.Packed
+	return s.err
 }
 
 func (n *Node) answerTo(from string, w talk.Word) {
--- a/internal/fleet/takeout/observe.go
+++ b/internal/fleet/takeout/observe.go
@@ -77,6 +77,9 @@
 	if b.Load < 0 || math.IsNaN(b.Load) {
 		return fmt.Errorf("a load of %v", b.Load)
 	}
+	if b.Sum != "" && (!b.Whole || len(b.Machines) > 0 || b.Sum != s.Sum()) {
+		return fmt.Errorf("whole as of sum %s, with %d machines told; the inventory's is %s", clip(b.Sum), len(b.Machines), s.Sum())
+	}
 	told := make(map[string]bool, len(b.Machines))
 	fresh := 0
 	for _, m := range b.Machines {
@@ -109,7 +112,7 @@
 			added = s.add(n) != nil || added
 		}
 	}
-	if b.Whole {
+	if b.Whole && b.Sum == "" {
 		for _, m := range s.list {
 			if !told[m.Name] && m.Status != Gone {
 				n := m.Machine
@@ -117,8 +120,8 @@
 				note(s.see(m, n))
 			}
 		}
-		s.stale = false
 	}
+	s.stale = s.stale && !b.Whole
 	s.listAt, s.listed = seen, true
 	s.loadKnown = b.LoadKnown
 	if b.LoadKnown {
--- a/internal/fleet/takeout/rules_test.go
+++ b/internal/fleet/takeout/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 )
@@ -293,3 +294,25 @@
 	p.now += 30 * sec
 	p.no("W3: the inventory", "a", "r0")
 }
+
+// A whole that names a sum only is taken for the inventory of that sum and no other, and changes nothing else.
+func TestWholeBySum(t *testing.T) {
+	p := start(t, limits, names("a", "r1"))
+	sum := p.s.Sum()
+	l := limits
+	l.Headroom = 0.5
+	p.must("limits", LimitsBody{2, l})
+	p.no("no whole inventory", "a", "r1")
+	p.refused("sum", "observe", ObserveBody{Whole: true, Sum: "0" + sum[1:]})
+	p.refused("sum", "observe", ObserveBody{Sum: sum})
+	p.refused("sum", "observe", ObserveBody{Whole: true, Sum: sum, Machines: []Machine{cell(1)}})
+	p.see(cell(9))
+	p.refused("sum", "observe", ObserveBody{Whole: true, Sum: sum})
+	p.no("no whole inventory", "a", "r1")
+	before := p.s.Machines()
+	p.must("observe", ObserveBody{Whole: true, Sum: p.s.Sum(), Load: 2, LoadKnown: true})
+	if !reflect.DeepEqual(before, p.s.Machines()) {
+		t.Error("the inventory is another")
+	}
+	p.grant("a", "r1")
+}
--- a/internal/fleet/takeout/state.go
+++ b/internal/fleet/takeout/state.go
@@ -1,6 +1,9 @@
 package takeout
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"sort"
 	"time"
 )
@@ -166,6 +169,18 @@
 	return Machine{}, false
 }
 
+// Sum is one of the whole inventory, equal for equal ones.
+func (s *State) Sum() string {
+	h := sha256.New()
+	e := json.NewEncoder(h)
+	for _, m := range s.list {
+		if e.Encode(m.Machine) != nil {
+			return "" // a size that is no number, which valid refuses
+		}
+	}
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
 // Limits in force and their revision; 0 while there are none.
 func (s *State) Limits() (Limits, int) { return s.limits, s.revision }
 
--- a/internal/fleet/takeout/types.go
+++ b/internal/fleet/takeout/types.go
@@ -140,7 +140,8 @@
 		Paused   bool      `json:"paused,omitempty"`
 		Requests []Request `json:"requests"`
 	}
-	// ObserveBody ("observe") is what the leader sees: machines that changed, or with Whole all of them.
+	// ObserveBody ("observe") is what the leader sees: machines that changed, or with Whole all of them. An inventory that is
+	// too large for one command is told as changes first, and then as a whole with Sum.
 	ObserveBody struct {
 		Whole     bool      `json:"whole,omitempty"`
 		Machines  []Machine `json:"machines,omitempty"`
@@ -149,6 +150,9 @@
 		// Seen is the agreed time at which the leader looked; 0: that of the command. One older than the last is refused:
 		// the words of two leaders crossed.
 		Seen time.Duration `json:"seen,omitempty"`
+		// Sum, with Whole and no machines: all is as the agreed inventory of this sum has it, see State.Sum. Another
+		// one is refused: the words of two leaders crossed.
+		Sum string `json:"sum,omitempty"`
 	}
 	// GrantBody ("grant") lets one machine go. Checked against W1 to W6 as the state is when it is applied.
 	GrantBody struct {
