Have a voter that was out of reach while it was replaced give its seat up

A voter that was stopped or cut off while another took its seat never heard of that: nobody sends the log to one that is no member, so its own configuration named it for ever.

One that the file does not name any more asks the leader who votes, every 2 s as one that waits for a seat does, and gives its seat up once the leader, confirmed by a majority, does not name it. TestAVoterThatMissedItsEndGivesItsSeatUp stops a voter meanwhile: not in 20 s before, passes now.

--- a/cmd/birchcart-fleet/main_test.go
+++ b/cmd/birchcart-fleet/main_test.go
@@ -433,6 +433,27 @@
 	}
 }
 
+// A voter that was stopped while another took its seat hears of that from the leader, gives the seat up and follows: else
+// it would hold up each grant, alive and never laying a drain.
+func TestAVoterThatMissedItsEndGivesItsSeatUp(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 4, 0, 1, 2)
+	s.startAll()
+	s.until("n3 follows", s.says(3, "in touch with the council"))
+	s.procs[0].Process.Signal(syscall.SIGSTOP)
+	defer s.procs[0].Process.Signal(syscall.SIGCONT)
+	s.voters = []int{1, 2, 3}
+	s.ask(false)
+	s.hangUp()
+	replaced := `voter \"n0\" goes, voter \"n3\" comes" error="<nil>"`
+	s.until("n3 comes for n0", func() bool { return s.says(1, replaced)() || s.says(2, replaced)() })
+	s.procs[0].Process.Signal(syscall.SIGCONT)
+	s.until("n0 votes no more", s.says(0, "votes no more"))
+	s.ask(false, map[string]any{"names": []string{"r5"}, "reason": "disk", "for_s": 20})
+	s.hangUp()
+	s.until("told, as n0 has it", func() bool { return len(s.grants(0).Grants) == 1 })
+}
+
 // A machine is told, and discovery still says Ready. A co-ordinator that starts then, a new one or one whose disk was lost,
 // sends nothing there from its first query on: before it listens it hears what was agreed. One that can't hear it listens
 // a second later all the same.
--- a/internal/fleet/seats.go
+++ b/internal/fleet/seats.go
@@ -73,15 +73,22 @@
 	}
 }
 
-// maySit takes a seat without a store, if the council does not know this name: one that it knows may have voted.
+// maySit takes the leader's word on who votes: one that is to vote takes a seat without a store, if the council does not
+// know this name, since one that it knows may have voted; one that is not to vote gives its seat up, if the council has
+// let it go while it was out of reach. Its own log never says so: nobody sends it what came after.
 func (n *Node) maySit(from string, voters []string) {
-	if from != n.leader || n.council != nil || n.lost || len(voters) == 0 {
+	if from != n.leader || n.lost || len(voters) == 0 {
 		return
 	}
 	n.mu.Lock()
 	f := n.file.Fleet
 	n.mu.Unlock()
-	if _, wanted := f.Voters[n.name]; !wanted {
+	_, wanted := f.Voters[n.name]
+	switch sits := n.council != nil; {
+	case sits && !wanted && n.term == 0 && !slices.Contains(voters, n.name):
+		n.standUp()
+		return
+	case sits || !wanted:
 		return
 	}
 	if slices.Contains(voters, n.name) {
@@ -97,6 +104,24 @@
 	n.log.Info("the seat in the council is open; the leader lets it vote")
 }
 
+// standUp gives up a seat that the council has let go.
+func (n *Node) standUp() {
+	if !n.givingUp {
+		n.log.Info("this co-ordinator votes no more")
+		n.giveUp()
+	}
+}
+
+// askSeats asks the leader who votes.
+func (n *Node) askSeats() {
+	if n.leader == "" || n.leader == n.name {
+		return
+	}
+	if err := n.member.Send(n.leader, seats{}.encode()); err != nil {
+		n.log.WithError(err).Debug("who votes was not asked")
+	}
+}
+
 // keepSeats sees to it that the council's voters become those of the file, one at a time.
 func (n *Node) keepSeats(now time.Duration) {
 	if n.seatsAt > 0 && now < n.seatsAt+SeatsEvery || n.looking {
@@ -110,10 +135,8 @@
 	_, wanted := f.Voters[n.name]
 	switch seat := n.council; {
 	case seat == nil:
-		if wanted && !n.lost && n.leader != "" && n.leader != n.name {
-			if err := n.member.Send(n.leader, seats{}.encode()); err != nil {
-				n.log.WithError(err).Debug("who votes was not asked")
-			}
+		if wanted && !n.lost {
+			n.askSeats()
 		}
 	case n.term != 0 && n.asks.Limits.Revision >= n.agreedRevision:
 		n.looking = true
@@ -123,6 +146,7 @@
 		}
 		go func() { n.looks <- change(seat, n.name, f, ready) }()
 	case !wanted:
+		n.askSeats()
 		n.looking = true
 		go func() {
 			l := looked{}
@@ -197,7 +221,6 @@
 		return
 	}
 	if len(names) > 0 && !slices.Contains(names, n.name) {
-		n.log.Info("this co-ordinator votes no more")
-		n.giveUp()
+		n.standUp()
 	}
 }
