--- a/internal/fleet/migrate/forecast.go
+++ b/internal/fleet/migrate/forecast.go
@@ -26,6 +26,9 @@
 	Ends  time.Duration // agreed time by which the last machine is back; 0: never
 	Meets bool          // all deadlines are met, by this forecast
 	Gives []string      // what would have to give, in words
+	// Unsure are sessions with an unsafe query that may be open longer than their owner's deadline, or the swap's: no limit
+	// that gives changes that. The first GivesMost.
+	Unsure []session.ID
 }
 
 // String is the line for the log.
@@ -114,6 +117,7 @@
 		f.Ends = now
 		return f
 	}
+	f.unsure(v)
 	f.slots(v, owned)
 	f.play(cs, waves, owned)
 	f.times(now, v, waves, takes)
@@ -161,6 +165,27 @@
 	}
 }
 
+// unsure names what can not be promised.
+func (f *Forecast) unsure(v View) {
+	for i := range v.Coordinators {
+		c := &v.Coordinators[i]
+		until := c.Deadline
+		if !c.Leaving || until == 0 || v.Deadline > 0 && v.Deadline < until {
+			until = v.Deadline
+		}
+		if until == 0 || !c.Leaving && c.Rank < 0 {
+			continue
+		}
+		for _, u := range c.Unsafe[:min(len(c.Unsafe), UnsafeMost)] {
+			if u.Due > until && len(f.Unsure) < GivesMost {
+				f.Unsure = append(f.Unsure, u.ID)
+				f.give("session %s at %s: no move can be promised by %s, an unsafe query of it may be open until %s", u.ID, c.Name,
+					clock(until), clock(u.Due))
+			}
+		}
+	}
+}
+
 // slots says at which replicas the slots are fewer than all sessions need, each co-ordinator for itself.
 func (f *Forecast) slots(v View, owned []int) {
 	if v.PerSlot <= 0 || v.Slots == nil {
--- a/internal/fleet/migrate/pick.go
+++ b/internal/fleet/migrate/pick.go
@@ -10,7 +10,7 @@
 
 // ShortList is how many receivers in a zone are looked at for one session. Twice as many: sessions spread over as many more,
 // and a step takes so much longer; half: with many slots missing, fewer offers a step.
-const ShortList = 32
+const ShortList = 16
 
 // RebuildMost short lists are made anew in a step because all of one were full. Twice as many: a step takes so much longer;
 // half: offers wait for the next step.
@@ -73,7 +73,7 @@
 	slots   int    // sessions that its slots are enough for, with those on their way to it
 	held    int    // sessions that the slots in its hand are enough for
 	keeps   int    // slots at each replica, while it leaves
-	known   bool   // slots and held are
+	have    []int  // slots by replica, with those on their way; nil: not read yet
 	lack    string // a replica at which no more slots are to be had for it now
 }
 
--- a/internal/fleet/migrate/slots.go
+++ b/internal/fleet/migrate/slots.go
@@ -39,17 +39,24 @@
 		to.held = math.MaxInt
 		return false
 	}
-	if !to.known {
-		to.known, to.slots, to.held = true, math.MaxInt, math.MaxInt
-		for _, r := range v.Replicas {
-			held := v.Slots.Held(to.c.Name, r)
-			to.held = min(to.held, held*v.PerSlot)
-			to.slots = min(to.slots, (held+s.arriving[slotKey{to.c.Name, r}])*v.PerSlot)
-		}
-	}
+	s.load(v, to)
 	return to.owned+to.inbound+to.here+1 > to.slots
 }
 
+// load reads a co-ordinator's slots, once in a step.
+func (s *site) load(v *View, to *place) {
+	if to.have != nil {
+		return
+	}
+	to.have, to.slots, to.held = make([]int, len(v.Replicas)), math.MaxInt, math.MaxInt
+	for i, r := range v.Replicas {
+		held := v.Slots.Held(to.c.Name, r)
+		to.have[i] = held + s.arriving[slotKey{to.c.Name, r}]
+		to.held = min(to.held, held*v.PerSlot)
+		to.slots = min(to.slots, to.have[i]*v.PerSlot)
+	}
+}
+
 // transfers counts the slots on their way, and those that were asked for and are not seen yet.
 func (s *site) transfers(p *Planner, now time.Duration, v *View) {
 	if v.Slots == nil {
@@ -110,8 +117,9 @@
 		to.lack = replica
 		return false
 	}
-	for _, r := range v.Replicas {
-		for have := v.Slots.Held(to.c.Name, r) + s.arriving[slotKey{to.c.Name, r}]; have < need; have++ {
+	s.load(v, to)
+	for i, r := range v.Replicas {
+		for have := to.have[i]; have < need; have++ {
 			from, ok := s.giver(p, v, r, leaving)
 			if !ok || len(s.askOrder)+len(found) >= ShiftsMost {
 				return undo(r)
@@ -122,7 +130,9 @@
 	}
 	for _, k := range found {
 		s.put(k, 1)
-		s.arriving[slotKey{k.to, k.replica}]++
+	}
+	for i := range to.have {
+		to.have[i] = max(to.have[i], need)
 	}
 	to.slots = max(to.slots, need*v.PerSlot)
 	return true
--- a/internal/fleet/migrate/swap/swap.go
+++ b/internal/fleet/migrate/swap/swap.go
@@ -55,6 +55,7 @@
 	View    migrate.View
 	Last    migrate.Plan
 	Result  Result
+	Around  func(step func()) // runs each step of the planner, to measure it; nil: it just runs
 
 	set   Settings
 	fence uint64
@@ -159,7 +160,12 @@
 	if err := p.act(); err != nil {
 		return err
 	}
-	p.Last = p.Planner.Step(p.Now, p.View)
+	step := func() { p.Last = p.Planner.Step(p.Now, p.View) }
+	if p.Around != nil {
+		p.Around(step)
+	} else {
+		step()
+	}
 	p.Result.Steps++
 	switch {
 	case !p.Last.Empty():
