--- a/internal/fleet/harness/files.go
+++ b/internal/fleet/harness/files.go
@@ -170,6 +170,7 @@
 	phases       map[takeout.Phase]*Seen  // first seen in which file
 	latest       map[takeout.Phase]uint64 // and the highest index that has it
 	until        time.Duration            // the last one said while granted or told
+	ended        time.Duration            // agreed; 0: not seen
 }
 
 // grantsOf lists all grants that were ever seen, by fence.
@@ -192,6 +193,9 @@
 			if it.ToldAt > 0 {
 				g.told = it.ToldAt
 			}
+			if it.EndedAt > 0 {
+				g.ended = it.EndedAt
+			}
 			if it.Phase == takeout.Granted || it.Phase == takeout.Told {
 				g.until = max(g.until, it.Until)
 			}
--- /dev/null
+++ b/internal/fleet/harness/seats.go
@@ -0,0 +1,97 @@
+package harness
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	seatTime  = 40 * time.Second                                                        // for a voter to be replaced, once nothing stands in its way
+	proveTime = 30 * time.Second                                                        // for a majority in which the new voter is needed to agree on something
+	changes   = `voters change: voter \"n%d\" goes, voter \"n%d\" comes" error="<nil>"` // as a leader logs it
+)
+
+// sits tells whether the operators' file names a process as a voter.
+func (c *Cluster) sits(i int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.seats, i)
+}
+
+// newVoter takes the seat of a replaced one: the one of the highest place, whose zone had the fewest voters.
+func newVoter(processes int) int { return min(voters, processes-1) }
+
+// replace writes another voter in place of one into the files of all, and says so to them.
+func (c *Cluster) replace(old int) error {
+	c.mu.Lock()
+	at := slices.Index(c.seats, old)
+	if at < 0 {
+		c.mu.Unlock()
+		return fmt.Errorf("process %d has no seat", old)
+	}
+	c.seats[at] = newVoter(len(c.procs))
+	c.last["old"], c.last["new"] = []int{old}, []int{c.seats[at]}
+	c.mu.Unlock()
+	for i := range c.procs {
+		if err := c.act(DoVoter, i); err != nil {
+			c.note("process %d: %v", i, err)
+		}
+	}
+	return nil
+}
+
+// prove kills as many voters that the new one's word is needed for a majority, the old one too, and waits until a living
+// one's file tells of something agreed after that. When to begin it reads in the leaders' logs; what it proves it does not.
+func (c *Cluster) prove() {
+	c.mu.Lock()
+	old, fresh, seats := c.last["old"], c.last["new"], slices.Clone(c.seats)
+	c.mu.Unlock()
+	if len(old) == 0 {
+		c.wrong("harness: no voter was replaced")
+		return
+	}
+	line := fmt.Sprintf(changes, old[0], fresh[0])
+	if !c.until(seatTime, func() bool {
+		return slices.ContainsFunc(c.procs, func(p *Process) bool {
+			raw, err := os.ReadFile(p.Log)
+			return err == nil && strings.Contains(string(raw), line)
+		})
+	}) {
+		c.note("no leader has said for %v that process %d has the seat of %d", seatTime, fresh[0], old[0])
+	}
+	kill := []int{old[0]}
+	for _, i := range seats {
+		if i != fresh[0] && len(kill) <= len(seats)/2 {
+			kill = append(kill, i)
+		}
+	}
+	c.note("prove: kill %v", kill)
+	for _, i := range kill {
+		if err := c.act(DoKill, i); err != nil {
+			c.note("process %d: %v", i, err)
+		}
+	}
+	var top uint64
+	all, _ := c.files.All()
+	for _, s := range all {
+		top = max(top, s.Index)
+	}
+	if !c.files.Until(proveTime, func() bool {
+		for i := range c.procs {
+			if s := c.files.Last(i); s != nil && !slices.Contains(kill, i) && !s.CutOff && s.Index > top {
+				return true
+			}
+		}
+		return false
+	}) {
+		c.wrong("voters: with process %d in place of %d nothing was agreed for %v, while %v were down", fresh[0], old[0], proveTime, kill)
+	}
+	for _, i := range kill {
+		if err := c.startAgain(i); err != nil {
+			c.note("process %d: %v", i, err)
+		}
+	}
+}
--- a/internal/fleet/harness/site.go
+++ b/internal/fleet/harness/site.go
@@ -14,6 +14,7 @@
 	GossipPort  = 7946
 	CouncilPort = 7300
 	ServePort   = 9080
+	ListPort    = 7500 // of the relay before discovery
 	ReplicaPort = 9101 // of the first stand-in replica; they share an address
 )
 
@@ -76,6 +77,9 @@
 // Replica is where a stand-in replica listens.
 func (s Site) Replica(i int) netip.AddrPort { return s.at(250, ReplicaPort+i) }
 
+// Door is where co-ordinators reach it if it has a relay before it.
+func (s Site) Door(i int) netip.AddrPort { return s.at(249, ReplicaPort+i) }
+
 func (s Site) at(host, port int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 77, s.block, byte(host)}), uint16(port))
 }
