--- a/internal/fleet/session/play_test.go
+++ b/internal/fleet/session/play_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 const sec = time.Second
@@ -14,13 +16,14 @@
 
 // play applies commands to a book.
 type play struct {
-	t     testing.TB
+	t     rapid.TB
 	b     *Book
 	now   time.Duration
 	fence uint64
+	want  string // of the next refusal
 }
 
-func start(t testing.TB, l Limits) *play {
+func start(t rapid.TB, l Limits) *play {
 	p := &play{t: t, b: New(), now: 1000 * sec}
 	p.must(KindLimits, LimitsBody{l})
 	return p
--- /dev/null
+++ b/internal/fleet/session/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package session
+
+const race = true
--- a/internal/fleet/session/save.go
+++ b/internal/fleet/session/save.go
@@ -85,13 +85,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("session: save: %w", err)
 	}
+	return seal(book), nil
+}
+
+// seal puts version and checksum around a book.
+func seal(book []byte) []byte {
 	raw := make([]byte, 0, len(book)+64)
 	raw = append(raw, `{"v":`...)
 	raw = strconv.AppendInt(raw, Version, 10)
 	raw = append(raw, `,"sum":`...)
 	raw = strconv.AppendUint(raw, uint64(crc32.Checksum(book, castagnoli)), 10)
 	raw = append(raw, `,"book":`...)
-	return append(append(raw, book...), '}'), nil
+	return append(append(raw, book...), '}')
 }
 
 // packLive appends id, owner's place, epoch, sequence, since, and one byte each of phase and lane.
@@ -173,6 +178,9 @@
 			return fmt.Errorf("a time of %v", at)
 		}
 	}
+	if v.LimitsAt > v.Now || v.Pool.Now != v.Now {
+		return fmt.Errorf("now %v, limits of %v, slots of %v", v.Now, v.LimitsAt, v.Pool.Now)
+	}
 	b.now, b.limits, b.limitsAt, b.quiet, b.fence, b.over = v.Now, v.Limits, v.LimitsAt, v.Quiet, v.Fence, v.Over
 	for i, n := range v.Names {
 		if i > 0 && v.Names[i-1].Name >= n.Name || n.Name == "" || len(n.Name) > NameMost {
@@ -182,7 +190,7 @@
 		b.names = append(b.names, name{name: n.Name, heard: n.Heard, released: n.Released, known: n.Known})
 	}
 	for i, s := range v.Offers {
-		if s.N < 1 || s.At%time.Second != 0 || i > 0 && v.Offers[i-1].At >= s.At {
+		if s.N < 1 || s.N > PerMinuteMost || s.At%time.Second != 0 || s.At < 0 || s.At > v.Now || i > 0 && v.Offers[i-1].At >= s.At {
 			return fmt.Errorf("%d offers at %v", s.N, s.At)
 		}
 	}
