Wire pinned sessions into birchcart-fleet: claims, one owner by lease, releases, shares of slots

Need: the packages of pinned sessions have to serve real queries between real processes. Change: with $.fleet.sessions the node keeps the sessions' part of the ledger, hands its keeper's acts to the leader, and as the leader has the steward (pure) propose limits by file and inventory, even shares of slots, and the release of who was silent for lease and grace, to whom no lease is given meanwhile. A co-ordinator that may go waits until no session is its, ten seconds at the least before its work has to begin. The front reads the key, and names the owner in a refusal. Moves by a plan are not wired yet. Messages of acts first had the kind of the seats' messages and were lost; the test found it.

--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -7,6 +7,7 @@
 
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/talk"
 )
@@ -18,14 +19,15 @@
 	seat   *council.Council // nil: without a vote, or no more
 	ledger *ledger.Ledger
 	order  *takeout.State
+	book   *session.Book
 }
 
 // part is the name of the order of work in the ledger.
 const part = "takeout"
 
 func newCopy() *copied {
-	s := takeout.New()
-	return &copied{order: s, ledger: ledger.New(map[string]ledger.Part{part: s})}
+	s, b := takeout.New(), session.New()
+	return &copied{order: s, book: b, ledger: ledger.New(map[string]ledger.Part{part: s, sessionsPart: b})}
 }
 
 // look calls do while nothing is applied; it must not wait.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -75,10 +75,12 @@
 	member  *member.Members
 	council *council.Council // nil: no vote
 	copy    *copied
-	mail    *mail
-	load    *exchange.Load
-	writer  *writer
-	start   time.Time
+	// nil without the section of pinned sessions; its start decides
+	sessions *sessions
+	mail     *mail
+	load     *exchange.Load
+	writer   *writer
+	start    time.Time
 
 	ended    chan lead.Ended
 	verified chan verified
@@ -123,9 +125,10 @@
 	loads     map[string]told
 	own       told
 	proposing int
-	index     uint64 // as last stepped with
-	era       uint64 // as last stepped with
-	outlived  bool   // the seat is given up, as there is a council of a newer era
+	index     uint64        // as last stepped with
+	agreedNow time.Duration // with it
+	era       uint64        // as last stepped with
+	outlived  bool          // the seat is given up, as there is a council of a newer era
 	stepped   bool
 	laying    int        // sets of drains that the exchange or the disk does not have yet: no step is made before
 	caught    bool       // a whole answer came, to this process
@@ -176,6 +179,7 @@
 	s.Exchange.Narrowable(n.listed, n.isLaid)
 	n.keepLaid()
 	n.load = s.Exchange.Load()
+	n.openSessions(ctx, s)
 	n.done.Go(func() { n.run(ctx) })
 	return nil
 }
@@ -221,8 +225,8 @@
 		return nil
 	case f.Fleet == nil:
 		return errors.New("$.fleet: is missing; a fleet ends with the program")
-	case f.Fleet.Sessions != nil:
-		return errSessions
+	case (f.Fleet.Sessions != nil) != (n.sessions != nil):
+		return errors.New("$.fleet.sessions: pinned sessions begin and end with the program")
 	}
 	if err := n.member.ReloadKeys(); err != nil {
 		return err
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -53,6 +53,10 @@
 		if m.From == l.from {
 			n.word(m)
 		}
+	case talk.Acts:
+		if n.term != 0 && m.From == l.from && n.sessions != nil {
+			n.sessions.wanted = append(n.sessions.wanted, m)
+		}
 	case talk.Ask:
 		if n.term != 0 {
 			n.toLead = append(n.toLead, lead.Asks{Limits: m.Limits, Asks: m.Asks})
@@ -110,7 +114,7 @@
 	listed := map[string]bool{}
 	n.copy.look(func() {
 		for from := range v.polls {
-			listed[from] = lead.Counts(n.copy.order, from)
+			listed[from] = lead.Counts(n.copy.order, from) && !(n.sessions != nil && n.sessions.steward.Releasing(n.now(), from))
 		}
 	})
 	own := n.copy.era()
--- /dev/null
+++ b/internal/fleet/sessions.go
@@ -0,0 +1,270 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/exchange"
+	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/pins"
+	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/steward"
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/view"
+	"birchcart/internal/operator"
+	"birchcart/internal/placement"
+	"birchcart/internal/serve"
+	"birchcart/policy"
+)
+
+// sessionsPart is the name of the agreed sessions in the ledger.
+const sessionsPart = "sessions"
+
+const (
+	// StewardEvery is between the leader's looks at sessions. Twice as long: a release, or a share of slots, comes so much
+	// later; half: twice the walks over slots by co-ordinator and replica.
+	StewardEvery = 200 * time.Millisecond
+	// ActsMost are under way from this leader to the council; more are left out, and come again from who wants them.
+	ActsMost = 128
+	// leaveBefore the end of the time in which its work has to begin a co-ordinator goes, whatever sessions it has: they are
+	// free after its lease. Twice as long: less time for hand-overs; half: the drain may not end in time.
+	leaveBefore = 10 * time.Second
+	// stateMost bytes go with a hand-over.
+	stateMost = session.StateMost
+)
+
+// sessions is one co-ordinator's part in pinned sessions. What is not said to be shared belongs to the node's run.
+type sessions struct {
+	n       *Node
+	pins    *pins.Pins
+	steward *steward.Steward
+	section *operator.Sessions // in force here
+	no      uint64             // of the newest message of acts
+	seq     uint64             // of the newest proposal
+	lookAt  time.Duration      // of the next look of the steward
+	term    uint64             // that the steward looked in
+	wanted  []talk.Acts        // to be proposed by this leader
+	way     atomic.Int64       // proposals under way
+	leaves  uint64             // the grant by which this one may go, once it has no session; 0: none
+
+	mu   sync.Mutex
+	acts []session.Act // of the own keeper, to be handed on
+}
+
+// openSessions begins the part, if the section is there. It comes before the exchange runs.
+func (n *Node) openSessions(ctx context.Context, s serve.Serving) {
+	section := s.Operator.Fleet.Sessions
+	if section == nil {
+		return
+	}
+	p := &sessions{n: n, steward: steward.New(), section: section, no: uint64(n.start.UnixNano())}
+	p.pins = pins.New(pins.Options{
+		Name: n.name, Start: n.start, Exchange: s.Exchange, Log: n.log, Names: s.Config.Names, Policy: &s.Config.Policy,
+		Book: n.copy.book, Look: n.copy.look,
+		Propose: func(acts []session.Act) {
+			p.mu.Lock()
+			p.acts = append(p.acts, acts...)
+			p.mu.Unlock()
+			n.nudge()
+		},
+	})
+	p.pins.File(section)
+	s.Exchange.Pin(p.pins)
+	n.sessions = p
+	n.done.Go(func() { p.pins.Run(ctx) })
+}
+
+// reload takes a section that was read again.
+func (p *sessions) reload(s *operator.Sessions) {
+	p.section = s
+	p.pins.File(s)
+}
+
+// listed tells the keeper which replicas hold each shard.
+func (p *sessions) listed(list []exchange.Entry) {
+	c := &p.n.s.Config.Policy
+	all := make([]placement.Replica, len(list))
+	for i, e := range list {
+		all[i] = placement.Replica{Name: e.Name, DataCentre: e.Zone, Cell: e.Cell, Up: e.State == policy.Up}
+	}
+	ring, err := placement.New(placement.Shape{Cells: c.Cells, Reach: c.Reach, Shards: c.Shards}, all)
+	if err != nil {
+		p.n.lines.limited(p.n, p.n.now(), "the holders of shards are not known to the sessions: "+err.Error())
+		return
+	}
+	by := make([][]string, c.Shards)
+	for s := range by {
+		for _, r := range ring.All(s) { // a draining one too: parts may go there within its grace
+			by[s] = append(by[s], r.Name)
+		}
+	}
+	p.pins.Holders(by)
+}
+
+// hurry tells the view whether something agreed is waited for here: acts without an end, or a session that moves from or
+// to this co-ordinator. It runs in a look.
+func (p *sessions) hurry() view.Hurry {
+	waits := p.pins.Waits()
+	p.n.copy.book.Flights(func(r session.Record) bool {
+		waits = waits || r.Owner == p.n.name || r.To == p.n.name || r.Source == p.n.name
+		return !waits
+	})
+	return view.Hurry{On: waits}
+}
+
+// step hands on what the keeper wants agreed, and proposes as the leader.
+func (p *sessions) step(now time.Duration) {
+	n := p.n
+	p.pins.News(n.index, n.agreedNow, n.sureUntil(now))
+	p.mu.Lock()
+	acts := p.acts
+	p.acts = nil
+	p.mu.Unlock()
+	if len(acts) > 0 && n.leader != "" {
+		p.no++
+		m := talk.Acts{From: n.name, No: p.no, Acts: acts[:min(len(acts), session.ActsMost)]}
+		if n.term != 0 {
+			p.wanted = append(p.wanted, m)
+		} else if n.leader != n.name {
+			n.send(n.leader, m)
+		}
+	}
+	at, may := n.lead.Time()
+	if n.term == 0 || !may {
+		p.wanted = nil // their keepers want them still, and say so again
+		return
+	}
+	for _, m := range p.wanted {
+		sum := sha256.Sum256([]byte(m.From))
+		p.propose(at, fmt.Sprintf("a-%s-%d", hex.EncodeToString(sum[:8]), m.No), session.KindActs, session.ActsBody{From: m.From, Acts: m.Acts})
+	}
+	p.wanted = nil
+	if p.term != n.term {
+		p.term, p.lookAt = n.term, 0
+		p.steward.Reset()
+	}
+	if now < p.lookAt {
+		return
+	}
+	p.lookAt = now + StewardEvery
+	var out []steward.Propose
+	n.copy.look(func() {
+		out = p.steward.Step(steward.Look{
+			Now: now, Agreed: at, Book: n.copy.book, Order: n.copy.order, Want: p.limits(), Slots: p.section.Pool, Silent: n.lead.Silent,
+		})
+	})
+	for _, o := range out {
+		p.seq++
+		if o.Kind == session.KindRelease {
+			n.log.WithField("what", o.What).Info("a silent co-ordinator's sessions and slots are to be free")
+		}
+		p.propose(at, fmt.Sprintf("s-%d-%d", n.term, p.seq), o.Kind, o.Body)
+	}
+}
+
+// limits are what the section says, with the fleet's revision, lease and grace.
+func (p *sessions) limits() session.Limits {
+	f, s := p.n.fleetFile(), p.section
+	return session.Limits{
+		Revision: f.Revision, InFlight: s.Flight, PerMinute: s.Minute, OfferFor: ms(s.Offer), IdleFor: time.Duration(s.Idle * float64(time.Second)),
+		Lease: ms(f.Lease), Grace: ms(f.Grace), SessionsMost: s.Most, StateMost: stateMost, Slots: s.Slots,
+	}
+}
+
+// propose puts a command for the sessions to the council, beside the step. What comes to nothing is wanted again by who
+// wants it.
+func (p *sessions) propose(at time.Duration, id, kind string, body any) {
+	n := p.n
+	raw, err := json.Marshal(body)
+	if err == nil {
+		raw, err = ledger.Command{V: ledger.Version, ID: id, Part: sessionsPart, Kind: kind, At: at, Body: raw}.Encode()
+	}
+	if err != nil {
+		n.log.WithError(err).Error("a proposal for the sessions can't be written")
+		return
+	}
+	if n.council == nil || p.way.Load() >= ActsMost {
+		return
+	}
+	p.way.Add(1)
+	go func(seat *council.Council) {
+		defer p.way.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), ProposeTime)
+		defer cancel()
+		if err := seat.Propose(ctx, raw); err != nil {
+			level := logrus.DebugLevel // what came twice or late, mostly
+			if kind == session.KindLimits {
+				level = logrus.WarnLevel
+			}
+			n.log.WithError(err).WithFields(logrus.Fields{"kind": kind, "id": id}).Log(level, "a proposal for the sessions came to nothing")
+		}
+		n.nudge()
+	}(n.council)
+}
+
+// tell is this part of the summary.
+func (p *sessions) tell(f logrus.Fields) {
+	s := p.pins.Sums()
+	f["sessions"], f["waiting"], f["open"] = s.Held, s.Waiting, s.Open
+	f["pinned_ran"], f["pinned_refused"], f["pinned_recalled"], f["pinned_failed"] = s.Ran, s.Refused, s.Recalled, s.Failed
+	f["claimed"], f["adopted"], f["handed"], f["rolled_back"], f["ended"], f["lost"] = s.Claimed, s.Adopted, s.Handed, s.RolledBack, s.Ended, s.Lost
+	p.n.copy.look(func() { f["sessions_agreed"], f["sessions_moving"] = p.n.copy.book.Len(), p.n.copy.book.Moving() })
+}
+
+// owned says how many sessions are agreed to be here.
+func (p *sessions) owned() (owned int) {
+	p.n.copy.look(func() { owned = p.n.copy.book.Owned(p.n.name) })
+	return owned
+}
+
+// sureUntil is the own time until which this one's lease is sure; 0: it has none.
+func (n *Node) sureUntil(now time.Duration) time.Duration {
+	if n.view.CutOff(now) || n.halted {
+		return 0
+	}
+	return n.view.SureUntil()
+}
+
+// fleetFile is the section in force.
+func (n *Node) fleetFile() *operator.Fleet {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.file.Fleet
+}
+
+// leave notes that this co-ordinator may go by the grant of that number. It goes once its sessions are handed on.
+func (p *sessions) leave(fence uint64) {
+	p.leaves = fence
+	p.pins.Leave()
+	p.n.log.WithFields(logrus.Fields{"fence": fence, "sessions": p.owned()}).Info("this co-ordinator may go for work, and waits for its sessions to be handed on")
+}
+
+// gone says that one that may go may do so now: no session is its any more, or the time before which its work has to begin
+// comes, or the grant has ended otherwise.
+func (p *sessions) gone() (fence uint64, goes bool) {
+	n := p.n
+	if p.leaves == 0 {
+		return 0, false
+	}
+	n.copy.look(func() {
+		it, ok := n.copy.order.Item(n.name)
+		limits, _ := n.copy.order.Limits()
+		switch {
+		case !ok || it.Fence != p.leaves || it.Phase != takeout.Told: // it stays, or is gone for others already
+			p.leaves = 0
+		case n.copy.book.Owned(n.name) == 0 || n.agreedNow >= it.Until-limits.Settle-leaveBefore:
+			fence, goes, p.leaves = p.leaves, true, 0
+		}
+	})
+	return fence, goes
+}
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -50,9 +50,6 @@
 // open opens gossip, seat and file. An error names the place in the operators' file; what the disk holds is none.
 func (n *Node) open() error {
 	f := n.file.Fleet
-	if f.Sessions != nil {
-		return errSessions
-	}
 	if f.Grants != "" {
 		dir := filepath.Dir(f.Grants)
 		if at, err := os.Stat(dir); err != nil || !at.IsDir() {
@@ -76,9 +73,6 @@
 	return nil
 }
 
-// errSessions: the section is read and checked; what keeps sessions is not wired in yet.
-var errSessions = errors.New("operators' file: $.fleet.sessions: this program does not keep sessions yet; take the section out")
-
 // sit takes this co-ordinator's seat, if it has one. A store that can't be used leaves it without a vote.
 func (n *Node) sit(f *operator.Fleet) error {
 	own, ok := f.Voters[n.name]
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -52,6 +52,10 @@
 			n.caught = n.caught || !a.More
 			n.toView, n.answer = append(n.toView, *a), nil
 		}
+		if n.sessions != nil {
+			n.toView = append(n.toView, n.sessions.hurry())
+		}
+		n.agreedNow = l.Now()
 		out = n.view.Step(now, n.toView)
 		if !n.halted {
 			propose = n.lead.Step(now, wall, n.toLead)
@@ -77,6 +81,12 @@
 			n.log.Info(o.Text)
 		}
 	}
+	if n.sessions != nil {
+		n.sessions.step(now)
+		if fence, goes := n.sessions.gone(); goes {
+			n.goForWork(fence)
+		}
+	}
 	n.agreedRevision = limits
 	n.hand(now, limits, asks)
 	n.keepSeats(now)
@@ -96,8 +106,14 @@
 	if n.list != nil {
 		n.toView = append(n.toView, view.Listed{Own: machines(n.list)})
 		n.hasList = true
+		if n.sessions != nil {
+			n.sessions.listed(n.list)
+		}
 		n.listFed = time.Time{}
 	}
+	if n.sessions != nil {
+		n.sessions.reload(n.file.Fleet.Sessions)
+	}
 	n.asks = talk.Ask{From: n.name, Limits: Limits(n.file, &n.s.Config.Policy), Asks: Asks(n.file)}
 	n.askedAt, n.lines.differs = 0, 0
 	n.toLead = append(n.toLead, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
@@ -161,6 +177,15 @@
 		n.log.WithField("fence", fence).Info("this co-ordinator may go for work; the site's tools end it")
 		return
 	}
+	if n.sessions != nil {
+		n.sessions.leave(fence)
+		return
+	}
+	n.goForWork(fence)
+}
+
+// goForWork ends this co-ordinator as by SIGTERM, the lead first.
+func (n *Node) goForWork(fence uint64) {
 	n.log.WithField("fence", fence).Info("this co-ordinator goes for work")
 	go func() {
 		n.handOver()
--- /dev/null
+++ b/internal/fleet/steward/steward.go
@@ -0,0 +1,176 @@
+// Package steward is what the leader proposes for pinned sessions: the limits of the operators' file, each co-ordinator's
+// share of slots, and the release of who has been silent for longer than its lease. Pure: it looks at the agreed state and
+// says what it wants changed. Nothing waits for an end: what is wanted still, is proposed again, and what came twice or
+// late the agreed state refuses.
+package steward
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/takeout"
+)
+
+const (
+	// Again is between two proposals of one thing that the state does not show. Twice as long: a lost one costs so much
+	// more; half: a slow council has most of them twice.
+	Again = time.Second
+	// ReleaseAgain is for a release. While it may be under way its co-ordinator is given no lease, so it is not given up
+	// before its command would be refused as stale or has surely ended: a proposal waits for 3 s at most. Twice as long: one that came back waits for its
+	// lease so much longer; half: a release that waits in a slow council could come after a new lease.
+	ReleaseAgain = 6 * time.Second
+	// ShiftsMost shares are given out in one command. Twice as many: an entry twice as large; half: twice the entries at
+	// a fleet's start.
+	ShiftsMost = 500
+)
+
+// Look is all that a step goes by.
+type Look struct {
+	Now    time.Duration // own monotonic
+	Agreed time.Duration // by which a command is proposed
+	Book   *session.Book
+	Order  *takeout.State
+	// Want is what the operators' file says, without Caps and with the file's revision; Slots are those at each replica.
+	Want  session.Limits
+	Slots int
+	// Silent is how long nothing was heard of a co-ordinator while this one leads.
+	Silent func(name string) time.Duration
+}
+
+// Propose is a command for the part "sessions". What names it for the log.
+type Propose struct {
+	What, Kind string
+	Body       any
+}
+
+// Steward is a leader's, or one's that may become it. Not for use by several goroutines at once.
+type Steward struct {
+	asked map[string]time.Duration // what was proposed and not seen, and until when it is not proposed again
+}
+
+// New makes one.
+func New() *Steward { return &Steward{asked: map[string]time.Duration{}} }
+
+// Reset forgets what holds for one term only. What an earlier leader proposed may still act.
+func (s *Steward) Reset() { clear(s.asked) }
+
+// Releasing says that a release of this co-ordinator may be under way: it is given no lease.
+func (s *Steward) Releasing(now time.Duration, name string) bool {
+	return now < s.asked["release "+name]
+}
+
+// Step returns what to propose now.
+func (s *Steward) Step(l Look) (out []Propose) {
+	maps.DeleteFunc(s.asked, func(_ string, until time.Duration) bool { return l.Now >= until })
+	put := func(wait time.Duration, what, kind string, body any) {
+		if _, waits := s.asked[what]; !waits {
+			s.asked[what] = l.Now + wait
+			out = append(out, Propose{what, kind, body})
+		}
+	}
+	have, revision := l.Book.Limits()
+	if want, ok := l.wanted(have); ok {
+		put(Again, fmt.Sprintf("limits %d", want.Revision), session.KindLimits, session.LimitsBody{Limits: want})
+		return out // what follows goes by them
+	}
+	if revision == 0 {
+		return nil
+	}
+	for _, name := range l.silent(have) {
+		put(ReleaseAgain, "release "+name, session.KindRelease, session.ReleaseBody{Name: name, Silent: l.Silent(name), At: l.Agreed})
+	}
+	if shifts := l.spread(have); len(shifts) > 0 {
+		put(Again, "shares of slots", session.KindPlan, session.PlanBody{Shifts: shifts})
+	}
+	if l.Book.Moving() > 0 { // their ends are found by agreed time
+		put(Again, "tick", session.KindTick, session.TickBody{})
+	}
+	return out
+}
+
+// wanted are the limits that the file and the inventory come to, if they differ from those in force. Their revision has the
+// file's in front: a file of an older one changes nothing, and replicas that come and go count up behind it.
+func (l *Look) wanted(have session.Limits) (session.Limits, bool) {
+	const room = 1 << 24
+	if l.Want.Revision == 0 || l.Want.Revision < have.Revision/room {
+		return have, false
+	}
+	want := l.Want
+	want.Caps = map[string]int{}
+	for _, m := range l.Order.Machines() {
+		if m.Kind == takeout.Replica && m.Status != takeout.Gone {
+			want.Caps[m.Name] = l.Slots
+		}
+	}
+	want.Revision = max(l.Want.Revision*room, have.Revision+1)
+	same := want
+	same.Revision, same.Caps = have.Revision, have.Caps
+	if len(want.Caps) == 0 || l.Want.Revision == have.Revision/room && maps.Equal(want.Caps, have.Caps) && fmt.Sprint(same) == fmt.Sprint(have) {
+		return have, false
+	}
+	return want, true
+}
+
+// coordinators of the agreed inventory, by name.
+func (l *Look) coordinators() (out []takeout.Machine) {
+	for _, m := range l.Order.Machines() {
+		if m.Kind == takeout.Coordinator {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// silent are the co-ordinators that have something and have been silent for longer than a lease can last.
+func (l *Look) silent(have session.Limits) (out []string) {
+	if l.Agreed < l.Book.Quiet() {
+		return nil
+	}
+	names := map[string]bool{}
+	for _, m := range l.coordinators() {
+		names[m.Name] = true
+	}
+	held := l.Book.Pool()
+	for _, r := range held.Replicas() {
+		for _, name := range held.Holders(r) {
+			names[name] = true
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if l.Silent(name) >= have.SilentFor() && (l.Book.Owned(name) > 0 || l.holds(name)) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (l *Look) holds(name string) bool {
+	p := l.Book.Pool()
+	return slices.ContainsFunc(p.Replicas(), func(r string) bool { return p.Held(name, r) > 0 })
+}
+
+// spread gives free slots to who is up, was heard of within its lease, and has less than its even share.
+func (l *Look) spread(have session.Limits) (out []session.Shift) {
+	if l.Agreed < l.Book.Quiet() {
+		return nil
+	}
+	all := l.coordinators()
+	p := l.Book.Pool()
+	for _, r := range p.Replicas() {
+		free := p.Free(r)
+		share := p.Cap(r) / max(1, len(all))
+		for _, m := range all {
+			if m.Status != takeout.Up || l.Silent(m.Name) >= have.Lease || len(out) >= ShiftsMost {
+				continue
+			}
+			if n := min(share-p.Held(m.Name, r), free); n > 0 {
+				out = append(out, session.Shift{To: m.Name, Replica: r, N: n})
+				free -= n
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/steward/steward_test.go
@@ -0,0 +1,150 @@
+package steward
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/takeout"
+)
+
+// rig is an agreed log with an inventory, and a leader's steward over it.
+type rig struct {
+	*testing.T
+	l      *ledger.Ledger
+	look   Look
+	s      *Steward
+	silent map[string]time.Duration
+	no     int
+}
+
+const begin = 100 * time.Hour
+
+func newRig(t *testing.T) *rig {
+	order, book := takeout.New(), session.New()
+	r := &rig{T: t, s: New(), silent: map[string]time.Duration{}, l: ledger.New(map[string]ledger.Part{"takeout": order, "sessions": book})}
+	r.look = Look{
+		Agreed: begin, Book: book, Order: order, Slots: 30, Silent: func(name string) time.Duration { return r.silent[name] },
+		Want: session.Limits{Revision: 3, InFlight: 4, PerMinute: 100, OfferFor: time.Second, IdleFor: time.Minute, Lease: 2 * time.Second,
+			Grace: time.Second, SessionsMost: 100, StateMost: 100, Slots: 2},
+	}
+	r.list("r0", "r1")
+	return r
+}
+
+func (r *rig) put(part, kind string, body any) error {
+	r.Helper()
+	r.no++
+	raw, err := json.Marshal(body)
+	if err == nil {
+		raw, err = ledger.Command{V: ledger.Version, ID: fmt.Sprint(r.no), Part: part, Kind: kind, At: r.look.Agreed, Body: raw}.Encode()
+	}
+	if err != nil {
+		r.Fatal(err)
+	}
+	return r.l.Apply(r.l.Index()+1, raw)
+}
+
+// list makes the inventory three co-ordinators and these replicas.
+func (r *rig) list(replicas ...string) {
+	r.Helper()
+	var all []takeout.Machine
+	for _, name := range []string{"c0", "c1", "c2"} {
+		all = append(all, takeout.Machine{Name: name, Kind: takeout.Coordinator, Status: takeout.Up, Cell: -1})
+	}
+	for _, name := range replicas {
+		all = append(all, takeout.Machine{Name: name, Kind: takeout.Replica, Status: takeout.Up, Size: 1})
+	}
+	if err := r.put("takeout", "observe", takeout.ObserveBody{Whole: true, Machines: all}); err != nil {
+		r.Fatal(err)
+	}
+}
+
+// step plays one look; what is proposed is agreed, if take says so.
+func (r *rig) step(after time.Duration, take bool) (kinds []string) {
+	r.Helper()
+	r.look.Now += after
+	r.look.Agreed += after
+	for _, p := range r.s.Step(r.look) {
+		kinds = append(kinds, p.Kind)
+		if take {
+			if err := r.put("sessions", p.Kind, p.Body); err != nil {
+				r.Errorf("%s: %v", p.What, err)
+			}
+		}
+	}
+	if err := r.l.Check(); err != nil {
+		r.Error(err)
+	}
+	return kinds
+}
+
+func (r *rig) wants(got []string, want ...string) {
+	r.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		r.Errorf("%v, wanted %v", got, want)
+	}
+}
+
+func TestLimitsThenShares(t *testing.T) {
+	r := newRig(t)
+	r.wants(r.step(time.Second, false), "limits")
+	r.wants(r.step(Again/2, true)) // that one may still come
+	r.wants(r.step(Again, true), "limits")
+	r.wants(r.step(Again, true), "plan")
+	for _, name := range []string{"c0", "c1", "c2"} {
+		if p := r.look.Book.Pool(); p.Held(name, "r0") != 10 || p.Held(name, "r1") != 10 {
+			t.Errorf("%s holds %d and %d of 30 among three", name, p.Held(name, "r0"), p.Held(name, "r1"))
+		}
+	}
+	r.wants(r.step(Again, true))
+	r.list("r0", "r1", "r2") // another replica has a cap, and shares, too
+	r.wants(r.step(Again, true), "limits")
+	r.wants(r.step(Again, true), "plan")
+	r.look.Want.Revision = 2 // an older file at the next leader
+	r.look.Slots = 5
+	r.wants(r.step(Again, true))
+	r.look.Want.Revision, r.look.Want.InFlight = 4, 9
+	r.wants(r.step(Again, true), "limits")
+	if l, _ := r.look.Book.Limits(); l.InFlight != 9 || l.Caps["r2"] != 5 {
+		t.Errorf("%+v", l)
+	}
+}
+
+// One that is silent for as long as its lease can last, and has something, is released once; while that may be under way it
+// is given no lease, and the next leader counts anew.
+func TestTheSilentAreReleased(t *testing.T) {
+	r := newRig(t)
+	for range 3 {
+		r.step(Again, true)
+	}
+	claim := session.ActsBody{From: "c1", Acts: []session.Act{{Kind: session.Claim, ID: session.IDOf(0, []byte("k"))}}}
+	if err := r.put("sessions", session.KindActs, claim); err != nil {
+		t.Fatal(err)
+	}
+	need := r.look.Want.SilentFor()
+	r.silent["c1"] = need - 1
+	r.wants(r.step(need, false))
+	r.silent["c1"] = need
+	r.wants(r.step(Again, false), "release")
+	if !r.s.Releasing(r.look.Now, "c1") || r.s.Releasing(r.look.Now, "c0") {
+		t.Error("a lease while it is released, or none for another")
+	}
+	r.wants(r.step(Again, false))
+	r.s.Reset()
+	if r.s.Releasing(r.look.Now, "c1") {
+		t.Error("the next leader holds a lease back for what it did not propose")
+	}
+	r.wants(r.step(Again, true), "release")
+	if r.look.Book.Owned("c1") != 0 || r.look.Book.Pool().Held("c1", "r0") != 0 {
+		t.Error("what it had is not free")
+	}
+	r.wants(r.step(Again, true)) // up by the inventory, and silent still: it gets no share
+	r.silent["c1"] = 0
+	if r.step(Again, true); r.look.Book.Pool().Held("c1", "r0") != 10 {
+		t.Errorf("c1 is heard of again, and holds %d", r.look.Book.Pool().Held("c1", "r0"))
+	}
+}
--- a/internal/fleet/talk/talk.go
+++ b/internal/fleet/talk/talk.go
@@ -128,7 +128,7 @@
 	kindPoll byte = 'p'
 	kindWord byte = 'w'
 	kindAsk  byte = 'a'
-	kindActs byte = 's'
+	kindActs byte = 'c' // 's' is that of the seats, which package fleet reads by itself
 )
 
 // Whole puts a snapshot into the Word, packed if it is large, or says which bound it breaks.
--- a/internal/fleet/tell.go
+++ b/internal/fleet/tell.go
@@ -89,5 +89,8 @@
 		}
 	}
 	f["members"], f["members_up"] = all, up
+	if n.sessions != nil {
+		n.sessions.tell(f)
+	}
 	n.log.WithFields(f).Info("the fleet")
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -103,6 +103,9 @@
 	ex.Join(replicas, disc)
 	ready := func() bool { return known || disc.HasList() }
 	server := front.New(cfg, ex, ready, log)
+	if op != nil && op.Fleet != nil && op.Fleet.Sessions != nil {
+		server.Pin(op.Fleet.Sessions.Header, op.Fleet.Sessions.Owner)
+	}
 	var features *ogc.Server
 	if withFeatures {
 		features = ogc.New(cfg, op, ex, ready, log)
