--- a/internal/fleet/harness/check.go
+++ b/internal/fleet/harness/check.go
@@ -14,6 +14,8 @@
 	newsTime = 3 * time.Second
 	// partSlip is what a part may be later than the time of "told": clocks are the same, writing a call is not instant.
 	partSlip = 50 * time.Millisecond
+	// noticeMost is how much later than it was told the tools may notice that a co-ordinator may go.
+	noticeMost = 10 * time.Second
 	// upTime is how long a process takes from its start until it listens and has a list.
 	upTime = 3 * time.Second
 )
@@ -94,6 +96,7 @@
 			v.ToldIn = append(v.ToldIn, g.told-g.GrantedAt)
 		}
 	}
+	h.endings(grants)
 	h.checkFences(v, grants)
 	h.checkHolders(v, grants)
 	h.checkOut(v)
@@ -106,6 +109,31 @@
 	return v
 }
 
+// endings lets the time in which a process ends for its work begin when its grant was told, as agreed: it goes by itself
+// from then on, and on a busy machine the files that say so come seconds after.
+func (h *History) endings(grants []*grant) {
+	process := map[string]int{}
+	for _, m := range h.Machines {
+		if m.Kind == takeout.Coordinator {
+			process[m.Name] = len(process)
+		}
+	}
+	for _, g := range grants {
+		i, ok := process[g.Machine]
+		if !ok || g.told == 0 {
+			continue
+		}
+		for _, of := range [][][]Span{h.Ending, h.Disturbed} {
+			for j := range of[i] {
+				s := &of[i][j]
+				if told := agreed(g.told); s.What == "swap" && s.From.After(told) && s.From.Before(told.Add(noticeMost)) {
+					s.From = told
+				}
+			}
+		}
+	}
+}
+
 func (v *Verdict) broken(format string, args ...any) {
 	const most = 6 // of a kind; the first ones tell
 	if v.lines == nil {
--- a/internal/fleet/harness/check_rules_test.go
+++ b/internal/fleet/harness/check_rules_test.go
@@ -172,6 +172,8 @@
 			s.fail("r3", 10)
 			s.Parts = append(s.Parts, Part{after(14), 0, "r3", "q"})
 		}},
+		{"a query to a process that was told to go, before the tools saw it", "", func(s *story) { s.refused(9.5) }},
+		{"a query to one that was not yet told", "query q1-1: process 1 took nothing", func(s *story) { s.refused(8.5) }},
 	} {
 		s := newStory()
 		c.play(s)
@@ -182,6 +184,17 @@
 	}
 }
 
+// refused has a query refused at a time by a co-ordinator that is told to go at 9, which the tools see at 11.
+func (s *story) refused(at float64) {
+	s.Machines = append(s.Machines, takeout.Machine{Name: "n0", Kind: takeout.Coordinator}, takeout.Machine{Name: "n1", Kind: takeout.Coordinator})
+	s.ask("n1")
+	s.grant(8, "n1", true)
+	s.items[0].Phase, s.items[0].ToldAt = takeout.Told, time.Duration(after(9).UnixNano())
+	s.Files = append(s.Files, &Seen{Grants: Grants{Index: 2, Items: s.items}})
+	s.Ending[1] = []Span{{after(11), after(15), "swap"}}
+	s.Sent = append(s.Sent, Sent{ID: "q1-1", At: after(at), End: after(at), To: 1, Fate: NotTaken})
+}
+
 func (s *story) fail(machine string, at float64) {
 	s.Outages = append(s.Outages, Outage{Machine: machine, From: after(at), Dead: after(at), Warm: after(at + 3)})
 }
