Move pinned sessions off a co-ordinator that goes for work, by the leader's planner

Need: a machine's sessions have to be elsewhere before its co-ordinator ends, without an error that a client sees. Change: polls tell of a co-ordinator's room for sessions, and of idle ones while it leaves; the leader's steward steps the planner with the agreed order of work and proposes offers, withdrawals and shifts; the forecast and what keeps sessions where they are go to the log. Shares of slots are not topped up at one that leaves. Measured: four processes, twenty sessions at the one that goes, clients that ask on: it ends by itself with none, all are served by the others at once (TestSessionsMoveBeforeTheirMachineGoes).

--- a/cmd/birchcart-fleet/sessions_test.go
+++ b/cmd/birchcart-fleet/sessions_test.go
@@ -62,3 +62,77 @@
 		}
 	}
 }
+
+// A co-ordinator that may go for work hands its sessions on first: each is served all the while, by it or by whom it names,
+// and it ends with none, well within its lease.
+func TestSessionsMoveBeforeTheirMachineGoes(t *testing.T) {
+	t.Parallel()
+	s := newPinnedSite(t, 4)
+	const many = 20
+	s.until("sessions at n3", func() bool {
+		for i := range many {
+			if status, _, _ := s.pinned(3, fmt.Sprint("k", i)); status != 200 {
+				return false
+			}
+		}
+		return true
+	})
+	s.extra["drain_self"] = true
+	s.ask(false, map[string]any{"names": []string{"n3"}, "reason": "new board", "for_s": 30})
+	s.hangUp()
+	ended := make(chan error, 1)
+	go func() { ended <- s.procs[3].Wait() }()
+	at := make([]int, many) // where each client asks
+	for i := range at {
+		at[i] = 3
+	}
+	served, moved, began := 0, 0, time.Now()
+	for gone := false; !gone; {
+		for i := range at {
+			status, owner, _ := s.pinned(at[i], fmt.Sprint("k", i))
+			switch {
+			case status == 200:
+				served++
+			case owner != "":
+				fmt.Sscanf(owner, "n%d", &at[i])
+				moved++
+			case status != 503 && status != 0: // 0: it has ended, with all sessions handed on
+				t.Fatalf("k%d at n%d: %d", i, at[i], status)
+			}
+		}
+		select {
+		case err := <-ended:
+			if err != nil {
+				t.Errorf("n3 ended with %v:\n%s", err, s.logs[3].String())
+			}
+			gone = true
+		default:
+			if time.Since(began) > 30*time.Second {
+				t.Fatalf("n3 has not gone, %d sessions asked elsewhere:\n%s", moved, s.logs[3].String())
+			}
+		}
+	}
+	end := time.Now()
+	for i := range many {
+		s.until("served by another", func() bool {
+			for to := range 3 {
+				if status, _, _ := s.pinned(to, fmt.Sprint("k", i)); status == 200 {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	if took := time.Since(end); took > 2*time.Second { // less than the lease: they were handed on, not freed by its end
+		t.Errorf("all served only %v after n3 had ended", took)
+	}
+	t.Logf("%d served and %d sent on in %v until n3 ended; all served elsewhere %v later", served, moved, end.Sub(began).Round(time.Millisecond), time.Since(end).Round(time.Millisecond))
+	if !strings.Contains(s.logs[3].String(), "goes for work") || served < many {
+		t.Errorf("%d served, %d sent on; n3:\n%s", served, moved, s.logs[3].String())
+	}
+	for i, l := range s.logs {
+		if text := l.String(); strings.Contains(text, "does not hold") || strings.Contains(text, "panic") {
+			t.Errorf("n%d:\n%s", i, text)
+		}
+	}
+}
--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -20,6 +20,7 @@
 	"birchcart/internal/exchange"
 	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/talk"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
 	"birchcart/policy"
@@ -31,6 +32,8 @@
 	StepBusy = 5 * time.Millisecond
 	// StepIdle is between steps of which nothing is waited for. Twice as long: idle sessions end that much later.
 	StepIdle = 100 * time.Millisecond
+	// IdleEvery is between counts of idle sessions while this co-ordinator leaves: polls come as often at the most.
+	IdleEvery = 200 * time.Millisecond
 	// CheckEvery is between looks at whether the keeper's rules hold. Twice as long: a fault is told of later; half: twice
 	// the walks over all that is known.
 	CheckEvery = 10 * time.Second
@@ -61,8 +64,9 @@
 type Pins struct {
 	o       Options
 	keeper  *keeper.Keeper // run's alone
-	checked time.Duration  // run's alone
-	lease   atomic.Int64   // own time until which a served answer may be given; 0: not
+	checked time.Duration  // run's alone, as the next
+	idledAt time.Duration
+	lease   atomic.Int64 // own time until which a served answer may be given; 0: not
 	holders atomic.Pointer[[][]string]
 	file    atomic.Pointer[rules]
 	wake    chan struct{}
@@ -78,6 +82,8 @@
 	moved  bool
 	news   bool
 	sums   keeper.Sums
+	idle   []session.ID // while it leaves
+	leaves bool
 	busy   bool // something waits for what is to be agreed
 }
 
@@ -141,7 +147,19 @@
 }
 
 // Leave says that this co-ordinator goes.
-func (p *Pins) Leave() { p.put(keeper.Leaving{}) }
+func (p *Pins) Leave() {
+	p.mu.Lock()
+	p.leaves = true
+	p.mu.Unlock()
+	p.put(keeper.Leaving{})
+}
+
+// Idle are sessions of which nothing was open at the last step, the longest unused first, while this co-ordinator leaves.
+func (p *Pins) Idle() []session.ID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.idle
+}
 
 // Sums are the keeper's counts as of its last step.
 func (p *Pins) Sums() keeper.Sums {
@@ -283,7 +301,7 @@
 	if p.moved {
 		in = append(in, keeper.Applied{Book: p.o.Book, Index: p.index, Agreed: p.agreed})
 	}
-	lent := p.lent
+	lent, leaves := p.lent, p.leaves
 	if p.news {
 		in = append(in, lent)
 	}
@@ -315,8 +333,19 @@
 			p.o.Log.WithError(err).Error("a rule of the pinned sessions does not hold")
 		}
 	}
+	var idle []session.ID
+	if leaves && now >= p.idledAt+IdleEvery {
+		p.idledAt = now
+		p.keeper.Idle(func(id session.ID, _ time.Duration) bool {
+			idle = append(idle, id)
+			return len(idle) < talk.IdleMost
+		})
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if idle != nil {
+		p.idle = idle
+	}
 	p.sums, p.busy = sums, len(acts) > 0 || sums.Waiting > 0
 	return sums.Waiting > 0 || sums.Open > 0 || len(acts) > 0
 }
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -77,6 +77,9 @@
 		}
 		n.toLead = append(n.toLead, lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid, Wall: p.Wall})
 		n.loads[p.From] = told{p.Load, p.LoadKnown, at, era}
+		if n.sessions != nil {
+			n.sessions.hear(p)
+		}
 		n.polled[p.From] = polled{p.No, p.Index, era}
 		return
 	}
@@ -224,7 +227,8 @@
 // pollNow sends what the view wants asked.
 func (n *Node) pollNow(p view.Poll) {
 	n.silent++
-	n.ask(talk.Poll{From: n.name, No: p.No, Index: p.Index, Era: eraSent(n.era), Laid: n.sayable(p.Laid), Load: n.own.load, LoadKnown: n.own.known})
+	n.ask(talk.Poll{From: n.name, No: p.No, Index: p.Index, Era: eraSent(n.era), Laid: n.sayable(p.Laid), Load: n.own.load, LoadKnown: n.own.known,
+		Pinned: n.sessions.room()})
 }
 
 // ask sends a poll to the leader, or to the voters in turn while none is known.
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -15,6 +15,7 @@
 	"birchcart/internal/exchange"
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/pins"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/steward"
@@ -39,23 +40,32 @@
 	// leaveBefore the end of the time in which its work has to begin a co-ordinator goes, whatever sessions it has: they are
 	// free after its lease. Twice as long: less time for hand-overs; half: the drain may not end in time.
 	leaveBefore = 10 * time.Second
+	// queriesMost of sessions are open at one co-ordinator, waiting or running; the keeper's own bound is behind it.
+	queriesMost = 32_768
 	// stateMost bytes go with a hand-over.
 	stateMost = session.StateMost
 )
 
 // sessions is one co-ordinator's part in pinned sessions. What is not said to be shared belongs to the node's run.
 type sessions struct {
-	n       *Node
-	pins    *pins.Pins
-	steward *steward.Steward
-	section *operator.Sessions // in force here
-	no      uint64             // of the newest message of acts
-	seq     uint64             // of the newest proposal
-	lookAt  time.Duration      // of the next look of the steward
-	term    uint64             // that the steward looked in
-	wanted  []talk.Acts        // to be proposed by this leader
-	way     atomic.Int64       // proposals under way
-	leaves  uint64             // the grant by which this one may go, once it has no session; 0: none
+	n        *Node
+	pins     *pins.Pins
+	steward  *steward.Steward
+	section  *operator.Sessions // in force here
+	no       uint64             // of the newest message of acts
+	seq      uint64             // of the newest proposal
+	lookAt   time.Duration      // of the next look of the steward
+	term     uint64             // that the steward looked in
+	rooms    map[string]migrate.Room
+	idle     map[string][]session.ID
+	sites    []migrate.Coordinator // as of sitesAt
+	sitesAt  uint64                // index
+	sitesBy  time.Duration         // own time by which they are made anew
+	foretold string                // the newest forecast in the log
+	toldAt   time.Duration
+	wanted   []talk.Acts  // to be proposed by this leader
+	way      atomic.Int64 // proposals under way
+	leaves   uint64       // the grant by which this one may go, once it has no session; 0: none
 
 	mu   sync.Mutex
 	acts []session.Act // of the own keeper, to be handed on
@@ -67,7 +77,7 @@
 	if section == nil {
 		return
 	}
-	p := &sessions{n: n, steward: steward.New(), section: section, no: uint64(n.start.UnixNano())}
+	p := &sessions{n: n, steward: steward.New(), section: section, rooms: map[string]migrate.Room{}, idle: map[string][]session.ID{}, no: uint64(n.start.UnixNano())}
 	p.pins = pins.New(pins.Options{
 		Name: n.name, Start: n.start, Exchange: s.Exchange, Log: n.log, Names: s.Config.Names, Policy: &s.Config.Policy,
 		Book: n.copy.book, Look: n.copy.look,
@@ -152,6 +162,8 @@
 	if p.term != n.term {
 		p.term, p.lookAt = n.term, 0
 		p.steward.Reset()
+		clear(p.rooms)
+		clear(p.idle)
 	}
 	if now < p.lookAt {
 		return
@@ -159,8 +171,10 @@
 	p.lookAt = now + StewardEvery
 	var out []steward.Propose
 	n.copy.look(func() {
+		p.look(now, at)
 		out = p.steward.Step(steward.Look{
 			Now: now, Agreed: at, Book: n.copy.book, Order: n.copy.order, Want: p.limits(), Slots: p.section.Pool, Silent: n.lead.Silent,
+			Sites: p.sites, PerSlot: p.perSlot(), Paused: n.copy.order.Asks().Paused,
 		})
 	})
 	for _, o := range out {
@@ -170,6 +184,57 @@
 		}
 		p.propose(at, fmt.Sprintf("s-%d-%d", n.term, p.seq), o.Kind, o.Body)
 	}
+	p.foretell(now)
+}
+
+// look makes the planner's co-ordinators anew if the agreed state has moved, or a wait in it may be over.
+func (p *sessions) look(now, at time.Duration) {
+	n := p.n
+	if p.sites == nil || n.index != p.sitesAt || now >= p.sitesBy {
+		p.sites, p.sitesAt, p.sitesBy = migrate.FromState(n.copy.order, at), n.index, now+time.Second
+	}
+	for i := range p.sites {
+		c := &p.sites[i]
+		c.Room, c.Idle = p.rooms[c.Name], p.idle[c.Name]
+	}
+}
+
+// perSlot is how many sessions share a slot at a replica when all that may be are there.
+func (p *sessions) perSlot() int { return (p.section.Most + p.section.Pool - 1) / p.section.Pool }
+
+// foretell logs the planner's forecast when it changes, and what keeps sessions where they are, once in a while.
+func (p *sessions) foretell(now time.Duration) {
+	plan := p.steward.Plan()
+	text := plan.Forecast.String()
+	if len(plan.Kept) == 0 && plan.Forecast.Moves == 0 || text == p.foretold || now < p.toldAt+LineEvery {
+		return
+	}
+	p.foretold, p.toldAt = text, now
+	p.n.log.WithField("forecast", text).Info("pinned sessions are to move")
+	for _, k := range plan.Kept {
+		p.n.log.WithFields(logrus.Fields{"from": k.From, "sessions": k.Sessions, "why": k.Why, "one_is": k.Example}).Info("sessions stay for now")
+	}
+}
+
+// room is what this co-ordinator tells of its sessions.
+func (p *sessions) room() *talk.Pinned {
+	if p == nil {
+		return nil
+	}
+	s := p.pins.Sums()
+	owned := p.owned()
+	return &talk.Pinned{
+		Owned: owned, Open: s.Open + s.Waiting, Queries: queriesMost,
+		Memory: max(0, int64(p.section.Most)*operator.SessionMemory-int64(owned)*operator.SessionMemory), Idle: p.pins.Idle(),
+	}
+}
+
+// hear takes what another one told of its sessions, with a poll.
+func (p *sessions) hear(from talk.Poll) {
+	if x := from.Pinned; x != nil {
+		p.rooms[from.From] = migrate.Room{Sessions: p.section.Most, Told: x.Owned, Open: x.Open, Queries: x.Queries, Memory: 2 * x.Memory}
+		p.idle[from.From] = x.Idle
+	}
 }
 
 // limits are what the section says, with the fleet's revision, lease and grace.
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -1,5 +1,5 @@
 // Package steward is what the leader proposes for pinned sessions: the limits of the operators' file, each co-ordinator's
-// share of slots, and the release of who has been silent for longer than its lease. Pure: it looks at the agreed state and
+// share of slots, the release of who has been silent for longer than its lease, and the planner's moves. Pure: it looks at the agreed state and
 // says what it wants changed. Nothing waits for an end: what is wanted still, is proposed again, and what came twice or
 // late the agreed state refuses.
 package steward
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
 )
@@ -22,6 +23,9 @@
 	// before its command would be refused as stale or has surely ended: a proposal waits for 3 s at most. Twice as long: one that came back waits for its
 	// lease so much longer; half: a release that waits in a slow council could come after a new lease.
 	ReleaseAgain = 6 * time.Second
+	// PlanEvery is between steps of the planner. Twice as long: a session's move begins, or is called off, so much later; half:
+	// twice the looks at all that is in flight.
+	PlanEvery = 200 * time.Millisecond
 	// ShiftsMost shares are given out in one command. Twice as many: an entry twice as large; half: twice the entries at
 	// a fleet's start.
 	ShiftsMost = 500
@@ -36,6 +40,11 @@
 	// Want is what the operators' file says, without Caps and with the file's revision; Slots are those at each replica.
 	Want  session.Limits
 	Slots int
+	// Sites are the co-ordinators of the inventory as the planner sees them, by name; PerSlot of their sessions share a slot at a
+	// replica, at most.
+	Sites   []migrate.Coordinator
+	PerSlot int
+	Paused  bool // by the operators
 	// Silent is how long nothing was heard of a co-ordinator while this one leads.
 	Silent func(name string) time.Duration
 }
@@ -48,14 +57,25 @@
 
 // Steward is a leader's, or one's that may become it. Not for use by several goroutines at once.
 type Steward struct {
-	asked map[string]time.Duration // what was proposed and not seen, and until when it is not proposed again
+	asked   map[string]time.Duration // what was proposed and not seen, and until when it is not proposed again
+	planner *migrate.Planner
+	said    migrate.Plan // of the last step
+	planAt  time.Duration
 }
 
 // New makes one.
-func New() *Steward { return &Steward{asked: map[string]time.Duration{}} }
+func New() *Steward {
+	return &Steward{asked: map[string]time.Duration{}, planner: migrate.New(migrate.Options{})}
+}
 
 // Reset forgets what holds for one term only. What an earlier leader proposed may still act.
-func (s *Steward) Reset() { clear(s.asked) }
+func (s *Steward) Reset() {
+	clear(s.asked)
+	s.planner, s.said, s.planAt = migrate.New(migrate.Options{}), migrate.Plan{}, 0
+}
+
+// Plan is what the planner last said: its forecast, and which sessions it keeps and why.
+func (s *Steward) Plan() migrate.Plan { return s.said }
 
 // Releasing says that a release of this co-ordinator may be under way: it is given no lease.
 func (s *Steward) Releasing(now time.Duration, name string) bool {
@@ -85,12 +105,31 @@
 	if shifts := l.spread(have); len(shifts) > 0 {
 		put(Again, "shares of slots", session.KindPlan, session.PlanBody{Shifts: shifts})
 	}
-	if l.Book.Moving() > 0 { // their ends are found by agreed time
+	if l.Now >= s.planAt+PlanEvery {
+		s.planAt = l.Now
+		s.said = s.planner.Step(l.Agreed, l.view())
+		if !s.said.Empty() { // the planner itself says again what came to nothing
+			out = append(out, Propose{"moves", session.KindPlan, s.said.Body})
+		}
+	}
+	if l.Book.Moving() > 0 || s.said.Tick { // their ends are found by agreed time
 		put(Again, "tick", session.KindTick, session.TickBody{})
 	}
 	return out
 }
 
+// view is what the planner goes by.
+func (l *Look) view() migrate.View {
+	v := migrate.View{Book: l.Book, Slots: l.Book.Pool(), Coordinators: slices.Clone(l.Sites), PerSlot: l.PerSlot, Paused: l.Paused,
+		Replicas: l.Book.Pool().Replicas()}
+	limits, _ := l.Book.Limits()
+	for i := range v.Coordinators {
+		c := &v.Coordinators[i]
+		c.Live = c.Live && l.Silent(c.Name) < limits.Lease
+	}
+	return v
+}
+
 // wanted are the limits that the file and the inventory come to, if they differ from those in force. Their revision has the
 // file's in front: a file of an older one changes nothing, and replicas that come and go count up behind it.
 func (l *Look) wanted(have session.Limits) (session.Limits, bool) {
@@ -158,12 +197,16 @@
 		return nil
 	}
 	all := l.coordinators()
+	leaves := map[string]bool{}
+	for i := range l.Sites {
+		leaves[l.Sites[i].Name] = l.Sites[i].Leaving
+	}
 	p := l.Book.Pool()
 	for _, r := range p.Replicas() {
 		free := p.Free(r)
 		share := p.Cap(r) / max(1, len(all))
 		for _, m := range all {
-			if m.Status != takeout.Up || l.Silent(m.Name) >= have.Lease || len(out) >= ShiftsMost {
+			if m.Status != takeout.Up || l.Silent(m.Name) >= have.Lease || leaves[m.Name] || len(out) >= ShiftsMost {
 				continue
 			}
 			if n := min(share-p.Held(m.Name, r), free); n > 0 {
--- a/internal/fleet/talk/check.go
+++ b/internal/fleet/talk/check.go
@@ -36,6 +36,9 @@
 	if p.Wall < 0 {
 		return fmt.Errorf("a poll tells of a clock at %v", p.Wall)
 	}
+	if x := p.Pinned; x != nil && (x.Owned < 0 || x.Open < 0 || x.Queries < 0 || x.Memory < 0 || len(x.Idle) > IdleMost) {
+		return fmt.Errorf("a poll tells of sessions %d, open %d of %d, %d bytes, %d idle; %d of those at most", x.Owned, x.Open, x.Queries, x.Memory, len(x.Idle), IdleMost)
+	}
 	for _, l := range p.Laid {
 		if l.Fence == 0 {
 			return fmt.Errorf("a drain of %.40q has no fence", l.Machine)
--- a/internal/fleet/talk/talk.go
+++ b/internal/fleet/talk/talk.go
@@ -47,6 +47,9 @@
 	NameMost = 1024
 	// PollMost is the bytes of a whole Poll or Ask, encoded.
 	PollMost = 4 << 20
+	// IdleMost is the idle sessions of which one Poll tells. Twice as many: polls of some 70 KB while one leaves; half: a plan
+	// may have to take busy ones while there are idle ones.
+	IdleMost = 1024
 	// WordMost is the bytes of a whole Word, encoded: a snapshot or entries grow by a third in JSON.
 	WordMost = SnapshotMost/3*4 + 1<<20
 )
@@ -77,6 +80,17 @@
 	LoadKnown bool    `json:"load_known,omitempty"`
 	// Wall is what the sender's clock shows, since the Unix epoch, when it sends; 0: not told.
 	Wall time.Duration `json:"wall,omitempty"`
+	// Pinned is what the sender tells of its pinned sessions; nil: it keeps none.
+	Pinned *Pinned `json:"pinned,omitempty"`
+}
+
+// Pinned is a co-ordinator's room for sessions, as it last counted.
+type Pinned struct {
+	Owned   int          `json:"owned"`          // sessions, by its own copy
+	Open    int          `json:"open"`           // queries of sessions, waiting or running
+	Queries int          `json:"queries"`        // at most so many may be open
+	Memory  int64        `json:"memory"`         // bytes left for sessions
+	Idle    []session.ID `json:"idle,omitempty"` // sessions without an open query, the longest first; told while it leaves
 }
 
 // Entry is one raw command of the ledger with its index in the agreed log. Indices grow, but not each by one: the log
--- a/internal/fleet/talk/talk_test.go
+++ b/internal/fleet/talk/talk_test.go
@@ -14,7 +14,8 @@
 )
 
 var good = []Message{
-	Poll{From: "a", No: math.MaxUint64, Index: 3, Laid: []Laid{{"r1", 4, false, ""}, {"r2", 5, true, "alone"}}, Load: 1.5, LoadKnown: true, Wall: 1 << 60},
+	Poll{From: "a", No: math.MaxUint64, Index: 3, Laid: []Laid{{"r1", 4, false, ""}, {"r2", 5, true, "alone"}}, Load: 1.5, LoadKnown: true, Wall: 1 << 60,
+		Pinned: &Pinned{Owned: 3, Open: 2, Queries: 9, Memory: 1 << 20, Idle: []session.ID{session.IDOf(0, nil)}}},
 	Word{No: 9, From: "b", Leader: "b", Term: 2, Led: true, Since: 3, Index: 9, Entries: []Entry{{5, []byte{0, 255}}, {9, []byte("x")}}},
 	Word{No: 9, From: "c", Leader: "b", Index: 1},
 	Word{No: 9, From: "b", Leader: "b", Led: true, Index: 7, Snapshot: []byte("whole")},
@@ -50,6 +51,8 @@
 		{"no fence", Poll{No: 1, From: "a", Laid: []Laid{{Machine: "r"}}}},
 		{"a load of -1", Poll{No: 1, From: "a", Load: -1}},
 		{"a load of NaN", Poll{No: 1, From: "a", Load: math.NaN()}},
+		{"open -1 of 0", Poll{From: "a", No: 1, Pinned: &Pinned{Open: -1}}},
+		{"1025 idle", Poll{From: "a", No: 1, Pinned: &Pinned{Idle: make([]session.ID, IdleMost+1)}}},
 		{"a clock at -1ns", Poll{No: 1, From: "a", Wall: -1}},
 		{"answers no poll", Word{From: "a"}},
 		{"more than one of entries", Word{No: 1, From: "a", Led: true, Index: 1, Entries: []Entry{{1, nil}}, Snapshot: []byte{1}}},
