Tell operators how to pin sessions, with a swap walked through, and ship an example

Need: the section has keys, bounds and answers that operators and their clients have to know before they switch it on.

--- a/cmd/birchctl/main_test.go
+++ b/cmd/birchctl/main_test.go
@@ -141,8 +141,10 @@
 }
 
 func TestShippedFilesHold(t *testing.T) {
-	if status, out := ctl(t, "lint", "--operator", "../../deploy/fleet.jsonnet"); status != 0 {
-		t.Errorf("the fleet's: %d: %s", status, out)
+	for _, name := range []string{"fleet", "fleet-sessions"} {
+		if status, out := ctl(t, "lint", "--operator", "../../deploy/"+name+".jsonnet"); status != 0 {
+			t.Errorf("%s: %d: %s", name, status, out)
+		}
 	}
 	if status, out := ctl(t, "lint", "--strict", "--operator", shipped); status != 0 {
 		t.Errorf("%d: %s", status, out)
