Measure moves of pinned sessions in an emulated swap, and tell those concerned at once

pinnedworld swap plays a swap of all co-ordinators of a quiet fleet, with up to 100,000 sessions over one shared state with a memory, by the planner's own choice or a baseline's, and says pauses, errors and moves.

--- a/internal/fleet/world/pinned/cmd/pinnedworld/main.go
+++ b/internal/fleet/world/pinned/cmd/pinnedworld/main.go
@@ -11,11 +11,14 @@
 
 	"github.com/alecthomas/kong"
 
+	"birchcart/internal/fleet/migrate"
+	"birchcart/internal/fleet/migrate/baseline"
 	"birchcart/internal/fleet/world/pinned"
 )
 
 type cli struct {
 	Run    runCmd    `cmd:"" help:"Play the worlds of many seeds and say what they came to."`
+	Swap   swapCmd   `cmd:"" help:"Swap all co-ordinators of a quiet fleet and print its figures."`
 	Replay replayCmd `cmd:"" help:"Play one world again, by its seed or its printed schedule."`
 }
 
@@ -43,6 +46,38 @@
 	return nil
 }
 
+type swapCmd struct {
+	Seed         uint64        `default:"1" help:"Seed."`
+	Coordinators int           `default:"300" help:"How many."`
+	Sessions     int           `default:"100000" help:"How many."`
+	Replicas     int           `default:"200" help:"How many."`
+	Abreast      int           `default:"15" help:"Co-ordinators that go together."`
+	Every        time.Duration `default:"10s" help:"Mean between two queries of a session."`
+	Prefer       string        `default:"" enum:",random,ring,emptiest" help:"A baseline instead of the planner's own choice."`
+}
+
+func (c *swapCmd) Run() error {
+	debug.SetGCPercent(400)
+	s := pinned.Swap(c.Seed, c.Coordinators, c.Sessions, c.Replicas, c.Abreast, c.Every)
+	w := pinned.New(s)
+	w.Measure()
+	w.Prefer = map[string]migrate.Prefer{"random": baseline.Random(1), "ring": baseline.Ring, "emptiest": baseline.Emptiest}[c.Prefer]
+	begin := time.Now()
+	r := w.Run()
+	f := w.Figures
+	fmt.Printf("%d co-ordinators, %d sessions, %d replicas, %d abreast, %q: in %v\n", c.Coordinators, c.Sessions, c.Replicas, c.Abreast, c.Prefer,
+		time.Since(begin).Round(time.Second))
+	fmt.Printf("swap done %v, stopped %v, took %v; %d moves, %.3f a session; forecast %v\n", f.SwapDone, f.SwapStopped,
+		(f.SwapEnd - f.SwapBegin).Round(time.Second), f.Moved, float64(f.Moved)/float64(c.Sessions), f.First)
+	fmt.Printf("pause, ms, of %d: p50 %d, p90 %d, p99 %d, p99.9 %d, most %d\n", f.Pause.TotalCount(), f.Pause.ValueAtQuantile(50),
+		f.Pause.ValueAtQuantile(90), f.Pause.ValueAtQuantile(99), f.Pause.ValueAtQuantile(99.9), f.Pause.Max())
+	fmt.Printf("sessions that moved %d, without an error at a client %d (%.5f)\n", f.Sessions, f.Clean, float64(f.Clean)/float64(max(1, f.Sessions)))
+	fmt.Printf("queries %d, lost %d, errors %d; served, ms: p50 %d, p99 %d, p99.9 %d, most %d\n", f.Queries, f.Lost, f.Errors,
+		f.Latency.ValueAtQuantile(50), f.Latency.ValueAtQuantile(99), f.Latency.ValueAtQuantile(99.9), f.Latency.Max())
+	fmt.Printf("%d entries, %d leaders, %d lines, %+v\n", r.Entries, r.Changes, r.Lines, r.Figures)
+	return r.Err
+}
+
 type replayCmd struct {
 	Seed  uint64 `help:"Its seed."`
 	File  string `type:"existingfile" help:"A printed schedule instead of a seed."`
--- a/internal/fleet/world/pinned/co.go
+++ b/internal/fleet/world/pinned/co.go
@@ -28,6 +28,7 @@
 	keeper      *keeper.Keeper
 	bornAt      time.Duration // own
 	hint        int           // who leads, -1: not known
+	asked       bool          // a poll is not answered yet
 	conns       map[uint64]*request
 	open        map[uint64]*out
 	acts        []session.Act
@@ -85,7 +86,7 @@
 	w := c.w
 	c.up, c.stalled = true, false
 	c.inc++
-	c.held, c.acts, c.lead, c.hint = nil, nil, nil, -1
+	c.held, c.acts, c.lead, c.hint, c.asked = nil, nil, nil, -1, false
 	c.conns, c.open, c.quiescing = map[uint64]*request{}, map[uint64]*out{}, map[session.ID]time.Duration{}
 	c.bornAt, c.hotUntil = c.mono(), 0
 	if c.copy == nil || !w.s.Shared && w.rng.IntN(3) == 0 { // its store is lost, or it was never there
@@ -227,7 +228,7 @@
 
 func (c *co) connect(rq *request) {
 	if !c.up {
-		c.w.after(c.w.s.Link.Latency, func() { rq.got(history.Broken, "", 0, "") })
+		c.w.after(c.w.s.Link.Latency, func() { rq.got(history.Broken, down, 0, "") })
 		return
 	}
 	c.conns[rq.id] = rq
@@ -261,7 +262,7 @@
 		o.parts = append(o.parts, &part{})
 	}
 	for i, name := range rq.q.needs {
-		c.sendPart(o, o.parts[i], c.w.replicaOf(name))
+		c.sendPart(o, o.parts[i], c.w.byPlace[name])
 	}
 }
 
--- a/internal/fleet/world/pinned/council.go
+++ b/internal/fleet/world/pinned/council.go
@@ -21,6 +21,8 @@
 	term   uint64
 	bad    time.Duration // since when the leader can't lead; -1: it can
 	pipe   []proposal
+	// concerns are those whose sessions were offered or handed by what was committed last.
+	concerns map[string]bool
 }
 
 type proposal struct {
@@ -117,6 +119,7 @@
 		return
 	}
 	var dones []func()
+	clear(w.concerns)
 	for len(w.pipe) > 0 && w.pipe[0].at <= w.now {
 		p := w.pipe[0]
 		w.pipe = w.pipe[1:]
@@ -129,6 +132,9 @@
 	for _, do := range dones {
 		do()
 	}
+	if c.lead != nil {
+		c.push(w.concerns)
+	}
 }
 
 // commit applies an entry to the copy above all others and tells the history what changed.
@@ -208,6 +214,13 @@
 	}
 	r, ok := w.top.book.Get(id)
 	was := w.stands[n]
+	if r.Phase == session.Offered || r.Phase == session.Handed {
+		for _, name := range []string{r.Owner, r.To, r.Source} {
+			if name != "" {
+				w.concerns[name] = true
+			}
+		}
+	}
 	now := stand{r.Owner, r.Epoch, r.Phase}
 	switch {
 	case !ok && was.phase == session.Free:
--- a/internal/fleet/world/pinned/figures.go
+++ b/internal/fleet/world/pinned/figures.go
@@ -18,7 +18,8 @@
 	Queries     int
 	Lost        int // queries that ended without a served answer
 	Errors      int // of them and others, failed answers and broken connections that clients saw
-	Frees       int // of sessions that were owned
+	Sessions    int // that moved
+	Clean       int // of them, those of which no client saw an error in the swap
 	First       migrate.Forecast
 	SwapBegin   time.Duration
 	SwapEnd     time.Duration
@@ -32,6 +33,12 @@
 	}
 }
 
+// Measure lets a world measure pauses and latencies.
+func (w *World) Measure() {
+	w.Figures.Pause = hdrhistogram.New(1, 600_000, 3)
+	w.Figures.Latency = hdrhistogram.New(1, 600_000, 3)
+}
+
 // done is the end of a query at its client.
 func (w *World) done(q *query, served bool) {
 	w.Figures.Queries++
@@ -44,10 +51,33 @@
 	}
 }
 
+// errs notes that a client of a session saw an error.
+func (w *World) errs(n int32) {
+	if w.Figures.SwapBegin > 0 {
+		w.erred[n] = true
+	}
+}
+
+// swapped says that the swap is over, and what came of it is known.
+func (w *World) swapped() bool {
+	f := &w.Figures
+	if f.SwapStopped || f.SwapDone && w.now > f.SwapEnd+10*time.Second {
+		f.Sessions, f.Clean = len(w.handed), 0
+		for n := range w.handed {
+			if !w.erred[n] {
+				f.Clean++
+			}
+		}
+		return true
+	}
+	return false
+}
+
 // moved sees a change of what is agreed of a session.
 func (w *World) moved(n int32, was, now stand) {
 	if was.phase == session.Handed && now.phase == session.Pinned {
 		w.Figures.Moved++
+		w.handed[n] = true
 	}
 }
 
--- a/internal/fleet/world/pinned/polls.go
+++ b/internal/fleet/world/pinned/polls.go
@@ -1,6 +1,7 @@
 package pinned
 
 import (
+	"maps"
 	"slices"
 
 	"birchcart/internal/fleet/keeper"
@@ -30,8 +31,11 @@
 	for _, o := range c.view.Step(c.mono(), in) {
 		if p, ok := o.(view.Poll); ok {
 			from, no, since := c.id, p.No, c.copy.index
+			if c.asked { // the one before had no answer
+				c.hint = -1
+			}
+			c.asked = true
 			c.w.send(c.id, c.toLead(), func(o *co) { o.polled(from, no, since) })
-			c.hint = -1 // until it answers
 		}
 	}
 }
@@ -42,6 +46,7 @@
 	if c.hint >= 0 {
 		c.w.send(c.id, c.hint, func(o *co) {
 			if o.lead != nil {
+				o.lead.at[from] = since
 				o.reply(from, word{since: since, led: true})
 			}
 		})
@@ -60,6 +65,7 @@
 		return
 	}
 	c.lead.heard[w.cos[from].name] = c.mono()
+	c.lead.at[from] = since
 	id, term, inc := c.id, c.lead.term, c.inc
 	answer := func() {
 		if c.lead != nil && c.lead.term == term {
@@ -91,9 +97,25 @@
 	w.send(c.id, to, func(o *co) { o.heard(a) })
 }
 
+// push sends what is new to those whose sessions it moves, so that they need not wait for their next poll.
+func (c *co) push(touched map[string]bool) {
+	for _, name := range slices.Sorted(maps.Keys(touched)) {
+		o := c.w.byName[name]
+		at, known := c.lead.at[o.id]
+		if !known { // a new leader: it asks for what it lacks
+			at = c.copy.index
+		}
+		if o != c && (at < c.copy.index || !known) {
+			c.reply(o.id, word{since: at, led: true})
+			c.lead.at[o.id] = min(c.copy.index, at+entriesMost)
+		}
+	}
+}
+
 // heard is an answer.
 func (c *co) heard(a word) {
 	c.hint = a.leader
+	c.asked = c.asked && a.no == 0
 	if !a.led {
 		return
 	}
@@ -107,6 +129,8 @@
 	}
 	if a.since <= c.copy.index {
 		c.follow(a.upTo)
+	} else {
+		c.fetch()
 	}
 	if a.no > 0 {
 		c.viewed([]view.Input{view.Answered{Poll: a.no, Leader: w.cos[a.leader].name, Term: a.term, More: a.more || c.copy.index < a.upTo,
