Start commands in tests by one package, and bound how many sites run beside each other

What starts the test binary as the command, and the buffer that its log is read from, stood twice, in the tests of birchcart and of birchcart-fleet; they are internal/testproc now, the same lines, and what is tested is as it was.

Two causes of verdicts of cmd/birchcart-fleet that change from run to run, mended there: every test's site, of four or five processes with -race, ran at once, and on a loaded machine leaders were lost until the tests' limits (heartbeats and probes over TCP timed out, "not in time: n0 votes no more"). Now there is one site for four cores at a time. And a test that waited for a process's end in a goroutine of its own raced with the cleanup's wait when it failed; a process is waited for once, by whoever asks.

--- a/cmd/birchcart-fleet/main_test.go
+++ b/cmd/birchcart-fleet/main_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -22,45 +23,10 @@
 
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/standin"
+	"birchcart/internal/testproc"
 )
 
-// The test binary stands in for the command when it is started with this variable set.
-func TestMain(m *testing.M) {
-	if os.Getenv("BIRCHCART_MAIN") != "" {
-		main()
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
-}
-
-func program(args ...string) *exec.Cmd {
-	cmd := exec.Command(os.Args[0], args...)
-	for _, v := range os.Environ() {
-		if !strings.HasPrefix(v, "EDGE_") {
-			cmd.Env = append(cmd.Env, v)
-		}
-	}
-	cmd.Env = append(cmd.Env, "BIRCHCART_MAIN=1")
-	return cmd
-}
-
-// logText is a buffer that is read while a program writes it.
-type logText struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *logText) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *logText) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
+func TestMain(m *testing.M) { testproc.Main(m, main) }
 
 // site is a deployment of several co-ordinators.
 type site struct {
@@ -71,15 +37,31 @@
 	gossip   []string
 	council  []string
 	voters   []int
-	procs    []*exec.Cmd
-	logs     []*logText
+	procs    []*process
+	logs     []*testproc.Log
 	revision int
 	extra    map[string]any // of the fleet section
 }
 
+// process is one co-ordinator; several may Wait for its end.
+type process struct {
+	*exec.Cmd
+	ended chan struct{}
+	err   error
+}
+
+func (p *process) Wait() error {
+	<-p.ended
+	return p.err
+}
+
 // sites counts those of this process.
 var sites atomic.Int32
 
+// stands holds as many as there are sites at a time. A site is four or five processes that keep heartbeats of well under
+// a second: with one for two cores they keep them, with all tests' sites at once each leader is lost again and again.
+var stands = make(chan struct{}, max(1, runtime.NumCPU()/4))
+
 // own is a loopback address that no other site has, also of a test process beside this one. Its ports lie below those that
 // the kernel deals out.
 func own(site, process int) string {
@@ -89,6 +71,8 @@
 
 func newSite(t *testing.T, processes int, voters ...int) *site {
 	t.Helper()
+	stands <- struct{}{}
+	t.Cleanup(func() { <-stands })
 	f, err := standin.NewFleet(standin.FleetShape{
 		Replicas: 12, Cells: 6, Reach: 2, Shards: 6,
 		Classes: []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: 2.5, Semantics: "repeatable", Need: 1, Floor: 1}},
@@ -161,17 +145,19 @@
 
 func (s *site) start(i int) {
 	s.Helper()
-	cmd, log := program("serve", "--config", filepath.Join(s.dir, fmt.Sprint("config", i)), "--operator", filepath.Join(s.dir, fmt.Sprint("operator", i))), &logText{}
+	cmd, log := testproc.Command("serve", "--config", filepath.Join(s.dir, fmt.Sprint("config", i)), "--operator", filepath.Join(s.dir, fmt.Sprint("operator", i))), &testproc.Log{}
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
 		s.Fatal(err)
 	}
-	s.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	p := &process{Cmd: cmd, ended: make(chan struct{})}
+	go func() { p.err = cmd.Wait(); close(p.ended) }()
+	s.Cleanup(func() { cmd.Process.Kill(); p.Wait() })
 	if i < len(s.procs) {
-		s.procs[i], s.logs[i] = cmd, log
+		s.procs[i], s.logs[i] = p, log
 		return
 	}
-	s.procs, s.logs = append(s.procs, cmd), append(s.logs, log)
+	s.procs, s.logs = append(s.procs, p), append(s.logs, log)
 }
 
 // startAll starts all, as a new fleet, and waits until one leads and all are ready.
@@ -188,7 +174,7 @@
 		s.start(i)
 	}
 	s.until("a leader", func() bool {
-		return slices.ContainsFunc(s.logs, func(l *logText) bool { return strings.Contains(l.String(), "leads the council") })
+		return slices.ContainsFunc(s.logs, func(l *testproc.Log) bool { return strings.Contains(l.String(), "leads the council") })
 	})
 	s.until("all are ready", func() bool {
 		for _, at := range s.serve[:many] {
@@ -582,7 +568,7 @@
 	} {
 		s.extra = map[string]any{c.key: c.value}
 		s.ask(true)
-		out, err := program("serve", "--config", filepath.Join(s.dir, fmt.Sprint("config", c.i)),
+		out, err := testproc.Command("serve", "--config", filepath.Join(s.dir, fmt.Sprint("config", c.i)),
 			"--operator", filepath.Join(s.dir, fmt.Sprint("operator", c.i))).CombinedOutput()
 		if err == nil || !strings.Contains(string(out), c.wants) || !strings.Contains(string(out), c.verbose) {
 			t.Errorf("%s %v: %v, %s", c.key, c.value, err, out)
@@ -590,7 +576,7 @@
 	}
 	s.extra = nil
 	s.ask(true)
-	out, err := program("check", "--config", filepath.Join(s.dir, "config0"), "--operator", filepath.Join(s.dir, "operator0")).CombinedOutput()
+	out, err := testproc.Command("check", "--config", filepath.Join(s.dir, "config0"), "--operator", filepath.Join(s.dir, "operator0")).CombinedOutput()
 	if err != nil || !strings.Contains(string(out), "fleet of 3 voters, 0 requests, revision 7") {
 		t.Errorf("%v, %s", err, out)
 	}
@@ -638,7 +624,7 @@
 		t.Fatal(err)
 	}
 	restore := func(i int) (string, error) {
-		out, err := program("restore", "--config", filepath.Join(s.dir, fmt.Sprint("config", i)),
+		out, err := testproc.Command("restore", "--config", filepath.Join(s.dir, fmt.Sprint("config", i)),
 			"--operator", filepath.Join(s.dir, fmt.Sprint("operator", i)), "--stopped-at", "2020-01-01T00:00:00Z").CombinedOutput()
 		return string(out), err
 	}
--- a/cmd/birchcart/fleet_test.go
+++ b/cmd/birchcart/fleet_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"birchcart/internal/testproc"
 )
 
 // This program keeps no fleet, and says so before it serves, at a check, and when a file comes later.
@@ -25,7 +27,7 @@
 	}
 	write(section)
 	for _, verb := range []string{"serve", "check"} {
-		out, err := program(verb, "--config", path, "--operator", op).CombinedOutput()
+		out, err := testproc.Command(verb, "--config", path, "--operator", op).CombinedOutput()
 		if err == nil || !strings.Contains(string(out), "$.fleet") || !strings.Contains(string(out), "start birchcart-fleet") {
 			t.Errorf("%s: %v, %s", verb, err, out)
 		}
@@ -34,7 +36,7 @@
 	cmd, log := serving(t, "--config", path, "--operator", op)
 	write(section)
 	cmd.Process.Signal(syscall.SIGHUP)
-	log.until(t, "start birchcart-fleet")
+	log.Until(t, "start birchcart-fleet")
 	cmd.Process.Signal(syscall.SIGTERM)
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("%v: %s", err, log.String())
--- a/cmd/birchcart/log_test.go
+++ b/cmd/birchcart/log_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"birchcart/internal/testproc"
 )
 
 const setPipeSize = 1031 // F_SETPIPE_SZ, fcntl(2)
@@ -27,7 +29,7 @@
 		}
 	}
 	write(`{"version":1,"process":{"log":{"format":"json","level":"debug","queue":16}}}`)
-	cmd := program("serve", "--config", path, "--operator", op)
+	cmd := testproc.Command("serve", "--config", path, "--operator", op)
 	r, w, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
@@ -128,11 +130,11 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if out, err := program("check", "--strict", "--config", path).CombinedOutput(); err == nil || !strings.Contains(string(out), c.want) {
+		if out, err := testproc.Command("check", "--strict", "--config", path).CombinedOutput(); err == nil || !strings.Contains(string(out), c.want) {
 			t.Errorf("%s: %v, %s", c.to, err, out)
 		}
 	}
-	if out, err := program("check", "--strict", "--config", "../../deploy/example.json").CombinedOutput(); err != nil {
+	if out, err := testproc.Command("check", "--strict", "--config", "../../deploy/example.json").CombinedOutput(); err != nil {
 		t.Errorf("the example: %v, %s", err, out)
 	}
 }
--- a/cmd/birchcart/record_test.go
+++ b/cmd/birchcart/record_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"birchcart/internal/record"
+	"birchcart/internal/testproc"
 )
 
 // Each query that came is in the recording with its end, and a recording that exists is not written over.
@@ -61,7 +62,7 @@
 	if ended != n || len(open) > 0 {
 		t.Errorf("%d of %d queries with their ends, %d open", ended, n, len(open))
 	}
-	if out, err := program("serve", "--config", path, "--record", to).CombinedOutput(); err == nil {
+	if out, err := testproc.Command("serve", "--config", path, "--record", to).CombinedOutput(); err == nil {
 		t.Errorf("a recording was written over: %s", out)
 	}
 }
--- a/cmd/birchcart/rehearse_test.go
+++ b/cmd/birchcart/rehearse_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"birchcart/internal/testproc"
 )
 
 // otherSettings writes a copy of a configuration with one text in place of another.
@@ -85,20 +87,20 @@
 	} {
 		other := otherSettings(t, path, c.old, c.other)
 		for _, verb := range []string{"serve", "check"} {
-			out, err := program(verb, "--config", path, "--rehearse", other).CombinedOutput()
+			out, err := testproc.Command(verb, "--config", path, "--rehearse", other).CombinedOutput()
 			if err == nil || !strings.Contains(string(out), c.place) || strings.Count(strings.TrimSpace(string(out)), "\n") > 0 {
 				t.Errorf("%s with %s: %v, %s", verb, c.other, err, out)
 			}
 		}
 	}
-	if out, err := program("serve", "--config", path, "--rehearse", filepath.Join(t.TempDir(), "none.json")).CombinedOutput(); err == nil {
+	if out, err := testproc.Command("serve", "--config", path, "--rehearse", filepath.Join(t.TempDir(), "none.json")).CombinedOutput(); err == nil {
 		t.Errorf("a file that is not there: %s", out)
 	}
 }
 
 // The shipped example of the new shape can be watched beside the shipped example, as README says.
 func TestShippedRehearsal(t *testing.T) {
-	out, err := program("check", "--config", "../../deploy/example.json", "--rehearse", "../../deploy/example-moved.json").CombinedOutput()
+	out, err := testproc.Command("check", "--config", "../../deploy/example.json", "--rehearse", "../../deploy/example-moved.json").CombinedOutput()
 	if err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
--- a/cmd/birchcart/serve_test.go
+++ b/cmd/birchcart/serve_test.go
@@ -18,38 +18,21 @@
 	"time"
 
 	"birchcart/internal/standin"
+	"birchcart/internal/testproc"
 )
 
-// The test binary stands in for the command when it is started with this variable set.
-func TestMain(m *testing.M) {
-	if os.Getenv("BIRCHCART_MAIN") != "" {
-		main()
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
-}
-
-func program(args ...string) *exec.Cmd {
-	cmd := exec.Command(os.Args[0], args...)
-	for _, v := range os.Environ() {
-		if !strings.HasPrefix(v, "EDGE_") {
-			cmd.Env = append(cmd.Env, v)
-		}
-	}
-	cmd.Env = append(cmd.Env, "BIRCHCART_MAIN=1")
-	return cmd
-}
+func TestMain(m *testing.M) { testproc.Main(m, main) }
 
 // serving starts the program and waits till it has the list.
-func serving(t *testing.T, args ...string) (*exec.Cmd, *logText) {
+func serving(t *testing.T, args ...string) (*exec.Cmd, *testproc.Log) {
 	t.Helper()
-	cmd, log := program(append([]string{"serve"}, args...)...), &logText{}
+	cmd, log := testproc.Command(append([]string{"serve"}, args...)...), &testproc.Log{}
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { cmd.Process.Kill() })
-	log.until(t, "a whole list")
+	log.Until(t, "a whole list")
 	return cmd, log
 }
 
@@ -125,7 +108,7 @@
 // comes after it; both are answered and the exit is clean.
 func TestServeAndEnd(t *testing.T) {
 	path, address := deploy(t, 300*time.Millisecond)
-	cmd := program("serve", "--config", path)
+	cmd := testproc.Command("serve", "--config", path)
 	var log bytes.Buffer
 	cmd.Stderr = &log
 	if err := cmd.Start(); err != nil {
@@ -170,34 +153,6 @@
 	}
 }
 
-// until waits for a text in the log.
-func (l *logText) until(t *testing.T, text string) {
-	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !strings.Contains(l.String(), text); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("no %q in the log:\n%s", text, l.String())
-		}
-	}
-}
-
-// logText is a buffer that is read while the program writes it.
-type logText struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *logText) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *logText) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // SIGHUP never ends the program, however early or late it comes. The file's address of discovery then counts, also
 // over the one that overrode it at the start; a file that is half written changes nothing and is looked at again.
 func TestReload(t *testing.T) {
@@ -219,11 +174,11 @@
 		cmd.Process.Signal(syscall.SIGHUP)
 	}
 	write(good[:len(good)/2])
-	log.until(t, "can't be read again")
+	log.Until(t, "can't be read again")
 	if err := os.WriteFile(path, moved(second), 0o600); err != nil { // no further word: it is looked at again
 		t.Fatal(err)
 	}
-	log.until(t, "to=\""+second)
+	log.Until(t, "to=\""+second)
 	ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 	defer stop()
 	if status, body, err := post(ctx, address, "a"); err != nil || status == 0 {
@@ -231,11 +186,11 @@
 	}
 	write(moved(third))
 	write(moved(third))
-	log.until(t, "to=\""+third)
+	log.Until(t, "to=\""+third)
 	cmd.Process.Signal(syscall.SIGTERM)
-	log.until(t, "draining")
+	log.Until(t, "draining")
 	write(moved(second))
-	log.until(t, "from=\""+third)
+	log.Until(t, "from=\""+third)
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("ended with %v\n%s", err, log.String())
 	}
@@ -264,13 +219,13 @@
 		"unexpected argument":    {"nonsense"},
 		"discovery":              {"check", "--config", path, "--discovery", "nowhere"},
 	} {
-		cmd := program(args...)
+		cmd := testproc.Command(args...)
 		out, err := cmd.CombinedOutput()
 		if err == nil || !strings.Contains(string(out), want) {
 			t.Errorf("%v: %v, %s", args, err, out)
 		}
 	}
-	if out, err := program("check", "--config", path).CombinedOutput(); err != nil || !strings.Contains(string(out), "2 replicas") {
+	if out, err := testproc.Command("check", "--config", path).CombinedOutput(); err != nil || !strings.Contains(string(out), "2 replicas") {
 		t.Errorf("%v, %s", err, out)
 	}
 }
