--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures
+.PHONY: pinned build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures
 
 # As the operators build it: the line in deploy/balancer.toml.
 build:
@@ -70,6 +70,11 @@
 fleet:
 	BIRCHCART_FLEET=$(SEED) BIRCHCART_FLEET_SHRINK=$(SHRINK) go test -timeout 90m -v -count=1 -run 'TestFleet$$' ./internal/fleet/harness
 
+# Sessions on ten co-ordinators that are swapped one after the other under seeded faults, as fleet does.
+PINNED ?= 1-40
+pinned:
+	BIRCHCART_PINNED=$(if $(filter command line,$(origin SEED)),$(SEED),$(PINNED)) go test -timeout 120m -v -count=1 -run 'TestPinned$$' ./internal/fleet/harness
+
 fleet-figures:
 	BIRCHCART_FLEET_FIGURES=20 go test -timeout 30m -v -count=1 -run TestFigures ./internal/fleet/harness
 
--- a/internal/fleet/harness/check.go
+++ b/internal/fleet/harness/check.go
@@ -63,6 +63,8 @@
 	Bears     float64       // parts out at once, that a replica bears
 	Answer    time.Duration // for which a replica has a part open, at the least
 	Wrong     []string      // found while it ran
+	Asked     []Asked       // by the clients of sessions
+	Runs      []Run         // of theirs
 }
 
 // Verdict is what the checks found, and what they counted.
@@ -82,6 +84,8 @@
 	Turns   int             // grants beside a request that had surely reserved its turn
 	Calms   int             // failures after which a pause was sure
 
+	Pinned *SessionVerdict // of pinned sessions; nil: there were none
+
 	lines map[string]int // broken, by kind
 }
 
@@ -106,6 +110,7 @@
 	h.checkCalm(v, grants)
 	h.checkParts(v, grants)
 	h.checkQueries(v)
+	h.checkSessions(v)
 	return v
 }
 
--- a/internal/fleet/harness/cluster.go
+++ b/internal/fleet/harness/cluster.go
@@ -53,6 +53,8 @@
 	fleet  *standin.Fleet
 	files  *Files
 	stream *Stream
+	pinned *Sessions // nil: none
+	tally  tallies
 	limits takeout.Limits
 	began  time.Time
 	rng    *rand.Rand
@@ -93,7 +95,7 @@
 	h.Disturbed, h.Down, h.Ending, h.Stopped = make([][]Span, processes), make([][]Span, processes), make([][]Span, processes), make([][]Span, processes)
 	if c.fleet, err = standin.NewFleet(standin.FleetShape{
 		Replicas: replicas, Cells: cells, Reach: reach, Shards: shards,
-		Classes: []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: 2.5, Semantics: "repeatable", Need: 1, Floor: 1}},
+		Classes: classes(opt.Terms.Sessions > 0),
 		Listen:  func(i int) string { return site.Replica(i).String() },
 	}, nil); err != nil {
 		site.Leave()
@@ -139,13 +141,29 @@
 		serving = append(serving, site.Bind(i, ServePort).String())
 	}
 	c.files = WatchFiles(paths)
+	c.tally.count = map[int]int{}
+	if n := opt.Terms.Sessions; n > 0 {
+		c.pinned = &Sessions{Addresses: serving, Many: n, Shards: shards, Rate: sessionRate, Seed: seed}
+	}
 	c.stream = &Stream{Addresses: serving, Shards: shards, Rate: or(opt.Terms.Rate, streamRate), Seed: seed}
 	return c, nil
 }
 
+// classes of the queries; with sessions there are some that may not run twice.
+func classes(sessions bool) []standin.FleetClass {
+	out := []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: 2.5, Semantics: "repeatable", Need: 1, Floor: 1}}
+	if sessions {
+		out = append(out, standin.FleetClass{Name: "tally", Promise: 1, GiveUp: 2.5, Semantics: "once", Need: 1, Floor: 1})
+	}
+	return out
+}
+
 // script answers each part with its id, and notes it.
 func (c *Cluster) script(machine string) standin.Script {
 	return func(a standin.Asked) standin.Does {
+		if value, ok := c.tally.run(a.ID, machine, a.Text, a.At); ok {
+			return standin.Does{After: c.h.Answer, Value: value}
+		}
 		query, _, _ := strings.Cut(a.ID, ".")
 		c.mu.Lock()
 		c.h.Parts = append(c.h.Parts, Part{a.At, QueryOf(a.ID), machine, query})
--- a/internal/fleet/harness/fleet.go
+++ b/internal/fleet/harness/fleet.go
@@ -49,19 +49,25 @@
 		join = append(join, c.site.Relay(j, GossipPort).String())
 	}
 	l := c.limits
-	raw, err := json.MarshalIndent(map[string]any{
-		"version": 1, "placement": map[string]any{"holders_least": l.HoldersLeast},
-		"fleet": map[string]any{
-			"revision": c.revision(ask), "voters": council, "council": map[string]any{"bind": c.site.Bind(i, CouncilPort).String(), "found": !c.founded},
-			"gossip": map[string]any{
-				"bind": c.site.Bind(i, GossipPort).String(), "advertise": c.site.Relay(i, GossipPort).String(), "join": join,
-			},
-			"keys_file": keys, "dir": filepath.Join(dir, "disk", "fleet"), "grants_file": c.grants(i), "drain_self": true,
-			"lease_ms": l.Lease.Milliseconds(), "grace_ms": l.Grace.Milliseconds(), "settle_ms": l.Settle.Milliseconds(),
-			"calm_ms": l.Calm.Milliseconds(), "load_age_ms": l.LoadAge.Milliseconds(), "list_age_ms": l.ListAge.Milliseconds(),
-			"out_by_zone": l.OutByZone, "out_most": l.OutMost, "headroom": l.Headroom, "passed_most": l.PassedMost,
-			"parts_per_replica": c.h.Bears, "work": c.asked(ask),
+	fleet := map[string]any{
+		"revision": c.revision(ask), "voters": council, "council": map[string]any{"bind": c.site.Bind(i, CouncilPort).String(), "found": !c.founded},
+		"gossip": map[string]any{
+			"bind": c.site.Bind(i, GossipPort).String(), "advertise": c.site.Relay(i, GossipPort).String(), "join": join,
 		},
+		"keys_file": keys, "dir": filepath.Join(dir, "disk", "fleet"), "grants_file": c.grants(i), "drain_self": true,
+		"lease_ms": l.Lease.Milliseconds(), "grace_ms": l.Grace.Milliseconds(), "settle_ms": l.Settle.Milliseconds(),
+		"calm_ms": l.Calm.Milliseconds(), "load_age_ms": l.LoadAge.Milliseconds(), "list_age_ms": l.ListAge.Milliseconds(),
+		"out_by_zone": l.OutByZone, "out_most": l.OutMost, "headroom": l.Headroom, "passed_most": l.PassedMost,
+		"parts_per_replica": c.h.Bears, "work": c.asked(ask),
+	}
+	if n := c.opt.Terms.Sessions; n > 0 {
+		fleet["sessions"] = map[string]any{
+			"header": sessionHeader, "owner_header": ownerHeader, "classes": []string{"search", "tally"}, "slots_per_replica": sessionSlots,
+			"sessions_most": 2 * n, "offer_ms": 3000, "in_flight": 256,
+		}
+	}
+	raw, err := json.MarshalIndent(map[string]any{
+		"version": 1, "placement": map[string]any{"holders_least": l.HoldersLeast}, "fleet": fleet,
 	}, "", "  ")
 	if err != nil {
 		return err
--- a/internal/fleet/harness/run.go
+++ b/internal/fleet/harness/run.go
@@ -51,6 +51,9 @@
 		return nil, err
 	}
 	c.stream.Start()
+	if c.pinned != nil {
+		c.pinned.Start()
+	}
 	c.work.Go(c.tools)
 	c.work.Go(c.watchMachine)
 	c.wants()
@@ -66,6 +69,10 @@
 	close(c.dead)
 	c.work.Wait()
 	sent := c.stream.Stop()
+	if c.pinned != nil {
+		c.h.Asked = c.pinned.Stop()
+		c.h.Runs = c.tally.runs
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var wrong []string
--- a/internal/fleet/harness/terms.go
+++ b/internal/fleet/harness/terms.go
@@ -18,9 +18,10 @@
 	Holders    int           `json:"holders,omitempty"`
 	OutByZone  int           `json:"out_by_zone,omitempty"`
 	PassedMost int           `json:"passed_most,omitempty"`
-	Only       takeout.Kind  `json:"only,omitempty"`   // machines of this kind alone are swapped
-	Turns      bool          `json:"turns,omitempty"`  // a routine request for one replica and urgent ones for those that share its shards
-	Relays     bool          `json:"relays,omitempty"` // discovery and replicas have relays before them too
+	Only       takeout.Kind  `json:"only,omitempty"`     // machines of this kind alone are swapped
+	Turns      bool          `json:"turns,omitempty"`    // a routine request for one replica and urgent ones for those that share its shards
+	Sessions   int           `json:"sessions,omitempty"` // pinned ones, with a client each
+	Relays     bool          `json:"relays,omitempty"`   // discovery and replicas have relays before them too
 }
 
 func or[T comparable](x, otherwise T) T {
--- a/internal/fleet/harness/tools.go
+++ b/internal/fleet/harness/tools.go
@@ -19,6 +19,7 @@
 	busyEvery  = 5 * time.Millisecond
 	busyLate   = 40 * time.Millisecond // this machine has kept eight cores' work waiting
 	busyAround = time.Second           // what it kept waiting besides the harness
+	leaveMost  = 30 * time.Second
 	far        = 365 * 24 * time.Hour
 )
 
@@ -239,7 +240,11 @@
 	c.mu.Unlock()
 	c.begin(c.h.Ending, i, "swap")
 	c.begin(c.h.Disturbed, i, "swap")
-	if !c.until(3*time.Second, func() bool { return !p.Running() }) {
+	limit := 3 * time.Second
+	if c.pinned != nil {
+		limit = leaveMost // it hands its sessions on first
+	}
+	if !c.until(limit, func() bool { return !p.Running() }) {
 		if err := p.Terminate(endTime); err != nil {
 			c.wrong("%v", err)
 		}
