Search small fleets to their end: states that differ only in when they are count as one

The search of the small world told states apart by the clock, so that one that only waits never ended: 120,000 states came to depth 3 with all faults and 21 without any. Plans of one machine, of one voter and of two neighbours have short times, and fleetworld search plays them with each fault alone or each pair, within a time for each. The memo is bounded.

--- a/internal/fleet/world/cmd/fleetworld/main.go
+++ b/internal/fleet/world/cmd/fleetworld/main.go
@@ -20,6 +20,7 @@
 	Replay replayCmd `cmd:"" help:"Play one world again, by its seed or its printed schedule."`
 	Swap   swapCmd   `cmd:"" help:"Swap 200 replicas in a quiet fleet and print its figures."`
 	Shrink shrinkCmd `cmd:"" help:"Look for a smaller schedule that breaks a promise too."`
+	Search searchCmd `cmd:"" help:"Go through all states of a small fleet, by single faults or pairs of them."`
 }
 
 type runCmd struct {
@@ -118,6 +119,25 @@
 	return report(small, world.New(small).Run())
 }
 
+type searchCmd struct {
+	Plan   string        `default:"r1" enum:",r1,c2,r0-r1" help:"What is asked for: r1, c2 (a voter), r0-r1, or, empty, r0 and its neighbours with longer times."`
+	Pairs  bool          `help:"Each pair of faults instead of each alone."`
+	Within time.Duration `default:"5m" help:"For each search, at most."`
+}
+
+func (c *searchCmd) Run() (err error) {
+	fmt.Println("| faults | states | to depth | whole | took | broken |\n| --- | --- | --- | --- | --- | --- |")
+	world.Splits(world.Plan(c.Plan), c.Pairs, c.Within, func(faults string, f world.Found) {
+		broken := "0"
+		if f.Err != nil {
+			err = f.Err
+			broken = fmt.Sprintf("%v: %s", f.Err, strings.Join(f.Trace, "; "))
+		}
+		fmt.Printf("| %s | %d | %d | %v | %v | %s |\n", faults, f.States, f.Depth, f.Whole, f.Took.Round(time.Second), broken)
+	})
+	return err
+}
+
 type swapCmd struct {
 	Seed         uint64 `default:"1"`
 	Coordinators int    `default:"300" help:"How many."`
--- a/internal/fleet/world/loosen.go
+++ b/internal/fleet/world/loosen.go
@@ -83,6 +83,9 @@
 	books map[memoKey]memoBook
 }
 
+// memoMost entries are remembered; of more, all are forgotten and worked out again.
+const memoMost = 20_000
+
 type memoKey struct {
 	before uint64
 	entry  string
@@ -102,15 +105,20 @@
 		return old.next, old.check
 	}
 	next := deepCopy(*before)
+	next.sum = 0
 	restore := loosen(&next, off, kind, machine)
 	err := next.led.Apply(index, enc)
 	restore()
 	result := memoBook{}
 	if err == nil {
 		next.dig = next.led.Digest()
+		next.canon()
 		result = memoBook{&next, next.led.Check()}
 	}
 	m.mu.Lock()
+	if len(m.books) >= memoMost {
+		clear(m.books)
+	}
 	m.books[key] = result
 	m.mu.Unlock()
 	return result.next, result.check
--- a/internal/fleet/world/node.go
+++ b/internal/fleet/world/node.go
@@ -28,6 +28,7 @@
 	led *ledger.Ledger
 	out *takeout.State
 	dig uint64
+	sum uint64 // see canon
 }
 
 func newBook() *book {
