--- a/internal/fleet/keeper/hard_test.go
+++ b/internal/fleet/keeper/hard_test.go
@@ -301,6 +301,11 @@
 	r.want(r.ran(5), "by their turn")
 	r.agree()
 	r.want(r.b.Pool().Held("b", "r1") == 1, "the other has it")
+	both, a, b, c := r.q(10, Safe), r.q(11, Safe), r.q(12, Safe), r.q(13, Safe)
+	both.Needs, a.Session, b.Session, c.Session = []string{"r1", "r1"}, id(3), id(3), id(4)
+	r.step(Ended{Token: 3, Told: true}, Ended{Token: 5, Told: true}, both, a, c, b)
+	r.step(Ended{Token: 10, Told: true})
+	r.want(r.ran(11) && r.ran(13) && !r.ran(12), "one of a session at a turn")
 }
 
 // Sessions of a process before are ended and claimed anew; idle ones end; one that leaves claims nothing.
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -71,3 +71,36 @@
 	r.step()
 	r.want(!r.ran(4) && r.refused(3, Waited) && r.refused(4, Waited), "what waited too long began")
 }
+
+// What the agreed state says counts as soon as it is there to be read, before it is told of.
+func TestAgreedMeanwhile(t *testing.T) {
+	r := claimed(t)
+	r.step(r.q(2, Unsafe))
+	r.offer(1, "b")
+	rec, _ := r.b.Get(id(1))
+	r.by("a", session.Act{Kind: session.Hand, ID: id(1), Epoch: rec.Epoch, Fence: rec.Fence, Seq: 1})
+	r.want(!r.k.MayAnswer(r.now, 1), "answers what is another's")
+	r.step(Ended{Token: 1, Told: true})
+	r.want(!r.ran(2), "begins what is another's")
+	r.step(r.q(3, Safe))
+	r.want(r.refused(2, Elsewhere) && r.refused(3, Elsewhere), "both are told")
+}
+
+func TestBoundsOfQueries(t *testing.T) {
+	r := newRig(t, Options{QueriesMost: 6})
+	late := r.q(9, Safe)
+	late.Due = r.now
+	r.step(late, r.q(1, Unsafe), r.q(2, Unsafe), r.q(3, Unsafe), r.q(4, Safe))
+	r.want(r.refused(9, Late) && r.refused(4, Full), "one client waits as much as is left")
+	r.agree()
+	other := r.q(5, Safe)
+	other.Client = 1
+	r.step(other, r.q(4, Safe), r.q(6, Safe))
+	r.want(r.refused(6, Full) && !r.refused(5, Full), "another finds room")
+	for n := 10; n < 13; n++ {
+		q := r.q(uint64(n), Safe)
+		q.Client, q.Session, q.Needs = uint64(n), id(n), nil
+		r.step(q)
+	}
+	r.want(r.refused(12, Full) && r.k.Sums().Open == 1, "no more than six are known")
+}
--- a/internal/fleet/keeper/queries.go
+++ b/internal/fleet/keeper/queries.go
@@ -74,7 +74,7 @@
 	case k.leaving && !ok:
 		k.turnAway(a.Token, Going, BackSoon, "")
 		return nil
-	case s == nil && (len(k.sessions) >= k.o.SessionsMost || len(k.sessions)+int(k.clients[a.Client].sessions) >= k.o.SessionsMost):
+	case s == nil && len(k.sessions)+int(k.clients[a.Client].sessions) >= k.o.SessionsMost:
 		k.turnAway(a.Token, Full, BackFull, "")
 		return nil
 	}
@@ -123,9 +123,9 @@
 }
 
 // begin runs what may run of those that wait, in their order. woken is the slot whose turn it is, nil for none. What is
-// agreed was looked at by the caller.
+// agreed, and the lease, were looked at by the caller.
 func (k *Keeper) begin(s *sess, woken *slot) {
-	for s.phase == Pinned && s.at == nil && s.wait.head != nil && k.ready() {
+	for s.phase == Pinned && s.at == nil && s.wait.head != nil {
 		q := s.wait.head
 		if q.place >= 0 && q.key <= k.now { // its share is over, and it was not its turn to be told yet
 			k.giveUp(q, Waited, BackLater, "")
