--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: pinned build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures
+.PHONY: pinned build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures fleet-rest
 
 # As the operators build it: the line in deploy/balancer.toml.
 build:
@@ -78,6 +78,11 @@
 fleet-figures:
 	BIRCHCART_FLEET_FIGURES=20 go test -timeout 30m -v -count=1 -run TestFigures ./internal/fleet/harness
 
+# A fleet at rest, NODES real nodes of which five vote: bytes and packets a node, CPU of the leader. 40 s, 4 MB a node.
+NODES ?= 300
+fleet-rest:
+	BIRCHCART_REST=$(NODES) go test -timeout 10m -v -count=1 -run 'TestRest$$' ./internal/fleet
+
 bench:
 	go test -run XXX -bench . ./internal/expect ./internal/placement ./internal/ogc ./policy
 
--- a/cmd/birchcart-fleet/main.go
+++ b/cmd/birchcart-fleet/main.go
@@ -33,7 +33,19 @@
 
 type checkCommand struct{ serve.CheckArgs }
 
-func (c *checkCommand) Run(*serve.Process) error { return serve.Check(c.CheckArgs, fleet.New()) }
+func (c *checkCommand) Run(*serve.Process) error {
+	if err := serve.Check(c.CheckArgs, fleet.New()); err != nil {
+		return err
+	}
+	_, op, err := c.Files()
+	if err != nil {
+		return err
+	}
+	for _, w := range fleet.Warnings(op) {
+		fmt.Println("warning: " + w)
+	}
+	return nil
+}
 
 type restoreCommand struct {
 	serve.Source
--- a/internal/fleet/asked.go
+++ b/internal/fleet/asked.go
@@ -22,7 +22,7 @@
 		OutByZone: fl.Zone, OutMost: fl.Most, Headroom: *fl.Headroom, LoadAge: ms(fl.LoadAge), ListAge: ms(fl.ListAge),
 		WarmUp: time.Duration(cfg.WarmUp * float64(time.Second)), Lease: ms(fl.Lease), Grace: ms(fl.Grace), Settle: ms(fl.Settle),
 		Calm: ms(fl.Calm), PassedMost: fl.Passed,
-		VotersLeast: len(fl.Voters)/2 + 2, // a majority and one to spare
+		VotersLeast: votersLeast(len(fl.Voters)),
 	}}
 }
 
--- a/internal/fleet/asked_test.go
+++ b/internal/fleet/asked_test.go
@@ -74,6 +74,31 @@
 	}
 }
 
+// Work on a voter of a council of three is warned of; of five it is not, nor is work on others.
+func TestWorkThatNeedsAllVoters(t *testing.T) {
+	f := file(t, `[{"names":["a","r1"],"reason":"disk","for_s":60},{"kind":"co-ordinator","reason":"disk","for_s":60},
+		{"prefix":"r","reason":"disk","for_s":60},{"kind":"replica","reason":"disk","for_s":60},{"names":["x"],"reason":"disk","for_s":60},
+		{"zone":"z","reason":"disk","for_s":60}]`)
+	if got := Warnings(f); got != nil {
+		t.Errorf("with five voters: %q", got)
+	}
+	delete(f.Fleet.Voters, "d")
+	delete(f.Fleet.Voters, "e")
+	got := Warnings(f)
+	if len(got) != 2 || !strings.HasPrefix(got[0], "$.fleet.work[0]: a: never") || !strings.HasPrefix(got[1], "$.fleet.work[1]: a, b, c: never") {
+		t.Errorf("%q", got)
+	}
+	v := f.Fleet.Voters["b"]
+	v.Zone = "z"
+	f.Fleet.Voters["b"] = v
+	if got := Warnings(f); len(got) != 3 || !strings.HasPrefix(got[2], "$.fleet.work[5]: b: never") {
+		t.Errorf("%q", got)
+	}
+	if Warnings(nil) != nil || Warnings(&operator.File{}) != nil {
+		t.Error("warned of no fleet")
+	}
+}
+
 func played(asks takeout.AsksBody) error {
 	body, err := json.Marshal(asks)
 	if err != nil {
--- a/internal/fleet/member/delegate.go
+++ b/internal/fleet/member/delegate.go
@@ -76,18 +76,21 @@
 type counted struct {
 	memberlist.NodeAwareTransport
 	bytes atomic.Int64
-	from  net.IP // where it listens; nil if that is no address
+	sent  atomic.Int64 // packets
+	from  net.IP       // where it listens; nil if that is no address
 }
 
 // head is what IP and UDP add to a packet, in bytes.
 const head = 28
 
 func (c *counted) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	c.sent.Add(1)
 	c.bytes.Add(int64(len(b) + head))
 	return c.NodeAwareTransport.WriteToAddress(b, a)
 }
 
 func (c *counted) WriteTo(b []byte, addr string) (time.Time, error) {
+	c.sent.Add(1)
 	c.bytes.Add(int64(len(b) + head))
 	return c.NodeAwareTransport.WriteTo(b, addr)
 }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -230,6 +230,9 @@
 // bytes, with 28 for the heads of each packet. Summed over the fleet it counts each byte once.
 func (m *Members) Traffic() int64 { return m.count.bytes.Load() }
 
+// Packets is how many packets this member sent so far; what goes by streams is not among them.
+func (m *Members) Packets() int64 { return m.count.sent.Load() }
+
 // ReloadKeys reads the keyring's file again: first add a key everywhere as the second line, then make it the first, then take the
 // old one out.
 func (m *Members) ReloadKeys() error { return reloadKeys(m.o.Keys, m.keys) }
--- a/internal/fleet/parts_test.go
+++ b/internal/fleet/parts_test.go
@@ -22,7 +22,13 @@
 	"birchcart/internal/operator"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if part := os.Getenv(restPart); part != "" {
+		playRest(part)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
 
 // Of a full mail box the oldest letters go, and nobody waits.
 func TestMailDropsTheOldest(t *testing.T) {
--- /dev/null
+++ b/internal/fleet/rest_test.go
@@ -0,0 +1,298 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/config"
+	"birchcart/internal/exchange"
+	"birchcart/internal/fleet/member"
+	"birchcart/internal/operator"
+	"birchcart/internal/serve"
+	"birchcart/internal/standin"
+	"birchcart/policy"
+)
+
+// The fleet at rest: real nodes on loopback addresses of their own, each voter in a process of its own, the followers some
+// sixty to a process. Counted at the sockets and by the kernel, not by what a node says of itself.
+
+const (
+	restPart  = "BIRCHCART_REST_PART"
+	restSpan  = 20 * time.Second  // is measured
+	restJoin  = 30 * time.Second  // for each sixty, at the most
+	restLimit = 240 * time.Second // until all are there, on a busy machine; some 10 s on a quiet one
+)
+
+// part of the fleet that one process plays.
+type restOf struct {
+	Dir      string
+	From, To int
+	Replicas int
+}
+
+// counted is what one node has caused so far, and its process if it is alone there.
+type restCount struct {
+	Node           int
+	Bytes, Packets int64 // of the gossip and what goes by it
+	Streams        int64 // bytes that the process read and wrote, sockets' streams and files
+	CPU            time.Duration
+	Up             int // members that it takes for up
+	Memory         int64
+}
+
+func restAt(i, port int) string {
+	pid := os.Getppid()
+	if os.Getenv(restPart) == "" {
+		pid = os.Getpid()
+	}
+	return fmt.Sprintf("127.%d.%d.%d:%d", 100+pid%20, 1+(pid/20)%120*2+i/250, 1+i%250, port)
+}
+
+func restGrants(dir string, i int) string { return filepath.Join(dir, fmt.Sprint("grants", i)) }
+
+// unsent is a replica side and a discovery that do nothing: no query comes.
+type unsent struct{}
+
+func (unsent) Update([]exchange.Target)                      {}
+func (unsent) Send(uint64, []*exchange.Attempt)              {}
+func (unsent) Withdraw(*exchange.Attempt) (found, sent bool) { return false, false }
+func (unsent) Unsend(*exchange.Attempt) bool                 { return false }
+func (unsent) Probe(uint64)                                  {}
+func (unsent) Watch()                                        {}
+
+// playRest is a process of the fleet: for each line on its input it writes what it counts.
+func playRest(raw string) {
+	var p restOf
+	fail := func(err error) {
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	fail(json.Unmarshal([]byte(raw), &p))
+	log := logrus.New()
+	log.SetLevel(logrus.FatalLevel)
+	var nodes []*Node
+	for i := p.From; i < p.To; i++ {
+		name := fmt.Sprintf("n%03d", i)
+		text, err := os.ReadFile(filepath.Join(p.Dir, "config"))
+		fail(err)
+		cfg, err := config.Parse(text, config.Source{Name: name, Listen: restAt(i, 9080)})
+		fail(err)
+		text, err = os.ReadFile(filepath.Join(p.Dir, fmt.Sprint("operator", i)))
+		fail(err)
+		op, err := operator.Read(text)
+		fail(err)
+		e := exchange.New(cfg, logrus.NewEntry(log))
+		e.Join(unsent{}, unsent{})
+		n := New()
+		fail(n.Start(serve.Serving{Config: cfg, Operator: op, Exchange: e, Heard: time.Now, Log: logrus.NewEntry(log).WithField("node", name), End: func() {}}))
+		go e.Run(context.Background())
+		list := exchange.List{Full: true}
+		for r := range p.Replicas {
+			list.Entries = append(list.Entries, exchange.Entry{Name: fmt.Sprintf("r%04d", r), Address: "127.0.0.1:9", Zone: standin.DataCentres[r%3],
+				Cell: r % 6, State: policy.Up, Size: 1})
+		}
+		e.Listed(list)
+		nodes = append(nodes, n)
+	}
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		var all []restCount
+		var use syscall.Rusage
+		fail(syscall.Getrusage(syscall.RUSAGE_SELF, &use))
+		var streams int64
+		for _, line := range strings.Split(string(must(os.ReadFile("/proc/self/io"))), "\n") {
+			if k, v, _ := strings.Cut(line, ": "); k == "rchar" || k == "wchar" {
+				streams += must(strconv.ParseInt(v, 10, 64))
+			}
+		}
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory)
+		for i, n := range nodes {
+			c := restCount{Node: p.From + i, Bytes: n.member.Traffic(), Packets: n.member.Packets(), Streams: streams, Memory: use.Maxrss << 10,
+				CPU: time.Duration(use.Utime.Nano() + use.Stime.Nano())}
+			for _, m := range n.member.Members() {
+				if m.State == member.Alive {
+					c.Up++
+				}
+			}
+			all = append(all, c)
+		}
+		fail(json.NewEncoder(os.Stdout).Encode(all))
+	}
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+type restProcess struct {
+	in  io.Writer
+	out *bufio.Reader
+}
+
+// TestRest is `make fleet-rest`.
+func TestRest(t *testing.T) {
+	restNodes, err := strconv.Atoi(os.Getenv("BIRCHCART_REST"))
+	if err != nil || restNodes < 6 || restNodes > 400 {
+		t.Skip("set BIRCHCART_REST to the number of nodes, 6 to 400, of which five vote")
+	}
+	dir := t.TempDir()
+	f, err := standin.NewFleet(standin.FleetShape{Replicas: 12, Cells: 6, Reach: 2, Shards: 6,
+		Classes: []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: 2.5, Semantics: "repeatable", Need: 1, Floor: 1}},
+	}, func(standin.Asked) standin.Does { return standin.Does{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	write := func(name string, raw []byte) {
+		if err := os.WriteFile(filepath.Join(dir, name), raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("config", f.Config("127.0.0.1:9080"))
+	write("keys", []byte(base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{7}, 32))+"\n"))
+	voters, join := map[string]any{}, []string{}
+	for i := range 5 {
+		voters[fmt.Sprintf("n%03d", i)] = map[string]any{"address": restAt(i, 7300), "zone": standin.DataCentres[i%3]}
+		join = append(join, restAt(i, 7946))
+	}
+	for i := range restNodes {
+		write(fmt.Sprint("operator", i), must(json.Marshal(map[string]any{"version": 1, "placement": map[string]any{"holders_least": 2},
+			"fleet": map[string]any{"revision": 1, "voters": voters, "council": map[string]any{"found": true},
+				"gossip": map[string]any{"bind": restAt(i, 7946), "join": join}, "keys_file": filepath.Join(dir, "keys"),
+				"dir": filepath.Join(dir, fmt.Sprint("disk", i)), "grants_file": restGrants(dir, i), "out_by_zone": 1, "out_most": 2,
+				"parts_per_replica": 10, "work": []any{}}})))
+	}
+	var all []restProcess
+	start := func(from, to int) {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), restPart+"="+string(must(json.Marshal(restOf{dir, from, to, 900}))), "GOMAXPROCS=2")
+		cmd.Stderr = os.Stderr
+		in, out := must(cmd.StdinPipe()), must(cmd.StdoutPipe())
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { in.Close(); cmd.Process.Kill(); cmd.Wait() })
+		all = append(all, restProcess{in, bufio.NewReaderSize(out, 1<<20)})
+	}
+	count := func() (by []restCount) {
+		t.Helper()
+		for _, p := range all {
+			fmt.Fprintln(p.in)
+		}
+		for _, p := range all {
+			var some []restCount
+			if line, err := p.out.ReadBytes('\n'); err != nil || json.Unmarshal(line, &some) != nil {
+				t.Fatalf("a process has ended: %v", err)
+			}
+			by = append(by, some...)
+		}
+		return by
+	}
+	began := time.Now()
+	for i := range 5 {
+		start(i, i+1)
+	}
+	for from := 5; from < restNodes; from += 59 {
+		start(from, min(from+59, restNodes))
+		for began := time.Now(); time.Since(began) < restJoin; time.Sleep(time.Second) { // a fleet is not started in one second
+			all := count()
+			if slices.MinFunc(all, func(a, b restCount) int { return a.Up - b.Up }).Up == len(all) {
+				break
+			}
+		}
+	}
+	heard := func() (n int, leader string) { // by the grants files, whose lease holds and who is the same leader's
+		var index uint64
+		for i := range restNodes {
+			var g grantsFile
+			raw, err := os.ReadFile(restGrants(dir, i))
+			if err != nil || json.Unmarshal(raw, &g) != nil || g.CutOff || g.Leader == "" || leader != "" && g.Leader != leader {
+				continue
+			}
+			leader, index = g.Leader, max(index, g.Index)
+			n++
+		}
+		return n, leader
+	}
+	for said := time.Now(); ; {
+		n, leader := heard()
+		up := slices.MinFunc(count(), func(a, b restCount) int { return a.Up - b.Up }).Up
+		if n == restNodes && up == restNodes {
+			t.Logf("all %d are there after %v, %s leads", n, time.Since(began).Round(time.Second), leader)
+			break
+		}
+		if time.Since(began) > restLimit {
+			t.Fatalf("%d of %d hold a lease, the least has %d up, after %v", n, restNodes, up, restLimit)
+		}
+		if time.Since(said) > 20*time.Second {
+			said = time.Now()
+			t.Logf("after %v %d of %d hold a lease, the least has %d up", time.Since(began).Round(time.Second), n, restNodes, up)
+		}
+		time.Sleep(time.Second)
+	}
+	time.Sleep(5 * time.Second) // what the last join set off
+	_, leader := heard()
+	before, at := count(), time.Now()
+	time.Sleep(restSpan)
+	after, span := count(), time.Since(at).Seconds()
+	left, still := heard()
+	figure := func(what string, from, to int) {
+		var bytes, packets, most int64
+		for i := from; i < to; i++ {
+			b := after[i].Bytes - before[i].Bytes
+			bytes, packets, most = bytes+b, packets+after[i].Packets-before[i].Packets, max(most, b)
+		}
+		n := float64(to-from) * span
+		t.Logf("%s: %.2f KB/s and %.1f packets/s a node on the mean, %.2f KB/s the most", what, float64(bytes)/n/1000, float64(packets)/n,
+			float64(most)/span/1000)
+		if what == "followers" && float64(bytes)/n > 4000 {
+			t.Errorf("a follower causes %.0f bytes/s, 4,000 are wanted", float64(bytes)/n)
+		}
+	}
+	figure("followers", 5, restNodes)
+	for i := range 5 {
+		who := "a voter"
+		cpu := (after[i].CPU - before[i].CPU).Seconds() / span
+		if fmt.Sprintf("n%03d", i) == leader {
+			who = "the leader"
+			if cpu > 0.05 {
+				t.Errorf("the leader takes %.1f %% of a core, 5 are wanted", 100*cpu)
+			}
+		}
+		figure(who, i, i+1)
+		t.Logf("  %.2f %% of a core, %.1f KB/s read and written by streams, %d MB at the most", 100*cpu, float64(after[i].Streams-before[i].Streams)/span/1000,
+			after[i].Memory>>20)
+	}
+	var cpu time.Duration
+	memory := int64(0)
+	for i := 5; i < restNodes; i += 59 {
+		cpu += after[i].CPU - before[i].CPU
+		memory += after[i].Memory >> 20 // of the process
+	}
+	t.Logf("the followers together: %.1f %% of a core each, %d MB each", 100*cpu.Seconds()/span/float64(restNodes-5), memory/int64(restNodes-5))
+	if left != restNodes || still != leader {
+		t.Errorf("%d of %d hold a lease at the end, %s led and %s leads: it was no rest", left, restNodes, leader, still)
+	}
+}
