--- /dev/null
+++ b/internal/fleet/migrate/cmd/sessionplots/main.go
@@ -0,0 +1,175 @@
+// Command sessionplots plays rolling swaps of co-ordinators in virtual time, by the planner and by ways that know less, prints
+// a table and draws it.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"birchcart/internal/fleet/migrate"
+	"birchcart/internal/fleet/migrate/baseline"
+	"birchcart/internal/fleet/migrate/swap"
+)
+
+var flags struct {
+	Out   string `default:"docs/plots" help:"Folder for the drawings."`
+	Sizes []int  `default:"10,30,100,300" help:"Numbers of co-ordinators."`
+	Large bool   `help:"Play 100,000 sessions beside 2,000: some minutes of CPU more."`
+	Only  string `help:"Draw this site alone."`
+	Procs int    `default:"2" help:"Swaps played at once."`
+}
+
+// way of choosing a receiver.
+type way struct {
+	name   string
+	prefer migrate.Prefer
+}
+
+var ways = []way{
+	{"planner", nil},
+	{"emptiest, no look ahead", baseline.Emptiest},
+	{"random", baseline.Random(1)},
+	{"next in the ring", baseline.Ring},
+}
+
+// site is one drawing: so many sessions, laid out so.
+type site struct {
+	name, title string
+	set         func(*swap.Settings)
+	large       bool
+}
+
+var sites = []site{
+	{"even-2000", "2,000 sessions, even, one out at a time", func(*swap.Settings) {}, false},
+	{"uneven-2000", "2,000 sessions, uneven, one out at a time", func(s *swap.Settings) { s.Uneven = true }, false},
+	{"tenth-2000", "2,000 sessions, uneven, a tenth out at a time", func(s *swap.Settings) { s.Uneven, s.Wave = true, s.Coordinators/10 }, false},
+	{"uneven-100000", "100,000 sessions, uneven, one out at a time", func(s *swap.Settings) {
+		s.Uneven, s.Sessions, s.InFlight, s.PerMinute = true, 100_000, 1000, 20_000
+	}, true},
+}
+
+func main() {
+	kong.Parse(&flags)
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	fmt.Println("| site | co-ordinators | way | moves a session | lower bound | took | stay in their zone |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- |")
+	for _, s := range sites {
+		if flags.Only != "" && s.name != flags.Only || flags.Only == "" && s.large && !flags.Large {
+			continue
+		}
+		results, err := play(s)
+		if err != nil {
+			return err
+		}
+		for i, n := range flags.Sizes {
+			for k, w := range ways {
+				r := results[i*len(ways)+k]
+				fmt.Printf("| %s | %d | %s | %.3f | %.3f | %v | %.0f %% |\n", s.title, n, w.name, r.Each, bound(r), r.Took, 100*zone(r))
+			}
+		}
+		if err := draw(s, "moves", "moves a session", results, func(r swap.Result) float64 { return r.Each }); err != nil {
+			return err
+		}
+		if err := draw(s, "time", "minutes", results, func(r swap.Result) float64 { return r.Took.Minutes() }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func bound(r swap.Result) float64 { return float64(r.Bound) / float64(r.Sessions) }
+
+func zone(r swap.Result) float64 { return float64(r.InZone) / float64(r.Sessions) }
+
+// play gives the results by size, then by way.
+func play(s site) ([]swap.Result, error) {
+	results, errs := make([]swap.Result, len(flags.Sizes)*len(ways)), make([]error, len(flags.Sizes)*len(ways))
+	var all sync.WaitGroup
+	places := make(chan struct{}, max(1, flags.Procs))
+	for i := range results {
+		set := swap.Settings{Coordinators: flags.Sizes[i/len(ways)], Sessions: 2000, Room: 2, Wave: 1, Zones: 3, Away: 30 * time.Second,
+			InFlight: 200, PerMinute: 6000, Idle: 60, Prefer: ways[i%len(ways)].prefer}
+		s.set(&set)
+		all.Go(func() {
+			places <- struct{}{}
+			results[i], errs[i] = swap.Play(set)
+			<-places
+		})
+	}
+	all.Wait()
+	for i, err := range errs {
+		if err != nil {
+			return nil, fmt.Errorf("%s, %d co-ordinators, %s: %w", s.title, flags.Sizes[i/len(ways)], ways[i%len(ways)].name, err)
+		}
+	}
+	return results, nil
+}
+
+// sizes are the ticks of the axis: those that were played.
+type sizes []int
+
+func (s sizes) Ticks(_, _ float64) []plot.Tick {
+	out := make([]plot.Tick, len(s))
+	for i, n := range s {
+		out[i] = plot.Tick{Value: float64(n), Label: strconv.Itoa(n)}
+	}
+	return out
+}
+
+func draw(s site, what, axis string, results []swap.Result, value func(swap.Result) float64) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = s.title, "co-ordinators", axis
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, sizes(flags.Sizes)
+	p.Legend.Top, p.Legend.Left = true, true
+	if what == "moves" {
+		p.Y.Min, p.Y.Max = 0.9, 2.6
+	} else {
+		p.Y.Min = 0
+	}
+	p.Add(plotter.NewGrid())
+	line := func(i int, name string, of func(row int) float64) error {
+		points := make(plotter.XYs, len(flags.Sizes))
+		for row, n := range flags.Sizes {
+			points[row] = plotter.XY{X: float64(n), Y: of(row)}
+		}
+		l, marks, err := plotter.NewLinePoints(points)
+		if err != nil {
+			return err
+		}
+		l.Color, l.Dashes, l.Width = plotutil.Color(i), plotutil.Dashes(i), vg.Points(1.5)
+		marks.Color, marks.Shape = plotutil.Color(i), plotutil.Shape(i)
+		p.Add(l, marks)
+		p.Legend.Add(name, l, marks)
+		return nil
+	}
+	for k, w := range ways {
+		if err := line(k, w.name, func(row int) float64 { return value(results[row*len(ways)+k]) }); err != nil {
+			return err
+		}
+	}
+	if what == "moves" {
+		if err := line(len(ways), "lower bound", func(row int) float64 { return bound(results[row*len(ways)]) }); err != nil {
+			return err
+		}
+	}
+	if err := os.MkdirAll(flags.Out, 0o755); err != nil {
+		return err
+	}
+	return p.Save(6*vg.Inch, 4*vg.Inch, filepath.Join(flags.Out, fmt.Sprintf("session-%s-%s.svg", what, s.name)))
+}
--- a/internal/fleet/migrate/offer.go
+++ b/internal/fleet/migrate/offer.go
@@ -148,7 +148,7 @@
 			}
 			break
 		}
-		if looked++; looked > IdleMost {
+		if looked >= IdleMost {
 			r.keep(s, e.id, "so many are looked at in a step")
 			break
 		}
@@ -156,47 +156,48 @@
 			r.keep(s, e.id, r.full)
 			break
 		}
-		if !r.done[e.id] {
-			r.one(s, e.id)
+		if !r.done[e.id] && r.one(s, e.id) {
+			looked++
 		}
 	}
 }
 
-// one offers a session, or keeps it and says why.
-func (r *round) one(s *place, id session.ID) {
+// one offers a session, or keeps it and says why; false: it is no more the source's, or on its way.
+func (r *round) one(s *place, id session.ID) bool {
 	p := r.p
 	rec, ok := r.v.Book.Get(id)
 	if !ok || rec.Phase != session.Pinned || rec.Owner != s.c.Name {
-		return
+		return false
 	}
 	if _, flying := p.index[id]; flying {
-		return
+		return false
 	}
 	r.done[id] = true
 	if why := p.rested(r.now, id); why != "" {
 		r.keep(s, id, why)
-		return
+		return true
 	}
 	limits, _ := r.v.Book.Limits()
 	if due := r.unsafe[id]; due > r.now+limits.OfferFor {
 		r.keep(s, id, "an unsafe query of it may be open until "+clock(due))
-		return
+		return true
 	}
 	to, wait, why := p.pick(r.now, r.v, s, id)
 	if to == nil {
 		r.keep(s, id, why)
-		return
+		return true
 	}
 	to.here++
 	if wait {
 		r.keep(s, id, waitSlots)
 		r.left-- // its place, while what comes after it could take the room
-		return
+		return true
 	}
 	r.left--
 	r.plan.Body.Offers = append(r.plan.Body.Offers, session.Offer{ID: id, Epoch: rec.Epoch, From: s.c.Name, To: to.c.Name})
 	p.index[id] = len(p.flights)
 	p.flights = append(p.flights, flight{id: id, from: s.c.Name, to: to.c.Name, epoch: rec.Epoch, since: rec.Since, at: r.now})
+	return true
 }
 
 // keep counts a session that stays, by source and reason.
--- a/internal/fleet/migrate/planner.go
+++ b/internal/fleet/migrate/planner.go
@@ -17,7 +17,7 @@
 	UnsafeMost = 1024
 	// RescanEvery is how often the sessions of one that leaves are read anew: those that were opened since, with lanes of
 	// late. Half: twice the cost of reading a book of 100,000; twice: the last ones wait so long before they move.
-	RescanEvery = 2 * time.Second
+	RescanEvery = 5 * time.Second
 	// ProposeFor is how long a plan may take to be seen in the book. After it what was not seen is taken for lost and is
 	// planned again. Twice: a lost plan costs as long; half: a slow council is asked twice, and refuses.
 	ProposeFor = 5 * time.Second
--- a/internal/fleet/migrate/swap/swap.go
+++ b/internal/fleet/migrate/swap/swap.go
@@ -32,11 +32,14 @@
 	InFlight     int
 	PerMinute    int
 	Idle         int // of 100 sessions, those without an open query
-	Prefer       migrate.Prefer
+	// Uneven: at the outset co-ordinators have from half to one and a half of their even share, in no order.
+	Uneven bool
+	Prefer migrate.Prefer
 }
 
 // Result of a swap.
 type Result struct {
+	Sessions int
 	Moves    int     // adopted
 	Each     float64 // moves a session
 	Bound    int     // no plan makes fewer
@@ -83,14 +86,15 @@
 	}}); err != nil {
 		return nil, err
 	}
+	begin := s.begin()
 	for i := range s.Coordinators {
 		c := migrate.Coordinator{Name: fmt.Sprintf("c%03d", i), Zone: fmt.Sprintf("z%d", i*s.Zones/s.Coordinators), Live: true,
 			Rank: i / s.Wave, Room: migrate.Room{Sessions: int(s.Room * float64(share)), Queries: 1 << 20, Memory: 1 << 40}}
 		var acts []session.Act
-		for k := i; k < s.Sessions; k += s.Coordinators {
+		for k := begin[i]; k < begin[i+1]; k++ {
 			id := session.IDOf(1, fmt.Append(nil, k))
 			p.first[id] = c.Zone
-			acts = append(acts, session.Act{Kind: session.Claim, ID: id, Lane: uint8(k / s.Coordinators % 3)})
+			acts = append(acts, session.Act{Kind: session.Claim, ID: id, Lane: uint8(k % 3)})
 		}
 		for part := range slices.Chunk(acts, session.ActsMost) {
 			if err := p.apply(session.KindActs, session.ActsBody{From: c.Name, Acts: part}); err != nil {
@@ -114,6 +118,23 @@
 	return p, nil
 }
 
+// begin is the number of each co-ordinator's first session, and that of all behind them.
+func (s *Settings) begin() []int {
+	sum, sums := 0, make([]int, 1, s.Coordinators+1)
+	for i := range s.Coordinators {
+		weight := 2 * s.Coordinators
+		if s.Uneven {
+			weight = s.Coordinators + (i*7919)%s.Coordinators*2 // 7919 is prime: each once
+		}
+		sum += weight
+		sums = append(sums, sum)
+	}
+	for i := range sums {
+		sums[i] = sums[i] * s.Sessions / sum
+	}
+	return sums
+}
+
 // Play plays a whole swap.
 func Play(s Settings) (Result, error) {
 	p, err := New(s)
@@ -130,6 +151,7 @@
 		}
 	}
 	r := &p.Result
+	r.Sessions = s.Sessions
 	r.Took, r.Each, r.Gone = p.Now-begin, float64(r.Moves)/float64(s.Sessions), s.Sessions-p.Book.Len()
 	zones := map[string]string{}
 	for _, c := range p.View.Coordinators {
@@ -203,7 +225,7 @@
 		if c.Rank == next && next >= 0 && !c.Leaving {
 			c.Leaving = true
 		}
-		if c.Leaving && c.Live {
+		if c.Leaving && c.Live && (len(c.Idle) == 0 || p.Now%(2*time.Second) == 0) { // it tells now and then
 			c.Idle = c.Idle[:0]
 			p.Book.ByOwner(c.Name, func(r session.Record) bool {
 				if !p.busy(r.ID) && len(c.Idle) < migrate.IdleMost {
