Say what a lying leader or co-ordinator can and cannot break, and replace voters under faults

False words of who laid or is silent can't be checked by copies: only the leader is polled, so no voter is a second witness.

--- a/internal/fleet/council/cluster_test.go
+++ b/internal/fleet/council/cluster_test.go
@@ -56,6 +56,7 @@
 	cut   map[[2]string]bool
 	conns map[*link]bool
 	bytes atomic.Int64
+	late  atomic.Int64 // each write waits for so many nanoseconds
 }
 
 func (l *links) set(cut bool, pairs ...[2]string) {
@@ -111,6 +112,7 @@
 	if c.f.l.is(c.f.from, c.to) {
 		return len(b), nil
 	}
+	time.Sleep(time.Duration(c.f.l.late.Load()))
 	return c.Conn.Write(b)
 }
 
--- /dev/null
+++ b/internal/fleet/council/replace_test.go
@@ -0,0 +1,170 @@
+package council
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+	"unicode"
+
+	"github.com/hashicorp/raft"
+	"github.com/sirupsen/logrus"
+)
+
+// A voter is replaced while something fails at the new one, and the call is made again until it has come to pass, as the
+// leader does every few seconds: in the end the voters are the wanted ones and all have each word once.
+func TestReplaceUnderFaults(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"repeated", "cut to the new one", "cut from the new one", "cut both", "crash, disk kept", "late"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, func(o *Options) { o.Patience = 8 })
+			lead, _ := c.leader("")
+			c.must(lead, "a")
+			old := "v0"
+			if lead == old {
+				old = "v1"
+			}
+			next := Voter{"v3", free(t)}
+			c.voters = append(c.voters, next)
+			c.open(next, false)
+			at := c.voter(lead).Addr
+			var cut [][2]string
+			switch kind {
+			case "cut to the new one":
+				cut = [][2]string{{at, next.Addr}}
+			case "cut from the new one":
+				cut = [][2]string{{next.Addr, at}}
+			case "cut both":
+				cut = [][2]string{{at, next.Addr}, {next.Addr, at}}
+			case "crash, disk kept":
+				c.close(next.Name)
+			case "late":
+				c.links.late.Store(int64(150 * time.Millisecond))
+			}
+			c.links.set(true, cut...)
+			if err := c.seats[lead].Replace(old, next); err != nil {
+				t.Log(err)
+			}
+			if err := propose(c.seats[lead], "b"); err != nil {
+				t.Logf("while it fails: %v", err)
+			}
+			c.links.set(false, cut...)
+			c.links.late.Store(0)
+			if kind == "crash, disk kept" {
+				c.open(next, false)
+			}
+			var names []string
+			until(t, "the voters are the wanted ones", patience, func() bool {
+				lead, _ = c.leader("")
+				if lead == old {
+					_ = c.seats[lead].HandOver()
+					return false
+				}
+				err := c.seats[lead].Replace(old, next)
+				if err == nil && kind == "repeated" {
+					err = c.seats[lead].Replace(old, next)
+				}
+				if err != nil {
+					return false
+				}
+				voters, err := c.seats[lead].Voters()
+				names = nil
+				for _, v := range voters {
+					names = append(names, v.Name)
+				}
+				sort.Strings(names)
+				return err == nil && len(names) == 3 && !strings.Contains(fmt.Sprint(names), old)
+			})
+			if fmt.Sprint(names) != fmt.Sprint(wanted(old)) {
+				t.Errorf("%v vote", names)
+			}
+			c.close(old)
+			until(t, "a word is taken", patience, func() bool {
+				lead, _ = c.leader("")
+				return propose(c.seats[lead], "c") == nil
+			})
+			s := c.same()
+			if strings.Count(s, `"a"`) != 1 || strings.Count(s, `"b"`) > 1 || !strings.Contains(s, `"c"`) {
+				t.Error(s)
+			}
+		})
+	}
+}
+
+func wanted(old string) (out []string) {
+	for _, n := range []string{"v0", "v1", "v2", "v3"} {
+		if n != old {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// kept is what is logged.
+type kept struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (k *kept) Write(p []byte) (int, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.b.Write(p)
+}
+
+// A seat whose majority is lost tries for it without end and writes at most one line of a kind in each window.
+func TestLinesWithoutAMajority(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it waits for over two windows of the log")
+	}
+	t.Parallel()
+	const span = 22 * time.Second
+	var out kept
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetFormatter(&logrus.TextFormatter{DisableTimestamp: true, DisableColors: true})
+	c := newCluster(t, 3, func(o *Options) {
+		if o.Name == "v0" {
+			o.Log = logrus.NewEntry(log)
+		}
+	})
+	c.leader("")
+	c.close("v1")
+	c.close("v2")
+	until(t, "it stands for election", patience, func() bool { return c.seats["v0"].raft.State() == raft.Candidate })
+	out.mu.Lock()
+	out.b.Reset()
+	out.mu.Unlock()
+	time.Sleep(span) // lines can only be counted over a time
+	var not *NotLeader
+	if err := propose(c.seats["v0"], "alone"); !errors.As(err, &not) {
+		t.Error(err)
+	}
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	kinds, lines := map[string]int{}, 0
+	for line := range strings.Lines(out.b.String()) {
+		lines++
+		k, _, _ := strings.Cut(strings.TrimFunc(strings.TrimLeftFunc(line, unicode.IsSpace), unicode.IsSpace), ": ")
+		kinds[strings.Map(func(r rune) rune {
+			if unicode.IsDigit(r) {
+				return -1
+			}
+			return r
+		}, k+line[min(len(line), len(k)):min(len(line), len(k)+40)])]++
+	}
+	t.Logf("%d lines of %d kinds in %v", lines, len(kinds), span)
+	for k, n := range kinds {
+		if n > 4 {
+			t.Errorf("%d lines of %q", n, k)
+		}
+	}
+	if lines == 0 || lines > 60 {
+		t.Errorf("%d lines:\n%s", lines, out.b.String())
+	}
+}
--- /dev/null
+++ b/internal/fleet/lead/lies_test.go
@@ -0,0 +1,38 @@
+package lead
+
+import (
+	"slices"
+	"testing"
+
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/fleet/talk"
+)
+
+// A co-ordinator that says it laid what it did not, for all numbers that may come and for machines that it names wrongly, speaks
+// for itself only: the grant is told no sooner than the others have laid it, and not by a number of another machine.
+func TestALiarSpeaksForItselfOnly(t *testing.T) {
+	r := begin(t)
+	r.lazy, r.silent = "b", "a" // b says nothing laid of this grant; a's polls are made here
+	lie := func(machine string) {
+		p := Polled{From: "a", No: uint64(r.now) + 1, Wall: 5000*s + r.now}
+		for fence := range uint64(64) {
+			p.Laid = append(p.Laid, talk.Laid{Machine: machine, Fence: fence + 1})
+		}
+		r.in = append(r.in, p)
+	}
+	r.ask(1, "r1")
+	for range 6 {
+		lie("r1")
+		r.run(s)
+	}
+	r.want("while b has not", r.phases("r1"), "[granted]")
+	r.lazy = ""
+	lie("r2") // now a's word is of another machine
+	r.run(2 * s)
+	r.want("while a speaks of another", r.phases("r1"), "[granted]")
+	lie("r1")
+	r.run(2 * s)
+	if got := r.phases("r1"); !slices.Contains(got, string(takeout.Told)) {
+		t.Errorf("%v", got)
+	}
+}
