Take out guards of the keeper that said the same twice, and test those that stayed

Where one guard stood in for another it is gone; others got a test: what is agreed meanwhile, a new lease, a hand while claiming, bounds, a client's share. Mended on the way: a session claimed anew carried the state of its last life, and with a new lease sessions with open queries were not looked at.

--- a/internal/fleet/keeper/acts.go
+++ b/internal/fleet/keeper/acts.go
@@ -81,6 +81,12 @@
 		k.look(s, r, ok)
 		s = next
 	}
+	for _, q := range k.byArrival() {
+		if s := q.s; s != nil { // else a look before told it
+			r, ok := k.book.Get(s.id)
+			k.look(s, r, ok)
+		}
+	}
 	n := 0
 	k.book.ByOwner(k.name, func(r session.Record) bool {
 		s := k.sessions[r.ID]
--- a/internal/fleet/keeper/agreed.go
+++ b/internal/fleet/keeper/agreed.go
@@ -16,7 +16,6 @@
 	}
 	k.book, k.index, k.era = a.Book, a.Index, a.Era
 	k.limits, _ = a.Book.Limits()
-	k.limits.Slots = max(k.limits.Slots, 1)
 	s := k.acts.head
 	for n := k.acts.n; n > 0 && s != nil; n-- {
 		next := s.next
--- a/internal/fleet/keeper/check.go
+++ b/internal/fleet/keeper/check.go
@@ -19,8 +19,8 @@
 // began looks at a query that begins.
 func (e *evidence) began(k *Keeper, q *query) {
 	s := q.s
-	if !k.sure || k.now >= k.until {
-		e.fail("S1: query %d of %v began at %v, the lease %t until %v", q.token, session.ID(s.id), k.now, k.sure, k.until)
+	if k.now >= k.until {
+		e.fail("S1: query %d of %v began at %v, the lease until %v", q.token, session.ID(s.id), k.now, k.until)
 	}
 	if r, ok := k.book.Get(s.id); !ok || r.Owner != k.name || r.Epoch != q.epoch || r.Phase > session.Offered {
 		e.fail("S1: query %d of %v began at %v in epoch %d, agreed is %s of %s in %d", q.token, session.ID(s.id), k.now, q.epoch, r.Phase, r.Owner, r.Epoch)
--- a/internal/fleet/keeper/hard_test.go
+++ b/internal/fleet/keeper/hard_test.go
@@ -24,6 +24,7 @@
 			r.want(r.k.Phase(id(1)) == Quiescing && r.k.MayAnswer(r.now, 2) == true, "quiesces")
 			r.k.queries[2].allowed = false // as if it had not been asked yet
 			r.now += 8 * sec
+			r.want(!r.k.MayAnswer(r.now, 2), "an answer after the lease, before its end was seen")
 			r.apply(session.KindRelease, session.ReleaseBody{Name: "a", Silent: 8 * sec})
 			rec, owned := r.b.Get(id(1))
 			r.by("b", session.Act{Kind: session.Claim, ID: id(1), Epoch: rec.Epoch})
@@ -165,21 +166,26 @@
 // Recalled for a hand-over: safe and keyed ones after a moment, keyed ones late in their window and unsafe ones never.
 func TestRecalls(t *testing.T) {
 	for effect, window := range map[Effect]time.Duration{Safe: 0, Keyed: 10 * sec, Keyed + 10: ms, Unsafe: 0} {
-		for _, leaving := range []bool{false, true} {
+		for _, leaving := range []int{0, 1, 2} { // not, before the offer is seen, after that
 			r := claimed(t)
 			q := r.q(2, effect%10)
 			q.Window = window
 			r.step(Ended{Token: 1, Told: true}, q)
 			r.offer(1, "b")
-			if leaving {
+			if leaving == 1 {
 				r.step(Leaving{})
 			}
 			r.step(r.applied())
-			r.want(r.recalled(2, Moving) == (leaving && effect < 2), "at once if it leaves")
+			if leaving == 2 {
+				r.step(Leaving{})
+			}
+			r.want(r.recalled(2, Moving) == (leaving > 0 && effect < 2), "at once if it leaves")
 			r.pass(RecallAfter - ms)
 			r.want(!r.recalled(2, Moving), "too soon")
 			r.pass(ms)
-			r.want(r.recalled(2, Moving) == (!leaving && effect < 2) && r.k.Phase(id(1)) == Quiescing, "then")
+			r.want(r.recalled(2, Moving) == (leaving == 0 && effect < 2) && r.k.Phase(id(1)) == Quiescing, "then")
+			r.want(r.k.MayAnswer(r.now, 2) == (effect >= 2), "what was recalled is answered")
+			r.k.queries[2].allowed = false
 			r.step(Ended{Token: 2, Outcome: MayHaveRun, Until: r.now + sec})
 			r.want(r.k.Phase(id(1)) == Quiescing && (len(r.out) == 0) == (effect < 2) && r.failed(2, Broken) == (effect >= 2), "one word")
 			r.pass(sec)
@@ -198,6 +204,14 @@
 	r.now += 2 * ms // a stall over its end: the claim, agreed meanwhile, comes too late for it
 	r.agree()
 	r.want(r.refused(1, Waited) && !r.ran(1) && r.k.Phase(id(1)) == Pinned, "no longer")
+	q := r.q(8, Safe)
+	q.Session = id(2)
+	r.step(q)
+	r.pass(2 * sec)
+	r.want(r.refused(8, Waited) && len(r.acts) == 4, "its claim is not repeated for nobody")
+	r.pass(ClaimKeep)
+	r.want(r.k.Phase(id(2)) == Unknown, "and forgotten")
+	r.acts = nil
 	r.step(r.q(4, Safe), Left{5})
 	r.want(r.ran(4), "the session is there for the next")
 	r.step(r.q(4, Safe))
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -16,9 +16,8 @@
 	out     []Output
 	leaving bool
 
-	until  time.Duration // of the lease
-	sure   bool
-	acting bool // the lease was sure when it was last looked at
+	until  time.Duration // of the lease, 0 for none
+	acting bool          // the lease was sure when it was last looked at
 
 	book     Reader
 	index    uint64
@@ -151,10 +150,12 @@
 func (k *Keeper) say(format string, a ...any) { k.out = append(k.out, Log{fmt.Sprintf(format, a...)}) }
 
 // ready says that this co-ordinator may act now.
-func (k *Keeper) ready() bool { return k.sure && k.now < k.until && k.book != nil }
+func (k *Keeper) ready() bool { return k.now < k.until && k.book != nil }
 
 func (k *Keeper) lease(l Lease) {
-	k.until, k.sure = l.Until, l.Sure
+	if k.until = l.Until; !l.Sure {
+		k.until = 0
+	}
 	k.lapse()
 	if !k.acting && k.ready() { // what was agreed meanwhile is not known of each
 		k.acting, k.sweep = true, k.now
@@ -209,7 +210,7 @@
 		return true
 	}
 	now = max(now, k.now)
-	if !k.sure || now >= k.until || k.book == nil || now >= q.due || !k.ours(q.s, q.epoch) {
+	if now >= k.until || now >= q.due || !k.ours(q.s, q.epoch) {
 		k.sums.Withheld++
 		return false
 	}
@@ -221,9 +222,6 @@
 
 // ours says that the agreed state has the session as this co-ordinator's to act for, in that epoch.
 func (k *Keeper) ours(s *sess, epoch uint64) bool {
-	if s.phase != Pinned && s.phase != Quiescing {
-		return false
-	}
 	r, ok := k.book.Get(s.id)
-	return ok && r.Owner == k.name && r.Epoch == epoch && (r.Phase == session.Pinned || r.Phase == session.Offered)
+	return ok && r.Owner == k.name && r.Epoch == epoch
 }
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"birchcart/internal/fleet/session"
 )
@@ -81,9 +82,70 @@
 	r.by("a", session.Act{Kind: session.Hand, ID: id(1), Epoch: rec.Epoch, Fence: rec.Fence, Seq: 1})
 	r.want(!r.k.MayAnswer(r.now, 1), "answers what is another's")
 	r.step(Ended{Token: 1, Told: true})
-	r.want(!r.ran(2), "begins what is another's")
+	r.want(len(r.out) == 0, "begins what is another's, or tells what was told")
 	r.step(r.q(3, Safe))
 	r.want(r.refused(2, Elsewhere) && r.refused(3, Elsewhere), "both are told")
+	r = claimed(t)
+	r.offer(1, "b")
+	rec, _ = r.b.Get(id(1))
+	r.by("a", session.Act{Kind: session.Hand, ID: id(1), Epoch: rec.Epoch, Fence: rec.Fence, Seq: 1})
+	r.step(Applied{Book: session.New(), Index: 1}, r.q(3, Safe))
+	r.want(r.recalled(1, Elsewhere) && r.refused(3, Elsewhere), "what is open is told, and a state of before counts for nothing")
+	w, known := r.k.Instead(r.now, 1), r.k.Phase(id(1))
+	r.want(w == nil && known == Gone, "a second word")
+}
+
+// Of what is known here, each thing is looked at again with a new lease. A state of one ownership is not another's.
+func TestNewLease(t *testing.T) {
+	r := claimed(t)
+	two := r.q(2, Safe)
+	two.Session, two.Due = id(2), r.now+time.Hour
+	r.step(Ended{Token: 1, Told: true}, two)
+	r.agree()
+	r.want(r.k.MayAnswer(r.now, 2), "an answer")
+	r.step(Lease{r.now + 5*sec, false}, r.q(3, Safe))
+	r.want(r.refused(3, NoLease) && len(r.out) == 2, "what was answered is not told")
+	r.now += 8 * sec
+	r.apply(session.KindRelease, session.ReleaseBody{Name: "a", Silent: 8 * sec})
+	r.step(r.applied(), Lease{r.now + 5*sec, true})
+	r.want(r.k.Phase(id(1)) == Unknown && r.k.Phase(id(2)) == Gone, "neither is its own")
+	four := r.q(4, Unsafe)
+	four.Session, four.Needs = id(2), nil // its slots went with the release
+	r.step(four)
+	r.agree()
+	r.want(r.k.Phase(id(2)) == Pinned && !r.ran(4), "nothing beside what is out of the last life")
+	r.step(Ended{Token: 2, Outcome: Done, State: []byte("old")})
+	r.want(r.ran(4) && len(r.k.sessions[id(2)].state) == 0, "its state is over")
+	r.step(Ended{Token: 4, Outcome: Done, State: make([]byte, limits.StateMost+1)})
+	r.want(r.failed(4, Lost) && len(r.k.sessions[id(2)].state) == 0, "a state that is too long")
+	r.k.Step(0, nil)
+	r.want(r.k.now == r.now, "time goes back")
+	none := New("c", Options{})
+	r.want(len(none.Step(sec, []Input{Lease{2 * sec, true}, r.q(1, Safe)})) == 1 && !none.MayAnswer(sec, 1), "a lease without a state")
+}
+
+// A session that is handed here while it is claimed is adopted first; one without room is declined, others' offers are not.
+func TestHandedMeanwhile(t *testing.T) {
+	r := newRig(t, Options{SessionsMost: 1})
+	r.step(r.q(1, Safe))
+	for n := 1; n <= 4; n++ {
+		r.by("b", session.Act{Kind: session.Claim, ID: id(n)})
+		r.offer(n, []string{"", "a", "a", "a", "c"}[n])
+	}
+	for _, n := range []int{1, 2} {
+		rec, _ := r.b.Get(id(n))
+		r.by("b", session.Act{Kind: session.Hand, ID: id(n), Epoch: rec.Epoch, Fence: rec.Fence, Seq: 5})
+	}
+	r.acts = nil
+	r.step(r.applied())
+	r.want(!r.ran(1) && r.k.Phase(id(1)) == Adopting && len(r.acts) == 3, "adopts one, and declines one that is handed and one that is offered")
+	r.step(r.applied())
+	r.want(len(r.acts) == 3, "not again so soon")
+	r.agree()
+	rec, _ := r.b.Get(id(4))
+	r.want(r.out[0] == Run{1, 6} && rec.To == "c", "goes on after the fifth")
+	r.step(Applied{Book: r.b, Index: 1, Agreed: r.now, Era: 1})
+	r.want(r.k.era == 1 && r.k.index == 1, "a log of a new era")
 }
 
 func TestBoundsOfQueries(t *testing.T) {
--- a/internal/fleet/keeper/phases.go
+++ b/internal/fleet/keeper/phases.go
@@ -33,18 +33,18 @@
 	s.epoch, s.used = r.Epoch, k.now
 	switch {
 	case !ok:
+		s.state = s.state[:0]
 		k.enter(s, Claiming)
 	case r.Phase == session.Handed:
 		k.handedHere(s, r)
 	default: // of a process before, or of a claim given up: what it began is not known here
-		s.seq = r.Seq
 		k.enter(s, Ending)
 	}
 }
 
 // handedHere takes over what a hand carried.
 func (k *Keeper) handedHere(s *sess, r session.Record) {
-	s.epoch, s.seq, s.lane = r.Epoch, r.Seq, r.Lane
+	s.epoch = r.Epoch
 	s.state = append(s.state[:0], r.State...)
 	if r.Source == "" {
 		k.sums.RolledBack++
@@ -191,12 +191,7 @@
 // pin begins to serve a session that was claimed or adopted.
 func (k *Keeper) pin(s *sess, r session.Record) {
 	s.epoch, s.seq, s.lane, s.used = r.Epoch, r.Seq, r.Lane, k.now
-	if r.Phase == session.Offered {
-		k.to(s, Pinned)
-		k.quiesce(s, r)
-		return
-	}
-	k.pinned(s)
+	k.pinned(s) // if it is offered, that is looked at next
 }
 
 // pinned lets a session be served, at first or again.
@@ -218,7 +213,7 @@
 	k.enter(s, Quiescing)
 	at := k.now + RecallAfter
 	for q := s.open.head; q != nil; q = q.next {
-		if !q.over && !q.told && !q.allowed && q.effect != Unsafe {
+		if !q.over && !q.told && !q.allowed {
 			k.timers.set(q, min(q.due, at))
 		}
 	}
@@ -233,7 +228,7 @@
 // hurry lets what may be recalled be so at once.
 func (k *Keeper) hurry(s *sess) {
 	for q := s.open.head; q != nil; q = q.next {
-		if !q.over && !q.told && !q.allowed && q.effect != Unsafe {
+		if !q.over && !q.told && !q.allowed {
 			k.timers.set(q, k.now)
 		}
 	}
--- a/internal/fleet/keeper/queries.go
+++ b/internal/fleet/keeper/queries.go
@@ -208,7 +208,7 @@
 	if !q.told && !q.allowed {
 		k.out = append(k.out, k.wordAtEnd(q, e.Outcome))
 	}
-	if e.State != nil && q.epoch == s.epoch && s.phase != Gone {
+	if e.State != nil && q.epoch == s.epoch {
 		k.carry(s, e.State)
 	}
 	s.used = k.now
