--- a/internal/fleet/pool/pool_test.go
+++ b/internal/fleet/pool/pool_test.go
@@ -247,7 +247,8 @@
 		"move more": func() error { return p.Move(6, "c0", "c1", "r", 2) }, "move twice": func() error { return p.Move(5, "c0", "c1", "r", 1) },
 		"move to itself": func() error { return p.Move(6, "c0", "c0", "r", 1) }, "move 0": func() error { return p.Move(0, "c0", "c1", "r", 1) },
 		"lend till now": func() error { return p.Lend(6, "c0", "c1", "r", 1, 0) }, "lend to none": func() error { return p.Lend(6, "c0", "", "r", 1, 9) },
-		"land": func() error { return p.Land(6) }, "back": func() error { return p.Back(6) }, "return moving": func() error { return p.Return(5) },
+		"move to long": func() error { return p.Move(6, "c0", long, "r", 1) },
+		"land":         func() error { return p.Land(6) }, "back": func() error { return p.Back(6) }, "return moving": func() error { return p.Return(5) },
 	} {
 		before := p.Clone()
 		if err := f(); err == nil || !reflect.DeepEqual(before, p) {
