Emulate full disks in fleets, and judge whether drains said as laid outlive a restart

Full disks were not emulated, nor what a co-ordinator's disk keeps of its drains (laid.json), so nothing judged that a drain is only said as laid once the disk has it.

One history in eight has a disk that takes nothing for a while: a co-ordinator's drains are laid and not said, a voter's log stores nothing, votes for nobody and leads no more. The outside checker is told of each drain that was said as laid, and of a process that sends to the told machine all the same.

--- a/internal/fleet/world/faults.go
+++ b/internal/fleet/world/faults.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"birchcart/internal/fleet/world/history"
 )
 
 // play lets one fault begin, and lays its end.
@@ -15,6 +17,8 @@
 		w.stall(w.nodes[step.A], step.For)
 	case stepCrash, stepLose:
 		w.kill(w.nodes[step.A], step.For, step.Kind == stepLose && w.mayLose(w.nodes[step.A]))
+	case stepFull:
+		w.fill(w.nodes[step.A], step.For)
 	case stepCut:
 		w.cutFor(step.For, [][2]int{{step.A, step.B}})
 	case stepAlone, stepDeaf, stepMute:
@@ -115,6 +119,9 @@
 	}
 	w.leapt = true
 	n.clock.offset += by
+	if by > 0 && len(n.before) > 0 && n.up {
+		w.tell(history.Event{Kind: history.Serving, By: n.name, On: true, Lost: true})
+	}
 	w.after(lasts, func() {
 		w.leapt = false
 		n.clock.offset -= by
--- a/internal/fleet/world/history/check.go
+++ b/internal/fleet/world/history/check.go
@@ -64,6 +64,7 @@
 	skips map[string]bool // machines that it does not send to
 	lease time.Duration
 	on    bool
+	said  map[string]uint64 // by machine, the newest grant whose drain it said to have laid, on a disk that is kept
 }
 
 // New is a checker that knows of nothing yet.
@@ -118,7 +119,16 @@
 				return err
 			}
 		}
+	case Said:
+		p := c.peer(e.By)
+		if p.said == nil {
+			p.said = map[string]uint64{}
+		}
+		p.said[e.Name] = e.Fence
 	case Serving:
+		if e.Lost {
+			c.peer(e.By).said = nil
+		}
 		c.peer(e.By).on = e.On
 		if !e.On { // its process ended: whatever it starts with, it has no lease yet
 			c.peer(e.By).lease = 0
@@ -291,6 +301,10 @@
 		return fmt.Errorf("told: %s sends to %s, whose grant %d was told at %v, and its lease holds until %v",
 			by, machine, s.Fence, s.told, p.lease)
 	}
+	if s.Phase == "told" && p.said[machine] == s.Fence && c.now < s.Lapses-2*c.rules.Skew && !c.alone(by, machine) {
+		return fmt.Errorf("told: %s sends to %s, whose grant %d was told at %v, and had said that its drain is laid",
+			by, machine, s.Fence, s.told)
+	}
 	c.Figures.CutOffSends++
 	return nil
 }
--- a/internal/fleet/world/history/history.go
+++ b/internal/fleet/world/history/history.go
@@ -29,7 +29,10 @@
 	Sends Kind = "sends"
 	// Leased says that co-ordinator By got an answer, by which its lease holds until Until.
 	Leased Kind = "leased"
-	// Serving says whether the process of co-ordinator By takes queries (On), whatever it knows of the fleet.
+	// Said is a poll by which co-ordinator By says that it has laid the drain of machine Name for the grant Fence.
+	Said Kind = "said"
+	// Serving says whether the process of co-ordinator By takes queries (On), whatever it knows of the fleet. Lost:
+	// what it has said counts no more, since its disk is lost, or its clock is far ahead, by which its drains are over.
 	Serving Kind = "serving"
 	// Majority says whether a majority of voters is up and in touch with each other (On).
 	Majority Kind = "majority"
@@ -55,6 +58,7 @@
 	Voters  int    // that have stored the entry
 	Of      int    // all voters
 	Quiet   time.Duration
+	Lost    bool
 	Stored  time.Duration // when the majority had the entry
 }
 
--- a/internal/fleet/world/leader.go
+++ b/internal/fleet/world/leader.go
@@ -135,6 +135,10 @@
 	if v == nil || !v.leads {
 		return
 	}
+	if n.full > 0 {
+		n.depose()
+		return
+	}
 	v.log = append(v.log, entry{v.term, raw})
 	if n.proposed == nil {
 		n.proposed = map[int]string{}
--- a/internal/fleet/world/node.go
+++ b/internal/fleet/world/node.go
@@ -68,7 +68,8 @@
 	stuck  int // reasons for which discovery's news does not arrive
 	drains map[string]bool
 	skips  map[string]bool // as told to the history
-	file   []view.Grant
+	disk
+	grants []view.Grant // for the site's tools
 	asks   *Ask
 
 	askedOf  *Ask           // of which the pure leader was told in this process
@@ -90,7 +91,8 @@
 	n.view = view.New(n.name, n.w.s.Limits.Lease)
 	n.view.NumberFrom(uint64(n.w.now) + 1) // as by the start's time in nanoseconds
 	n.lead = lead.New(n.w.order)
-	n.drains, n.file = map[string]bool{}, nil
+	n.drains, n.grants = map[string]bool{}, nil
+	n.booted()
 	n.list = n.w.lists.newest()
 	n.applied = 0
 	if !n.w.shared {
@@ -111,7 +113,7 @@
 		n.v.commit = max(n.v.commit, n.applied)
 		n.resetStand()
 	}
-	n.w.tell(history.Event{Kind: history.Serving, By: n.name, On: true})
+	n.w.tell(history.Event{Kind: history.Serving, By: n.name, On: true, Lost: n.clock.offset > n.w.s.Offset})
 	n.sending()
 	n.stepView(view.Listed{Own: n.w.lists.at(n.list)})
 	if n.applied > 0 {
@@ -149,13 +151,14 @@
 		}
 	}
 	if diskLost {
-		n.snap, n.snapAt = nil, 0
+		n.snap, n.snapAt, n.file = nil, 0, nil
 	}
-	n.w.tell(history.Event{Kind: history.Serving, By: n.name})
+	n.w.tell(history.Event{Kind: history.Serving, By: n.name, Lost: diskLost})
 	n.w.majority()
 }
 
 func (n *node) turn() {
+	n.keepAgain()
 	if n.w.rng.IntN(turnsToList) == 0 {
 		n.stepView(view.Listed{Own: n.w.lists.at(n.list)})
 	} else {
@@ -283,13 +286,14 @@
 			for _, name := range o.Names {
 				n.drains[name] = true
 			}
+			n.keep()
 			n.sending()
 		case view.Poll:
 			n.poll(o)
 		case view.Leave:
 			n.leave(o.Fence)
 		case view.Grants:
-			n.file = o.Items
+			n.grants = o.Items
 		}
 	}
 	if err := n.view.Check(); err != nil {
@@ -297,6 +301,7 @@
 	}
 	for _, i := range in {
 		if a, ok := i.(view.Answered); ok && !a.More && !a.Unlisted {
+			n.caughtUp()
 			n.w.leased(n, a.Poll)
 		}
 	}
--- a/internal/fleet/world/polls.go
+++ b/internal/fleet/world/polls.go
@@ -33,7 +33,9 @@
 	n.leader = -1 // until it answers
 	word := talk.Poll{From: n.name, No: p.No, Index: p.Index, Load: n.w.loadOfOne(), LoadKnown: true, Wall: n.wall()}
 	for _, l := range p.Laid {
-		word.Laid = append(word.Laid, talk.Laid(l))
+		if n.sayable(l) {
+			word.Laid = append(word.Laid, talk.Laid(l))
+		}
 	}
 	n.w.polls[pollKey{n.id, p.No}] = n.w.now
 	n.w.send(n.id, to, func(o *node) { o.onPoll(n.id, word) })
--- a/internal/fleet/world/schedule.go
+++ b/internal/fleet/world/schedule.go
@@ -65,6 +65,7 @@
 	stepZone    = "zone"     // all machines of zone A fail and rise
 	stepFlap    = "flap"     // machine A fails and rises over and over
 	stepNoVotes = "no-votes" // a majority of the voters ends
+	stepFull    = "full"     // A's disk takes nothing
 	stepClock   = "clock"    // the wall's clock of voter A leaps by B seconds, and back; of one voter at a time
 )
 
@@ -140,6 +141,15 @@
 	for range 1 + rng.IntN(7) {
 		s.Steps = append(s.Steps, s.drawStep(rng, long))
 	}
+	if disk := newRand(seed, "disk"); disk.IntN(fullEvery) == 0 { // drawn apart, so that the others stay as they were
+		full := s.drawStep(disk, long)
+		full.Kind, full.A, full.B = stepFull, disk.IntN(s.Coordinators), 0
+		s.Steps = append(s.Steps, full)
+		if disk.IntN(2) == 0 { // and its process ends meanwhile
+			at := full.At + time.Duration(disk.Int64N(int64(full.For)))
+			s.Steps = append(s.Steps, Step{At: at, For: time.Duration(100+disk.IntN(900)) * time.Millisecond, Kind: stepCrash, A: full.A})
+		}
+	}
 	s.End = s.Healed() + time.Hour
 	if !long {
 		s.Brief, s.End = true, ShortMost
@@ -151,8 +161,10 @@
 // go, for up to an hour, so that what is never granted is found. The others have one or two requests and faults for up
 // to 40 s, and end soon after the last of both, or at ShortMost: what takes longer, as a grant that lapses by its time
 // or a pause that was doubled, is left to the long ones.
+// In one of fullEvery a disk is full for a while.
 const (
 	LongEvery = 64
+	fullEvery = 8
 	ShortMost = 100 * time.Second
 )
 
--- a/internal/fleet/world/world.go
+++ b/internal/fleet/world/world.go
@@ -59,6 +59,7 @@
 // Loose names guards of the emulated wiring that are left out.
 type Loose struct {
 	Unconfirmed bool // a leader answers polls without asking its voters whether it still leads
+	Unkept      bool // a drain is said as laid though the disk does not have it
 	AnyClock    bool // a leader hears of nobody's clock, so that it goes by its own
 }
 
--- a/internal/fleet/world/world_test.go
+++ b/internal/fleet/world/world_test.go
@@ -117,6 +117,46 @@
 	t.Logf("%d of 24 break", broken)
 }
 
+// full is a co-ordinator whose disk takes nothing while a grant is laid; its process ends once that is told, and the one in
+// its place hears nobody.
+func full(seed uint64) *Schedule {
+	s := frozen(seed, 0)
+	s.Load, s.Limits.OutMost = 0, 1
+	for i := range s.Asks {
+		s.Asks[i].Limits.Limits = s.Limits
+	}
+	s.Steps = []Step{{At: 8 * time.Second, For: 20 * time.Second, Kind: stepFull, A: 4}, {At: time.Minute, Kind: stepCut}}
+	died := 13*time.Second + time.Duration(seed)*100*time.Millisecond
+	s.Steps = append(s.Steps, Step{At: died, For: 100 * time.Millisecond, Kind: stepCrash, A: 4},
+		Step{At: died, For: 10 * time.Second, Kind: stepAlone, A: 4})
+	return s
+}
+
+// TestWhatAFullDiskDoesNotTakeIsNotSaid: a drain that was said as laid and is not on the disk is lost with the process.
+func TestWhatAFullDiskDoesNotTakeIsNotSaid(t *testing.T) {
+	broken, said := 0, 0
+	for i := range 24 {
+		for _, loose := range []bool{false, true} {
+			w := New(full(uint64(i + 1)))
+			w.Loose.Unkept = loose
+			switch r := w.Run(); {
+			case !loose && r.Err != nil:
+				t.Errorf("seed %d: %v", i+1, r.Err)
+			case !loose:
+				said += r.Figures.Told
+			case r.Err != nil && !strings.HasSuffix(r.Err.Error(), "had said that its drain is laid"):
+				t.Errorf("seed %d, not kept: %v", i+1, r.Err)
+			case r.Err != nil:
+				broken++
+			}
+		}
+	}
+	if broken == 0 || said == 0 {
+		t.Errorf("%d break, %d were told by the others", broken, said)
+	}
+	t.Logf("%d of 24 break", broken)
+}
+
 func TestSameSeedSameHistory(t *testing.T) {
 	for _, seed := range []uint64{3, 17} {
 		first := New(Draw(seed, Size(seed))).Run()
