Ask the leader that a voter names, though the file has it as a voter no more

One that had heard nothing for over two polls forgot the leader again in the moment a voter named it, and asked the next voter of the file instead.

A word's name is followed at once, once for each poll.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -115,7 +115,8 @@
 	sent      talk.Poll
 	answered  uint64 // number of the newest poll with a word of the leader
 	sentTo    string
-	silent    int // polls in a row without a word of the leader
+	namedAt   uint64 // number of the newest poll that was sent on to whom a word named
+	silent    int    // polls in a row without a word of the leader
 	answer    *view.Answered
 	answerAt  uint64            // index that the copy must reach before the answer counts as whole
 	polled    map[string]polled // not yet answered, by sender
--- a/internal/fleet/parts_test.go
+++ b/internal/fleet/parts_test.go
@@ -244,3 +244,33 @@
 		t.Error("one that is too large was read")
 	}
 }
+
+// One that has heard nothing for a while asks whom a voter names, though the file does not have that one as a voter any
+// more: it leads until another has its seat. It asks so once for each poll: two that name each other keep nobody busy.
+func TestALeaderThatIsToVoteNoMoreIsFound(t *testing.T) {
+	n := &Node{name: "e", names: []string{"a", "b", "e"}, silent: 9, leader: "gone"}
+	n.sent = talk.Poll{No: 7}
+	if n.sentTo = n.whom(); n.sentTo != "b" || n.leader != "" {
+		t.Fatalf("asks %q, leader %q", n.sentTo, n.leader)
+	}
+	for _, no := range []talk.Word{{No: 6, Leader: "old"}, {No: 7}, {No: 7, Leader: "b"}, {No: 7, Leader: "e"}} {
+		if n.named(no) {
+			t.Errorf("%+v is followed", no)
+		}
+	}
+	if !n.named(talk.Word{No: 7, Leader: "old"}) || n.leader != "old" {
+		t.Errorf("the leader that was named is not asked: %q", n.leader)
+	}
+	n.sentTo = "old"
+	if n.named(talk.Word{No: 7, Leader: "a"}) {
+		t.Error("a poll is sent on a second time")
+	}
+	if n.sent.No = 8; !n.named(talk.Word{No: 8, Leader: "a"}) {
+		t.Error("the next poll is not sent on")
+	}
+	for range 4 {
+		if to := n.whom(); to == "e" || to == "" {
+			t.Errorf("asks %q", to)
+		}
+	}
+}
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -210,9 +210,8 @@
 		return
 	}
 	if !w.Led {
-		if w.No == n.sent.No && w.Leader != "" && w.Leader != n.sentTo && n.leader != w.Leader {
-			n.leader = w.Leader
-			n.ask(n.sent)
+		if n.named(w) {
+			n.askOf(n.leader, n.sent)
 		}
 		return
 	}
@@ -231,15 +230,29 @@
 		Pinned: n.sessions.room()})
 }
 
+// named says whether a word that is not the leader's names one who is to be asked at once: once for each poll, since two may
+// name each other, and whoever it names, since one that is to vote no more may lead still.
+func (n *Node) named(w talk.Word) bool {
+	if w.No != n.sent.No || w.No == n.namedAt || w.Leader == "" || w.Leader == n.name || w.Leader == n.sentTo {
+		return false
+	}
+	n.leader, n.namedAt = w.Leader, w.No
+	return true
+}
+
 // ask sends a poll to the leader, or to the voters in turn while none is known.
 func (n *Node) ask(p talk.Poll) {
-	p.Wall = time.Duration(time.Now().UnixNano())
-	n.sent = p
 	if n.term != 0 {
-		n.sentTo = n.name
+		p.Wall = time.Duration(time.Now().UnixNano())
+		n.sent, n.sentTo = p, n.name
 		n.poll(n.now(), p)
 		return
 	}
+	n.askOf(n.whom(), p)
+}
+
+// whom a poll goes to.
+func (n *Node) whom() string {
 	if n.silent > SilentMost {
 		n.leader = ""
 	}
@@ -256,7 +269,12 @@
 			to = n.names[n.turn%len(n.names)]
 		}
 	}
-	n.sentTo = to
+	return to
+}
+
+func (n *Node) askOf(to string, p talk.Poll) {
+	p.Wall = time.Duration(time.Now().UnixNano())
+	n.sent, n.sentTo = p, to
 	n.send(to, p)
 }
 
