Close a test's members together, not one after the other

When a fleet of fifty was closed one by one, those that were left saw more and more of the others dead and asked for each of them again, with whole states. On a machine at a load of some 140 a run with -race stood in that clean-up when its 5 minutes were over, after the test itself had failed: its report never came. Now all are closed at once.

The package passes without -race (40 s at a load of some 120); with -race all but the fleet of fifty were run beside it and passed. Fifty members with -race on a machine of that load suspect each other for want of time, in views of 20 to 90 s of age, and fail as before.

--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -66,6 +67,13 @@
 func fleet(t *testing.T, n int, keys string, change func(i int, o *Options)) []*Members {
 	t.Helper()
 	var all []*Members
+	t.Cleanup(func() { // together: one after the other, those that are left would look for more and more dead
+		var closing sync.WaitGroup
+		for _, m := range all {
+			closing.Go(func() { m.Close() })
+		}
+		closing.Wait()
+	})
 	for i := range n {
 		o := Options{Name: fmt.Sprintf("c%02d", i), Zone: fmt.Sprintf("z%d", i%3), Incarnation: 7, Bind: "127.0.0.1:0", Keys: keys,
 			Log: quiet()}
@@ -79,7 +87,6 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { m.Close() })
 		all = append(all, m)
 	}
 	return all
