Give no lease to a released co-ordinator until it is known what came of its release

Change: the steward holds a co-ordinator as being released until its proposal is known to be applied, refused or never entered; where nobody knows, until a later entry of the same leader is. A new term begins with all of before applied.

--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -117,7 +117,7 @@
 	listed := map[string]bool{}
 	n.copy.look(func() {
 		for from := range v.polls {
-			listed[from] = lead.Counts(n.copy.order, from) && !(n.sessions != nil && n.sessions.steward.Releasing(n.now(), from))
+			listed[from] = lead.Counts(n.copy.order, from) && !(n.sessions != nil && n.sessions.steward.Releasing(from))
 		}
 	})
 	own := n.copy.era()
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -53,7 +54,6 @@
 	steward  *steward.Steward
 	section  *operator.Sessions // in force here
 	no       uint64             // of the newest message of acts
-	seq      uint64             // of the newest proposal
 	lookAt   time.Duration      // of the next look of the steward
 	term     uint64             // that the steward looked in
 	rooms    map[string]migrate.Room
@@ -68,7 +68,8 @@
 	leaves   uint64       // the grant by which this one may go, once it has no session; 0: none
 
 	mu   sync.Mutex
-	acts []session.Act // of the own keeper, to be handed on
+	acts []session.Act  // of the own keeper, to be handed on
+	done []steward.Done // of the steward's proposals
 }
 
 // openSessions begins the part, if the section is there. It comes before the exchange runs.
@@ -156,7 +157,7 @@
 	}
 	for _, m := range p.wanted {
 		sum := sha256.Sum256([]byte(m.From))
-		p.propose(at, fmt.Sprintf("a-%s-%d", hex.EncodeToString(sum[:8]), m.No), session.KindActs, session.ActsBody{From: m.From, Acts: m.Acts})
+		p.propose(at, fmt.Sprintf("a-%s-%d", hex.EncodeToString(sum[:8]), m.No), session.KindActs, session.ActsBody{From: m.From, Acts: m.Acts}, 0)
 	}
 	p.wanted = nil
 	if p.term != n.term {
@@ -169,20 +170,23 @@
 		return
 	}
 	p.lookAt = now + StewardEvery
+	p.mu.Lock()
+	done := p.done
+	p.done = nil
+	p.mu.Unlock()
 	var out []steward.Propose
 	n.copy.look(func() {
 		p.look(now, at)
 		out = p.steward.Step(steward.Look{
-			Now: now, Agreed: at, Book: n.copy.book, Order: n.copy.order, Want: p.limits(), Slots: p.section.Pool, Silent: n.lead.Silent,
+			Now: now, Agreed: at, Book: n.copy.book, Order: n.copy.order, Want: p.limits(), Slots: p.section.Pool, Silent: n.lead.Silent, Done: done,
 			Sites: p.sites, PerSlot: p.perSlot(), Paused: n.copy.order.Asks().Paused,
 		})
 	})
 	for _, o := range out {
-		p.seq++
 		if o.Kind == session.KindRelease {
 			n.log.WithField("what", o.What).Info("a silent co-ordinator's sessions and slots are to be free")
 		}
-		p.propose(at, fmt.Sprintf("s-%d-%d", n.term, p.seq), o.Kind, o.Body)
+		p.propose(at, fmt.Sprintf("s-%d-%d", n.term, o.No), o.Kind, o.Body, o.No)
 	}
 	p.foretell(now)
 }
@@ -247,8 +251,8 @@
 }
 
 // propose puts a command for the sessions to the council, beside the step. What comes to nothing is wanted again by who
-// wants it.
-func (p *sessions) propose(at time.Duration, id, kind string, body any) {
+// wants it. no is the steward's number; 0: another's.
+func (p *sessions) propose(at time.Duration, id, kind string, body any, no uint64) {
 	n := p.n
 	raw, err := json.Marshal(body)
 	if err == nil {
@@ -256,9 +260,11 @@
 	}
 	if err != nil {
 		n.log.WithError(err).Error("a proposal for the sessions can't be written")
+		p.finished(no, true)
 		return
 	}
 	if n.council == nil || p.way.Load() >= ActsMost {
+		p.finished(no, true) // it enters no log
 		return
 	}
 	p.way.Add(1)
@@ -266,7 +272,9 @@
 		defer p.way.Add(-1)
 		ctx, cancel := context.WithTimeout(context.Background(), ProposeTime)
 		defer cancel()
-		if err := seat.Propose(ctx, raw); err != nil {
+		err := seat.Propose(ctx, raw)
+		p.finished(no, !errors.Is(err, council.ErrUnsure))
+		if err != nil {
 			level := logrus.DebugLevel // what came twice or late, mostly
 			if kind == session.KindLimits {
 				level = logrus.WarnLevel
@@ -277,6 +285,16 @@
 	}(n.council)
 }
 
+// finished notes the end of a proposal of the steward's.
+func (p *sessions) finished(no uint64, known bool) {
+	if no == 0 {
+		return
+	}
+	p.mu.Lock()
+	p.done = append(p.done, steward.Done{No: no, Known: known})
+	p.mu.Unlock()
+}
+
 // tell is this part of the summary.
 func (p *sessions) tell(f logrus.Fields) {
 	s := p.pins.Sums()
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -19,10 +19,6 @@
 	// Again is between two proposals of one thing that the state does not show. Twice as long: a lost one costs so much
 	// more; half: a slow council has most of them twice.
 	Again = time.Second
-	// ReleaseAgain is for a release. While it may be under way its co-ordinator is given no lease, so it is not given up
-	// before its command would be refused as stale or has surely ended: a proposal waits for 3 s at most. Twice as long: one that came back waits for its
-	// lease so much longer; half: a release that waits in a slow council could come after a new lease.
-	ReleaseAgain = 6 * time.Second
 	// PlanEvery is between steps of the planner. Twice as long: a session's move begins, or is called off, so much later; half:
 	// twice the looks at all that is in flight.
 	PlanEvery = 200 * time.Millisecond
@@ -47,30 +43,53 @@
 	Paused  bool // by the operators
 	// Silent is how long nothing was heard of a co-ordinator while this one leads.
 	Silent func(name string) time.Duration
+	// Done says what came of earlier proposals.
+	Done []Done
 }
 
-// Propose is a command for the part "sessions". What names it for the log.
+// Done is the end of the waiting for one proposal: Known if it was applied, refused, or never entered the log; else it may
+// be in it, and come at any later time.
+type Done struct {
+	No    uint64
+	Known bool
+}
+
+// release of a co-ordinator, by the number of its proposal. Once nobody knows what came of it, the end of a later one tells:
+// entries are applied in their order, and that one entered after it.
+type release struct {
+	no     uint64
+	unsure bool
+}
+
+// Propose is a command for the part "sessions". What names it for the log; numbers grow.
 type Propose struct {
+	No         uint64
 	What, Kind string
 	Body       any
 }
 
 // Steward is a leader's, or one's that may become it. Not for use by several goroutines at once.
 type Steward struct {
-	asked   map[string]time.Duration // what was proposed and not seen, and until when it is not proposed again
-	planner *migrate.Planner
-	said    migrate.Plan // of the last step
-	planAt  time.Duration
+	asked map[string]time.Duration // what was proposed and not seen, and until when it is not proposed again
+	no    uint64                   // of the newest proposal
+	// releasing are those whose release may still come, and are given no lease: the log may hold the entry for as long as it
+	// has no majority.
+	releasing map[string]*release
+	planner   *migrate.Planner
+	said      migrate.Plan // of the last step
+	planAt    time.Duration
 }
 
 // New makes one.
 func New() *Steward {
-	return &Steward{asked: map[string]time.Duration{}, planner: migrate.New(migrate.Options{})}
+	return &Steward{asked: map[string]time.Duration{}, releasing: map[string]*release{}, planner: migrate.New(migrate.Options{})}
 }
 
-// Reset forgets what holds for one term only. What an earlier leader proposed may still act.
+// Reset forgets what holds for one term only. A leader knows that it leads once all that came before its term is applied, so
+// no release of before comes later.
 func (s *Steward) Reset() {
 	clear(s.asked)
+	clear(s.releasing)
 	s.planner, s.said, s.planAt = migrate.New(migrate.Options{}), migrate.Plan{}, 0
 }
 
@@ -78,18 +97,20 @@
 func (s *Steward) Plan() migrate.Plan { return s.said }
 
 // Releasing says that a release of this co-ordinator may be under way: it is given no lease.
-func (s *Steward) Releasing(now time.Duration, name string) bool {
-	return now < s.asked["release "+name]
-}
+func (s *Steward) Releasing(name string) bool { return s.releasing[name] != nil }
 
 // Step returns what to propose now.
 func (s *Steward) Step(l Look) (out []Propose) {
+	s.done(l.Done)
 	maps.DeleteFunc(s.asked, func(_ string, until time.Duration) bool { return l.Now >= until })
-	put := func(wait time.Duration, what, kind string, body any) {
-		if _, waits := s.asked[what]; !waits {
+	put := func(wait time.Duration, what, kind string, body any) bool {
+		_, waits := s.asked[what]
+		if !waits {
 			s.asked[what] = l.Now + wait
-			out = append(out, Propose{what, kind, body})
+			s.no++
+			out = append(out, Propose{s.no, what, kind, body})
 		}
+		return !waits
 	}
 	have, revision := l.Book.Limits()
 	if want, ok := l.wanted(have); ok {
@@ -100,7 +121,12 @@
 		return nil
 	}
 	for _, name := range l.silent(have) {
-		put(ReleaseAgain, "release "+name, session.KindRelease, session.ReleaseBody{Name: name, Silent: l.Silent(name), At: l.Agreed})
+		if s.Releasing(name) {
+			continue
+		}
+		if put(Again, "release "+name, session.KindRelease, session.ReleaseBody{Name: name, Silent: l.Silent(name), At: l.Agreed}) {
+			s.releasing[name] = &release{no: s.no}
+		}
 	}
 	if shifts := l.shares(have); len(shifts) > 0 {
 		put(Again, "shares of slots", session.KindPlan, session.PlanBody{Shifts: shifts})
@@ -109,15 +135,37 @@
 		s.planAt = l.Now
 		s.said = s.planner.Step(l.Agreed, l.view())
 		if !s.said.Empty() { // the planner itself says again what came to nothing
-			out = append(out, Propose{"moves", session.KindPlan, s.said.Body})
+			s.no++
+			out = append(out, Propose{s.no, "moves", session.KindPlan, s.said.Body})
 		}
 	}
-	if l.Book.Moving() > 0 || s.said.Tick { // their ends are found by agreed time
-		put(Again, "tick", session.KindTick, session.TickBody{})
+	unsure := slices.DeleteFunc(slices.Sorted(maps.Keys(s.releasing)), func(name string) bool { return !s.releasing[name].unsure })
+	// The ends of moves are found by agreed time; what came of a release, by a later entry.
+	if l.Book.Moving() > 0 || s.said.Tick || len(unsure) > 0 {
+		if put(Again, "tick", session.KindTick, session.TickBody{}) {
+			for _, name := range unsure {
+				s.releasing[name] = &release{no: s.no}
+			}
+		}
 	}
 	return out
 }
 
+// done takes what came of proposals.
+func (s *Steward) done(all []Done) {
+	for name, r := range s.releasing { // in any order: each by itself
+		for _, d := range all {
+			switch {
+			case d.No != r.no:
+			case d.Known:
+				delete(s.releasing, name)
+			default:
+				r.unsure = true
+			}
+		}
+	}
+}
+
 // view is what the planner goes by.
 func (l *Look) view() migrate.View {
 	v := migrate.View{Book: l.Book, Slots: l.Book.Pool(), Coordinators: slices.Clone(l.Sites), PerSlot: l.PerSlot, Paused: l.Paused,
--- a/internal/fleet/steward/steward_test.go
+++ b/internal/fleet/steward/steward_test.go
@@ -135,15 +135,32 @@
 	r.wants(r.step(need, false))
 	r.silent["c1"] = need
 	r.wants(r.step(Again, false), "release")
-	if !r.s.Releasing(r.look.Now, "c1") || r.s.Releasing(r.look.Now, "c0") {
+	if !r.s.Releasing("c1") || r.s.Releasing("c0") {
 		t.Error("a lease while it is released, or none for another")
 	}
+	no := r.s.no
+	// It is heard of again, and the council has no majority: the release may still come, for however long.
+	r.silent["c1"] = 0
+	r.wants(r.step(time.Minute, false))
+	r.look.Done = []Done{{No: no}} // nobody knows whether it entered the log
+	r.wants(r.step(Again, false), "tick")
+	r.look.Done = nil
+	if !r.s.Releasing("c1") {
+		t.Error("a lease while a release of before may still come")
+	}
+	r.look.Done = []Done{{No: r.s.no, Known: true}} // that entered after it
 	r.wants(r.step(Again, false))
+	if r.look.Done = nil; r.s.Releasing("c1") {
+		t.Error("no lease, though what came of the release is known")
+	}
+	r.silent["c1"] = need
+	r.wants(r.step(Again, false), "release")
 	r.s.Reset()
-	if r.s.Releasing(r.look.Now, "c1") {
+	if r.s.Releasing("c1") {
 		t.Error("the next leader holds a lease back for what it did not propose")
 	}
 	r.wants(r.step(Again, true), "release")
+	r.look.Done = []Done{{No: r.s.no, Known: true}}
 	if r.look.Book.Owned("c1") != 0 || r.look.Book.Pool().Held("c1", "r0") != 0 {
 		t.Error("what it had is not free")
 	}
