--- /dev/null
+++ b/internal/fleet/member/pace_test.go
@@ -0,0 +1,58 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Clocks that run 1 % fast or slow, and show any hour: a record's age, passed on from one to the next, is told within 1 % (and the
+// millisecond in which it is written, at each hand), and a member that beats as it should is no suspect anywhere.
+func TestAgesUnderClocksOnePerCentOff(t *testing.T) {
+	for _, paces := range [][]float64{{1.01, 1.01, 1.01, 1.01}, {0.99, 0.99, 0.99, 0.99}, {0.99, 1.01, 0.99, 1.01}, {1.01, 0.99, 1.01, 0.99}} {
+		t.Run(fmt.Sprint(paces), func(t *testing.T) {
+			var all []*news
+			for i := range paces {
+				n := &news{}
+				n.init(Options{Name: fmt.Sprint("n", i), Incarnation: 7})
+				all = append(all, n)
+			}
+			// clock of one at a true time: its own hour and pace.
+			clock := func(i int, at time.Duration) time.Time {
+				return time.Unix(int64(1_000_000*i), 0).Add(time.Duration(float64(at) * paces[i]))
+			}
+			first := all[0]
+			for hour := range time.Duration(20) { // a beat each, and three hands on, 3 to 10 s apart
+				made := 1000*time.Second + hour*40*time.Second
+				first.mu.Lock()
+				first.loadAt = clock(0, made-2*time.Second)
+				first.make(clock(0, made))
+				first.mu.Unlock()
+				at := made
+				for i := 1; i < len(all); i++ {
+					at += time.Duration(2+i*int(hour%3+1)) * time.Second
+					b := all[i-1].all(clock(i-1, at))
+					if err := all[i].take(b[1:], clock(i, at)); err != nil {
+						t.Fatal(err)
+					}
+					h := all[i].by["n0"]
+					h.engine, h.up = true, true
+					m := all[i].line(h, clock(i, at+time.Second))
+					want, slack := at+time.Second-made, 2*time.Millisecond*time.Duration(i)
+					if off := m.Age - want; off > want/100+slack || -off > want/100+slack {
+						t.Errorf("at n%d, %v after it was made, it is told as %v old", i, want, m.Age)
+					}
+					if off := m.LoadAge - want - 2*time.Second; off > want/100+slack+20*time.Millisecond || -off > want/100+slack+20*time.Millisecond {
+						t.Errorf("at n%d its load of %v ago is told as %v old", i, want+2*time.Second, m.LoadAge)
+					}
+					if m.State != Alive && want < SilentBeats*BeatLeast {
+						t.Errorf("n0 is %v at n%d, %v after its beat", m.State, i, want)
+					}
+					for j := 1; j < i; j++ { // only what is made passes on
+						all[j].by["n0"].up = true
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand"
 	"os"
 	"os/exec"
@@ -14,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	bolt "go.etcd.io/bbolt"
 	"go.uber.org/goleak"
@@ -21,6 +24,10 @@
 
 func TestMain(m *testing.M) {
 	if dir := os.Getenv("STORE_CHILD"); dir != "" {
+		if os.Getenv("STORE_LIMIT") == "snapshot" {
+			fmt.Println(snapshotOnAFullDisk(dir))
+			return
+		}
 		child(dir)
 		return
 	}
@@ -296,3 +303,61 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// snapshotOnAFullDisk writes a snapshot, one more that the disk has no room for, and one after there is room again.
+func snapshotOnAFullDisk(dir string) error {
+	snaps, err := Snapshots(dir, hclog.NewNullLogger())
+	if err != nil {
+		return err
+	}
+	one := raft.Configuration{Servers: []raft.Server{{ID: "a", Address: "a:1"}}}
+	_, wire := raft.NewInmemTransport("a:1")
+	write := func(index uint64, size int) error {
+		sink, err := snaps.Create(raft.SnapshotVersionMax, index, 1, one, 1, wire)
+		if err != nil {
+			return err
+		}
+		if _, err := sink.Write(bytes.Repeat([]byte{byte(index)}, size)); err != nil {
+			return errors.Join(err, sink.Cancel())
+		}
+		return sink.Close()
+	}
+	newest := func(index uint64, size int) error {
+		all, err := snaps.List()
+		if err != nil || len(all) == 0 || all[0].Index != index {
+			return fmt.Errorf("%d is not the newest of %v: %w", index, all, err)
+		}
+		_, r, err := snaps.Open(all[0].ID)
+		if err != nil {
+			return err
+		}
+		defer r.Close()
+		raw, err := io.ReadAll(r)
+		if err != nil || !bytes.Equal(raw, bytes.Repeat([]byte{byte(index)}, size)) {
+			return fmt.Errorf("%d bytes of snapshot %d: %w", len(raw), index, err)
+		}
+		return nil
+	}
+	limit := func(n uint64) error {
+		return syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: n, Max: 1 << 40})
+	}
+	if err := errors.Join(write(5, 50<<10), newest(5, 50<<10), limit(100<<10)); err != nil {
+		return err
+	}
+	for index := uint64(6); index < 12; index++ { // more than are kept
+		if write(index, 300<<10) == nil {
+			return errors.New("a snapshot was taken that the disk has no room for")
+		}
+		if err := newest(5, 50<<10); err != nil {
+			return err
+		}
+	}
+	return errors.Join(limit(1<<40), write(12, 300<<10), newest(12, 300<<10))
+}
+
+// A snapshot that the disk has no room for is an error, and leaves the one before as the newest.
+func TestSnapshotOnAFullDisk(t *testing.T) {
+	if _, _, _, said := play(t, t.TempDir(), "snapshot", time.Minute); said != "<nil>\n" {
+		t.Error(said)
+	}
+}
