--- a/internal/fleet/keeper/hard_test.go
+++ b/internal/fleet/keeper/hard_test.go
@@ -66,7 +66,12 @@
 	r.offer(1, "b")
 	r.step(r.applied(), Ended{Token: 1, Told: true})
 	rec, _ := r.b.Get(id(1))
+	r.plan(session.PlanBody{Withdrawals: []session.Withdrawal{{ID: id(1), Epoch: rec.Epoch, Fence: rec.Fence}}})
+	r.offer(1, "b") // before the first one's end was seen
+	r.step(r.applied())
+	rec, _ = r.b.Get(id(1))
 	late := r.acts[len(r.acts)-1]
+	r.want(len(r.acts) == 2 && late.Fence == rec.Fence, "the hand names the newer offer")
 	r.acts = nil
 	r.plan(session.PlanBody{Withdrawals: []session.Withdrawal{{ID: id(1), Epoch: rec.Epoch, Fence: rec.Fence}}})
 	r.step(r.applied(), r.q(2, Unsafe))
@@ -103,8 +108,8 @@
 		b := a.rig("b", Options{Replicas: []string{"r1"}}, 0, 0)
 		a.offer(1, "b")
 		a.step(a.applied(), Ended{Token: 1, Told: true, State: []byte("s")})
-		if handed {
-			a.agree()
+		if handed { // which the source does not see before it is handed back
+			a.by("a", a.acts...)
 		}
 		b.step(b.applied())
 		b.want(len(b.acts) == 0, "waits for slots on their way")
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -102,7 +102,7 @@
 	two.Session, two.Due = id(2), r.now+time.Hour
 	r.step(Ended{Token: 1, Told: true}, two)
 	r.agree()
-	r.want(r.k.MayAnswer(r.now, 2), "an answer")
+	r.want(r.k.MayAnswer(r.now, 2) && r.k.Instead(r.now, 2) == nil, "an answer, and no other word")
 	r.step(Lease{r.now + 5*sec, false}, r.q(3, Safe))
 	r.want(r.refused(3, NoLease) && len(r.out) == 2, "what was answered is not told")
 	r.now += 8 * sec
@@ -154,6 +154,9 @@
 	late.Due = r.now
 	r.step(late, r.q(1, Unsafe), r.q(2, Unsafe), r.q(3, Unsafe), r.q(4, Safe))
 	r.want(r.refused(9, Late) && r.refused(4, Full), "one client waits as much as is left")
+	g := newRig(t, Options{})
+	g.step(g.q(1, Safe), Leaving{})
+	g.want(g.refused(1, Going), "one that leaves lets none wait for a claim")
 	r.agree()
 	other := r.q(5, Safe)
 	other.Client = 1
