Keep drains of the process before until an answer is in time, not only whole

A co-ordinator restarts, polls, is stopped for longer than its lease and reads the answer: that is whole, so the drains that the process before had said as laid were let go, but its lease is over, so the view lays none, and a machine that is told was sent to.

The drains stay until a whole answer leaves the co-ordinator in touch (or it is not in the inventory yet, when the view lays all it knows); a start waits AwaitMost for that at the longest, as before.

--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -33,7 +33,8 @@
 	var out []view.Output
 	var propose []lead.Output
 	var f grantsFile
-	var limits, asks int // revisions agreed
+	var limits, asks int     // revisions agreed
+	var whole, unlisted bool // of an answer
 	n.copy.look(func() {
 		l := n.copy.ledger
 		if err := l.Halted(); err != nil && !n.halted {
@@ -49,14 +50,16 @@
 		}
 		if a := n.answer; a != nil {
 			a.More = a.More || n.index < n.answerAt
-			n.caught = n.caught || !a.More
-			n.toView, n.answer = append(n.toView, *a), nil
+			n.toView, n.answer, whole = append(n.toView, *a), nil, !a.More
+			unlisted = a.Unlisted
 		}
 		if n.sessions != nil {
 			n.toView = append(n.toView, n.sessions.hurry())
 		}
 		n.agreedNow = l.Now()
 		out = n.view.Step(now, n.toView)
+		// One that was read after its lease is over had the view lay nothing: the drains of the process before stay.
+		n.caught = n.caught || whole && (unlisted || !n.view.CutOff(now))
 		if !n.halted {
 			propose = n.lead.Step(now, wall, n.toLead)
 		}
--- a/internal/fleet/world/node.go
+++ b/internal/fleet/world/node.go
@@ -301,7 +301,9 @@
 	}
 	for _, i := range in {
 		if a, ok := i.(view.Answered); ok && !a.More && !a.Unlisted {
-			n.caughtUp()
+			if !n.view.CutOff(now) { // else its lease was over when it was read, and nothing was laid
+				n.caughtUp()
+			}
 			n.w.leased(n, a.Poll)
 		}
 	}
--- a/internal/fleet/world/world_test.go
+++ b/internal/fleet/world/world_test.go
@@ -157,6 +157,16 @@
 	t.Logf("%d of 24 break", broken)
 }
 
+// TestSeedsThatBroke: a clock far behind that is mended (49134); an answer read after its lease was over, by a process whose
+// drains are those of the one before (1759).
+func TestSeedsThatBroke(t *testing.T) {
+	for _, seed := range []uint64{49134, 1759} {
+		if r := New(Draw(seed, Size(seed))).Run(); r.Err != nil {
+			t.Errorf("seed %d: %v", seed, r.Err)
+		}
+	}
+}
+
 func TestSameSeedSameHistory(t *testing.T) {
 	for _, seed := range []uint64{3, 17} {
 		first := New(Draw(seed, Size(seed))).Run()
