Begin nothing unsafe whose part could run on after others may act for its session

Change: a keyed or unsafe query begins only if its client's time is over by the end of lease and grace, before which no release comes; else it is refused at once, to come back. Files whose pinned classes wait for longer than a lease surely has left are refused with their place. An answer that may not be given any more fails keyed ones too: nobody there looks at what is left of the window. Measured: TestNothingUnsafeOutlivesTheLease fails without it; keeper's tests, both tests of sessions between processes.

--- a/internal/fleet/keeper/queries.go
+++ b/internal/fleet/keeper/queries.go
@@ -49,6 +49,10 @@
 	s.wait.add(q)
 	s.waits++
 	k.begin(s, nil)
+	if k.queries[a.Token] != q { // told
+		k.settle(s)
+		return
+	}
 	if q.runs {
 		return
 	}
@@ -131,6 +135,10 @@
 			k.giveUp(q, Waited, BackLater, "")
 			continue
 		}
+		if k.outlives(q) {
+			k.giveUp(q, NoLease, BackLater, "")
+			continue
+		}
 		if q.effect != Safe && s.runs > 0 || s.alone > 0 || s.runs > 0 && int(s.runs) >= k.limits.Slots {
 			return
 		}
@@ -154,10 +162,18 @@
 	}
 }
 
+// outlives says that a part of the query could still run at a replica when others may act for its session: they may from the end
+// of the lease and Grace on, the frames carry the client's time, and this process may be gone by then, or cut off, so that
+// nobody takes its parts back. Of a safe one only the answer would count, and it is not given.
+func (k *Keeper) outlives(q *query) bool { return q.effect != Safe && q.due > k.until+k.limits.Grace }
+
 // pump is begin after a look at what is agreed.
 func (k *Keeper) pump(s *sess, woken *slot) {
 	if s.phase == Pinned && s.wait.head != nil && k.ready() && k.ours(s, s.epoch) {
 		k.begin(s, woken)
+		if s.phase == Pinned && s.wait.head == nil && s.runs == 0 { // none of them could begin
+			k.rest(s, true)
+		}
 	}
 }
 
--- a/internal/fleet/keeper/words.go
+++ b/internal/fleet/keeper/words.go
@@ -14,7 +14,7 @@
 func (k *Keeper) giveUp(q *query, why Reason, after time.Duration, owner string) {
 	k.word(q)
 	k.turnAway(q.token, why, after, owner)
-	k.unqueue(q, true)
+	k.unqueue(q, q.place >= 0) // one that has only come is not counted yet
 	k.forget(q)
 }
 
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -229,6 +229,9 @@
 	case (f.Fleet.Sessions != nil) != (n.sessions != nil):
 		return errors.New("$.fleet.sessions: pinned sessions begin and end with the program")
 	}
+	if err := fitsSessions(f.Fleet, n.s.Config.Names, &n.s.Config.Policy); err != nil {
+		return err
+	}
 	if err := n.member.ReloadKeys(); err != nil {
 		return err
 	}
--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -236,7 +236,7 @@
 	if n == nil || !n.told.Load() && p.now() < time.Duration(p.lease.Load()) {
 		return r
 	}
-	if n.effect == policy.Unsafe {
+	if n.effect != policy.Safe { // of a keyed one nobody here looks at what is left of its window
 		return exchange.Reply{Status: exchange.Failed}
 	}
 	return exchange.Reply{Status: exchange.Refused, After: p.after(keeper.BackLater)}
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -26,6 +26,7 @@
 	"birchcart/internal/operator"
 	"birchcart/internal/placement"
 	"birchcart/internal/serve"
+	"birchcart/internal/settings"
 	"birchcart/policy"
 )
 
@@ -95,6 +96,29 @@
 	n.done.Go(func() { p.pins.Run(ctx) })
 }
 
+// leaseSlack of a lease may be gone when a query comes: a poll a second, and its way.
+const leaseSlack = 1500 * time.Millisecond
+
+// fitsSessions refuses classes that must not run twice and whose clients may wait for longer than a lease surely has left: a
+// query of theirs begins only if its time is over before others may act for its session.
+func fitsSessions(f *operator.Fleet, names *settings.Names, cfg *policy.Config) error {
+	if f.Sessions == nil {
+		return nil
+	}
+	left := ms(f.Lease) + ms(f.Grace) - leaseSlack
+	for i, name := range f.Sessions.Classes {
+		c := settings.Place(names.Classes, name)
+		if c < 0 || cfg.Classes[c].Effect == policy.Safe {
+			continue
+		}
+		if wait := time.Duration(cfg.Classes[c].GiveUp * float64(time.Second)); wait > left {
+			return fmt.Errorf("$.fleet.sessions.classes[%d]: %q stands there; its clients wait for up to %v, and of lease_ms and grace_ms at least %v are left when a query comes: a longer lease_ms is right",
+				i, name, wait, left)
+		}
+	}
+	return nil
+}
+
 // reload takes a section that was read again.
 func (p *sessions) reload(s *operator.Sessions) {
 	p.section = s
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -50,6 +50,9 @@
 // open opens gossip, seat and file. An error names the place in the operators' file; what the disk holds is none.
 func (n *Node) open() error {
 	f := n.file.Fleet
+	if err := fitsSessions(f, n.s.Config.Names, &n.s.Config.Policy); err != nil {
+		return fmt.Errorf("operators' file: %w", err)
+	}
 	if f.Grants != "" {
 		dir := filepath.Dir(f.Grants)
 		if at, err := os.Stat(dir); err != nil || !at.IsDir() {
