--- a/internal/fleet/keeper/acts.go
+++ b/internal/fleet/keeper/acts.go
@@ -21,6 +21,7 @@
 		r, _ := k.book.Get(s.id)
 		switch {
 		case k.roomy:
+			s.adopts = true
 			k.act(session.Act{Kind: session.Adopt, ID: s.id, Epoch: s.epoch})
 		case k.since(r.Since) >= AdoptWait:
 			k.act(session.Act{Kind: session.Decline, ID: s.id, Epoch: s.epoch, Fence: r.Fence})
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -169,3 +169,17 @@
 	}
 	r.want(r.refused(12, Full) && r.k.Sums().Open == 1, "no more than six are known")
 }
+
+// A process begun anew sees a hand and an adoption that the one before it made, as its copy comes on: it ends that session.
+func TestAdoptedByTheProcessBefore(t *testing.T) {
+	r := claimed(t)
+	r.offer(1, "b")
+	r.step(r.applied(), Ended{Token: 1, Told: true})
+	r.agree()
+	rec, _ := r.b.Get(id(1))
+	b := New("b", Options{})
+	b.Step(r.now, []Input{r.applied()})
+	r.by("b", session.Act{Kind: session.Adopt, ID: id(1), Epoch: rec.Epoch})
+	b.Step(r.now, []Input{r.applied(), Lease{r.now + 5*sec, true}})
+	r.want(rec.Owner == "b" && rec.Phase == session.Handed && b.Phase(id(1)) == Ending, "takes the adoption for its own: "+b.Phase(id(1)).String())
+}
--- a/internal/fleet/keeper/phases.go
+++ b/internal/fleet/keeper/phases.go
@@ -44,7 +44,7 @@
 
 // handedHere takes over what a hand carried.
 func (k *Keeper) handedHere(s *sess, r session.Record) {
-	s.epoch = r.Epoch
+	s.epoch, s.adopts = r.Epoch, false
 	s.state = append(s.state[:0], r.State...)
 	if r.Source == "" {
 		k.sums.RolledBack++
@@ -153,6 +153,8 @@
 		switch {
 		case !mine:
 			k.lose(s, r.Owner)
+		case r.Phase != session.Handed && r.Epoch == s.epoch && !s.adopts: // a process before did, and what it began is not known
+			k.found(s, r, ok)
 		case r.Phase != session.Handed && r.Epoch == s.epoch:
 			k.sums.Adopted++
 			k.pin(s, r)
--- a/internal/fleet/keeper/queue.go
+++ b/internal/fleet/keeper/queue.go
@@ -127,6 +127,7 @@
 
 // sess is what is kept of a session.
 type sess struct {
+	adopts bool // this process has proposed to adopt it
 	id     [16]byte
 	epoch  uint64 // of the ownership; claiming: of an ownership of before that has to end first
 	seq    uint64 // queries begun
