Let a new process wait for what the one before had out, and see what a new era agrees

Now one whose name has sessions or slots agreed when its first lease comes acts lease and grace after its start, when the one before would have been released. One without any acts at once.

Two more: the keeper was not told of the era, so after a council was set up anew it saw nothing until the new log was as long as the old one; and one that was to leave, and stays after all, took no new session until its end.

Each test fails without its part.

--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -144,6 +144,8 @@
 		k.lease(*in)
 	case Leaving, *Leaving:
 		k.leave()
+	case Staying, *Staying:
+		k.leaving = false
 	}
 }
 
--- a/internal/fleet/keeper/types.go
+++ b/internal/fleet/keeper/types.go
@@ -109,6 +109,8 @@
 	}
 	// Leaving says that this co-ordinator goes: it takes no new session and hands over fast what is offered.
 	Leaving struct{}
+	// Staying takes a Leaving back.
+	Staying struct{}
 )
 
 func (Arrived) input() {}
@@ -117,6 +119,7 @@
 func (Applied) input() {}
 func (Lease) input()   {}
 func (Leaving) input() {}
+func (Staying) input() {}
 
 // Output is something to be done before the next Step.
 type Output interface{ output() }
--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -78,6 +78,7 @@
 	last   uint64
 	lent   keeper.Lease // newest, not yet given
 	index  uint64
+	era    uint64
 	agreed time.Duration
 	moved  bool
 	news   bool
@@ -135,12 +136,12 @@
 // Holders says which replicas hold each shard.
 func (p *Pins) Holders(by [][]string) { p.holders.Store(&by) }
 
-// News tells of the agreed state, as far as it is applied here, and of the own lease: sure until then, by the own monotonic
-// time; 0 for none.
-func (p *Pins) News(index uint64, agreed, until time.Duration) {
+// News tells of the agreed state, as far as it is applied here, of which era its log is, and of the own lease: sure until
+// then, by the own monotonic time; 0 for none.
+func (p *Pins) News(index, era uint64, agreed, until time.Duration) {
 	p.mu.Lock()
-	p.moved = p.moved || index != p.index
-	p.index, p.agreed = index, agreed
+	p.moved = p.moved || index != p.index || era != p.era
+	p.index, p.era, p.agreed = index, era, agreed
 	p.lent, p.news = keeper.Lease{Until: until, Sure: until > 0}, true
 	p.mu.Unlock()
 	p.nudge()
@@ -154,6 +155,14 @@
 	p.put(keeper.Leaving{})
 }
 
+// Stay says that this co-ordinator goes no more.
+func (p *Pins) Stay() {
+	p.mu.Lock()
+	p.leaves, p.idle = false, nil
+	p.mu.Unlock()
+	p.put(keeper.Staying{})
+}
+
 // Idle are sessions of which nothing was open at the last step, the longest unused first, while this co-ordinator leaves.
 func (p *Pins) Idle() []session.ID {
 	p.mu.Lock()
@@ -299,7 +308,7 @@
 	in := p.in
 	p.in = nil
 	if p.moved {
-		in = append(in, keeper.Applied{Book: p.o.Book, Index: p.index, Agreed: p.agreed})
+		in = append(in, keeper.Applied{Book: p.o.Book, Index: p.index, Agreed: p.agreed, Era: p.era})
 	}
 	lent, leaves := p.lent, p.leaves
 	if p.news {
@@ -343,7 +352,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if idle != nil {
+	if idle != nil && p.leaves {
 		p.idle = idle
 	}
 	p.sums, p.busy = sums, len(acts) > 0 || sums.Waiting > 0
--- /dev/null
+++ b/internal/fleet/pins/pins_test.go
@@ -0,0 +1,114 @@
+package pins
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/exchange"
+	"birchcart/internal/fleet/session"
+	"birchcart/internal/operator"
+	"birchcart/internal/settings"
+	"birchcart/policy"
+)
+
+// rig is the pins of "a" beside a book, with an exchange that notes what it is told.
+type rig struct {
+	*testing.T
+	p        *Pins
+	b        *session.Book
+	index    uint64
+	acts     []session.Act
+	released []*exchange.Query
+	away     []exchange.Reply
+}
+
+func (r *rig) Release(q *exchange.Query)                    { r.released = append(r.released, q) }
+func (r *rig) TurnAway(_ *exchange.Query, a exchange.Reply) { r.away = append(r.away, a) }
+
+var limits = session.Limits{Revision: 1, Caps: map[string]int{"r": 9}, InFlight: 9, PerMinute: 9, OfferFor: time.Second, IdleFor: time.Minute,
+	Lease: 2 * time.Second, Grace: 3 * time.Second, SessionsMost: 9, StateMost: 9, Slots: 2}
+
+func newRig(t *testing.T) *rig {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &rig{T: t, b: session.New()}
+	r.p = New(Options{Name: "a", Start: time.Now(), Exchange: r, Log: logrus.NewEntry(log), Names: &settings.Names{Classes: []string{"tally"}},
+		Policy: &policy.Config{Classes: []policy.Class{{Effect: policy.Unsafe}}, RetryAfter: true, MaxRetryAfter: 1}, Book: r.b,
+		Look: func(do func()) { do() }, Propose: func(acts []session.Act) { r.acts = append(r.acts, acts...) }})
+	r.p.File(&operator.Sessions{Classes: []string{"tally"}, Most: 9})
+	r.p.Holders([][]string{{"r"}})
+	r.apply(session.KindLimits, session.LimitsBody{Limits: limits})
+	r.apply(session.KindPlan, session.PlanBody{Shifts: []session.Shift{{To: "a", Replica: "r", N: 2}}})
+	return r
+}
+
+func (r *rig) apply(kind string, body any) {
+	r.Helper()
+	raw, err := json.Marshal(body)
+	if err == nil {
+		err = r.b.Apply(r.b.Now(), func() uint64 { return 1 }, kind, raw)
+	}
+	if err != nil {
+		r.Fatal(err)
+	}
+}
+
+// step tells of the agreed state in that era, with a lease for a minute, and steps.
+func (r *rig) step(index, era uint64) {
+	r.p.News(index, era, time.Second, r.p.now()+time.Minute)
+	r.p.step()
+}
+
+// agree applies what was proposed.
+func (r *rig) agree() {
+	r.Helper()
+	r.apply(session.KindActs, session.ActsBody{From: "a", Acts: r.acts})
+	r.acts = nil
+}
+
+func (r *rig) ask(key string, wait time.Duration) *exchange.Query {
+	r.Helper()
+	q := &exchange.Query{Session: key, Tenant: -1, Due: time.Now().Add(wait), Parts: []exchange.Part{{}}}
+	if !r.p.Pinned(q, "") {
+		r.Fatal("not taken")
+	}
+	return q
+}
+
+// What was agreed in a council that was set up anew is seen here, though its log's index is far behind.
+func TestSeesWhatANewEraAgrees(t *testing.T) {
+	r := newRig(t)
+	r.step(1000, 1)
+	q := r.ask("k", time.Minute)
+	r.p.step()
+	r.agree()
+	r.step(3, 2)
+	if len(r.released) != 1 || r.released[0] != q {
+		t.Fatalf("its claim stands, and it is not let begin: %d released, %+v", len(r.released), r.away)
+	}
+}
+
+// One whose leave came to nothing takes new sessions again.
+func TestStaysAfterAll(t *testing.T) {
+	r := newRig(t)
+	r.step(1, 1)
+	r.p.Leave()
+	r.ask("k", time.Minute)
+	r.p.step()
+	if len(r.away) != 1 || len(r.acts) != 0 {
+		t.Fatalf("one that leaves took a session: %+v, %+v", r.away, r.acts)
+	}
+	r.p.Stay()
+	r.ask("k", time.Minute)
+	r.p.step()
+	if len(r.away) != 1 || len(r.acts) != 1 {
+		t.Fatalf("one that stays took none: %+v, %+v", r.away, r.acts)
+	}
+	if r.p.Idle() != nil {
+		t.Error("it names idle sessions still")
+	}
+}
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -64,9 +64,11 @@
 	sitesBy  time.Duration         // own time by which they are made anew
 	foretold string                // the newest forecast in the log
 	toldAt   time.Duration
-	wanted   []talk.Acts  // to be proposed by this leader
-	way      atomic.Int64 // proposals under way
-	leaves   uint64       // the grant by which this one may go, once it has no session; 0: none
+	wanted   []talk.Acts   // to be proposed by this leader
+	way      atomic.Int64  // proposals under way
+	leaves   uint64        // the grant by which this one may go, once it has no session; 0: none
+	looked   bool          // at what a process before this one had
+	after    time.Duration // own time until which parts of that one may run at replicas
 
 	mu   sync.Mutex
 	acts []session.Act  // of the own keeper, to be handed on
@@ -150,6 +152,9 @@
 // to this co-ordinator. It runs in a look.
 func (p *sessions) hurry() view.Hurry {
 	waits := p.pins.Waits()
+	if waits {
+		return view.Hurry{On: true}
+	}
 	p.n.copy.book.Flights(func(r session.Record) bool {
 		waits = waits || r.Owner == p.n.name || r.To == p.n.name || r.Source == p.n.name
 		return !waits
@@ -160,7 +165,7 @@
 // step hands on what the keeper wants agreed, and proposes as the leader.
 func (p *sessions) step(now time.Duration) {
 	n := p.n
-	p.pins.News(n.index, n.agreedNow, n.sureUntil(now))
+	p.pins.News(n.index, n.era, n.agreedNow, p.lease(now, n.sureUntil(now)))
 	p.mu.Lock()
 	acts := p.acts
 	p.acts = nil
@@ -334,6 +339,30 @@
 	return owned
 }
 
+// lease is the own one as the keeper is told of it, sure until that own time; 0: none. A process acts only once what the one
+// before it had out is over at the replicas, by when that one would be released, were there none: it knows neither the order of
+// those queries nor their slots. What is agreed when the first lease comes tells whether there may be any, as each ran with
+// slots that were held.
+func (p *sessions) lease(now, until time.Duration) time.Duration {
+	if until > 0 && !p.looked {
+		p.looked = true
+		p.n.copy.look(func() {
+			b := p.n.copy.book
+			held := b.Owned(p.n.name) > 0
+			for _, r := range b.Pool().Replicas() {
+				held = held || b.Pool().Held(p.n.name, r) > 0
+			}
+			if l, _ := b.Limits(); held {
+				p.after = l.SilentFor()
+			}
+		})
+	}
+	if now < p.after {
+		return 0
+	}
+	return until
+}
+
 // sureUntil is the own time until which this one's lease is sure; 0: it has none.
 func (n *Node) sureUntil(now time.Duration) time.Duration {
 	if n.view.CutOff(now) || n.halted {
@@ -369,6 +398,8 @@
 		switch {
 		case !ok || it.Fence != p.leaves || it.Phase != takeout.Told: // it stays, or is gone for others already
 			p.leaves = 0
+			p.pins.Stay()
+			n.log.Info("this co-ordinator goes for work no more, and takes new sessions again")
 		case n.copy.book.Owned(n.name) == 0 || n.agreedNow >= it.Until-limits.Settle-leaveBefore:
 			fence, goes, p.leaves = p.leaves, true, 0
 		}
--- a/internal/fleet/sessions_test.go
+++ b/internal/fleet/sessions_test.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
+	"birchcart/internal/fleet/session"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
 	"birchcart/policy"
@@ -25,3 +28,46 @@
 		t.Error("refused without sessions")
 	}
 }
+
+// A process gets its lease once what the one before it of its name had out at replicas is over: for lease and grace after its start,
+// if anything is agreed to be its own when its first lease comes.
+func TestProcessWaitsForWhatTheOneBeforeHadOut(t *testing.T) {
+	limits := session.Limits{Revision: 1, Caps: map[string]int{"r": 9}, InFlight: 9, PerMinute: 9, OfferFor: time.Second, IdleFor: time.Minute,
+		Lease: 2 * time.Second, Grace: 3 * time.Second, SessionsMost: 9, StateMost: 9, Slots: 2}
+	const first, until = time.Second, time.Minute
+	for name, c := range map[string]struct {
+		slots string // whose they are
+		want  time.Duration
+	}{"of a process before": {"a", 0}, "another's": {"b", until}, "no one's": {"", until}} {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{name: "a", copy: newCopy()}
+			apply := func(kind string, body any) {
+				raw, err := json.Marshal(body)
+				if err == nil {
+					err = n.copy.book.Apply(0, func() uint64 { return 1 }, kind, raw)
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			apply(session.KindLimits, session.LimitsBody{Limits: limits})
+			if c.slots != "" {
+				apply(session.KindPlan, session.PlanBody{Shifts: []session.Shift{{To: c.slots, Replica: "r", N: 1}}})
+			}
+			p := &sessions{n: n}
+			if got := p.lease(0, 0); got != 0 {
+				t.Errorf("without a lease it has one until %v", got)
+			}
+			if got := p.lease(first, until); got != c.want {
+				t.Errorf("at first it acts until %v, wanted %v", got, c.want)
+			}
+			apply(session.KindPlan, session.PlanBody{Shifts: []session.Shift{{To: "a", Replica: "r", N: 1}}}) // its own
+			if got := p.lease(first+time.Millisecond, until); got != c.want {
+				t.Errorf("then until %v, wanted %v", got, c.want)
+			}
+			if got := p.lease(limits.SilentFor(), until); got != until {
+				t.Errorf("after lease and grace until %v", got)
+			}
+		})
+	}
+}
