Let no release come before the longest lease that the fleet's limits allow has ended

A release of sessions went by the lease of the sessions' limits, which come from the leader's own file. The fleet's limits, and with them each co-ordinator's lease, may come from another's newer file: with a lease of 60 s there and of 10 s in the leader's file a co-ordinator was released after 11 s of silence, and served on for up to 49 s beside the next owner. The same for a lease that was shortened while someone knew only the longer one. Now the longest of both counts, a shortened one for as long as it lasts.

TestReleaseWaitsForTheLongestLease has each of them, and fails without it.

--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -75,9 +75,12 @@
 	// releasing are those whose release may still come, and are given no lease: the log may hold the entry for as long as it
 	// has no majority.
 	releasing map[string]*release
-	planner   *migrate.Planner
-	said      migrate.Plan // of the last step
-	planAt    time.Duration
+	// lease is the longest that the fleet's limits, which go by a file of their own, let a co-ordinator have: those of now, or of
+	// before until leaseBy.
+	lease, leaseBy time.Duration
+	planner        *migrate.Planner
+	said           migrate.Plan // of the last step
+	planAt         time.Duration
 }
 
 // New makes one.
@@ -102,6 +105,7 @@
 // Step returns what to propose now.
 func (s *Steward) Step(l Look) (out []Propose) {
 	s.done(l.Done)
+	s.leases(&l)
 	maps.DeleteFunc(s.asked, func(_ string, until time.Duration) bool { return l.Now >= until })
 	put := func(wait time.Duration, what, kind string, body any) bool {
 		_, waits := s.asked[what]
@@ -120,7 +124,11 @@
 	if revision == 0 {
 		return nil
 	}
-	for _, name := range l.silent(have) {
+	need := have.SilentFor()
+	if more := s.lease - have.Lease; more > 0 {
+		need += more + more/100
+	}
+	for _, name := range l.silent(need) {
 		if s.Releasing(name) {
 			continue
 		}
@@ -151,6 +159,14 @@
 	return out
 }
 
+// leases notes how long a lease may be. One that knows only the limits of before has theirs: for as long after a shorter
+// lease came into force as the longer one lasts.
+func (s *Steward) leases(l *Look) {
+	if limits, _ := l.Order.Limits(); limits.Lease >= s.lease || l.Now >= s.leaseBy {
+		s.lease, s.leaseBy = limits.Lease, l.Now+limits.Lease
+	}
+}
+
 // done takes what came of proposals.
 func (s *Steward) done(all []Done) {
 	for name, r := range s.releasing { // in any order: each by itself
@@ -211,8 +227,8 @@
 	return out
 }
 
-// silent are the co-ordinators that have something and have been silent for longer than a lease can last.
-func (l *Look) silent(have session.Limits) (out []string) {
+// silent are the co-ordinators that have something and have been silent for at least that long.
+func (l *Look) silent(need time.Duration) (out []string) {
 	if l.Agreed < l.Book.Quiet() {
 		return nil
 	}
@@ -227,7 +243,7 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(names)) {
-		if l.Silent(name) >= have.SilentFor() && (l.Book.Owned(name) > 0 || l.holds(name)) {
+		if l.Silent(name) >= need && (l.Book.Owned(name) > 0 || l.holds(name)) {
 			out = append(out, name)
 		}
 	}
--- a/internal/fleet/steward/steward_test.go
+++ b/internal/fleet/steward/steward_test.go
@@ -200,3 +200,32 @@
 	r.wants(r.step(Again, true))
 	r.wants(r.step(Again, true))
 }
+
+// The fleet's limits have leases of their own, of the newest file anywhere; this leader's file, and with it the sessions'
+// limits, may be older. No release comes while a lease by either may last.
+func TestReleaseWaitsForTheLongestLease(t *testing.T) {
+	r := newRig(t)
+	lease := func(revision int, d time.Duration) {
+		l := takeout.Limits{Cells: 2, Reach: 1, Shards: 1, HoldersLeast: 1, OutMost: 1, OutByZone: 1, PassedMost: 1, LoadAge: 1, ListAge: 1, Lease: d}
+		if err := r.put("takeout", "limits", takeout.LimitsBody{Revision: revision, Limits: l}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 3 {
+		r.step(Again, true)
+	}
+	lease(3, r.look.Want.Lease)
+	r.step(Again, true)
+	lease(4, time.Minute)
+	r.silent["c1"] = r.look.Want.SilentFor()
+	r.wants(r.step(Again, true)) // its lease may last for a minute
+	lease(5, time.Second)
+	r.silent["c1"] = time.Minute
+	r.wants(r.step(Again, true)) // as far as it knows
+	r.silent["c1"] = time.Minute + 2*time.Second
+	r.wants(r.step(Again, false), "release")
+	r.s.Reset()
+	r.silent["c1"] = r.look.Want.SilentFor()
+	r.wants(r.step(time.Minute-3*Again, false))
+	r.wants(r.step(2*Again, false), "release")
+}
