Save what was agreed once for all that need the whole, and look at moves without sorting them

Now it is saved once for each index.

Each step of each node sorted all that moves to see whether something of its own does; now it looks for the first in any order. And whether a process before had sessions or slots is looked at with the first whole answer, not the first lease, which may come after it was given slots of its own.

TestTheWholeIsSavedOnceForAll fails without the first; TestMove compares what moves.

--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -153,6 +153,11 @@
 		}
 		w.Entries = nil // one of them is of before there was a bound: the state has it too
 	}
+	at := uint64(0)
+	n.copy.look(func() { at = n.copy.ledger.Index() })
+	if s := &n.states; s.at == at && s.era == own {
+		return s.into(w, nil, at, own) // saved for another one: all that come back together want it
+	}
 	raw, at := n.whole()
 	if len(raw) == 0 {
 		return errors.New("it can't be saved")
--- a/internal/fleet/session/book.go
+++ b/internal/fleet/session/book.go
@@ -187,6 +187,17 @@
 // Moving is how many sessions are offered or handed.
 func (b *Book) Moving() int { return len(b.flights) }
 
+// MovesOf says that a session is on its way from co, to it, or back.
+func (b *Book) MovesOf(co string) bool {
+	for id, f := range b.flights {
+		l := b.live[id]
+		if b.names[l.owner].name == co || l.phase == Offered && f.To == co || l.phase == Handed && f.Source == co {
+			return true
+		}
+	}
+	return false
+}
+
 // Begun is how many offers count against PerMinute now.
 func (b *Book) Begun() int {
 	n := 0
--- a/internal/fleet/session/play_test.go
+++ b/internal/fleet/session/play_test.go
@@ -83,6 +83,16 @@
 	if r.Owner != owner || r.Epoch != epoch || r.Phase != phase || ok != (phase != Free) {
 		p.t.Fatalf("%+v, want %s %d %s", r, owner, epoch, phase)
 	}
+	for _, co := range []string{"c0", "c1", "c2"} {
+		moves := false
+		p.b.Flights(func(r Record) bool {
+			moves = moves || r.Owner == co || r.To == co || r.Source == co
+			return true
+		})
+		if p.b.MovesOf(co) != moves {
+			p.t.Fatalf("that a session of %s moves: %v, by what moves %v", co, !moves, moves)
+		}
+	}
 	return r
 }
 
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -151,15 +151,7 @@
 // hurry tells the view whether something agreed is waited for here: acts without an end, or a session that moves from or
 // to this co-ordinator. It runs in a look.
 func (p *sessions) hurry() view.Hurry {
-	waits := p.pins.Waits()
-	if waits {
-		return view.Hurry{On: true}
-	}
-	p.n.copy.book.Flights(func(r session.Record) bool {
-		waits = waits || r.Owner == p.n.name || r.To == p.n.name || r.Source == p.n.name
-		return !waits
-	})
-	return view.Hurry{On: waits}
+	return view.Hurry{On: p.pins.Waits() || p.n.copy.book.MovesOf(p.n.name)}
 }
 
 // step hands on what the keeper wants agreed, and proposes as the leader.
@@ -341,10 +333,10 @@
 
 // lease is the own one as the keeper is told of it, sure until that own time; 0: none. A process acts only once what the one
 // before it had out is over at the replicas, by when that one would be released, were there none: it knows neither the order of
-// those queries nor their slots. What is agreed when the first lease comes tells whether there may be any, as each ran with
-// slots that were held.
+// those queries nor their slots. What is agreed when the first whole answer comes tells whether there may be any, as each ran
+// with slots that were held; the first lease may come later, with slots of its own.
 func (p *sessions) lease(now, until time.Duration) time.Duration {
-	if until > 0 && !p.looked {
+	if (until > 0 || p.n.caught) && !p.looked {
 		p.looked = true
 		p.n.copy.look(func() {
 			b := p.n.copy.book
@@ -356,6 +348,9 @@
 				p.after = l.SilentFor()
 			}
 		})
+		if p.after > now {
+			p.n.log.WithField("after", p.after-now).Info("pinned queries wait here for what a process before this one may have out")
+		}
 	}
 	if now < p.after {
 		return 0
--- a/internal/fleet/sessions_test.go
+++ b/internal/fleet/sessions_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
@@ -40,7 +42,7 @@
 		want  time.Duration
 	}{"of a process before": {"a", 0}, "another's": {"b", until}, "no one's": {"", until}} {
 		t.Run(name, func(t *testing.T) {
-			n := &Node{name: "a", copy: newCopy()}
+			n := &Node{name: "a", copy: newCopy(), log: logrus.NewEntry(logrus.New())}
 			apply := func(kind string, body any) {
 				raw, err := json.Marshal(body)
 				if err == nil {
--- /dev/null
+++ b/internal/fleet/whole_test.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"testing"
+
+	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/talk"
+)
+
+// savedPart counts how often it is saved.
+type savedPart struct {
+	*session.Book
+	saves int
+}
+
+func (p *savedPart) Save() ([]byte, error) {
+	p.saves++
+	return p.Book.Save()
+}
+
+// What was agreed is saved once for all that need the whole of it, as after a new era all co-ordinators do at once: the state
+// is held meanwhile.
+func TestTheWholeIsSavedOnceForAll(t *testing.T) {
+	p := &savedPart{Book: session.New()}
+	n := &Node{copy: &copied{ledger: ledger.New(map[string]ledger.Part{sessionsPart: p})}}
+	for i := range 3 {
+		w := talk.Word{}
+		if err := n.bring(&w, polled{era: 1}, 2); err != nil {
+			t.Fatal(err)
+		}
+		if state, err := w.State(); err != nil || len(state) == 0 {
+			t.Fatalf("word %d has no state: %v", i, err)
+		}
+	}
+	if p.saves != 1 {
+		t.Errorf("saved %d times", p.saves)
+	}
+}
