--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -9,7 +9,7 @@
 
 import (
 	"context"
-	"hash/fnv"
+	"hash/maphash"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,6 +26,11 @@
 	"birchcart/policy"
 )
 
+const (
+	keyRoom   = 128  // bytes of a session's key that need no memory of their own
+	spareMost = 4096 // inputs whose room is kept for the next step
+)
+
 const (
 	// StepBusy is between steps while a query waits or runs, or an act has no answer: a wait ends by time. Twice as long: a
 	// refusal after a wait comes that much later; half: twice the steps under load.
@@ -66,13 +71,18 @@
 	keeper  *keeper.Keeper // run's alone
 	checked time.Duration  // run's alone, as the next
 	idledAt time.Duration
+	look    func() // steps the keeper with what is given; one for all steps, as it costs memory
+	given   []keeper.Input
+	words   []keeper.Output
 	lease   atomic.Int64 // own time until which a served answer may be given; 0: not
 	holders atomic.Pointer[[][]string]
 	file    atomic.Pointer[rules]
 	wake    chan struct{}
+	seed    maphash.Seed // for clients' names
 
 	mu     sync.Mutex
 	in     []keeper.Input
+	spare  []keeper.Input // the one before, to be used again
 	by     map[*exchange.Query]*pin
 	tokens map[uint64]*pin
 	last   uint64
@@ -94,6 +104,9 @@
 	q      *exchange.Query
 	effect policy.Effect
 	told   atomic.Bool // the keeper gave its word: no served answer any more
+	// What the keeper is told of it, in one piece of memory.
+	arrived keeper.Arrived
+	ended   keeper.Ended
 }
 
 // rules are what the operators' file pins.
@@ -105,7 +118,8 @@
 
 // New makes them. Run begins.
 func New(o Options) *Pins {
-	p := &Pins{o: o, wake: make(chan struct{}, 1), by: map[*exchange.Query]*pin{}, tokens: map[uint64]*pin{}}
+	p := &Pins{o: o, seed: maphash.MakeSeed(), wake: make(chan struct{}, 1), by: map[*exchange.Query]*pin{}, tokens: map[uint64]*pin{}}
+	p.look = func() { p.words = p.keeper.Step(p.now(), p.given) }
 	p.holders.Store(&[][]string{})
 	p.file.Store(&rules{classes: make([]bool, len(o.Policy.Classes)), lanes: make([]uint8, len(o.Names.Tenants)+1)})
 	return p
@@ -207,25 +221,28 @@
 		return false
 	}
 	class := &p.o.Policy.Classes[q.Class]
-	h := fnv.New64a()
-	h.Write([]byte(q.Client))
 	var needs []string
 	held := *p.holders.Load()
 	for _, part := range q.Parts {
-		if part.Shard < len(held) {
+		switch {
+		case part.Shard >= len(held):
+		case needs == nil:
+			needs = slices.Clip(held[part.Shard]) // that of the table, unless more are needed
+		default:
 			needs = append(needs, held[part.Shard]...)
 		}
 	}
-	in := &keeper.Arrived{
-		Session: session.IDOf(q.Tenant, []byte(q.Session)), Client: h.Sum64(), Effect: effects[class.Effect], Lane: r.lanes[q.Tenant+1],
+	var key [keyRoom]byte
+	n := &pin{q: q, effect: class.Effect}
+	n.arrived = keeper.Arrived{
+		Session: session.IDOf(q.Tenant, append(key[:0], q.Session...)), Client: maphash.String(p.seed, q.Client), Effect: effects[class.Effect], Lane: r.lanes[q.Tenant+1],
 		Due: q.Due.Sub(p.o.Start), Window: time.Duration(class.Window * float64(time.Second)), Needs: needs,
 	}
 	p.mu.Lock()
 	p.last++
-	in.Token = p.last
-	n := &pin{token: in.Token, q: q, effect: class.Effect}
+	n.token, n.arrived.Token = p.last, p.last
 	p.by[q], p.tokens[n.token] = n, n
-	p.in = append(p.in, in)
+	p.in = append(p.in, &n.arrived)
 	p.mu.Unlock()
 	p.nudge()
 	return true
@@ -269,7 +286,8 @@
 	}
 	delete(p.by, q)
 	delete(p.tokens, n.token)
-	in := &keeper.Ended{Token: n.token, Told: true}
+	in := &n.ended
+	in.Token, in.Told = n.token, true
 	switch {
 	case o.Served:
 		in.Outcome = keeper.Done
@@ -306,7 +324,7 @@
 func (p *Pins) step() (busy bool) {
 	p.mu.Lock()
 	in := p.in
-	p.in = nil
+	p.in = p.spare[:0]
 	if p.moved {
 		in = append(in, keeper.Applied{Book: p.o.Book, Index: p.index, Agreed: p.agreed, Era: p.era})
 	}
@@ -316,8 +334,10 @@
 	}
 	p.moved, p.news = false, false
 	p.mu.Unlock()
-	var out []keeper.Output
-	p.o.Look(func() { out = p.keeper.Step(p.now(), in) })
+	p.given = in
+	p.o.Look(p.look)
+	out := p.words
+	clear(in) // what it holds is not needed any more
 	var acts []session.Act
 	for _, o := range out {
 		if a, ok := o.(keeper.Act); ok {
@@ -355,6 +375,9 @@
 	if idle != nil && p.leaves {
 		p.idle = idle
 	}
+	if cap(in) <= spareMost {
+		p.spare = in
+	}
 	p.sums, p.busy = sums, len(acts) > 0 || sums.Waiting > 0
 	return sums.Waiting > 0 || sums.Open > 0 || len(acts) > 0
 }
--- a/internal/fleet/pins/pins_test.go
+++ b/internal/fleet/pins/pins_test.go
@@ -17,7 +17,7 @@
 
 // rig is the pins of "a" beside a book, with an exchange that notes what it is told.
 type rig struct {
-	*testing.T
+	testing.TB
 	p        *Pins
 	b        *session.Book
 	index    uint64
@@ -32,10 +32,10 @@
 var limits = session.Limits{Revision: 1, Caps: map[string]int{"r": 9}, InFlight: 9, PerMinute: 9, OfferFor: time.Second, IdleFor: time.Minute,
 	Lease: 2 * time.Second, Grace: 3 * time.Second, SessionsMost: 9, StateMost: 9, Slots: 2}
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r := &rig{T: t, b: session.New()}
+	r := &rig{TB: t, b: session.New()}
 	r.p = New(Options{Name: "a", Start: time.Now(), Exchange: r, Log: logrus.NewEntry(log), Names: &settings.Names{Classes: []string{"tally"}},
 		Policy: &policy.Config{Classes: []policy.Class{{Effect: policy.Unsafe}}, RetryAfter: true, MaxRetryAfter: 1}, Book: r.b,
 		Look: func(do func()) { do() }, Propose: func(acts []session.Act) { r.acts = append(r.acts, acts...) }})
