Bound the letters that wait for the node by bytes as well

1,024 letters may wait for the node's goroutine, whatever their length; one with the acts of 10,000 sessions has 0.94 MB, and a whole state more. While the goroutine stands still, that was without a bound in bytes behind the one of gossip (32 MB). Now it is 32 MB here too; the oldest go first, as before, and acts come again. The goroutine takes what is there without waiting for more, since several may be dropped for one.

TestMailIsBounded fails without the bound: 1,024 letters of 1 MB stay.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -266,9 +266,15 @@
 		case <-ctx.Done():
 			return
 		case l := <-n.mail.queue:
+			n.mail.took(l)
 			n.letter(l)
 			for range len(n.mail.queue) { // one step for all that came meanwhile
-				n.letter(<-n.mail.queue)
+				select {
+				case l := <-n.mail.queue:
+					n.mail.took(l)
+					n.letter(l)
+				default: // some were dropped meanwhile
+				}
 			}
 		case s := <-changes:
 			n.change(s)
