Have each co-ordinator note the longest lease, as it may have to lead next

A leader that came right after a shorter lease was agreed knew only that one, and would have released who had the longer one still. Now every co-ordinator with sessions notes the lease of the fleet's limits in each step, whoever leads.

TestReleaseWaitsForTheLongestLease has a successor that saw the longer one, and one that did not.

--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -151,6 +151,8 @@
 // hurry tells the view whether something agreed is waited for here: acts without an end, or a session that moves from or
 // to this co-ordinator. It runs in a look.
 func (p *sessions) hurry() view.Hurry {
+	limits, _ := p.n.copy.order.Limits()
+	p.steward.Lease(p.n.now(), limits.Lease) // it may have to lead with the next step
 	return view.Hurry{On: p.pins.Waits() || p.n.copy.book.MovesOf(p.n.name)}
 }
 
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -105,7 +105,8 @@
 // Step returns what to propose now.
 func (s *Steward) Step(l Look) (out []Propose) {
 	s.done(l.Done)
-	s.leases(&l)
+	fleet, _ := l.Order.Limits()
+	s.Lease(l.Now, fleet.Lease)
 	maps.DeleteFunc(s.asked, func(_ string, until time.Duration) bool { return l.Now >= until })
 	put := func(wait time.Duration, what, kind string, body any) bool {
 		_, waits := s.asked[what]
@@ -159,11 +160,11 @@
 	return out
 }
 
-// leases notes how long a lease may be. One that knows only the limits of before has theirs: for as long after a shorter
-// lease came into force as the longer one lasts.
-func (s *Steward) leases(l *Look) {
-	if limits, _ := l.Order.Limits(); limits.Lease >= s.lease || l.Now >= s.leaseBy {
-		s.lease, s.leaseBy = limits.Lease, l.Now+limits.Lease
+// Lease notes, at that own time, how long a lease is by the fleet's limits. One that knows only the limits of before has
+// theirs: for as long after a shorter lease came into force as the longer one lasts. To be told while another leads, too.
+func (s *Steward) Lease(now, lease time.Duration) {
+	if lease >= s.lease || now >= s.leaseBy {
+		s.lease, s.leaseBy = lease, now+lease
 	}
 }
 
--- a/internal/fleet/steward/steward_test.go
+++ b/internal/fleet/steward/steward_test.go
@@ -228,6 +228,12 @@
 	r.silent["c1"] = r.look.Want.SilentFor()
 	r.wants(r.step(time.Minute-3*Again, false))
 	r.wants(r.step(2*Again, false), "release")
+
+	r.s = New() // another leads, who saw the longer one while it did not
+	r.s.Lease(r.look.Now, time.Minute)
+	r.wants(r.step(Again, false))
+	r.s = New()
+	r.wants(r.step(Again, false), "release")
 }
 
 // A look at a large fleet while slots are on their way takes little time: it holds the agreed state, for which polls, words and
