Tell a query that met a kept connection's close from one that was lost, at clients of sessions

Change: a try without an answer on a kept connection that ended is excused if nothing of it ran at a replica; with a run it is broken. Measured: two hand-made histories, one excused, one broken.

--- a/internal/fleet/harness/sessions.go
+++ b/internal/fleet/harness/sessions.go
@@ -8,10 +8,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -46,9 +48,10 @@
 	Tally               bool
 	To                  int // place of the process
 	At, End             time.Time
-	Status              int // of the answer; 0: none
-	Unsent              bool
-	Count               int // of the session's tallies, as a served answer has it; -1: none
+	Status              int  // of the answer; 0: none
+	Unsent              bool // no connection was had
+	Crossed             bool // no answer on a kept connection, which may have been closed as the query came
+	Count               int  // of the session's tallies, as a served answer has it; -1: none
 	Owner               string
 }
 
@@ -145,11 +148,14 @@
 	r.Header.Set("X-Request-ID", fmt.Sprintf("p%d-%d-%d-%d", to, session, query, try))
 	r.Header.Set("X-Timeout-Ms", strconv.FormatInt(clientWait.Milliseconds(), 10))
 	r.Header.Set(sessionHeader, fmt.Sprint("s", session))
+	kept := false
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { kept = c.Reused }}))
 	resp, err := s.http.Do(r)
 	a.End = time.Now()
 	if err != nil {
 		var op *net.OpError
 		a.Unsent = errors.As(err, &op) && op.Op == "dial"
+		a.Crossed = kept && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
 		return a
 	}
 	defer resp.Body.Close()
--- a/internal/fleet/harness/sessions_test.go
+++ b/internal/fleet/harness/sessions_test.go
@@ -97,6 +97,10 @@
 		"stale answer":  {func(h *History) { h.Asked[3].Count = 1 }, "S1: no one counter explains"},
 		"lost answer":   {func(h *History) { h.Asked[2].Count = 1 }, "S1: no one counter explains"},
 		"no answer":     {func(h *History) { h.Asked[3].Status = 0 }, "S4: query 2 of session 0 had no answer"},
+		"crossed": {func(h *History) {
+			h.Asked[1] = Asked{Query: 1, Crossed: true, Tally: true, At: at(20), End: at(30), Count: -1}
+		}, ""},
+		"crossed, ran":  {func(h *History) { h.Asked[3].Status, h.Asked[3].Crossed = 0, true }, "S4: query 2 of session 0 had no answer"},
 		"late":          {func(h *History) { h.Asked[5].End = at(5600) }, "S4: query 4 of session 0 was answered after"},
 		"late, excused": {func(h *History) { h.Asked[5].End = at(5600); h.Stopped[1] = []Span{{at(2900), at(9000), "stopped"}} }, ""},
 		"over the slots": {func(h *History) {
