Leave a part whose time is over out of a call that is written late

Lines at fault: appendCall took max(1, what is left) of any part. Such a part is now left out; its timer takes it back as one that was never written (Moot), so an unsafe query knows that it never ran. TestAPartWhoseTimeIsOverIsNotWritten fails without it (frame "Aq.1 3 d=1 1 ...").

--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -61,7 +61,9 @@
 	return frame.Probe
 }
 
-// appendCall appends one call without what was taken back meanwhile.
+// appendCall appends one call without what was taken back meanwhile, and without what is not due after now: after a stop
+// between the turn and the write a part whose time is over would go out with a millisecond, and run for nobody. Its
+// timer takes it back as one that was never written.
 func (l *link) appendCall(buf []byte, start int, call []*entry, now time.Time) []byte {
 	parts := make([]frame.Part, 0, len(call))
 	live := call[:0]
@@ -70,6 +72,9 @@
 			continue
 		}
 		a := en.a
+		if !a.Due.After(now) {
+			continue
+		}
 		parts = append(parts, frame.Part{
 			ID: a.ID, Shard: a.Shard, Wait: max(1, a.Due.Sub(now).Milliseconds()), From: a.From, Whole: a.Whole,
 			Text: a.Text,
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -282,6 +282,27 @@
 	s.sink.none(t)
 }
 
+// A process that was stopped between its turn and the write finds parts whose time is over: they are not written, and can be
+// taken back as such. Beside them what is due later goes.
+func TestAPartWhoseTimeIsOverIsNotWritten(t *testing.T) {
+	s := newStand(t, testLimits())
+	late, good := attempt("q.1"), attempt("q.2")
+	late.Due = time.Now().Add(-time.Millisecond)
+	s.pool.Send(1, []*exchange.Attempt{late, good})
+	p := s.accept()
+	if f := p.frame(); strings.Contains(f, "q.1") || !strings.Contains(f, "q.2") {
+		t.Fatalf("frame %q", f)
+	}
+	if found, sent := s.pool.Withdraw(late); !found || sent {
+		t.Fatalf("found %v, sent %v", found, sent)
+	}
+	p.say("Eq.2 hit 1 -\nv")
+	if r := s.sink.next(t); r.Attempt != good || r.Outcome != policy.OK {
+		t.Fatalf("%+v", r)
+	}
+	p.quiet() // nothing of the late one, no word that it is given up
+}
+
 // A dial that hangs costs the parts of other replicas nothing, and its own never ran.
 func TestAHangingDialCostsNoOther(t *testing.T) {
 	l := testLimits()
