Look at the lease once more when a released query begins, and refuse what only waited

Two faults that a review of the wiring had found, in code that the platform's program loads (pins are off there): - A release lay in the exchange's inbox while the process was stopped, and its query began without a sure lease. The exchange now asks Pins.Begin right before it hands the query to the decisions; the keeper's words of an end are carried out before a new lease is published, releases after it.

--- a/internal/exchange/pins.go
+++ b/internal/exchange/pins.go
@@ -14,6 +14,9 @@
 	// Pinned tells whether a query that names a session is pinned, and takes it if so: it waits for Release or TurnAway. route
 	// is that of the table in force, "" for none.
 	Pinned(q *Query, route string) bool
+	// Begin is asked right before a released query is handed to the decisions: whether it still may begin, and its answer if
+	// not. Between the release and here the process may have been stopped.
+	Begin(q *Query) (Reply, bool)
 	// Final is asked right before the answer of a released query is given: it returns it, or a lesser one.
 	Final(q *Query, r Reply) Reply
 	// Over tells how a query that was taken has ended, in the turn of its end.
@@ -67,6 +70,10 @@
 // released opens a query that waited.
 func (e *Exchange) released(m *Query) {
 	if q := e.byID[m.ID]; q != nil && q.Query == m && q.waits {
+		if r, may := e.pins.Begin(m); !may {
+			e.endWaiting(q, r)
+			return
+		}
 		e.stopWaiting(q)
 		if !e.open(q) {
 			e.unpin(q)
--- a/internal/exchange/query.go
+++ b/internal/exchange/query.go
@@ -117,7 +117,7 @@
 	}
 	e.log.WithField("query", q.ID).Error("a query was still open after its end")
 	if q.waits {
-		e.endWaiting(q, Reply{Status: Failed})
+		e.endWaiting(q, Reply{Status: Refused, After: e.limits.ComeBack}) // nothing of it ran
 		return
 	}
 	e.events = append(e.events, policy.Event{Kind: policy.ClientLeft, Query: q.id})
--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -250,6 +250,18 @@
 
 var effects = map[policy.Effect]keeper.Effect{policy.Safe: keeper.Safe, policy.Keyed: keeper.Keyed, policy.Unsafe: keeper.Unsafe}
 
+// Begin implements exchange.Pins: a release may lie in the inbox while the process is stopped, and what was sure when it was
+// given need not be any more.
+func (p *Pins) Begin(q *exchange.Query) (exchange.Reply, bool) {
+	p.mu.Lock()
+	n := p.by[q]
+	p.mu.Unlock()
+	if n == nil || !n.told.Load() && p.now() < time.Duration(p.lease.Load()) {
+		return exchange.Reply{}, true
+	}
+	return exchange.Reply{Status: exchange.Refused, After: p.after(keeper.BackLater)}, false
+}
+
 // Final implements exchange.Pins: an answer is given as served only while the lease is sure at this very moment and the
 // keeper has not given its word. The keeper publishes a lease only after all words of the one before.
 func (p *Pins) Final(q *exchange.Query, r exchange.Reply) exchange.Reply {
@@ -339,10 +351,12 @@
 	out := p.words
 	clear(in) // what it holds is not needed any more
 	var acts []session.Act
-	for _, o := range out {
-		if a, ok := o.(keeper.Act); ok {
-			acts = append(acts, a.Act)
-		} else {
+	for _, o := range out { // refusals and recalls before the lease is published, releases after it: Begin looks at both
+		switch o := o.(type) {
+		case keeper.Act:
+			acts = append(acts, o.Act)
+		case keeper.Run:
+		default:
 			p.do(o)
 		}
 	}
@@ -352,6 +366,11 @@
 		until = lent.Until
 	}
 	p.lease.Store(int64(until))
+	for _, o := range out {
+		if r, ok := o.(keeper.Run); ok {
+			p.do(r)
+		}
+	}
 	if len(acts) > 0 {
 		p.o.Propose(acts)
 	}
--- a/internal/fleet/pins/pins_test.go
+++ b/internal/fleet/pins/pins_test.go
@@ -92,6 +92,58 @@
 	}
 }
 
+// Between a release and its query's beginning the process may have been stopped past its lease, or the keeper has told the
+// query's client meanwhile: then it does not begin, and is told to come back.
+func TestAReleaseBeginsNothingWithoutALease(t *testing.T) {
+	r := newRig(t)
+	r.step(1, 1)
+	q := r.ask("k", time.Minute)
+	r.p.step()
+	r.agree()
+	r.step(2, 1)
+	if len(r.released) != 1 {
+		t.Fatalf("%d released, %+v", len(r.released), r.away)
+	}
+	if a, may := r.p.Begin(q); !may {
+		t.Fatalf("with a sure lease it is told %+v", a)
+	}
+	r.p.lease.Store(int64(r.p.now()))
+	if a, may := r.p.Begin(q); may || a.Status != exchange.Refused || a.After == 0 {
+		t.Fatalf("without a lease: may begin %v, %+v", may, a)
+	}
+	r.p.lease.Store(int64(r.p.now() + time.Minute))
+	r.p.turn(r.p.by[q], exchange.Reply{Status: exchange.Refused})
+	if _, may := r.p.Begin(q); may {
+		t.Error("one whose client was told may begin")
+	}
+}
+
+// releasing looks at the lease in the moment of a release, as an exchange in another goroutine may.
+type releasing struct {
+	*rig
+	may []bool
+}
+
+func (r *releasing) Release(q *exchange.Query) {
+	_, may := r.p.Begin(q)
+	r.may = append(r.may, may)
+}
+
+// A lease is published before the releases that rest on it: they would be told to come back otherwise.
+func TestAReleaseFindsItsLease(t *testing.T) {
+	r := &releasing{rig: newRig(t)}
+	r.p.o.Exchange = r
+	r.step(1, 1)
+	r.ask("k", time.Minute)
+	r.p.step()
+	r.agree()
+	r.p.lease.Store(0)
+	r.step(2, 1)
+	if len(r.may) != 1 || !r.may[0] {
+		t.Fatalf("%v", r.may)
+	}
+}
+
 // One whose leave came to nothing takes new sessions again.
 func TestStaysAfterAll(t *testing.T) {
 	r := newRig(t)
