Test that time not yet come ends no loan, and that nobody can't be dropped

Two guards of the pool's transfers had no test: Tick sparing a loan whose time has not come, and Drop of no name. Each was taken out once, and Tick's look at the next time as well: the new tests fail in all three cases, and no other test of the package does.

--- a/internal/fleet/pool/pool_test.go
+++ b/internal/fleet/pool/pool_test.go
@@ -317,3 +317,44 @@
 		t.Fatal(err)
 	}
 }
+
+// Time that has not come ends no loan, neither one that is lent nor one that is on its way, though another's is over; and it is
+// looked at again when its own comes.
+func TestLoansWhoseTimeHasNotCome(t *testing.T) {
+	p := New()
+	if err := errors.Join(p.SetCap("r", 9), p.Take("c0", "r", 9), p.Lend(1, "c0", "c1", "r", 1, 10), p.Lend(2, "c0", "c1", "r", 2, 20),
+		p.Lend(3, "c0", "c2", "r", 3, 30), p.Land(1), p.Land(2)); err != nil {
+		t.Fatal(err)
+	}
+	stages := func(want string) {
+		t.Helper()
+		got := ""
+		for _, x := range p.Transfers() {
+			got += fmt.Sprintf("%d %s, ", x.Fence, x.Stage)
+		}
+		if got += fmt.Sprint(p.Held("c0", "r"), p.Held("c1", "r")); got != want || p.Check() != nil {
+			t.Fatalf("%s, want %s; %v", got, want, p.Check())
+		}
+	}
+	p.Tick(9)
+	stages("1 lent, 2 lent, 3 moving, 3 3")
+	p.Tick(10)
+	stages("1 returning, 2 lent, 3 moving, 3 2")
+	p.Tick(20)
+	stages("1 returning, 2 returning, 3 moving, 3 0")
+	p.Tick(30)
+	stages("1 returning, 2 returning, 6 0")
+}
+
+// Nobody is not a co-ordinator that can be dropped: what is on its way to the free ones, or is to come back to them, goes on.
+func TestNobodyIsNotDropped(t *testing.T) {
+	p := New()
+	if err := errors.Join(p.SetCap("r", 9), p.Take("c0", "r", 5), p.Take("c1", "r", 4), p.Move(1, "c0", "", "r", 2), p.Lend(2, "c1", "c0", "r", 1, 10), p.Land(2)); err != nil {
+		t.Fatal(err)
+	}
+	p.Drop("c1") // what it lent comes back to no one
+	before := p.Clone()
+	if p.Drop("") || !reflect.DeepEqual(before, p) {
+		t.Fatalf("%+v, then %+v", before.Save(), p.Save())
+	}
+}
