Bound the wait after a failed call for the list by the setting that names it

On a deployment whose least promise is over invariants.must_ask_in_s an instance would go for longer without asking than the setting allows, and hear of a drain after it counts as told. TestListIsAskedForWithinItsSetting fails without it.

--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -204,6 +204,22 @@
 	}
 }
 
+// Guards against classes whose least promise is longer than an instance may go without asking: what it was not told counts
+// as told by then.
+func TestListIsAskedForWithinItsSetting(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes[0].Promise, cfg.Classes[0].GiveUp, cfg.MustAsk, cfg.MustAskIn = 10, 40, true, 2
+	r := &rig{t: t, p: New(cfg), now: 100}
+	r.do(Event{Kind: ListChanged, Full: true, Stale: true})
+	r.do(Event{Kind: ListFailed})
+	if n := len(of(Watch, r.run(1.5))); n != 0 {
+		t.Fatalf("asked %d times within 1.5 s of a failed call", n)
+	}
+	if n := len(of(Watch, r.run(1))); n != 1 {
+		t.Fatalf("asked %d times within 2.5 s, 2 s being allowed without", n)
+	}
+}
+
 // One answer in twenty takes twenty times as long: that is no reason to wait so long for each.
 func TestStallsDoNotHideThemselves(t *testing.T) {
 	p := modelPolicy(1)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -188,7 +188,7 @@
 	case ListChanged:
 		p.listChanged(ev)
 	case ListFailed:
-		p.watchAt = p.now + p.promise // the list that is held stays in force meanwhile
+		p.watchAt = p.now + min(p.promise, cmp.Or(p.cfg.MustAskIn, p.promise)) // the held list stays in force
 	}
 }
 
