Let queues turn queries away sooner whose limits say by how much

Needed for lanes: what the fleet sheds last should also be what a co-ordinator under its own pressure turns away last. Nothing sets it yet. TestQueuesTurnAwaySoonerWhoYields fails without it.

--- a/policy/api.go
+++ b/policy/api.go
@@ -46,6 +46,7 @@
 	Share      float64 // of the budget of further attempts
 	Floor      float64 // least share of weight for any answer
 	Yield      bool    // refused first when the instance is nearly full
+	YieldBy    float64 // turned away by queues as if its promise were so many times shorter
 	ComeBack   float64 // the longest time to come back that a refusal names
 }
 
--- a/policy/guards.go
+++ b/policy/guards.go
@@ -61,7 +61,7 @@
 		wait /= 2 // the promise holds for both steps
 	}
 	over := p.overShare(q)
-	wait /= over
+	wait /= over * max(1, q.lim.YieldBy)
 	blind := p.now-p.stalledAt < p.promise // our own standstill tells no rate
 	hope, least := len(q.parts), max(1, leastOut/float64(p.cfg.Aggregators))
 	for _, pt := range q.parts {
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// Queues turn those away first that are to yield: what the others may still wait for is too long for them.
+func TestQueuesTurnAwaySoonerWhoYields(t *testing.T) {
+	for by, want := range map[float64]Verb{0: Send, 1: Send, 4: Refuse} {
+		r := routed(t, Safe, Limits{YieldBy: by}, nil)
+		for range 4 { // the latest parts took a tenth of the promise
+			_, parts, _ := r.ask(6, 4)
+			for _, id := range parts {
+				r.do(Event{Kind: AttemptEnded, Part: id, Outcome: OK, Took: 0.15})
+			}
+		}
+		if _, _, acts := r.askRouted(1, 4); len(of(want, acts)) != 1 {
+			t.Errorf("yields by %v: %+v", by, acts)
+		}
+	}
+}
+
 func TestRouteRaisesTheFloorButNotOverTheNeed(t *testing.T) {
 	change := func(c *Config) { c.Classes[0].Need, c.Classes[0].Floor = 0.75, 0.25 }
 	for floor, want := range map[float64]Verb{0: Answer, 0.5: Answer, 0.7: Refuse, 1: Refuse} {
