Show queries to the fleet's lanes before gate and decisions see them

The hook that lanes need, off in what the platform runs: exchange.Lanes is asked in the turn about each query and told of its end; what it turns away is refused at once, with a time to come back as the settings allow. A lane's YieldBy joins the limits of the route in one place for each pair. The front reads a query's mark from the header that the operators name.

--- a/internal/exchange/action.go
+++ b/internal/exchange/action.go
@@ -169,7 +169,7 @@
 		r = e.pins.Final(q.Query, r)
 	}
 	q.served = r.Status == Served
-	e.close(q)
+	e.close(q, LaneOver{Status: r.Status})
 	e.recordEnd(q, r.ending(), len(r.Found))
 	q.count(r)
 	e.sums.replies[r.Status]++
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -56,6 +56,8 @@
 	narrowing *narrowing // nil: nothing is laid over the list
 	load      *Load      // nil: not measured
 	pins      Pins       // nil: no query is pinned
+	lanes     Lanes      // nil: the fleet sheds nothing
+	yielding  map[bounded]*policy.Limits
 }
 
 // query is one that is open.
@@ -75,6 +77,9 @@
 	pinned, waits, served, ran, strays bool
 	out                                int    // attempts that have not ended
 	last                               *Reply // by which its session ended it; nil: it did not
+
+	entered Entered // laned: what the lanes said; they are told of its end
+	laned   bool
 }
 
 // part of a query's present step.
--- a/internal/exchange/query.go
+++ b/internal/exchange/query.go
@@ -42,8 +42,9 @@
 		Due: e.clock(m.Due), Count: len(m.Parts), Retry: m.Retry,
 	}
 	if q.way != nil {
-		ev.Route, ev.Limits = q.route+1, &q.way.table.Routes[q.route].Limits
+		ev.Route = q.route + 1
 	}
+	ev.Limits = e.limitsOf(q)
 	for _, p := range m.Parts {
 		ev.Work += p.Work
 	}
@@ -99,7 +100,7 @@
 		default:
 			e.sums.left++
 			e.recordEnd(q, "left", 0)
-			e.close(q)
+			e.close(q, LaneOver{Left: true})
 		}
 	}
 	clear(e.leaving)
@@ -121,15 +122,16 @@
 		return
 	}
 	e.events = append(e.events, policy.Event{Kind: policy.ClientLeft, Query: q.id})
-	e.close(q)
+	e.close(q, LaneOver{Status: Failed})
 	e.sums.replies[Failed]++
 	q.Reply(Reply{Status: Failed})
 }
 
 // close forgets a query; attempts that are out live on until they end.
-func (e *Exchange) close(q *query) {
+func (e *Exchange) close(q *query, o LaneOver) {
 	q.over = true
 	e.release(q)
+	e.outOfLane(q, o)
 	delete(e.queries, q.id)
 	e.held--
 	e.closeStep(q)
--- a/internal/exchange/routes.go
+++ b/internal/exchange/routes.go
@@ -59,24 +59,22 @@
 	})
 }
 
-// admit finds a query's route and asks its gate. What is turned away is told so at once.
+// admit finds a query's route and asks the lanes and its gate. What is turned away is told so at once.
 func (e *Exchange) admit(q *query) bool {
 	r := e.routes
 	i := e.routeOf(q)
+	if !e.enter(q, i) {
+		return false
+	}
 	if i < 0 {
 		return true
 	}
 	d := r.gate.Admit(e.turned, i, q.Tenant, q.Client, q.Retry)
 	if d.Reason != admission.Taken {
 		r.sums[i].turned[d.Reason]++
-		after := d.After
-		if most := duration(e.cfg.MaxRetryAfter); !e.cfg.RetryAfter {
-			after = 0
-		} else if after > most {
-			after = most
-		}
 		e.sums.replies[Refused]++
-		q.Reply(Reply{Status: Refused, After: after})
+		e.outOfLane(q, LaneOver{Status: Refused, Gate: true})
+		q.Reply(Reply{Status: Refused, After: e.comeBack(d.After)})
 		return false
 	}
 	q.way, q.route = r, i
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -19,6 +19,7 @@
 	Header        func(name string) string // nil: routes see no headers of it; names in lower case
 	Client        string                   // its client, for a budget of retries; "" where none is told
 	Session       string                   // key of its session, as the client named it; "" for none
+	Mark          string                   // as the client named it for the lanes; "" for none
 	Received, Due time.Time                // Received: the last byte was read
 	Parts         []Part
 	Text          []byte
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -38,6 +38,7 @@
 	ready  func() bool
 	log    *logs.Limited
 	pinned string // request header with a session's key; "": none is read
+	marked string // request header with a mark for the lanes; "": none is read
 	owner  string // header of a refusal that names the session's co-ordinator; "": none is written
 
 	ln      net.Listener
@@ -70,6 +71,10 @@
 // a refusal, "" for not at all. To be called before Serve.
 func (s *Server) Pin(key, owner string) { s.pinned, s.owner = key, owner }
 
+// Mark has the mark of a query, by which the fleet's lanes may know its account, read from one request header. To be called
+// before Serve.
+func (s *Server) Mark(header string) { s.marked = header }
+
 // Listen takes the address; from then on connections are accepted by the machine.
 func (s *Server) Listen(address string) error {
 	ln, err := net.Listen("tcp", address)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -65,6 +65,7 @@
 	if err := st.s.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
+	st.s.Mark("X-Account")
 	st.s.ln = wrap(st.s.ln)
 	ctx, stop := context.WithCancel(context.Background())
 	go st.s.Serve(ctx)
@@ -192,6 +193,23 @@
 	}
 }
 
+// The mark for the lanes is read from the header that the operators name, and from no other; two of them are not guessed at.
+func TestMark(t *testing.T) {
+	st := newStand(t, nil)
+	c := st.dial()
+	for header, want := range map[string]string{"X-Account: gold\r\n": "gold", "x-account:  gold \r\n": "gold", "X-Accounts: gold\r\n": "", "": ""} {
+		c.write(query("m"+fmt.Sprint(len(header)), header, goodBody))
+		q := st.next()
+		if q.Mark != want {
+			t.Errorf("%q: mark %q", header, q.Mark)
+		}
+		q.Reply(exchange.Reply{Status: exchange.Failed})
+		c.status(504)
+	}
+	c.write(query("m", "X-Account: gold\r\nX-Account: gold\r\n", goodBody))
+	c.status(400)
+}
+
 func TestReady(t *testing.T) {
 	st := newStand(t, nil)
 	c := st.dial()
--- a/internal/front/query.go
+++ b/internal/front/query.go
@@ -89,6 +89,12 @@
 			}
 		}
 	}
+	if s.marked != "" {
+		if r.Header.Count(s.marked) > 1 { // which one holds?
+			return nil, unfit(400, s.marked+" twice")
+		}
+		q.Mark = r.Header.Get(s.marked)
+	}
 	if err := s.readBody(q, r.Body); err != nil {
 		return nil, err
 	}
