Replace a council's voter on full and torn disks, and by clocks 1 % apart, in tests

Each of the new voter, the old one and the leader has a log that takes no more, or a file that was cut short, in the middle of the change: a full one says so and is taken again, a torn one is neither taken again nor begun anew, and another takes its place. The clock of each runs 1 % slower than the others' 1 % fast ones, and the leader is cut off half way. A seat's pace is a field that only tests of the package set.

--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -108,6 +108,8 @@
 	// Patience multiplies HeartbeatMost, ElectionMost and LeaseMost, for machines so loaded that a process waits for its turn
 	// for long; 0 is 1. All voters must have the same.
 	Patience int
+	// pace is how much slower this seat's clock runs than others', for tests: its times are so much longer. 0 is 1.
+	pace float64
 
 	// SnapshotAfter, TrailingLogs, RingMost: 0 for the constants.
 	SnapshotAfter, TrailingLogs uint64
@@ -208,13 +210,20 @@
 	_ = p.store.Close()
 }
 
+func (o *Options) paced(d time.Duration) time.Duration {
+	if o.pace == 0 {
+		return d
+	}
+	return time.Duration(o.pace * float64(d))
+}
+
 func prepare(o Options, fail func(error)) (*prepared, error) {
 	log := enginelog.New(o.Log).Hclog("raft")
 	p := &prepared{conf: raft.DefaultConfig()}
 	p.conf.LocalID = raft.ServerID(o.Name)
 	patience := time.Duration(max(1, o.Patience))
-	p.conf.HeartbeatTimeout, p.conf.ElectionTimeout = patience*HeartbeatMost, patience*ElectionMost
-	p.conf.LeaderLeaseTimeout, p.conf.CommitTimeout = patience*LeaseMost, CommitEvery
+	p.conf.HeartbeatTimeout, p.conf.ElectionTimeout = o.paced(patience*HeartbeatMost), o.paced(patience*ElectionMost)
+	p.conf.LeaderLeaseTimeout, p.conf.CommitTimeout = o.paced(patience*LeaseMost), o.paced(CommitEvery)
 	p.conf.SnapshotThreshold, p.conf.TrailingLogs = SnapshotAfter, TrailingLogs
 	p.conf.SnapshotInterval = SnapshotLook
 	if o.SnapshotAfter > 0 {
--- a/internal/fleet/council/council_test.go
+++ b/internal/fleet/council/council_test.go
@@ -3,11 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"sort"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -275,29 +273,9 @@
 
 func TestDiskFails(t *testing.T) {
 	t.Parallel()
-	var mu sync.Mutex
-	files := map[string]*os.File{}
-	c := newCluster(t, 3, func(o *Options) {
-		o.Store.OpenFile = func(name string, flag int, mode os.FileMode) (*os.File, error) {
-			f, err := os.OpenFile(name, flag, mode)
-			mu.Lock()
-			files[o.Name] = f
-			mu.Unlock()
-			return f, err
-		}
-	})
-	breakDisk := func(name string) {
-		null, err := os.Open(os.DevNull)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer null.Close()
-		mu.Lock()
-		defer mu.Unlock()
-		if err := syscall.Dup3(int(null.Fd()), int(files[name].Fd()), 0); err != nil {
-			t.Fatal(err)
-		}
-	}
+	var d disks
+	c := newCluster(t, 3, d.hold)
+	breakDisk := func(name string) { d.fill(t, name) }
 	lead, _ := c.leader("")
 	c.must(lead, "x")
 	breakDisk(lead)
