Let a leader at rest answer polls together, and read packets without 64 KB each

A leader asked a majority some 30 times a second however little its followers wanted, stepped for each poll, and the gossip engine's socket took 64 KB of new memory for each packet, so that its collector ran several times a second. Own sockets read into one buffer. Leases count from the sending of the poll as before.

--- /dev/null
+++ b/internal/fleet/answers_test.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/view"
+)
+
+// A leader at rest asks the majority a few times a second however many poll, and steps no more often for them. A poll that says
+// something, lacks something or comes after a silence waits for VerifyEvery at the most, and what is agreed meanwhile ends
+// the wait of all.
+func TestPollsAtRestWaitForEachOther(t *testing.T) {
+	n := &Node{copy: newCopy(), term: 7, loads: map[string]told{}, waiting: waiting{by: map[string]polled{}}}
+	now := time.Minute
+	poll := func(from string, p talk.Poll) bool {
+		t.Helper()
+		p.From = from
+		raw, err := talk.Encode(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n.letter(letter{from: from, raw: raw, at: now})
+	}
+	answer := func(agreed uint64) bool {
+		if !n.waiting.due(now, agreed) {
+			return false
+		}
+		n.waiting.begin(now)
+		n.waiting.verifying = false
+		return true
+	}
+	names := make([]string, 300)
+	for i := range names {
+		names[i] = string(rune('a'+i/26)) + string(rune('a'+i%26))
+		if !poll(names[i], talk.Poll{No: 1}) {
+			t.Fatal("the first poll of one waits for a tick")
+		}
+	}
+	if !answer(0) {
+		t.Fatal("first polls are not answered at once")
+	}
+	rounds := 0
+	for i := range 3 * len(names) { // each polls three times more, spread over its second
+		now += view.PollEvery / time.Duration(len(names))
+		if poll(names[i%len(names)], talk.Poll{No: uint64(2 + i/len(names))}) {
+			t.Fatalf("poll %d with nothing new wants a step", i)
+		}
+		if answer(0) {
+			rounds++
+		}
+	}
+	if most := int(3 * view.PollEvery / VerifyRest); rounds > most || rounds < most-2 {
+		t.Errorf("%d rounds in 3 s at rest, %d wanted", rounds, most)
+	}
+	press := func(what string, agreed uint64, say func() bool) {
+		t.Helper()
+		now += VerifyRest
+		poll("aa", talk.Poll{No: 20})
+		answer(0)
+		now += VerifyEvery
+		poll("aa", talk.Poll{No: 21})
+		if answer(0) {
+			t.Fatal("a poll at rest is answered before others could join it")
+		}
+		if soon := say(); !soon || !answer(agreed) {
+			t.Errorf("%s waits: soon %v", what, soon)
+		}
+	}
+	press("one that laid a drain", 0, func() bool { return poll("ab", talk.Poll{No: 9, Laid: []talk.Laid{{Machine: "r", Fence: 1}}}) })
+	press("an entry that was agreed", 3, func() bool { return true })
+	for _, name := range names {
+		poll(name, talk.Poll{No: 30})
+	}
+	press("one that was silent", 0, func() bool { now += 2*view.PollEvery + 1; return poll("ac", talk.Poll{No: 31}) })
+	if err := n.copy.take(talk.Word{Index: 5, Entries: []talk.Entry{{Index: 5, Raw: tick(t, 5)}}}); err != nil {
+		t.Fatal(err)
+	}
+	if !poll("ad", talk.Poll{No: 40, Index: 4}) || poll("ad", talk.Poll{No: 41, Index: 5}) {
+		t.Error("one that lacks an entry should not wait, one that has all should")
+	}
+}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -115,13 +115,9 @@
 	if err != nil {
 		return nil, err
 	}
-	sockets, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{
-		BindAddrs: []string{host}, BindPort: port, Logger: lines.Standard(),
-	})
+	sockets, err := listen(host, port, lines.Standard())
 	for try := 0; err != nil && port == 0 && try < 10; try++ { // a port free for TCP may be taken for UDP
-		sockets, err = memberlist.NewNetTransport(&memberlist.NetTransportConfig{
-			BindAddrs: []string{host}, BindPort: port, Logger: lines.Standard(),
-		})
+		sockets, err = listen(host, port, lines.Standard())
 	}
 	if err != nil {
 		return nil, fmt.Errorf("member: listening on %s: %w", o.Bind, err)
@@ -130,7 +126,7 @@
 
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Keyring, c.Logger = o.Name, ring, lines.Standard()
-	c.BindAddr, c.BindPort = host, sockets.GetAutoBindPort()
+	c.BindAddr, c.BindPort = host, sockets.port()
 	c.AdvertisePort = c.BindPort
 	c.Transport = memberlist.NodeAwareTransport(m.count)
 	if o.Transport != nil {
--- /dev/null
+++ b/internal/fleet/member/sockets_test.go
@@ -0,0 +1,78 @@
+package member
+
+import (
+	"bytes"
+	"io"
+	"log"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// A packet costs about its own size in memory, keeps what came when the next is read, and a closed pair ends at once with
+// packets and streams that nobody took.
+func TestPacketsCostTheirSize(t *testing.T) {
+	quiet := log.New(io.Discard, "", 0)
+	from, err := listen("127.0.0.1", 0, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to, err := listen("127.0.0.1", 0, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ip, port, err := to.FinalAdvertiseAddr("", 0)
+	if err != nil || port != to.port() || len(ip) != net.IPv4len {
+		t.Fatal(ip, port, err)
+	}
+	address := to.udp.LocalAddr().String()
+	const packets = 200
+	exchange := func(i int) []byte {
+		if _, err := from.WriteTo(bytes.Repeat([]byte{byte(i)}, 150), address); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case p := <-to.PacketCh():
+			if p.From.String() != from.udp.LocalAddr().String() || time.Since(p.Timestamp) > time.Minute {
+				t.Fatal(p.From, p.Timestamp)
+			}
+			return p.Buf
+		case <-time.After(10 * time.Second):
+			t.Fatal("a packet did not come")
+		}
+		return nil
+	}
+	first := exchange(1)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for i := range packets {
+		exchange(i)
+	}
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / packets; each > 8<<10 {
+		t.Errorf("a packet of 150 bytes takes %d bytes of new memory", each)
+	}
+	if !bytes.Equal(first, bytes.Repeat([]byte{1}, 150)) {
+		t.Error("a packet that was handed on was written over")
+	}
+	if _, err := from.WriteTo([]byte{1}, address); err != nil {
+		t.Error(err)
+	}
+	conn, err := from.DialTimeout(address, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	end := make(chan error, 2)
+	for _, s := range []*sockets{from, to} {
+		go func() { end <- s.Shutdown() }()
+	}
+	for range 2 {
+		select {
+		case <-end:
+		case <-time.After(10 * time.Second):
+			t.Fatal("closing does not end")
+		}
+	}
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -118,10 +118,8 @@
 	namedAt   uint64 // number of the newest poll that was sent on to whom a word named
 	silent    int    // polls in a row without a word of the leader
 	answer    *view.Answered
-	answerAt  uint64            // index that the copy must reach before the answer counts as whole
-	polled    map[string]polled // not yet answered, by sender
-	verifying bool
-	verifyAt  time.Duration
+	answerAt  uint64  // index that the copy must reach before the answer counts as whole
+	waiting   waiting // not yet answered
 	states    handed
 	loads     map[string]told
 	own       told
@@ -267,15 +265,18 @@
 			return
 		case l := <-n.mail.queue:
 			n.mail.took(l)
-			n.letter(l)
+			waits := !n.letter(l)
 			for range len(n.mail.queue) { // one step for all that came meanwhile
 				select {
 				case l := <-n.mail.queue:
 					n.mail.took(l)
-					n.letter(l)
+					waits = !n.letter(l) && waits
 				default: // some were dropped meanwhile
 				}
 			}
+			if waits { // for the next tick
+				continue
+			}
 		case s := <-changes:
 			n.change(s)
 		case <-news:
@@ -286,6 +287,9 @@
 			}
 		case v := <-n.verified:
 			n.reply(v)
+			if !v.presses && !n.waiting.press(n.index) {
+				continue
+			}
 		case <-n.closed:
 			n.council, n.givingUp = nil, false
 			n.copy.sit(nil)
@@ -353,7 +357,7 @@
 		n.log.WithField("term", n.term).Info("leads no more")
 	}
 	n.term = 0
-	clear(n.polled)
+	n.waiting.none()
 	n.toLead = append(n.toLead, lead.Deposed{})
 }
 
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// VerifyEvery is between checks with a majority that this one still leads; polls that come meanwhile are answered
-	// together. Twice as long: answers come so much later; half: twice the rounds at 300 co-ordinators.
-	VerifyEvery = 30 * time.Millisecond
 	// SilentMost polls without a word: then the leader that is known counts as unknown, and voters are asked in turn.
 	// One more: a dead leader's followers look for the next one a poll later; one fewer: a lost packet has them look.
 	SilentMost = 2
@@ -21,34 +18,29 @@
 	LoadFor = 15 * time.Minute
 )
 
-// polled is a poll that waits for its answer.
-type polled struct {
-	no, index, era uint64
-}
-
 // verified is what came of a check that this one leads, and the polls that waited for it.
 type verified struct {
-	term  uint64
-	polls map[string]polled
-	err   error
+	term    uint64
+	polls   map[string]polled
+	presses bool
+	err     error
 }
 
-// letter takes a message. What can't be read is left out: its sender is of another version, or no co-ordinator.
-func (n *Node) letter(l letter) {
+// letter takes a message and says whether a step should follow soon. What can't be read is left out: its sender is of another
+// version, or no co-ordinator.
+func (n *Node) letter(l letter) (soon bool) {
 	if isSeats(l.raw) {
 		n.seat(l.from, l.raw)
-		return
+		return true
 	}
 	m, err := talk.Decode(l.raw)
 	if err != nil {
 		n.lines.limited(n, l.at, "a message of "+l.from+" is left out: "+err.Error())
-		return
+		return false
 	}
 	switch m := m.(type) {
 	case talk.Poll:
-		if m.From == l.from {
-			n.poll(l.at, m)
-		}
+		return m.From == l.from && n.poll(l.at, m)
 	case talk.Word:
 		if m.From == l.from {
 			n.word(m)
@@ -62,46 +54,56 @@
 			n.toLead = append(n.toLead, lead.Asks{Limits: m.Limits, Asks: m.Asks})
 		}
 	}
+	return true
 }
 
-// poll takes one. The leader answers once it knows that it still leads; another voter names who does.
-func (n *Node) poll(at time.Duration, p talk.Poll) {
+// poll takes one. The leader answers once it knows that it still leads; another voter names who does. One that says nothing
+// new and lacks nothing waits for the step that comes anyway.
+func (n *Node) poll(at time.Duration, p talk.Poll) (soon bool) {
 	era, own := max(p.Era, 1), n.copy.era()
 	if era > own {
 		n.outlive(p.From, era)
-		return
+		return true
 	}
 	if n.term != 0 {
 		if era < own {
 			p.Laid = nil // of grants that ended with their era
 		}
 		n.toLead = append(n.toLead, lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid, Wall: p.Wall})
+		before, heard := n.loads[p.From]
 		n.loads[p.From] = told{p.Load, p.LoadKnown, at, era}
 		if n.sessions != nil {
 			n.sessions.hear(p)
 		}
-		n.polled[p.From] = polled{p.No, p.Index, era}
-		return
+		soon = era < own || p.Index < n.agreedIndex() || len(p.Laid) > 0 || !heard || at-before.at > 2*view.PollEvery
+		n.waiting.put(p.From, polled{p.No, p.Index, era}, soon)
+		return soon
 	}
 	if n.council == nil {
-		return
+		return false
 	}
 	leader, _ := n.council.Leader()
 	if leader == n.name {
 		leader = "" // elected, but not yet sure of all that was agreed; or about to step down
 	}
 	n.send(p.From, talk.Word{No: p.No, From: n.name, Leader: leader, Index: n.council.Applied(), Era: eraSent(own)})
+	return false
+}
+
+// agreedIndex is that of the newest entry that the own copy has.
+func (n *Node) agreedIndex() (index uint64) {
+	n.copy.look(func() { index = n.copy.ledger.Index() })
+	return index
 }
 
 // verify begins a check with a majority that this one still leads. Only an answer after it may lengthen a lease:
 // one that was stopped and wakes would else answer beside the next leader.
 func (n *Node) verify(now time.Duration) {
-	if n.verifying || len(n.polled) == 0 || n.term == 0 || n.council == nil || now < n.verifyAt+VerifyEvery {
+	if n.term == 0 || n.council == nil || !n.waiting.due(now, n.index) {
 		return
 	}
-	n.verifying, n.verifyAt = true, now
-	v := verified{term: n.term, polls: n.polled}
-	n.polled = map[string]polled{}
+	v := verified{term: n.term, presses: n.waiting.press(n.index)}
+	v.polls = n.waiting.begin(now)
 	go func(seat *council.Council) {
 		v.err = seat.Verify()
 		n.verified <- v
@@ -110,7 +112,7 @@
 
 // reply answers the polls that waited for a check.
 func (n *Node) reply(v verified) {
-	n.verifying = false
+	n.waiting.verifying = false
 	if v.err != nil || v.term != n.term || n.council == nil {
 		return
 	}
--- a/internal/fleet/rest_test.go
+++ b/internal/fleet/rest_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"runtime/pprof"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,9 +36,10 @@
 
 const (
 	restPart  = "BIRCHCART_REST_PART"
-	restSpan  = 20 * time.Second  // is measured
-	restJoin  = 30 * time.Second  // for each sixty, at the most
-	restLimit = 240 * time.Second // until all are there, on a busy machine; some 10 s on a quiet one
+	restProf  = "BIRCHCART_REST_PROFILE" // a directory: each process writes what its CPU did while joining and at rest
+	restSpan  = 20 * time.Second         // is measured
+	restJoin  = 30 * time.Second         // for each sixty, at the most
+	restLimit = 240 * time.Second        // until all are there, on a busy machine; some 10 s on a quiet one
 )
 
 // part of the fleet that one process plays.
@@ -113,7 +115,12 @@
 		e.Listed(list)
 		nodes = append(nodes, n)
 	}
+	profile := restProfile(p.From, fail)
+	profile("join")
 	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		if in.Text() != "" {
+			profile(in.Text())
+		}
 		var all []restCount
 		var use syscall.Rusage
 		fail(syscall.Getrusage(syscall.RUSAGE_SELF, &use))
@@ -139,6 +146,25 @@
 	}
 }
 
+// restProfile gives what ends the profile of this process that is under way and begins the next; "end" begins none.
+func restProfile(from int, fail func(error)) func(part string) {
+	dir := os.Getenv(restProf)
+	var f *os.File
+	return func(part string) {
+		if f != nil {
+			pprof.StopCPUProfile()
+			fail(f.Close())
+			f = nil
+		}
+		if dir != "" && part != "end" {
+			var err error
+			f, err = os.Create(filepath.Join(dir, fmt.Sprintf("%s-%03d.pprof", part, from)))
+			fail(err)
+			fail(pprof.StartCPUProfile(f))
+		}
+	}
+}
+
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
@@ -196,10 +222,10 @@
 		t.Cleanup(func() { in.Close(); cmd.Process.Kill(); cmd.Wait() })
 		all = append(all, restProcess{in, bufio.NewReaderSize(out, 1<<20)})
 	}
-	count := func() (by []restCount) {
+	count := func(part string) (by []restCount) {
 		t.Helper()
 		for _, p := range all {
-			fmt.Fprintln(p.in)
+			fmt.Fprintln(p.in, part)
 		}
 		for _, p := range all {
 			var some []restCount
@@ -217,7 +243,7 @@
 	for from := 5; from < restNodes; from += 59 {
 		start(from, min(from+59, restNodes))
 		for began := time.Now(); time.Since(began) < restJoin; time.Sleep(time.Second) { // a fleet is not started in one second
-			all := count()
+			all := count("")
 			if slices.MinFunc(all, func(a, b restCount) int { return a.Up - b.Up }).Up == len(all) {
 				break
 			}
@@ -238,12 +264,13 @@
 	}
 	for said := time.Now(); ; {
 		n, leader := heard()
-		up := slices.MinFunc(count(), func(a, b restCount) int { return a.Up - b.Up }).Up
+		up := slices.MinFunc(count(""), func(a, b restCount) int { return a.Up - b.Up }).Up
 		if n == restNodes && up == restNodes {
 			t.Logf("all %d are there after %v, %s leads", n, time.Since(began).Round(time.Second), leader)
 			break
 		}
 		if time.Since(began) > restLimit {
+			count("end")
 			t.Fatalf("%d of %d hold a lease, the least has %d up, after %v", n, restNodes, up, restLimit)
 		}
 		if time.Since(said) > 20*time.Second {
@@ -254,9 +281,9 @@
 	}
 	time.Sleep(5 * time.Second) // what the last join set off
 	_, leader := heard()
-	before, at := count(), time.Now()
+	before, at := count("rest"), time.Now()
 	time.Sleep(restSpan)
-	after, span := count(), time.Since(at).Seconds()
+	after, span := count("end"), time.Since(at).Seconds()
 	left, still := heard()
 	figure := func(what string, from, to int) {
 		var bytes, packets, most int64
--- a/internal/fleet/sizes_test.go
+++ b/internal/fleet/sizes_test.go
@@ -155,7 +155,7 @@
 // A poll or a word that names another sender than the gossip does is left out: nobody polls in another's name by mistake, and
 // one who does it knowingly has to forge the gossip's message too, for which he needs its key.
 func TestNobodySpeaksForAnother(t *testing.T) {
-	n := &Node{copy: newCopy(), term: 7, loads: map[string]told{}, polled: map[string]polled{}}
+	n := &Node{copy: newCopy(), term: 7, loads: map[string]told{}, waiting: waiting{by: map[string]polled{}}}
 	n.sent.No = 1
 	for _, m := range []talk.Message{talk.Poll{From: "b", No: 1, Laid: []talk.Laid{{Machine: "r1", Fence: 1}}}, talk.Word{From: "b", No: 1, Leader: "b", Term: 9, Led: true}} {
 		raw, err := talk.Encode(m)
@@ -164,14 +164,14 @@
 		}
 		before := len(n.toLead)
 		n.letter(letter{from: "a", raw: raw})
-		if len(n.toLead) != before || len(n.polled) != 0 || n.leader != "" || n.answer != nil {
+		if len(n.toLead) != before || len(n.waiting.by) != 0 || n.leader != "" || n.answer != nil {
 			t.Errorf("%T of a in the name of b was taken", m)
 		}
 		n.letter(letter{from: "b", raw: raw})
 		if before == 0 && len(n.toLead) != 1 {
 			t.Error("the poll of b was not taken")
 		}
-		clear(n.polled)
+		n.waiting.none()
 	}
 	if n.leader != "b" || n.answer == nil {
 		t.Error("the word of b was not taken")
