Measure what pinned sessions cost one process of a real fleet: make session-cost

What was known was the time between exchange and keeper alone. TestSessionCost runs three co-ordinators with stand-in replicas on loopback, sends one of them 1,000 queries/s with and without a session in turn, and compares its CPU by its clock in the kernel; then opens 10,000 and 100,000 sessions and compares what is resident and what is heap after a collection with what so many queries left behind without sessions. Off without BIRCHCART_SESSION_COST.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: pinned properties build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures fleet-rest session-plots
+.PHONY: pinned properties build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures fleet-rest session-plots session-cost
 
 # As the operators build it: the line in deploy/balancer.toml.
 build:
@@ -97,6 +97,11 @@
 fleet-rest:
 	BIRCHCART_REST=$(NODES) go test -timeout 10m -v -count=1 -run 'TestRest$$' ./internal/fleet
 
+# What pinned sessions cost one process of a real fleet: its CPU for a query with and without, in turn, and its memory. 2 to 4 minutes.
+ROUNDS ?= 10
+session-cost:
+	BIRCHCART_SESSION_COST=$(ROUNDS) go test -timeout 20m -v -count=1 -run 'TestSessionCost$$' ./cmd/birchcart-fleet
+
 # Rolling swaps of co-ordinators with pinned sessions, in virtual time: half a minute of CPU; LARGE=1 plays 100,000 sessions
 # too, some minutes more. The drawing library is linked into this command alone.
 session-plots:
--- a/cmd/birchcart-fleet/main_test.go
+++ b/cmd/birchcart-fleet/main_test.go
@@ -26,7 +26,7 @@
 	"birchcart/internal/testproc"
 )
 
-func TestMain(m *testing.M) { testproc.Main(m, main) }
+func TestMain(m *testing.M) { testproc.Main(m, measured) }
 
 // site is a deployment of several co-ordinators.
 type site struct {
