Take what both emulators of fleets have in common into one package

Virtual time with its queue, numbers by seed and use, links' quality, steps, printed schedules and the playing of many seeds were written twice, in internal/fleet/world and in world/pinned.

--- a/internal/fleet/world/canon.go
+++ b/internal/fleet/world/canon.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"birchcart/internal/fleet/world/clockwork"
 )
 
 // Two states of the search are one if they differ only in when they are: each time counts by how far it is from now, each
@@ -121,8 +123,8 @@
 	switch {
 	case d > smallBegin/2 && d < 2*smallBegin:
 		return d - c.now, true
-	case d > Epoch-smallBegin && d < Epoch+2*smallBegin:
-		return d - Epoch - c.now, true
+	case d > clockwork.Epoch-smallBegin && d < clockwork.Epoch+2*smallBegin:
+		return d - clockwork.Epoch - c.now, true
 	}
 	return d, false
 }
--- a/internal/fleet/world/commits.go
+++ b/internal/fleet/world/commits.go
@@ -5,6 +5,7 @@
 
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/history"
 )
 
@@ -36,6 +37,6 @@
 		w.tell(history.Event{Kind: history.Committed, Index: index, Voters: voters, Of: len(w.council), Stored: stored, Command: id,
 			Item: history.Item{Request: item.Request, Asked: item.AskedAt + time.Duration(item.Try), Machine: item.Machine,
 				Phase: string(item.Phase), Fence: item.Fence, Order: order,
-				Urgent: w.s.urgent(item.Request), Lapses: item.Until - Epoch}})
+				Urgent: w.s.urgent(item.Request), Lapses: item.Until - clockwork.Epoch}})
 	}
 }
--- a/internal/fleet/world/digest.go
+++ b/internal/fleet/world/digest.go
@@ -5,12 +5,13 @@
 	"reflect"
 
 	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/fleet/world/clockwork"
 )
 
 // canon digests a copy of the agreed state as it counts by its own time. Commands that it remembers are those in grants.
 func (b *book) canon() uint64 {
 	if b.sum == 0 {
-		now, old := b.led.Now()-Epoch, oldShort
+		now, old := b.led.Now()-clockwork.Epoch, oldShort
 		if l, _ := b.out.Limits(); l.Calm > oldShort/takeout.CalmMost {
 			old = oldMost
 		}
--- a/internal/fleet/world/disk.go
+++ b/internal/fleet/world/disk.go
@@ -29,7 +29,7 @@
 // leads no more; its process serves on.
 func (w *World) fill(n *node, lasts time.Duration) {
 	n.full++
-	w.after(lasts, func() { n.full-- })
+	w.After(lasts, func() { n.full-- })
 }
 
 // booted is a new process upon the disk's drains.
--- a/internal/fleet/world/machines.go
+++ b/internal/fleet/world/machines.go
@@ -8,6 +8,7 @@
 
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
+	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/history"
 )
 
@@ -51,7 +52,7 @@
 	w.lists.all = append(w.lists.all, list)
 	version := w.lists.newest()
 	for _, n := range w.nodes {
-		w.after(50*time.Millisecond+time.Duration(w.rng.Int64N(int64(time.Second))), func() { n.news(version) })
+		w.After(50*time.Millisecond+time.Duration(w.rng.Int64N(int64(time.Second))), func() { n.news(version) })
 	}
 }
 
@@ -91,7 +92,7 @@
 
 // siteTool is the operators' own: it reads the file at one co-ordinator and takes out what was told.
 func (w *World) siteTool() {
-	w.after(toolEvery, w.siteTool)
+	w.After(toolEvery, w.siteTool)
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	if !n.up { // the file of a co-ordinator that is stopped can still be read
 		return
@@ -106,7 +107,7 @@
 			} else if wait+toolMargin > left {
 				continue
 			}
-			w.after(wait, func() { w.takeOut(m, g.Item) })
+			w.After(wait, func() { w.takeOut(m, g.Item) })
 		}
 	}
 	if w.s.Odd == 0 {
@@ -116,7 +117,7 @@
 		if item.Phase == takeout.Granted {
 			if m := w.toolMachine(item); m != nil && m.way == wayEarly {
 				m.acted = item.Fence
-				w.after(0, func() { w.takeOut(m, item) })
+				w.After(0, func() { w.takeOut(m, item) })
 			}
 		}
 	}
@@ -140,7 +141,7 @@
 )
 
 // toolWall is the tool's clock, a right one.
-func (w *World) toolWall() time.Duration { return Epoch + w.now }
+func (w *World) toolWall() time.Duration { return clockwork.Epoch + w.Now }
 
 func (w *World) drawWay() string {
 	if w.rng.Float64() >= w.s.Odd {
@@ -165,17 +166,17 @@
 	}
 	m.status = takeout.Terminating
 	w.listChanged()
-	w.after(2*time.Second, func() {
+	w.After(2*time.Second, func() {
 		m.status = takeout.Gone
 		w.listChanged()
 	})
 	if work < 0 {
 		return
 	}
-	w.after(2*time.Second+work, func() {
+	w.After(2*time.Second+work, func() {
 		if m.way == wayRenamed {
 			fresh := &machine{name: fmt.Sprintf("%s-%d", m.name, m.times+2), zone: m.zone, cell: m.cell, way: "as asked"}
-			w.addMachine(fresh, w.now+w.s.Limits.WarmUp)
+			w.addMachine(fresh, w.Now+w.s.Limits.WarmUp)
 			w.rise(fresh)
 			return
 		}
@@ -185,10 +186,10 @@
 
 // rise is a machine's new start: it takes requests, cold.
 func (w *World) rise(m *machine) {
-	m.status, m.start, m.away = takeout.Up, Epoch+w.now, false
+	m.status, m.start, m.away = takeout.Up, clockwork.Epoch+w.Now, false
 	m.times++
 	m.way = "" // the next time it may be another
-	w.tell(history.Event{Kind: history.Risen, Name: m.name, Warm: w.now + w.s.Limits.WarmUp})
+	w.tell(history.Event{Kind: history.Risen, Name: m.name, Warm: w.Now + w.s.Limits.WarmUp})
 	w.listChanged()
 }
 
@@ -200,7 +201,7 @@
 	m.status = takeout.Gone
 	w.tell(history.Event{Kind: history.Failed, Name: m.name})
 	w.listChanged()
-	w.after(lasts, func() {
+	w.After(lasts, func() {
 		if m.status == takeout.Gone && !m.away {
 			w.rise(m)
 		}
@@ -215,7 +216,7 @@
 	}
 	n.w.leaving[n.id] = fence
 	inc := n.inc
-	n.w.after(time.Second, func() {
+	n.w.After(time.Second, func() {
 		if n.inc != inc || !n.runs() {
 			return
 		}
@@ -223,7 +224,7 @@
 		n.w.tell(history.Event{Kind: history.Taken, Name: n.name, Fence: fence})
 		n.end(false)
 		work := time.Duration((0.2 + 0.5*n.w.rng.Float64()) * float64(n.w.s.workTime(item.Request)))
-		n.w.after(work, func() { n.w.restart(n) })
+		n.w.After(work, func() { n.w.restart(n) })
 	})
 }
 
@@ -232,7 +233,7 @@
 	if n.up {
 		return
 	}
-	w.tell(history.Event{Kind: history.Risen, Name: n.name, Warm: w.now})
+	w.tell(history.Event{Kind: history.Risen, Name: n.name, Warm: w.Now})
 	n.start()
 	w.majority()
 }
@@ -245,7 +246,7 @@
 	w.tell(history.Event{Kind: history.Failed, Name: n.name})
 	n.end(diskLost)
 	inc := n.inc
-	w.after(lasts, func() {
+	w.After(lasts, func() {
 		if n.inc == inc {
 			w.restart(n)
 		}
--- a/internal/fleet/world/node.go
+++ b/internal/fleet/world/node.go
@@ -79,17 +79,17 @@
 	toldAt   int            // entry up to which the pure leader was told what came of its proposals
 }
 
-func (n *node) mono() time.Duration { return n.clock.mono(n.w.now) }
-func (n *node) wall() time.Duration { return n.clock.wall(n.w.now) }
+func (n *node) mono() time.Duration { return n.clock.mono(n.w.Now) }
+func (n *node) wall() time.Duration { return n.clock.wall(n.w.Now) }
 func (n *node) runs() bool          { return n.up && !n.stalled }
 
 // start is a new process upon what the disk kept.
 func (n *node) start() {
 	n.inc++
-	n.up, n.stalled, n.held, n.started = true, false, nil, n.w.now
+	n.up, n.stalled, n.held, n.started = true, false, nil, n.w.Now
 	n.leader, n.waiting, n.owed, n.flush, n.leads, n.proposed, n.toldView, n.askedOf = -1, nil, nil, false, false, nil, 0, nil
 	n.view = view.New(n.name, n.w.s.Limits.Lease)
-	n.view.NumberFrom(uint64(n.w.now) + 1) // as by the start's time in nanoseconds
+	n.view.NumberFrom(uint64(n.w.Now) + 1) // as by the start's time in nanoseconds
 	n.lead = lead.New(n.w.order)
 	n.drains, n.grants = map[string]bool{}, nil
 	n.booted()
@@ -132,9 +132,9 @@
 		if !n.stalled {
 			n.turn()
 		}
-		n.w.after(every, turn)
+		n.w.After(every, turn)
 	}
-	n.w.after(time.Duration(n.w.rng.Int64N(int64(every))), turn)
+	n.w.After(time.Duration(n.w.rng.Int64N(int64(every))), turn)
 }
 
 // end is a process that is no more; its disk stays, or not.
@@ -142,7 +142,7 @@
 	if !n.up {
 		return
 	}
-	n.up, n.stalled, n.leads, n.downAt = false, false, false, n.w.now
+	n.up, n.stalled, n.leads, n.downAt = false, false, false, n.w.Now
 	n.inc++
 	if n.v != nil {
 		n.v.forget()
--- a/internal/fleet/world/pinned/polls.go
+++ b/internal/fleet/world/pinned/polls.go
@@ -77,7 +77,7 @@
 		answer()
 		return
 	}
-	w.after(w.link()+w.link(), func() {
+	w.After(w.link()+w.link(), func() {
 		if w.leader == id && w.term == term && w.reaches(id) {
 			c.deliver(inc, answer)
 		}
--- a/internal/fleet/world/pinned/replica.go
+++ b/internal/fleet/world/pinned/replica.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"birchcart/internal/fleet/keeper"
+	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/pinned/history"
 )
 
@@ -47,20 +48,20 @@
 // sendPart lets one part of a query go to a replica, and sees to its end at the co-ordinator in any case.
 func (c *co) sendPart(o *out, p *part, r *replica) {
 	w := c.w
-	inc, left := c.inc, o.rq.due-w.now
+	inc, left := c.inc, o.rq.due-w.Now
 	over := func(outcome keeper.Outcome) { c.partEnded(inc, o, p, outcome) }
-	w.after(left+PartOver, func() { over(keeper.MayHaveRun) })
+	w.After(left+PartOver, func() { over(keeper.MayHaveRun) })
 	if w.partCut(c, r) {
 		return
 	}
 	way := w.link()
 	if w.rng.Float64() < w.s.Rough {
-		way += between(w.rng, 0, PartLate-way)
+		way += clockwork.Between(w.rng, 0, PartLate-way)
 	}
-	w.after(way, func() {
+	w.After(way, func() {
 		back := func(outcome keeper.Outcome) {
 			if !w.partCut(c, r) {
-				w.after(w.link(), func() { over(outcome) })
+				w.After(w.link(), func() { over(outcome) })
 			}
 		}
 		switch {
@@ -76,7 +77,7 @@
 	w, rq := r.w, o.rq
 	key := partKey{rq.id, r.inc}
 	w.tell(history.Event{Kind: history.Runs, Request: rq.id, Replica: int32(r.n)})
-	needs := between(w.rng, w.s.Service/2, w.s.Service*3/2)
+	needs := clockwork.Between(w.rng, w.s.Service/2, w.s.Service*3/2)
 	if w.rng.Float64() < w.s.Rough {
 		needs *= 20
 	}
@@ -90,7 +91,7 @@
 	r.runs[key] = end
 	r.keys = append(r.keys, key)
 	broken := needs <= left && w.rng.Float64() < w.s.Rough/4
-	w.after(min(needs, left), func() {
+	w.After(min(needs, left), func() {
 		if r.runs[key] == nil {
 			return
 		}
@@ -122,7 +123,7 @@
 	}
 	r.keys = nil
 	r.inc++
-	r.w.after(lasts, func() { r.up = true })
+	r.w.After(lasts, func() { r.up = true })
 }
 
 // partEnded takes the end of one part; with the last of them the query is over.
--- a/internal/fleet/world/polls.go
+++ b/internal/fleet/world/polls.go
@@ -37,7 +37,7 @@
 			word.Laid = append(word.Laid, talk.Laid(l))
 		}
 	}
-	n.w.polls[pollKey{n.id, p.No}] = n.w.now
+	n.w.polls[pollKey{n.id, p.No}] = n.w.Now
 	n.w.send(n.id, to, func(o *node) { o.onPoll(n.id, word) })
 	if n.asks != nil && n.asks.Asks.Revision > n.book.out.Asks().Revision {
 		ask := *n.asks
@@ -66,7 +66,7 @@
 		if !n.flush {
 			n.flush = true
 			inc := n.inc
-			n.w.after(confirmEvery, func() {
+			n.w.After(confirmEvery, func() {
 				if n.inc == inc && n.runs() && n.v.leads {
 					n.replicate()
 					n.confirm()
--- a/internal/fleet/world/shelf.go
+++ b/internal/fleet/world/shelf.go
@@ -1,6 +1,8 @@
 package world
 
-import "fmt"
+import (
+	"fmt"
+)
 
 // sharedBook is a copy of the agreed state that all co-ordinators use which stand at its entry. A copy that nobody uses
 // any more is brought on to where the next one is wanted, so that each entry is applied some two times, not once for
--- a/internal/fleet/world/shrink.go
+++ b/internal/fleet/world/shrink.go
@@ -1,6 +1,10 @@
 package world
 
-import "slices"
+import (
+	"slices"
+
+	"birchcart/internal/fleet/world/clockwork"
+)
 
 // Shrink looks for a smaller schedule that still breaks a promise: without steps, requests, readers of a file, odd ways,
 // faults of links and clocks. It plays at most so many worlds.
@@ -25,7 +29,7 @@
 		}
 		for _, plain := range []func(*Schedule){
 			func(t *Schedule) { t.Odd = 0 },
-			func(t *Schedule) { t.Link = Quality{Latency: t.Link.Latency} },
+			func(t *Schedule) { t.Link = clockwork.Quality{Latency: t.Link.Latency} },
 			func(t *Schedule) { t.Drift, t.Offset = 0, 0 },
 			func(t *Schedule) { t.Asks = t.Asks[:1] },
 			func(t *Schedule) { t.Asks[0].By = t.Asks[0].By[:1] },
--- a/internal/fleet/world/small.go
+++ b/internal/fleet/world/small.go
@@ -9,6 +9,7 @@
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
+	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/history"
 )
 
@@ -115,7 +116,7 @@
 		OutByZone:    l.OutByZone, OutMost: l.OutMost, VotersLeast: l.VotersLeast, PassedMost: l.PassedMost, Settle: l.Settle, Calm: l.Calm,
 		Load: s.load, Headroom: l.Headroom, Slack: 2 * smallStep}})
 	for i := range s.rooms {
-		s.rooms[i] = smallRoom{status: takeout.Up, start: Epoch - time.Hour}
+		s.rooms[i] = smallRoom{status: takeout.Up, start: clockwork.Epoch - time.Hour}
 		name := fmt.Sprintf("r%d", i)
 		s.tell(history.Event{Kind: history.Joined, Name: name,
 			Machine: history.Machine{Zone: smallZone(name), Cell: i, Size: 1, Replica: true}})
@@ -216,7 +217,7 @@
 		s.err = err
 		return false
 	}
-	c := ledger.Command{V: ledger.Version, ID: id, Part: "takeout", Kind: kind, At: Epoch + s.now, Body: raw}
+	c := ledger.Command{V: ledger.Version, ID: id, Part: "takeout", Kind: kind, At: clockwork.Epoch + s.now, Body: raw}
 	enc, err := c.Encode()
 	if err != nil {
 		s.err = err
@@ -260,7 +261,7 @@
 		s.orders[key] = item
 		s.tell(history.Event{Kind: history.Committed, Index: len(s.books) - 1, Voters: voters, Of: smallNodes, Stored: s.now,
 			Command: id, Item: history.Item{Request: item.Request, Asked: item.AskedAt + time.Duration(item.Try),
-				Machine: item.Machine, Phase: string(item.Phase), Fence: item.Fence, Order: place, Lapses: item.Until - Epoch}})
+				Machine: item.Machine, Phase: string(item.Phase), Fence: item.Fence, Order: place, Lapses: item.Until - clockwork.Epoch}})
 	}
 	return true
 }
