Try a seat again that the disk did not take, and play full and torn disks and stalls

A voter to come whose disk was full at that moment gave up until its process was started anew, so the council kept the voter that was to go. It asks the leader again now, as before it had heard.

--- a/Makefile
+++ b/Makefile
@@ -79,7 +79,7 @@
 worlds:
 	nice -n 10 go run ./internal/fleet/world/cmd/fleetworld run --count $(WORLDS)
 
-# Real processes under seeded faults: one with SEED=7, several with SEED=1-48 or 1000-1015 (the later kinds); SHRINK=1 leaves out steps of a failure.
+# Real processes under seeded faults: one with SEED=7, several with SEED=1-48, 1000-1015 or 2000-2004 (the later kinds); SHRINK=1 leaves out steps of a failure.
 SEED ?= 1-48
 fleet:
 	BIRCHCART_FLEET=$(SEED) BIRCHCART_FLEET_SHRINK=$(SHRINK) go test -timeout 90m -v -count=1 -run 'TestFleet$$' ./internal/fleet/harness
--- a/cmd/birchcart-fleet/main_test.go
+++ b/cmd/birchcart-fleet/main_test.go
@@ -440,6 +440,27 @@
 	s.until("told, as n0 has it", func() bool { return len(s.grants(0).Grants) == 1 })
 }
 
+// A seat that the disk does not take, since it is full for the moment, is taken once there is room, without a restart.
+func TestASeatIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 4, 0, 1, 2)
+	s.startAll()
+	s.until("n3 follows", s.says(3, "in touch with the council"))
+	inTheWay := filepath.Join(s.dir, "disk3", "council.db.new")
+	if err := os.MkdirAll(filepath.Join(inTheWay, "in its place"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	s.voters = []int{1, 2, 3}
+	s.ask(false)
+	s.hangUp()
+	s.until("the disk does not take the seat", s.says(3, "the seat in the council can't be taken"))
+	if err := os.RemoveAll(inTheWay); err != nil {
+		t.Fatal(err)
+	}
+	s.until("n3 has a seat", s.says(3, "the seat in the council is open"))
+	s.until("n0 votes no more", s.says(0, "votes no more"))
+}
+
 // A machine is told, and discovery still says Ready. A co-ordinator that starts then, a new one or one whose disk was lost,
 // sends nothing there from its first query on: before it listens it hears what was agreed. One that can't hear it listens
 // a second later all the same.
--- a/internal/fleet/harness/acts.go
+++ b/internal/fleet/harness/acts.go
@@ -83,6 +83,13 @@
 		return c.startAgain(i)
 	case DoLose:
 		return p.LoseDisk()
+	case DoTear:
+		if err := p.Tear(); err != nil {
+			return err
+		}
+		c.mu.Lock()
+		c.last["torn"] = append(c.last["torn"], i)
+		c.mu.Unlock()
 	case DoStop:
 		c.mu.Lock()
 		c.last["stopped"] = append(c.last["stopped"], i)
@@ -203,6 +210,8 @@
 			i = leader()
 		case name == "follower":
 			i = len(c.procs) - 1
+		case name == "next seat":
+			i = c.nextSeat()
 		case strings.HasPrefix(name, "voter"):
 			nth := 0
 			if strings.HasSuffix(name, "2") {
--- a/internal/fleet/harness/check_rules_test.go
+++ b/internal/fleet/harness/check_rules_test.go
@@ -201,17 +201,19 @@
 
 // A schedule of each later kind can be written down and read, and says the same each time.
 func TestLaterKinds(t *testing.T) {
-	seen := map[string]bool{}
-	for seed := uint64(laterSeeds); seed < laterSeeds+200; seed++ {
-		s := NewSchedule(seed, 7)
-		back, err := DecodeSchedule(s.Encode())
-		if err != nil || back.Encode() != s.Encode() || NewSchedule(seed, 7).Encode() != s.Encode() {
-			t.Fatalf("seed %d: %v\n%s", seed, err, s.Encode())
+	for first, cases := range map[uint64][]string{laterSeeds: LaterCases, latestSeeds: LatestCases} {
+		seen := map[string]bool{}
+		for seed := first; seed < first+200; seed++ {
+			s := NewSchedule(seed, 7)
+			back, err := DecodeSchedule(s.Encode())
+			if err != nil || back.Encode() != s.Encode() || NewSchedule(seed, 7).Encode() != s.Encode() {
+				t.Fatalf("seed %d: %v\n%s", seed, err, s.Encode())
+			}
+			seen[s.Case] = true
+		}
+		if len(seen) != len(cases) {
+			t.Errorf("kinds %v", seen)
 		}
-		seen[s.Case] = true
-	}
-	if len(seen) != len(LaterCases) {
-		t.Errorf("kinds %v", seen)
 	}
 }
 
--- a/internal/fleet/harness/cluster.go
+++ b/internal/fleet/harness/cluster.go
@@ -69,6 +69,7 @@
 	pending  map[Act]int
 	events   []string
 	seats    []int // places of those that vote, as the operators' file has it
+	seated   []int // those that took the seats of others, in turn
 	lies     []*standin.Discovery
 	founded  bool // the council; whoever starts anew from here on only joins it
 	dead     chan struct{}
--- a/internal/fleet/harness/fleet.go
+++ b/internal/fleet/harness/fleet.go
@@ -87,7 +87,9 @@
 	case DoAskAll:
 		return 3
 	case DoVoter:
-		return 4
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return 3 + len(c.seated)
 	}
 	return 2
 }
--- a/internal/fleet/harness/kinds.go
+++ b/internal/fleet/harness/kinds.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,8 +17,11 @@
 // slowCases are those in which a co-ordinator that can't have heard of a grant may still send to its machine.
 var slowCases = []string{"two halves with one request each", "one-way cut to the leader", "follower stopped", "leader stopped", "seven in ten restarted"}
 
-// NewSchedule makes up the schedule of a seed. Those from laterSeeds on are of the later kinds.
+// NewSchedule makes up the schedule of a seed. Those from laterSeeds and latestSeeds on are of later kinds.
 func NewSchedule(seed uint64, processes int) *Schedule {
+	if seed >= latestSeeds {
+		return newLatest(seed, processes)
+	}
 	if seed >= laterSeeds {
 		return newLater(seed, processes)
 	}
@@ -28,10 +30,7 @@
 	sec := func(least, most float64) time.Duration {
 		return time.Duration((least+rng.Float64()*(most-least))*1000) * time.Millisecond
 	}
-	var all []string
-	for i := range processes {
-		all = append(all, fmt.Sprint(i))
-	}
+	all := everyone(processes)
 	pick := func() string { return all[rng.IntN(len(all))] }
 	add := func(st ...Step) { s.Steps = append(s.Steps, st...) }
 	others := func(who ...string) []string {
--- a/internal/fleet/harness/kinds_later.go
+++ b/internal/fleet/harness/kinds_later.go
@@ -20,6 +20,14 @@
 	"voter replaced, cut both ways", "voter replaced, one stopped", "voter replaced, one crashed", "asked of a full disk",
 }
 
+// everyone is all processes, by their places.
+func everyone(processes int) (all []string) {
+	for i := range processes {
+		all = append(all, fmt.Sprint(i))
+	}
+	return all
+}
+
 // newLater makes up a schedule of the later kinds. Their faults lie as the kinds need them, so nothing is added beside.
 func newLater(seed uint64, processes int) *Schedule {
 	rng := rand.New(rand.NewPCG(seed, 0x1a7e5))
@@ -27,10 +35,7 @@
 	sec := func(least, most float64) time.Duration {
 		return time.Duration((least+rng.Float64()*(most-least))*1000) * time.Millisecond
 	}
-	var all []string
-	for i := range processes {
-		all = append(all, fmt.Sprint(i))
-	}
+	all := everyone(processes)
 	pick := func(from ...string) string { return from[rng.IntN(len(from))] }
 	add := func(st ...Step) { s.Steps = append(s.Steps, st...) }
 	both := func(at time.Duration, a, b []string, f Fault) {
--- a/internal/fleet/harness/process.go
+++ b/internal/fleet/harness/process.go
@@ -157,6 +157,17 @@
 	return err
 }
 
+// tearAt is where a torn file ends, in bytes: within its first pages, so that nothing of the log is left.
+const tearAt = 5000
+
+// Tear cuts the council's file of its disk short, as a crash in the middle of a write may. It must not run.
+func (p *Process) Tear() error {
+	if p.Running() {
+		return fmt.Errorf("%s still runs", p.Name)
+	}
+	return os.Truncate(filepath.Join(p.Dir, "fleet", "council.db"), tearAt)
+}
+
 // FullDisk lets no file of its grow past a size, in bytes; 0 lifts that. It holds until the process ends. A write over
 // it fails, as one to a full disk does.
 func (p *Process) FullDisk(size uint64) error {
--- a/internal/fleet/harness/schedule.go
+++ b/internal/fleet/harness/schedule.go
@@ -24,8 +24,8 @@
 }
 
 // Step is one thing that is done. Processes are named by their place, and "leader", "follower" (neither leader nor
-// voter, the highest place), "voter" and "voter 2" (that do not lead), "killed", "stopped", "full", "lied to", and "old" and "new" of a replaced voter
-// are found when the step is due. Links have "discovery", "clients", "replicas" and the replicas' names as ends too.
+// voter, the highest place), "voter" and "voter 2" (that do not lead), "killed", "stopped", "full", "torn", "lied to", "old" and "new" of a replaced
+// voter, and "next seat", who takes the next such seat, are found when the step is due. Links have "discovery", "clients", "replicas" and the replicas' names as ends too.
 type Step struct {
 	After string        `json:"after,omitempty"` // "": the step before; else the first time that a machine is "granted", "told", "out"
 	At    time.Duration `json:"at"`              // after that
@@ -54,6 +54,7 @@
 	DoCont   Act = "cont"  // SIGCONT
 	DoFull   Act = "full"  // no file grows any more
 	DoRoom   Act = "room"  // they may again
+	DoTear   Act = "tear"  // the council's file of one that does not run is cut short
 	DoFail   Act = "fail"  // a replica ends without a word, and comes back seconds later
 	DoNever  Act = "never" // the next replica that goes out stays away
 	DoRename Act = "rename"
@@ -91,7 +92,7 @@
 		return nil, errors.New("schedule: processes")
 	}
 	acts := []Act{DoAsk, DoAsk2, DoAskAll, DoFault, DoHeal, DoReset, DoKill, DoStart, DoLose, DoStop, DoCont, DoFull, DoRoom, DoFail,
-		DoNever, DoRename, DoEarly, DoSlow, DoRate, DoOld, DoFalse, DoTrue, DoVoter, DoProve}
+		DoNever, DoRename, DoEarly, DoSlow, DoRate, DoOld, DoFalse, DoTrue, DoVoter, DoProve, DoTear}
 	for _, st := range s.Steps {
 		if !slices.Contains(acts, st.Do) {
 			return nil, fmt.Errorf("schedule: nothing does %q", st.Do)
--- a/internal/fleet/harness/seats.go
+++ b/internal/fleet/harness/seats.go
@@ -11,8 +11,8 @@
 const (
 	seatTime  = 40 * time.Second // for a voter to be replaced, once nothing stands in its way
 	proveTime = 30 * time.Second // for a majority in which the new voter is needed to agree on something
-	// changes is how a leader logs it; a change that was cut off half way is finished with nobody to come.
-	changes = `voters change: voter ."n%d." goes, voter ."(n%d)?." comes" error="<nil>"`
+	// changes is how a leader logs that one came; a change that was cut off half way is finished with nobody to come.
+	changes = `voters change: voter ."n\d+." goes, voter ."(n%d)?." comes" error="<nil>"`
 )
 
 // sits tells whether the operators' file names a process as a voter.
@@ -22,19 +22,25 @@
 	return slices.Contains(c.seats, i)
 }
 
-// newVoter takes the seat of a replaced one: the one of the highest place, whose zone had the fewest voters.
-func newVoter(processes int) int { return min(voters, processes-1) }
+// nextSeat is who takes the next seat of a replaced voter: the first that never had one. Its zone had the fewest voters.
+func (c *Cluster) nextSeat() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(voters+len(c.seated), len(c.procs)-1)
+}
 
 // replace writes another voter in place of one into the files of all, and says so to them.
 func (c *Cluster) replace(old int) error {
+	next := c.nextSeat()
 	c.mu.Lock()
 	at := slices.Index(c.seats, old)
-	if at < 0 {
+	if at < 0 || slices.Contains(c.seats, next) {
 		c.mu.Unlock()
-		return fmt.Errorf("process %d has no seat", old)
+		return fmt.Errorf("process %d has no seat, or none is left to take it", old)
 	}
-	c.seats[at] = newVoter(len(c.procs))
-	c.last["old"], c.last["new"] = []int{old}, []int{c.seats[at]}
+	c.seats[at] = next
+	c.seated = append(c.seated, next)
+	c.last["old"], c.last["new"] = []int{old}, []int{next}
 	c.mu.Unlock()
 	for i := range c.procs {
 		if err := c.act(DoVoter, i); err != nil {
@@ -49,19 +55,21 @@
 func (c *Cluster) prove() {
 	c.mu.Lock()
 	old, fresh, seats := c.last["old"], c.last["new"], slices.Clone(c.seats)
+	wait := slices.DeleteFunc(slices.Clone(c.seated), func(i int) bool { return !slices.Contains(seats, i) })
 	c.mu.Unlock()
 	if len(old) == 0 {
 		c.wrong("harness: no voter was replaced")
 		return
 	}
-	line := regexp.MustCompile(fmt.Sprintf(changes, old[0], fresh[0]))
 	if !c.within(time.Now(), seatTime, func() bool {
-		return slices.ContainsFunc(c.procs, func(p *Process) bool {
-			raw, err := os.ReadFile(p.Log)
-			return err == nil && line.Match(raw)
-		})
+		var logs []byte
+		for _, p := range c.procs {
+			raw, _ := os.ReadFile(p.Log)
+			logs = append(logs, raw...)
+		}
+		return !slices.ContainsFunc(wait, func(i int) bool { return !regexp.MustCompile(fmt.Sprintf(changes, i)).Match(logs) })
 	}) {
-		c.note("no leader has said for %v that process %d has the seat of %d", seatTime, fresh[0], old[0])
+		c.note("no leader has said for %v that %v have the seats of others, of process %d the last", seatTime, wait, old[0])
 	}
 	kill := []int{old[0]}
 	for _, i := range seats {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -141,9 +141,10 @@
 	unkept    bool // something may not be said as laid, since the disk does not have it
 	fedAt     time.Duration
 	seatsAt   time.Duration
-	looking   bool // at the council's voters
-	lost      bool // the store or its votes: no seat any more
-	givingUp  bool // the seat
+	looking   bool   // at the council's voters
+	lost      bool   // the store or its votes: no seat any more
+	noSeat    string // why a seat that the council has for this one was not taken, as said last
+	givingUp  bool   // the seat
 	// agreedRevision is that of the limits in force; a file of an older one changes no voters.
 	agreedRevision int
 	listFed        time.Time
--- a/internal/fleet/seats.go
+++ b/internal/fleet/seats.go
@@ -97,10 +97,13 @@
 		return
 	}
 	if err := n.openSeat(f, false); err != nil {
-		n.lost = true
-		n.log.WithError(err).Error("the seat in the council can't be taken")
+		if n.noSeat != err.Error() { // once for each cause: it is asked for again, so that a disk that has room later is enough
+			n.noSeat = err.Error()
+			n.log.WithError(err).Error("the seat in the council can't be taken; it is tried again")
+		}
 		return
 	}
+	n.noSeat = ""
 	n.log.Info("the seat in the council is open; the leader lets it vote")
 }
 
