--- a/Makefile
+++ b/Makefile
@@ -84,10 +84,11 @@
 fleet:
 	BIRCHCART_FLEET=$(SEED) BIRCHCART_FLEET_SHRINK=$(SHRINK) go test -timeout 90m -v -count=1 -run 'TestFleet$$' ./internal/fleet/harness
 
-# Sessions on ten co-ordinators that are swapped one after the other under seeded faults, as fleet does.
+# Sessions on ten co-ordinators that are swapped one after the other under seeded faults, as fleet does; SEED=3000-3011 are the kinds
+# about sessions alone; SMALL=1 plays six co-ordinators with 300 sessions, one schedule at a time.
 PINNED ?= 1-40
 pinned:
-	BIRCHCART_PINNED=$(if $(filter command line,$(origin SEED)),$(SEED),$(PINNED)) go test -timeout 120m -v -count=1 -run 'TestPinned$$' ./internal/fleet/harness
+	BIRCHCART_PINNED_SMALL=$(SMALL) BIRCHCART_PINNED=$(if $(filter command line,$(origin SEED)),$(SEED),$(PINNED)) go test -timeout 120m -v -count=1 -run 'TestPinned$$' ./internal/fleet/harness
 
 fleet-figures:
 	BIRCHCART_FLEET_FIGURES=20 go test -timeout 30m -v -count=1 -run TestFigures ./internal/fleet/harness
--- a/internal/fleet/harness/acts.go
+++ b/internal/fleet/harness/acts.go
@@ -11,7 +11,9 @@
 
 // step waits until it is due and does it.
 func (c *Cluster) step(st *Step) {
-	if st.After != "" {
+	if st.After == afterMoved || st.After == afterGoing {
+		c.awaitMove(st.After)
+	} else if st.After != "" {
 		seen := c.fences()
 		c.files.Until(stepMost, func() bool { return c.reached(takeout.Phase(st.After), seen) })
 	}
@@ -45,6 +47,8 @@
 		c.work.Go(c.fail)
 	case DoRate:
 		c.stream.Quicken(st.Rate)
+	case DoHerd:
+		c.pinned.Herd()
 	case DoProve:
 		c.prove()
 	case DoVoter:
--- a/internal/fleet/harness/check.go
+++ b/internal/fleet/harness/check.go
@@ -62,6 +62,7 @@
 	Busy      []Span        // in which this machine did not keep up, as the harness's own clock saw it
 	Bears     float64       // parts out at once, that a replica bears
 	Answer    time.Duration // for which a replica has a part open, at the least
+	Wait      time.Duration // of clients of sessions for what may run twice
 	Wrong     []string      // found while it ran
 	Asked     []Asked       // by the clients of sessions
 	Runs      []Run         // of theirs
--- a/internal/fleet/harness/check_sessions.go
+++ b/internal/fleet/harness/check_sessions.go
@@ -18,6 +18,10 @@
 	Refused                     map[string]int  // tries, by whether an owner was named
 	Pauses                      []time.Duration // from a session's last run at one owner to its first at the next
 	SlotsMost                   int             // parts at one replica at one moment
+	Crossed                     int             // tries without an answer that only a close on a kept connection excuses
+	Beside                      int             // queries that a client asked while another of its session was open
+	InHand                      map[string]int  // tries that were open at a process when it was stopped and ended after its wake, by class and status
+	HandTaken                   int             // of them, those whose session ran elsewhere meanwhile
 }
 
 // checkSessions judges S1 to S4 from outside: each session's history must be that of one counter (porcupine), no tally runs
@@ -26,7 +30,7 @@
 	if len(h.Asked) == 0 {
 		return
 	}
-	s := &SessionVerdict{Refused: map[string]int{}}
+	s := &SessionVerdict{Refused: map[string]int{}, InHand: map[string]int{}}
 	v.Pinned = s
 	runs := map[int][]Run{}
 	for _, r := range h.Runs {
@@ -39,7 +43,8 @@
 	}
 	s.Sessions, s.Tries = len(asked), len(h.Asked)
 	for _, id := range sortedKeys(asked) {
-		h.checkRuns(v, s, id, runs[id])
+		h.checkRuns(v, s, id, asked[id], runs[id])
+		h.checkHand(v, s, id, asked[id], runs[id])
 		h.checkCounter(v, s, id, asked[id], runs[id])
 	}
 	h.checkSlots(v, s)
@@ -69,26 +74,36 @@
 		excused = excused || slices.ContainsFunc(of[a.To], func(x Span) bool { return x.meets(a.At, a.End.Add(upTime)) })
 	}
 	busy := slices.ContainsFunc(h.Busy, func(x Span) bool { return x.meets(a.At, a.End) })
-	switch late := a.End.Sub(a.At) > clientWait+answerSlip; {
+	grants := clientWait
+	if !a.Tally {
+		grants = or(h.Wait, clientWait)
+	}
+	switch late := a.End.Sub(a.At) > grants+answerSlip; {
 	case a.Status == 0 && !excused && !busy && !(a.Crossed && !ran):
-		v.broken("S4: query %d of session %d had no answer at process %d, try %d", a.Query, a.Session, a.To, a.Try)
+		v.broken("S4: query %d of session %d had no answer at process %d, try %d, tally %v, at %s for %v: %s (it ran: %v, on a kept connection: %v)", a.Query,
+			a.Session, a.To, a.Try, a.Tally, a.At.Format("05.000"), a.End.Sub(a.At).Round(time.Millisecond), a.Err, ran, a.Kept)
 	case a.Status == 0:
-		s.Lost++
+		if s.Lost++; !excused && !busy {
+			s.Crossed++
+		}
 	case late && !excused && !busy:
 		v.broken("S4: query %d of session %d was answered after %v by process %d", a.Query, a.Session, a.End.Sub(a.At), a.To)
 	}
 }
 
 // checkRuns: S1 and S3 at the replicas. Runs of a session come in the order of its queries, no tally twice.
-func (h *History) checkRuns(v *Verdict, s *SessionVerdict, id int, runs []Run) {
+func (h *History) checkRuns(v *Verdict, s *SessionVerdict, id int, asked []Asked, runs []Run) {
 	slices.SortStableFunc(runs, func(a, b Run) int { return a.At.Compare(b.At) })
 	seen := map[int]Run{}
 	moves := 0
 	for i, r := range runs {
 		if i > 0 {
 			before := runs[i-1]
-			if r.Query < before.Query {
-				v.broken("S3: query %d of session %d ran by process %d after query %d by process %d, %v later", r.Query, id, r.Process, before.Query, before.Process, r.At.Sub(before.At))
+			for _, b := range runs[max(0, i-orderMost):i] {
+				if r.Query < b.Query && late(asked, r, b) {
+					v.broken("S3: query %d of session %d ran by process %d after query %d by process %d, %v later", r.Query, id, r.Process, b.Query, b.Process, r.At.Sub(b.At))
+					break
+				}
 			}
 			if r.Process != before.Process {
 				moves++
@@ -153,10 +168,10 @@
 			if !slices.ContainsFunc(runs, func(r Run) bool { return r.Query == a.Query && r.Try == a.Try }) {
 				v.broken("S3: query %d of session %d was served and never ran", a.Query, id)
 			}
-			history = append(history, porcupine.Operation{ClientId: 0, Input: op{a.Tally, a.Count}, Call: a.At.UnixNano(), Output: nil, Return: a.End.UnixNano()})
+			history = append(history, porcupine.Operation{Input: op{a.Tally, a.Count}, Call: a.At.UnixNano(), Output: nil, Return: a.End.UnixNano()})
 		case a.Tally && a.Status != 503 && a.Status != 409 && a.Status != 400 && !a.Unsent: // it may have run, by its deadline
 			s.Failed++
-			history = append(history, porcupine.Operation{ClientId: len(history) + 1, Input: op{true, -1}, Call: a.At.UnixNano(), Output: nil,
+			history = append(history, porcupine.Operation{Input: op{true, -1}, Call: a.At.UnixNano(), Output: nil,
 				Return: later(a.End, a.At.Add(clientWait+answerSlip)).UnixNano()})
 		case a.Status == 503 && a.Tally:
 			if slices.ContainsFunc(runs, func(r Run) bool { return r.Query == a.Query && r.Try == a.Try }) {
@@ -164,10 +179,8 @@
 			}
 		}
 	}
-	for i := range history { // a client's operations may not overlap for the checker; those that may end later are others'
-		if i > 0 && history[i].Call <= history[i-1].Return {
-			history[i].ClientId = i + 1
-		}
+	for i := range history { // a client's operations may not overlap for the checker
+		history[i].ClientId = i
 	}
 	if r := porcupine.CheckOperationsTimeout(counter, history, 10*time.Second); r == porcupine.Illegal {
 		v.broken("S1: no one counter explains what the client of session %d saw: %s", id, tell(asked))
--- a/internal/fleet/harness/cluster.go
+++ b/internal/fleet/harness/cluster.go
@@ -92,11 +92,12 @@
 	}
 	h := &c.h
 	h.Limits, h.Bears, h.Answer = c.limits, or(opt.Terms.Bears, bears), or(opt.Terms.Answer, answerTime)
+	h.Wait = or(opt.Terms.Wait, clientWait)
 	h.Deaf, h.Silent = make([][]Span, processes), make([][]Span, processes)
 	h.Disturbed, h.Down, h.Ending, h.Stopped = make([][]Span, processes), make([][]Span, processes), make([][]Span, processes), make([][]Span, processes)
 	if c.fleet, err = standin.NewFleet(standin.FleetShape{
 		Replicas: replicas, Cells: cells, Reach: reach, Shards: shards,
-		Classes: classes(opt.Terms.Sessions > 0),
+		Classes: classes(&opt.Terms),
 		Listen:  func(i int) string { return site.Replica(i).String() },
 	}, nil); err != nil {
 		site.Leave()
@@ -144,16 +145,17 @@
 	c.files = WatchFiles(paths)
 	c.tally.count = map[int]int{}
 	if n := opt.Terms.Sessions; n > 0 {
-		c.pinned = &Sessions{Addresses: serving, Many: n, Shards: shards, Rate: sessionRate, Seed: seed}
+		c.pinned = &Sessions{Addresses: serving, Many: n, Shards: shards, Rate: sessionRate, Seed: seed, Both: opt.Terms.Both, Wait: opt.Terms.Wait}
 	}
 	c.stream = &Stream{Addresses: serving, Shards: shards, Rate: or(opt.Terms.Rate, streamRate), Seed: seed}
 	return c, nil
 }
 
 // classes of the queries; with sessions there are some that may not run twice.
-func classes(sessions bool) []standin.FleetClass {
-	out := []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: 2.5, Semantics: "repeatable", Need: 1, Floor: 1}}
-	if sessions {
+func classes(t *Terms) []standin.FleetClass {
+	give := max(2.5, 1.25*t.Wait.Seconds())
+	out := []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: give, Semantics: "repeatable", Need: 1, Floor: 1}}
+	if t.Sessions > 0 {
 		out = append(out, standin.FleetClass{Name: "tally", Promise: 1, GiveUp: 2.5, Semantics: "once", Need: 1, Floor: 1})
 	}
 	return out
--- a/internal/fleet/harness/kinds.go
+++ b/internal/fleet/harness/kinds.go
@@ -17,8 +17,11 @@
 // slowCases are those in which a co-ordinator that can't have heard of a grant may still send to its machine.
 var slowCases = []string{"two halves with one request each", "one-way cut to the leader", "follower stopped", "leader stopped", "seven in ten restarted"}
 
-// NewSchedule makes up the schedule of a seed. Those from laterSeeds and latestSeeds on are of later kinds.
+// NewSchedule makes up the schedule of a seed. Those from laterSeeds, latestSeeds and sessionSeeds on are of later kinds.
 func NewSchedule(seed uint64, processes int) *Schedule {
+	if seed >= sessionSeeds {
+		return newPinned(seed, processes)
+	}
 	if seed >= latestSeeds {
 		return newLatest(seed, processes)
 	}
--- a/internal/fleet/harness/schedule.go
+++ b/internal/fleet/harness/schedule.go
@@ -25,9 +25,9 @@
 
 // Step is one thing that is done. Processes are named by their place, and "leader", "follower" (neither leader nor
 // voter, the highest place), "voter" and "voter 2" (that do not lead), "killed", "stopped", "full", "torn", "lied to", "old" and "new" of a replaced
-// voter, and "next seat", who takes the next such seat, are found when the step is due. Links have "discovery", "clients", "replicas" and the replicas' names as ends too.
+// voter, "next seat", who takes the next such seat, "source" and "target" of one that is going or moved are found when the step is due. Links have "discovery", "clients", "replicas" and the replicas' names as ends too.
 type Step struct {
-	After string        `json:"after,omitempty"` // "": the step before; else the first time that a machine is "granted", "told", "out"
+	After string        `json:"after,omitempty"` // "": the step before; else the first time that a machine is "granted", "told", "out", a co-ordinator is "going", a client hears of a session "moved" by such a one
 	At    time.Duration `json:"at"`              // after that
 	Do    Act           `json:"do"`
 	Who   []string      `json:"who,omitempty"` // processes, or replicas for the acts on these
@@ -65,6 +65,7 @@
 	DoTrue   Act = "true list"  // it has discovery's again
 	DoVoter  Act = "voter"      // another takes the seat of Who, by the files of all
 	DoProve  Act = "prove"      // waits until it has, and kills so many that the new one is needed for a majority
+	DoHerd   Act = "herd"       // all clients of sessions come within 100 ms
 	DoEarly  Act = "early"      // a replica that is granted goes out before it was told
 )
 
@@ -92,7 +93,7 @@
 		return nil, errors.New("schedule: processes")
 	}
 	acts := []Act{DoAsk, DoAsk2, DoAskAll, DoFault, DoHeal, DoReset, DoKill, DoStart, DoLose, DoStop, DoCont, DoFull, DoRoom, DoFail,
-		DoNever, DoRename, DoEarly, DoSlow, DoRate, DoOld, DoFalse, DoTrue, DoVoter, DoProve, DoTear}
+		DoNever, DoRename, DoEarly, DoSlow, DoRate, DoOld, DoFalse, DoTrue, DoVoter, DoProve, DoTear, DoHerd}
 	for _, st := range s.Steps {
 		if !slices.Contains(acts, st.Do) {
 			return nil, fmt.Errorf("schedule: nothing does %q", st.Do)
--- a/internal/fleet/harness/sessions.go
+++ b/internal/fleet/harness/sessions.go
@@ -13,7 +13,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -24,6 +23,8 @@
 	sessionRate = 250.0
 	// tallyShare of a session's queries may not run twice.
 	tallyShare = 0.4
+	// sessionMost is after how long such a client stops listening: it hears what a co-ordinator says that wakes after its lease.
+	sessionMost = 15 * time.Second
 	// triesMost of one query by its client, which then goes on to the next.
 	triesMost = 40
 	// sessionSlots are the slots at each replica, of all co-ordinators together.
@@ -50,9 +51,11 @@
 	At, End             time.Time
 	Status              int  // of the answer; 0: none
 	Unsent              bool // no connection was had
+	Kept                bool // the connection had been there before
 	Crossed             bool // no answer on a kept connection, which may have been closed as the query came
 	Count               int  // of the session's tallies, as a served answer has it; -1: none
 	Owner               string
+	Err                 string // of a try without an answer
 }
 
 // Sessions are clients with a session each. Each asks its queries one after the other, at random times that do not wait
@@ -63,9 +66,14 @@
 	Shards    int
 	Rate      float64 // queries/s, of all together
 	Seed      uint64
+	Both      int // one of so many asks a second query elsewhere while its first may be open; 0: none
+
+	Wait time.Duration // for what may run twice; 0: as for all else
 
 	mu    sync.Mutex
 	asked []Asked
+	move  Move          // the newest that a client was told of
+	herd  chan struct{} // closed when all are to come at once
 	wg    sync.WaitGroup
 	ended chan struct{}
 	open  atomic.Int64
@@ -74,8 +82,8 @@
 
 // Start begins to ask.
 func (s *Sessions) Start() {
-	s.ended = make(chan struct{})
-	s.http = &http.Client{Timeout: clientMost, Transport: &http.Transport{
+	s.ended, s.herd = make(chan struct{}), make(chan struct{})
+	s.http = &http.Client{Timeout: sessionMost, Transport: &http.Transport{
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Second, DialContext: (&net.Dialer{Timeout: clientWait}).DialContext,
 	}}
 	for i := range s.Many {
@@ -106,38 +114,53 @@
 func (s *Sessions) client(session int) {
 	rng := rand.New(rand.NewPCG(s.Seed, uint64(session)))
 	to, every := session%len(s.Addresses), float64(s.Many)/s.Rate*float64(time.Second)
-	for query := 0; s.sleep(time.Duration(every * (0.5 + rng.Float64()))); query++ {
+	for query := 0; s.idle(rng, time.Duration(every*(0.5+rng.Float64()))); query++ {
 		tally := rng.Float64() < tallyShare
-		end := time.Now().Add(2 * clientWait) // for all tries; each grants its own time
-		for try := range triesMost {
-			a := s.ask(session, query, try, tally, to)
-			s.mu.Lock()
-			s.asked = append(s.asked, a)
-			s.mu.Unlock()
-			if a.Status == 200 || time.Now().After(end) || tally && a.Status != 503 && a.Status != 409 && !a.Unsent {
-				break // served, out of patience, or it may have run
-			}
-			wait := 20 * time.Millisecond
-			if i, err := strconv.Atoi(strings.TrimPrefix(a.Owner, "n")); a.Owner != "" && err == nil && i < len(s.Addresses) {
-				to = i
-			} else {
-				wait += time.Duration(rng.Int64N(int64(150 * time.Millisecond)))
-				if a.Status == 0 || try%4 == 3 {
-					to = rng.IntN(len(s.Addresses))
-				}
-			}
-			if !s.sleep(wait) {
-				return
+		if s.Both > 0 && session%s.Both == 0 {
+			query = s.both(rng, session, query, tally, &to)
+			continue
+		}
+		s.query(rng, session, query, 0, tally, &to, nil)
+	}
+}
+
+// query asks one, again and again while that is harmless. It goes to the owner that a refusal names, or, as long as there is one
+// to avoid, to any but that.
+func (s *Sessions) query(rng *rand.Rand, session, query, first int, tally bool, to *int, avoid *atomic.Int64) {
+	end := time.Now().Add(2 * clientWait) // for all tries; each grants its own time
+	if avoid != nil {
+		end = end.Add(sessionMost)
+	}
+	for try := range triesMost {
+		a := s.ask(session, query, first+try, tally, *to)
+		i := s.note(a)
+		if a.Status == 200 || time.Now().After(end) || tally && a.Status != 503 && a.Status != 409 && !a.Unsent {
+			return // served, out of patience, or it may have run
+		}
+		wait := 20 * time.Millisecond
+		switch {
+		case avoid != nil && avoid.Load() >= 0:
+			wait += time.Duration(rng.Int64N(int64(400 * time.Millisecond)))
+			*to = s.but(rng, int(avoid.Load()))
+		case i >= 0:
+			*to = i
+		default:
+			wait += time.Duration(rng.Int64N(int64(150 * time.Millisecond)))
+			if a.Status == 0 || try%4 == 3 {
+				*to = rng.IntN(len(s.Addresses))
 			}
 		}
+		if !s.sleep(wait) {
+			return
+		}
 	}
 }
 
 func (s *Sessions) ask(session, query, try int, tally bool, to int) Asked {
 	a := Asked{Session: session, Query: query, Try: try, Tally: tally, To: to, At: time.Now(), Count: -1}
-	class := "search"
+	class, grants := "search", or(s.Wait, clientWait)
 	if tally {
-		class = "tally"
+		class, grants = "tally", clientWait
 	}
 	body := fmt.Sprintf(`{"buckets":[{"bucket":%d,"part":1}],"body":"%d %d %d %v"}`, session%s.Shards, session, query, try, tally)
 	r, err := http.NewRequest("POST", "http://"+s.Addresses[to]+"/"+class, strings.NewReader(body))
@@ -146,22 +169,22 @@
 	}
 	r.GetBody = nil // it is never sent again by the transport
 	r.Header.Set("X-Request-ID", fmt.Sprintf("p%d-%d-%d-%d", to, session, query, try))
-	r.Header.Set("X-Timeout-Ms", strconv.FormatInt(clientWait.Milliseconds(), 10))
+	r.Header.Set("X-Timeout-Ms", strconv.FormatInt(grants.Milliseconds(), 10))
 	r.Header.Set(sessionHeader, fmt.Sprint("s", session))
-	kept := false
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { kept = c.Reused }}))
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { a.Kept = c.Reused || c.WasIdle }}))
 	resp, err := s.http.Do(r)
 	a.End = time.Now()
 	if err != nil {
 		var op *net.OpError
 		a.Unsent = errors.As(err, &op) && op.Op == "dial"
-		a.Crossed = kept && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET))
+		a.Crossed, a.Err = a.Kept && closedBy(err), err.Error()
 		return a
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	a.End = time.Now()
 	if err != nil {
+		a.Err = err.Error()
 		return a
 	}
 	a.Status, a.Owner = resp.StatusCode, resp.Header.Get(ownerHeader)
--- a/internal/fleet/harness/sessions_test.go
+++ b/internal/fleet/harness/sessions_test.go
@@ -1,6 +1,10 @@
 package harness
 
 import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -14,6 +18,9 @@
 func pinnedSchedule(seed uint64, processes, sessions int) *Schedule {
 	s := NewSchedule(seed, processes)
 	s.Terms.Only, s.Terms.Sessions = takeout.Coordinator, sessions
+	if s.Case == "herd" && sessions >= 2000 {
+		s.Terms.Sessions = herdMost
+	}
 	return s
 }
 
@@ -21,8 +28,8 @@
 	t.Helper()
 	r := play(t, pinnedSchedule(seed, processes, sessions), Options{Also: true, Limit: limit})
 	if v := r.Pinned; v != nil {
-		t.Logf("seed %d: %d sessions, %d queries in %d tries, %d served, %d failed, %d without an answer, refused %v; %d moved, %d times at most; %d slots of %d at most",
-			seed, v.Sessions, v.Queries, v.Tries, v.Served, v.Failed, v.Lost, v.Refused, v.Moved, v.MovesMost, v.SlotsMost, sessionSlots)
+		t.Logf("seed %d: %d sessions, %d queries in %d tries, %d served, %d failed, %d without an answer (%d met a close), refused %v; %d moved, %d times at most; %d slots of %d at most; %d asked beside another, in a stopped one's hand %v, of them %d of sessions that ran elsewhere",
+			seed, v.Sessions, v.Queries, v.Tries, v.Served, v.Failed, v.Lost, v.Crossed, v.Refused, v.Moved, v.MovesMost, v.SlotsMost, sessionSlots, v.Beside, v.InHand, v.HandTaken)
 		if v.Served < v.Queries/2 {
 			t.Errorf("seed %d: %d of %d queries were served", seed, v.Served, v.Queries)
 		}
@@ -50,14 +57,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	room := make(chan struct{}, 2)
+	processes, sessions, room := 10, 2000, make(chan struct{}, 2)
+	if os.Getenv("BIRCHCART_PINNED_SMALL") != "" {
+		processes, sessions, room = 6, 300, make(chan struct{}, 1)
+	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, seed := range all {
 		wg.Go(func() {
 			room <- struct{}{}
 			defer func() { <-room }()
-			if r := playPinned(t, seed, 10, 2000, 2*runMost); r.Failed() {
+			if r := playPinned(t, seed, processes, sessions, 2*runMost); r.Failed() {
 				t.Errorf("replay with: make pinned SEED=%d\n%s", seed, r.Report())
 			}
 		})
@@ -103,6 +113,20 @@
 		"crossed, ran":  {func(h *History) { h.Asked[3].Status, h.Asked[3].Crossed = 0, true }, "S4: query 2 of session 0 had no answer"},
 		"late":          {func(h *History) { h.Asked[5].End = at(5600) }, "S4: query 4 of session 0 was answered after"},
 		"late, excused": {func(h *History) { h.Asked[5].End = at(5600); h.Stopped[1] = []Span{{at(2900), at(9000), "stopped"}} }, ""},
+		"beside, out of order": {func(h *History) {
+			h.Asked = append(h.Asked, Asked{Query: 5, At: at(4000), End: at(4100), Status: 200, Count: 3}, Asked{Query: 6, To: 1, At: at(4010), End: at(4060), Status: 200, Count: 3})
+			h.Runs = append(h.Runs, Run{At: at(4020), Process: 1, Query: 6, Count: 3}, Run{At: at(4080), Query: 5, Count: 3})
+		}, ""},
+		"an answer in hand": {func(h *History) {
+			h.Asked = append(h.Asked, Asked{Query: 5, At: at(4000), End: at(13000), Status: 200, Count: 3}, Asked{Query: 6, To: 1, At: at(10010), End: at(10100), Status: 200, Count: 3})
+			h.Runs = append(h.Runs, Run{At: at(4020), Query: 5, Count: 3}, Run{At: at(10050), Process: 1, Query: 6, Count: 3})
+			h.Stopped[0] = []Span{{at(4030), at(12900).Add(upTime), "stopped"}}
+		}, "S1: process 0 gave its answer of query 5 of session 0 2.95s after process 1"},
+		"an answer in hand, refused": {func(h *History) {
+			h.Asked = append(h.Asked, Asked{Query: 5, At: at(4000), End: at(13000), Status: 503, Count: -1}, Asked{Query: 6, To: 1, At: at(10010), End: at(10100), Status: 200, Count: 3})
+			h.Runs = append(h.Runs, Run{At: at(4020), Query: 5, Count: 3}, Run{At: at(10050), Process: 1, Query: 6, Count: 3})
+			h.Stopped[0] = []Span{{at(4030), at(12900).Add(upTime), "stopped"}}
+		}, ""},
 		"over the slots": {func(h *History) {
 			for i := range sessionSlots + 1 {
 				h.Runs = append(h.Runs, Run{At: at(3100), Session: i + 1})
@@ -119,3 +143,57 @@
 		})
 	}
 }
+
+// Each kind of schedule of sessions is made up alike each time, is read again as it was written, and waits for moves.
+func TestSessionCases(t *testing.T) {
+	for i, name := range SessionCases {
+		s := pinnedSchedule(sessionSeeds+uint64(i), 10, 100)
+		again, err := DecodeSchedule(s.Encode())
+		if err != nil || again.Encode() != s.Encode() || pinnedSchedule(s.Seed, 10, 100).Encode() != s.Encode() {
+			t.Errorf("%s: %v, %s", name, err, s.Encode())
+		}
+		if s.Case != name || !strings.Contains(s.Encode(), `"after":"`) || s.Terms.Sessions != 100 {
+			t.Errorf("%s: %s", name, s.Encode())
+		}
+	}
+}
+
+// A kept connection that its server closes as a query comes ends in one of the ways that are told apart from an answer that is lost.
+func TestCrossed(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() { // one answer a connection, which is closed then without a word of it
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				nc.Read(make([]byte, 4096))
+				io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				time.Sleep(time.Duration(rand.Int64N(int64(time.Millisecond))))
+			}()
+		}
+	}()
+	s := &Sessions{Addresses: []string{ln.Addr().String()}, Shards: 1}
+	s.http = &http.Client{Timeout: clientWait, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer s.http.CloseIdleConnections()
+	seen := map[string]int{}
+	for i := range 1000 {
+		a := s.ask(0, i, 0, true, 0)
+		switch {
+		case a.Status == 0 && !a.Crossed:
+			t.Errorf("query %d: %s, on a kept connection: %v", i, a.Err, a.Kept)
+		case a.Status == 0:
+			seen[a.Err[strings.LastIndex(a.Err, ": ")+2:]]++
+		}
+		time.Sleep(time.Duration(rand.Int64N(int64(time.Millisecond))))
+	}
+	if t.Log(seen); len(seen) == 0 {
+		t.Error("no query met the end of its connection")
+	}
+}
--- a/internal/fleet/harness/terms.go
+++ b/internal/fleet/harness/terms.go
@@ -21,6 +21,8 @@
 	Only       takeout.Kind  `json:"only,omitempty"`     // machines of this kind alone are swapped
 	Turns      bool          `json:"turns,omitempty"`    // a routine request for one replica and urgent ones for those that share its shards
 	Sessions   int           `json:"sessions,omitempty"` // pinned ones, with a client each
+	Both       int           `json:"both,omitempty"`     // one of so many of their clients asks at two co-ordinators; 0: none
+	Wait       time.Duration `json:"wait,omitempty"`     // of their clients for what may run twice
 	Relays     bool          `json:"relays,omitempty"`   // discovery and replicas have relays before them too
 }
 
