Carry what ran of a session to its next owner, and fail a repeat of it at once

The state that a hand-over carries was filled by nobody, so a client that repeated an unsafe query at the new owner had it run twice. A repeat is failed at once, at one owner too; a keyed one begins while all of its time lies within the window of the first. Windows are turned into agreed time and back so that they end early, never late, however far a copy is behind.

A message of acts is bounded by bytes as well, so that an entry of hands is one that the council takes.

--- a/internal/fleet/keeper/acts.go
+++ b/internal/fleet/keeper/acts.go
@@ -13,15 +13,16 @@
 		}
 	case Frozen:
 		k.seen.hands(s)
-		// The state goes as a copy: the act may be on its way when the session has thawed.
-		k.act(session.Act{
-			Kind: session.Hand, ID: s.id, Epoch: s.epoch, Fence: s.fence, Seq: s.seq, State: append([]byte(nil), s.state...), Lane: s.lane,
-		})
+		k.act(session.Act{Kind: session.Hand, ID: s.id, Epoch: s.epoch, Fence: s.fence, Seq: s.seq, State: k.carries(s), Lane: s.lane})
 	case Adopting:
 		r, _ := k.book.Get(s.id)
 		switch {
+		case s.unread:
+			k.act(session.Act{Kind: session.Decline, ID: s.id, Epoch: s.epoch, Fence: r.Fence})
 		case k.roomy:
-			s.adopts = true
+			if !s.adopts {
+				s.adopts, s.handed = true, k.now+r.Since
+			}
 			k.act(session.Act{Kind: session.Adopt, ID: s.id, Epoch: s.epoch})
 		case k.since(r.Since) >= AdoptWait:
 			k.act(session.Act{Kind: session.Decline, ID: s.id, Epoch: s.epoch, Fence: r.Fence})
--- a/internal/fleet/keeper/check.go
+++ b/internal/fleet/keeper/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"birchcart/internal/fleet/ran"
 	"birchcart/internal/fleet/session"
 )
 
@@ -37,6 +38,11 @@
 			e.fail("S3: query %d of %v began as %d behind %d as %d", q.token, session.ID(s.id), q.seq, o.token, o.seq)
 		}
 	}
+	for _, r := range s.ran {
+		if q.effect != Safe && r.ID == q.id && (q.effect == Unsafe || !r.Keyed || r.Until() < q.due) {
+			e.fail("S3: query %d of %v begins, as %d it ran before: %+v", q.token, session.ID(s.id), r.Seq, r)
+		}
+	}
 	if k.now >= q.due {
 		e.fail("S4: query %d began at %v, its time was over at %v", q.token, k.now, q.due)
 	}
@@ -164,6 +170,8 @@
 		return fmt.Errorf("S3: session %v counts %d, %d, %d, %d, it has %d, %d, %d, %d", id, s.waits, s.runs, s.alone, s.left, waits, runs, alone, left)
 	case s.phase == Frozen && runs > 0:
 		return fmt.Errorf("S3: session %v is frozen with %d queries open", id, runs)
+	case len(s.ran) > ran.Most || len(s.ran) > 0 && s.phase == Pinned && s.ran[len(s.ran)-1].Seq > uint32(s.seq):
+		return fmt.Errorf("bounds: session %v, at %d, remembers %+v", id, s.seq, s.ran)
 	case waits > k.o.WaitsMost:
 		return fmt.Errorf("bounds: %d queries of session %v wait", waits, id)
 	case s.idle && (s.phase != Pinned || waits+runs > 0):
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -64,6 +64,7 @@
 	Held, Waiting, Open                                                        int
 	Arrived, Ran, Refused, Recalled, Failed, Allowed, Withheld                 uint64
 	Claimed, Adopted, Offered, Frozen, Handed, RolledBack, Thawed, Ended, Lost uint64
+	Repeated                                                                   uint64 // of the Failed
 }
 
 // New makes a keeper of the co-ordinator of that name.
--- a/internal/fleet/keeper/phases.go
+++ b/internal/fleet/keeper/phases.go
@@ -10,7 +10,7 @@
 	} else {
 		s = new(sess)
 	}
-	*s = sess{id: id, phase: Gone, used: k.now, state: s.state[:0]}
+	*s = sess{id: id, phase: Gone, used: k.now, ran: s.ran[:0]}
 	k.sessions[id] = s
 	k.phases[Gone]++
 	return s
@@ -33,7 +33,7 @@
 	s.epoch, s.used = r.Epoch, k.now
 	switch {
 	case !ok:
-		s.state = s.state[:0]
+		s.ran = s.ran[:0]
 		k.enter(s, Claiming)
 	case r.Phase == session.Handed:
 		k.handedHere(s, r)
@@ -45,7 +45,7 @@
 // handedHere takes over what a hand carried.
 func (k *Keeper) handedHere(s *sess, r session.Record) {
 	s.epoch, s.adopts = r.Epoch, false
-	s.state = append(s.state[:0], r.State...)
+	k.carried(s, r)
 	if r.Source == "" {
 		k.sums.RolledBack++
 	}
@@ -157,6 +157,7 @@
 			k.found(s, r, ok)
 		case r.Phase != session.Handed && r.Epoch == s.epoch:
 			k.sums.Adopted++
+			s.ran.Shift(s.handed - r.Since)
 			k.pin(s, r)
 		case r.Epoch != s.epoch:
 			k.found(s, r, ok)
--- a/internal/fleet/keeper/play_test.go
+++ b/internal/fleet/keeper/play_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"birchcart/internal/fleet/ran"
 	"birchcart/internal/fleet/session"
 )
 
@@ -92,6 +93,7 @@
 	need := [][]string{nil, {"r1"}, {"r1"}, {"r1", "r2"}, {"r2", "r2"}}[p.draw(5)]
 	q := &asked{n: n, at: p.now, Arrived: Arrived{Token: uint64(len(p.all) + 1), Session: id(n), Client: uint64(p.draw(2)), Effect: effect,
 		Due: p.now + time.Duration(p.draw(6)+1)*sec/2, Window: time.Duration(p.draw(4)) * sec, Needs: need}}
+	q.ID = []ran.ID{{}, ran.IDOf("a"), ran.IDOf("b"), ran.IDOf("c")}[p.draw(4)]
 	p.all = append(p.all, q)
 	p.news = append(p.news, &q.Arrived)
 }
@@ -266,6 +268,12 @@
 		}
 	case Fail:
 		q = p.all[o.Token-1]
+		if o.Why == Repeated {
+			if q.words++; q.runs || !slices.ContainsFunc(p.all, func(b *asked) bool { return b.before(q) }) {
+				p.fail("S5: %+v failed as one that is repeated", *q)
+			}
+			return
+		}
 		if q.words++; !q.runs || q.Effect == Safe || q.outcome == NotRun && o.Why == Broken {
 			p.fail("S5: %+v failed", *q)
 		}
@@ -282,6 +290,11 @@
 	}
 }
 
+// before says that one that ran, or may have, is called the same, and that a repeat of it could act again.
+func (b *asked) before(q *asked) bool {
+	return b != q && b.n == q.n && b.ID == q.ID && q.ID != ran.ID{} && b.Effect != Safe && q.Effect != Safe && b.runs && b.ended && b.outcome != NotRun
+}
+
 // run is S1 and S3 for one that begins.
 func (p *play) run(q *asked, seq uint64) {
 	p.t.Helper()
@@ -291,6 +304,8 @@
 	beside := 0
 	for _, o := range p.all {
 		switch {
+		case o.before(q) && o.epoch == q.epoch && (o.Effect == Unsafe || q.Effect == Unsafe || q.Due > o.began+o.Window):
+			p.fail("S3: %+v begins, %+v ran before it", *q, *o)
 		case o.n != q.n || o == q:
 		case o.open(p.now) && (o.Effect != Safe || q.Effect != Safe):
 			p.fail("S3: %+v begins beside %+v", *q, *o)
--- a/internal/fleet/keeper/queries.go
+++ b/internal/fleet/keeper/queries.go
@@ -28,6 +28,10 @@
 		k.look(s, r, ok)
 		s = k.sessions[a.Session] // it may be known no more
 	}
+	if s != nil && a.Effect != Safe && (s.phase == Pinned || s.phase == Quiescing || s.phase == Frozen) && s.ranBefore(a.ID, a.Effect, a.Due) {
+		k.failAgain(a.Token)
+		return
+	}
 	if s == nil || s.phase == Gone {
 		if ok && r.Owner != k.name {
 			k.turnAway(a.Token, Elsewhere, BackSoon, r.Owner)
@@ -109,7 +113,7 @@
 	}
 	k.no++
 	*q = query{
-		token: a.Token, no: k.no, client: a.Client, s: s, needs: a.Needs, due: a.Due, window: a.Window, effect: a.Effect, place: -1,
+		token: a.Token, no: k.no, client: a.Client, id: a.ID, s: s, needs: a.Needs, due: a.Due, window: a.Window, effect: a.Effect, place: -1,
 	}
 	k.queries[q.token] = q
 	return q
@@ -139,6 +143,13 @@
 			k.giveUp(q, NoLease, BackLater, "")
 			continue
 		}
+		if q.effect != Safe && s.ranBefore(q.id, q.effect, q.due) {
+			k.word(q)
+			k.failAgain(q.token)
+			k.unqueue(q, q.place >= 0)
+			k.forget(q)
+			continue
+		}
 		if q.effect != Safe && s.runs > 0 || s.alone > 0 || s.runs > 0 && int(s.runs) >= k.limits.Slots {
 			return
 		}
@@ -224,9 +235,7 @@
 	if !q.told && !q.allowed {
 		k.out = append(k.out, k.wordAtEnd(q, e.Outcome))
 	}
-	if e.State != nil && q.epoch == s.epoch {
-		k.carry(s, e.State)
-	}
+	k.remember(q, e.Outcome)
 	s.used = k.now
 	if e.Until > k.now { // what is out of it is waited for
 		q.told, q.strays = true, true
@@ -259,15 +268,6 @@
 	}
 }
 
-// carry keeps what a hand-over takes along.
-func (k *Keeper) carry(s *sess, state []byte) {
-	if most := k.limits.StateMost; len(state) > most {
-		k.say("the state of session %s has %d bytes, %d at most: the one before is kept", session.ID(s.id), len(state), most)
-		return
-	}
-	s.state = append(s.state[:0], state...)
-}
-
 // past lets a query count for its session no more, though something of it may be out at a replica still.
 func (k *Keeper) past(q *query) {
 	k.timers.drop(q)
--- a/internal/fleet/keeper/queue.go
+++ b/internal/fleet/keeper/queue.go
@@ -1,12 +1,17 @@
 package keeper
 
-import "time"
+import (
+	"time"
+
+	"birchcart/internal/fleet/ran"
+)
 
 // query is one that waits or runs.
 type query struct {
 	token  uint64
 	no     uint64 // of its arrival here
 	client uint64
+	id     ran.ID
 	s      *sess
 	needs  []string
 	due    time.Duration
@@ -134,7 +139,8 @@
 	client uint64 // who opened it here
 	used   time.Duration
 	again  time.Duration // acting: when its act is due again
-	state  []byte
+	ran    ran.Record    // its latest queries that must not run twice; adopting: their windows by the time since the hand
+	handed time.Duration // adopting: own time of the first proposal to adopt it, and the agreed one of the hand
 	wait   list
 	open   list // until their Ended, so beyond over
 
@@ -149,6 +155,7 @@
 	acts    bool // in the list of those acting
 	counted bool // against its client
 	adopts  bool // this process has proposed to adopt it
+	unread  bool // adopting: what the hand carried is of no form that is known here
 
 	prev, next         *sess // of idle ones or those acting
 	at                 *slot // where its first waiting query lacks a slot
--- a/internal/fleet/keeper/types.go
+++ b/internal/fleet/keeper/types.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"birchcart/internal/fleet/pool"
+	"birchcart/internal/fleet/ran"
 	"birchcart/internal/fleet/session"
 )
 
@@ -45,9 +46,10 @@
 	Late                    // its client's time is over
 	Lost                    // it began under an ownership that has ended
 	Broken                  // it ended without an answer
+	Repeated                // it ran before, or may have
 )
 
-var reasons = [...]string{"elsewhere", "no lease", "waited", "full", "going", "moving", "late", "lost", "broken"}
+var reasons = [...]string{"elsewhere", "no lease", "waited", "full", "going", "moving", "late", "lost", "broken", "repeated"}
 
 // String names the reason.
 func (r Reason) String() string { return reasons[r] }
@@ -68,7 +70,8 @@
 type Input interface{ input() }
 
 type (
-	// Arrived is a query of a pinned class. The Token is the caller's: not used again before the query's Ended, or its
+	// Arrived is a query of a pinned class. ID is the hash of what its client calls it, by which one that is not safe is known when it is
+	// repeated; zero if it can't be. The Token is the caller's: not used again before the query's Ended, or its
 	// word if it did not Run. Due, by the own clock, is when its client's time is over. Window is how long after its
 	// beginning a repeat of a Keyed one is dropped. Needs, which the keeper holds on to and does not change, names the
 	// replicas of which it reserves a slot each. Client is whoever is held to a share of what is bounded here.
@@ -76,6 +79,7 @@
 		Token   uint64
 		Session session.ID
 		Client  uint64
+		ID      ran.ID
 		Effect  Effect
 		Lane    uint8
 		Due     time.Duration
@@ -84,13 +88,12 @@
 	}
 	// Ended says that a query which Run began is over. What is out of it at replicas may run Until then, by the own clock: as
 	// long it counts as open and its slots as in use; 0 for nothing out. Told: its client has a word already, by the caller; else the keeper
-	// gives one where it gave none. State, if not nil, is what the session carries from now on; it is copied.
+	// gives one where it gave none.
 	Ended struct {
 		Token   uint64
 		Outcome Outcome
 		Until   time.Duration
 		Told    bool
-		State   []byte
 	}
 	// Left says that the client has gone: no word is to be given. One that runs has its Ended still.
 	Left struct{ Token uint64 }
--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -19,6 +19,7 @@
 
 	"birchcart/internal/exchange"
 	"birchcart/internal/fleet/keeper"
+	"birchcart/internal/fleet/ran"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/talk"
 	"birchcart/internal/operator"
@@ -229,6 +230,9 @@
 		Session: session.IDOf(q.Tenant, append(key[:0], q.Session...)), Client: maphash.String(p.seed, q.Client), Effect: effects[class.Effect], Lane: r.lanes[q.Tenant+1],
 		Due: q.Due.Sub(p.o.Start), Window: time.Duration(class.Window * float64(time.Second)), Needs: needs(*p.holders.Load(), q.Parts),
 	}
+	if class.Effect != policy.Safe { // its id is its key: the frames carry it, and no other
+		arrived.ID = ran.IDOf(q.ID)
+	}
 	p.mu.Lock()
 	var n *pin
 	if last := len(p.free) - 1; last >= 0 {
--- a/internal/fleet/pins/pins_test.go
+++ b/internal/fleet/pins/pins_test.go
@@ -210,3 +210,28 @@
 		t.Errorf("%d of three kept for use again, %d are not told of", n, len(r.p.ended))
 	}
 }
+
+// An unsafe query that was served and comes again, called the same, is failed at once and never let begin.
+func TestRepeatedIsFailed(t *testing.T) {
+	r := newRig(t)
+	r.step(1, 1)
+	r.called("a")
+	r.p.step()
+	r.agree()
+	r.step(2, 1)
+	r.p.Over(r.released[0], exchange.Over{Served: true, Ran: true})
+	r.called("a")
+	r.called("b")
+	r.p.step()
+	if len(r.away) != 1 || r.away[0].Status != exchange.Failed || len(r.released) != 2 || r.released[1].ID != "b" {
+		t.Fatalf("%d let begin, %+v", len(r.released), r.away)
+	}
+}
+
+func (r *rig) called(id string) {
+	r.Helper()
+	q := &exchange.Query{ID: id, Session: "k", Tenant: -1, Due: time.Now().Add(time.Minute), Parts: []exchange.Part{{}}}
+	if !r.p.Pinned(q, "") {
+		r.Fatal("not taken")
+	}
+}
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -44,6 +44,9 @@
 	leaveBefore = 10 * time.Second
 	// queriesMost of sessions are open at one co-ordinator, waiting or running; the keeper's own bound is behind it.
 	queriesMost = 32_768
+	// actBytes of an entry are one act, in JSON, and as many again one with numbers or a reason. Twice as many: more messages; half: an entry may be
+	// larger than the council takes, and comes to nothing each time.
+	actBytes = 104
 	// stateMost bytes go with a hand-over.
 	stateMost = session.StateMost
 )
@@ -166,7 +169,7 @@
 	p.mu.Unlock()
 	if len(acts) > 0 && n.leader != "" {
 		p.no++
-		m := talk.Acts{From: n.name, No: p.no, Acts: acts[:min(len(acts), session.ActsMost)]}
+		m := talk.Acts{From: n.name, No: p.no, Acts: acts[:fits(acts)]}
 		if n.term != 0 {
 			p.wanted = append(p.wanted, m)
 		} else if n.leader != n.name {
@@ -308,6 +311,21 @@
 	}(n.council)
 }
 
+// fits is how many acts go in one message, and so in one entry of the log; the others come again from who wants them.
+func fits(acts []session.Act) int {
+	bytes := 0
+	for i := range acts {
+		a := &acts[i]
+		if bytes += actBytes; a.Fence+a.Seq > 0 || a.Why != "" {
+			bytes += actBytes + len(a.Why) + len(a.State)*4/3
+		}
+		if i == session.ActsMost || bytes > talk.EntryMost && i > 0 {
+			return i
+		}
+	}
+	return len(acts)
+}
+
 // finished notes the end of a proposal of the steward's.
 func (p *sessions) finished(no uint64, known bool) {
 	if no == 0 {
--- a/internal/fleet/sessions_test.go
+++ b/internal/fleet/sessions_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/talk"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
 	"birchcart/policy"
@@ -73,3 +74,29 @@
 		})
 	}
 }
+
+// A message of acts stays within an entry of the log, whatever hands carry.
+func TestActsFitAnEntry(t *testing.T) {
+	full := session.Act{Kind: session.Hand, Epoch: 1<<64 - 1, Fence: 1<<64 - 1, Seq: 1<<64 - 1, State: make([]byte, session.StateMost), Lane: 255}
+	many := make([]session.Act, session.ActsMost+1)
+	if n := fits(many); n != session.ActsMost {
+		t.Errorf("%d claims", n)
+	}
+	for i := range many {
+		many[i] = full
+		if i > 300 { // the most of these, without a record
+			many[i].State = nil
+		}
+	}
+	n := fits(many)
+	body, err := json.Marshal(session.ActsBody{From: strings.Repeat("x", 64), Acts: many[:n]})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(body) > talk.EntryMost || n < 500 {
+		t.Errorf("%d hands in %d bytes, %d at most", n, len(body), talk.EntryMost)
+	}
+	if fits(many[:1]) != 1 || fits(nil) != 0 {
+		t.Error("one, or none")
+	}
+}
--- a/internal/fleet/world/pinned/client.go
+++ b/internal/fleet/world/pinned/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"birchcart/internal/fleet/keeper"
+	"birchcart/internal/fleet/ran"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/pinned/history"
@@ -35,8 +36,14 @@
 	first  time.Duration
 	needs  []string
 	errs   int
+	id     ran.ID
+	again  bool // it was served, and its client repeats it nevertheless
+	at     int  // by that co-ordinator
 }
 
+// repeatWithin is how soon a client of Schedule.Repeat repeats what was served, most often at the next owner.
+const repeatWithin = 3 * time.Second
+
 // request is one try of a query at one co-ordinator.
 type request struct {
 	id   uint64
@@ -72,6 +79,9 @@
 	case 2, 3:
 		q.effect = keeper.Unsafe
 	}
+	if q.effect != keeper.Safe {
+		q.id = ran.IDOf(fmt.Sprint(q.n))
+	}
 	first := w.rng.IntN(len(w.replicas))
 	q.needs = append(q.needs, w.replicas[first].name)
 	if len(w.replicas) > 1 && w.rng.IntN(4) == 0 {
@@ -114,8 +124,21 @@
 	rq.over = true
 	w.tell(history.Event{Kind: history.Got, Request: rq.id, Outcome: outcome, Why: why})
 	switch {
+	case q.again && outcome != history.Refused: // that nothing of it ran is the checker's to see
+		if outcome == history.Failed && why == keeper.Repeated.String() {
+			w.Figures.Repeated++
+			if rq.to.id != q.at {
+				w.Figures.Elsewhere++
+			}
+		}
+		return
 	case outcome == history.Served:
 		w.done(q, true)
+		if w.s.Repeat && q.effect == keeper.Unsafe {
+			copied := *q
+			copied.again, copied.at, copied.until = true, rq.to.id, w.Now+repeatWithin+2*QueryMost
+			w.After(clockwork.Between(w.rng, 0, repeatWithin), func() { cl.send(&copied) })
+		}
 		return
 	case outcome == history.Failed, outcome == history.Broken && why != down && q.effect == keeper.Unsafe:
 		q.errs++
--- a/internal/fleet/world/pinned/co.go
+++ b/internal/fleet/world/pinned/co.go
@@ -236,7 +236,7 @@
 	c.deliver(c.inc, func() {
 		c.w.tell(history.Event{Kind: history.Arrived, Request: rq.id})
 		c.step(keeper.Arrived{Token: rq.id, Session: rq.cl.id, Client: uint64(rq.cl.n), Effect: rq.q.effect, Due: c.mono() + rq.due - c.w.Now,
-			Window: 3 * QueryMost, Needs: rq.q.needs})
+			Window: 3 * QueryMost, Needs: rq.q.needs, ID: rq.q.id})
 	})
 }
 
--- a/internal/fleet/world/pinned/figures.go
+++ b/internal/fleet/world/pinned/figures.go
@@ -15,6 +15,8 @@
 	Pause       *hdrhistogram.Histogram // of sessions at planned moves, in ms
 	Latency     *hdrhistogram.Histogram // of queries that were served, from the first try, in ms
 	Moved       int                     // sessions handed over and adopted
+	Repeated    int                     // served unsafe queries that were repeated, and failed at once
+	Elsewhere   int                     // of them, those at another co-ordinator than the one that served them
 	Queries     int
 	Lost        int // queries that ended without a served answer
 	Errors      int // of them and others, failed answers and broken connections that clients saw
--- a/internal/fleet/world/pinned/schedule.go
+++ b/internal/fleet/world/pinned/schedule.go
@@ -28,6 +28,7 @@
 	Shared       bool              `json:"shared,omitempty"` // copies read one state with a memory of what it was
 	Away         time.Duration     `json:"away"`             // how long a machine of a swap is out
 	Abreast      int               `json:"abreast"`          // machines of a swap that go together
+	Repeat       bool              `json:"repeat,omitempty"` // clients ask unsafe queries that were served once more: not where owners are lost
 	Within       time.Duration     `json:"within"`           // how long each has to get rid of its sessions; else the swap stops
 }
 
--- a/internal/fleet/world/pinned/world_test.go
+++ b/internal/fleet/world/pinned/world_test.go
@@ -73,3 +73,17 @@
 		})
 	}
 }
+
+// Clients that ask once more what was served, while all co-ordinators go in turn: each is told at once, most often at the next owner, and
+// nothing runs twice.
+func TestRepeated(t *testing.T) {
+	s := Swap(1, 5, 300, 4, 1, time.Second)
+	s.Repeat, s.Steps[0].At = true, 8*time.Second
+	w := New(s)
+	r := w.Run()
+	if f := w.Figures; r.Err != nil || !f.SwapDone || f.Repeated < 500 || f.Elsewhere < 30 {
+		t.Errorf("%v: %d repeated, %d of them elsewhere, %d moves, done %t\n%s", r.Err, f.Repeated, f.Elsewhere, f.Moved, f.SwapDone, strings.Join(r.Last, "\n"))
+	} else {
+		t.Logf("%d repeated, %d of them elsewhere, %d moves", f.Repeated, f.Elsewhere, f.Moved)
+	}
+}
