--- a/internal/fleet/harness/sessions_test.go
+++ b/internal/fleet/harness/sessions_test.go
@@ -197,3 +197,30 @@
 		t.Error("no query met the end of its connection")
 	}
 }
+
+// A kept connection that its server has closed is seen as closed, and one that is open as open, however late the look comes.
+func TestClosedMeanwhile(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	nc, err := net.Dial("tcp4", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	other, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if closedMeanwhile(nc) {
+		t.Error("an open connection is taken for closed")
+	}
+	other.Close()
+	for end := time.Now().Add(5 * time.Second); !closedMeanwhile(nc); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a connection that was closed is taken for open")
+		}
+	}
+}
