Tell the leader of open unsafe queries, so that its forecast of a swap knows them

The planner and its forecast looked at a list of open unsafe queries that nobody filled. The keeper keeps what of them runs; each poll tells of at most 256, those first that may be open for longest, with the time that is left. The leader gives them to the planner: a session with one that may be open beyond the deadline is named in the forecast, and beyond an offer's time no offer is made of it.

--- a/internal/fleet/keeper/again_test.go
+++ b/internal/fleet/keeper/again_test.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -172,3 +173,27 @@
 	b.step(seen, b.named(3, Keyed, "k"))
 	b.want(len(b.acts) == 2 && b.k.Phase(id(1)) == Pinned && b.failed(3, Repeated), "the window's end")
 }
+
+// What is unsafe and open is told, the longest first, as long as it is open; safe, keyed and waiting ones are not.
+func TestUnsafeAndOpen(t *testing.T) {
+	r := newRig(t, Options{})
+	for n := 1; n <= 5; n++ {
+		q := r.q(uint64(n), []Effect{Unsafe, Unsafe, Unsafe, Keyed, Safe}[n-1])
+		q.Session, q.Due, q.Needs = id(n), r.now+time.Duration(n)*sec, nil
+		r.step(q)
+	}
+	second := r.q(6, Unsafe)
+	second.Session, second.Needs = id(1), nil
+	r.step(second)
+	r.agree()
+	r.now += ms
+	r.step()
+	want := []Open{{id(3), 3*sec - ms}, {id(2), 2*sec - ms}, {id(1), sec - ms}}
+	if got := r.k.Unsafe(nil, 9); !slices.Equal(got, want) || !slices.Equal(r.k.Unsafe(nil, 2), want[:2]) {
+		t.Fatalf("%v, want %v", got, want)
+	}
+	r.step(Ended{Token: 2, Outcome: Done, Told: true}, Ended{Token: 1, Outcome: MayHaveRun, Told: true, Until: r.now + 9*sec})
+	if got := r.k.Unsafe(nil, 9); !slices.Equal(got, []Open{{id(1), 9 * sec}, {id(3), 3*sec - ms}}) {
+		t.Fatalf("after two ends: %v", got)
+	}
+}
--- a/internal/fleet/keeper/check.go
+++ b/internal/fleet/keeper/check.go
@@ -140,6 +140,11 @@
 			return err
 		}
 	}
+	for i, q := range k.unsafe {
+		if q.spot != i || k.queries[q.token] != q || !q.runs || q.effect != Unsafe {
+			return fmt.Errorf("unsafe: query %d stands at %d as open", q.token, i)
+		}
+	}
 	if phases != k.phases {
 		return fmt.Errorf("bounds: sessions by phase are %v, counted %v", phases, k.phases)
 	}
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -1,7 +1,10 @@
 package keeper
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"birchcart/internal/fleet/session"
@@ -28,6 +31,7 @@
 
 	sessions map[session.ID]*sess
 	queries  map[uint64]*query
+	unsafe   []*query // that run
 	clients  map[uint64]account
 	timers   heap
 	phases   [Gone + 1]int // sessions in each
@@ -99,6 +103,31 @@
 	}
 }
 
+// Open is a session with an open unsafe query, and how long that may be so still.
+type Open struct {
+	ID   session.ID
+	Left time.Duration
+}
+
+// Unsafe appends the sessions here with an open unsafe query that may be open for longest, most of them: neither can it be ended, nor its
+// session handed before.
+func (k *Keeper) Unsafe(to []Open, most int) []Open {
+	first := len(to)
+	for _, q := range k.unsafe {
+		due := q.due
+		if q.strays {
+			due = max(due, q.key)
+		}
+		if q.epoch == q.s.epoch && due > k.now {
+			to = append(to, Open{q.s.id, due - k.now})
+		}
+	}
+	slices.SortFunc(to[first:], func(a, b Open) int {
+		return cmp.Or(cmp.Compare(b.Left, a.Left), bytes.Compare(a.ID[:], b.ID[:]))
+	})
+	return to[:min(len(to), first+most)]
+}
+
 // Step takes news at the own monotonic time now and returns what is to be done, in order. A time before the last one counts as
 // the last one. The lease is looked at before anything else, so that after a stall nothing is done upon one that is over, and then
 // what is over by its time. The result holds until the next call.
--- a/internal/fleet/keeper/queries.go
+++ b/internal/fleet/keeper/queries.go
@@ -168,6 +168,10 @@
 		}
 		k.timers.set(q, q.due)
 		k.sums.Ran++
+		if q.effect == Unsafe {
+			q.spot = len(k.unsafe)
+			k.unsafe = append(k.unsafe, q)
+		}
 		k.seen.began(k, q)
 		k.out = append(k.out, Run{q.token, q.seq})
 	}
@@ -248,6 +252,12 @@
 // close is the very end of one that ran.
 func (k *Keeper) close(q *query) {
 	s := q.s
+	if q.effect == Unsafe {
+		last := len(k.unsafe) - 1
+		k.unsafe[q.spot] = k.unsafe[last]
+		k.unsafe[q.spot].spot = q.spot
+		k.unsafe[last], k.unsafe = nil, k.unsafe[:last]
+	}
 	k.timers.drop(q)
 	s.open.drop(q)
 	if q.over {
--- a/internal/fleet/keeper/queue.go
+++ b/internal/fleet/keeper/queue.go
@@ -18,6 +18,7 @@
 	window time.Duration // Keyed: how long; from its beginning, when that has its time
 	key    time.Duration // in the heap: when something is to be done
 	place  int32         // there, -1: not in it
+	spot   int           // Unsafe, and it runs: in Keeper.unsafe
 	epoch  uint64        // under which it began
 	seq    uint64
 
--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -38,7 +38,7 @@
 	StepBusy = 5 * time.Millisecond
 	// StepIdle is between steps of which nothing is waited for. Twice as long: idle sessions end that much later.
 	StepIdle = 100 * time.Millisecond
-	// IdleEvery is between counts of idle sessions while this co-ordinator leaves: polls come as often at the most.
+	// IdleEvery is between looks at what is open and unsafe, and counts of idle sessions while this co-ordinator leaves: polls come as often at the most.
 	IdleEvery = 200 * time.Millisecond
 	// CheckEvery is between looks at whether the keeper's rules hold. Twice as long: a fault is told of later; half: twice
 	// the walks over all that is known.
@@ -72,6 +72,8 @@
 	keeper  *keeper.Keeper // run's alone
 	checked time.Duration  // run's alone, as the next
 	idledAt time.Duration
+	askedAt time.Duration // when the keeper was last asked what is unsafe and open
+	opened  []keeper.Open
 	look    func() // steps the keeper with what is given; one for all steps, as it costs memory
 	given   []keeper.Input
 	words   []keeper.Output
@@ -97,6 +99,8 @@
 	news   bool
 	sums   keeper.Sums
 	idle   []session.ID // while it leaves
+	unsafe []talk.Open
+	openAt time.Duration // own time as of which they are
 	leaves bool
 	busy   bool // something waits for what is to be agreed
 	waits  bool // the end of a query may let something else begin
@@ -188,6 +192,20 @@
 	return p.idle
 }
 
+// Unsafe are the sessions with an open unsafe query, those that may be so for longest first, and for how long from now.
+func (p *Pins) Unsafe() []talk.Open {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	gone := p.now() - p.openAt
+	var out []talk.Open
+	for _, o := range p.unsafe {
+		if o.Left -= gone; o.Left > 0 {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 // Sums are the keeper's counts as of its last step.
 func (p *Pins) Sums() keeper.Sums {
 	p.mu.Lock()
@@ -406,6 +424,14 @@
 			p.o.Log.WithError(err).Error("a rule of the pinned sessions does not hold")
 		}
 	}
+	var unsafe []talk.Open
+	asked := now >= p.askedAt+IdleEvery
+	if asked {
+		p.askedAt, p.opened = now, p.keeper.Unsafe(p.opened[:0], talk.UnsafeMost)
+		for _, o := range p.opened {
+			unsafe = append(unsafe, talk.Open(o))
+		}
+	}
 	var idle []session.ID
 	if leaves && now >= p.idledAt+IdleEvery {
 		p.idledAt = now
@@ -416,6 +442,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if asked {
+		p.unsafe, p.openAt = unsafe, now
+	}
 	if idle != nil && p.leaves {
 		p.idle = idle
 	}
--- a/internal/fleet/pins/pins_test.go
+++ b/internal/fleet/pins/pins_test.go
@@ -235,3 +235,25 @@
 		r.Fatal("not taken")
 	}
 }
+
+// What is unsafe and open here is told, with the time that is left, and no more once it is over.
+func TestTellsWhatIsUnsafe(t *testing.T) {
+	r := newRig(t)
+	r.step(1, 1)
+	r.ask("k", time.Minute)
+	r.p.step()
+	r.agree()
+	r.step(2, 1)
+	r.p.askedAt = -time.Hour
+	r.p.step()
+	open := r.p.Unsafe()
+	if len(open) != 1 || open[0].ID != session.IDOf(-1, []byte("k")) || open[0].Left > time.Minute || open[0].Left < 50*time.Second {
+		t.Fatalf("%+v", open)
+	}
+	r.p.Over(r.released[0], exchange.Over{Served: true, Ran: true})
+	r.p.askedAt = -time.Hour
+	r.p.step()
+	if open = r.p.Unsafe(); len(open) > 0 {
+		t.Fatalf("%+v", open)
+	}
+}
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -62,6 +62,7 @@
 	term     uint64             // that the steward looked in
 	rooms    map[string]migrate.Room
 	idle     map[string][]session.ID
+	unsafe   map[string][]migrate.Unsafe
 	sites    []migrate.Coordinator // as of sitesAt
 	sitesAt  uint64                // index
 	sitesBy  time.Duration         // own time by which they are made anew
@@ -84,7 +85,7 @@
 	if section == nil {
 		return
 	}
-	p := &sessions{n: n, steward: steward.New(), section: section, rooms: map[string]migrate.Room{}, idle: map[string][]session.ID{}, no: uint64(n.start.UnixNano())}
+	p := &sessions{n: n, steward: steward.New(), section: section, rooms: map[string]migrate.Room{}, idle: map[string][]session.ID{}, unsafe: map[string][]migrate.Unsafe{}, no: uint64(n.start.UnixNano())}
 	p.pins = pins.New(pins.Options{
 		Name: n.name, Start: n.start, Exchange: s.Exchange, Log: n.log, Names: s.Config.Names, Policy: &s.Config.Policy,
 		Book: n.copy.book, Look: n.copy.look,
@@ -191,6 +192,7 @@
 		p.steward.Reset()
 		clear(p.rooms)
 		clear(p.idle)
+		clear(p.unsafe)
 	}
 	if now < p.lookAt {
 		return
@@ -225,7 +227,7 @@
 	}
 	for i := range p.sites {
 		c := &p.sites[i]
-		c.Room, c.Idle = p.rooms[c.Name], p.idle[c.Name]
+		c.Room, c.Idle, c.Unsafe = p.rooms[c.Name], p.idle[c.Name], p.unsafe[c.Name]
 	}
 }
 
@@ -255,7 +257,7 @@
 	owned := p.owned()
 	return &talk.Pinned{
 		Owned: owned, Open: s.Open + s.Waiting, Queries: queriesMost,
-		Memory: max(0, int64(p.section.Most)*operator.SessionMemory-int64(owned)*operator.SessionMemory), Idle: p.pins.Idle(),
+		Memory: max(0, int64(p.section.Most)*operator.SessionMemory-int64(owned)*operator.SessionMemory), Idle: p.pins.Idle(), Unsafe: p.pins.Unsafe(),
 	}
 }
 
@@ -264,6 +266,12 @@
 	if x := from.Pinned; x != nil {
 		p.rooms[from.From] = migrate.Room{Sessions: p.section.Most, Told: x.Owned, Open: x.Open, Queries: x.Queries, Memory: 2 * x.Memory}
 		p.idle[from.From] = x.Idle
+		at, _ := p.n.lead.Time()
+		var open []migrate.Unsafe
+		for _, o := range x.Unsafe { // its way, and what the leader's time is behind by, are far below a deadline
+			open = append(open, migrate.Unsafe{ID: o.ID, Due: at + o.Left})
+		}
+		p.unsafe[from.From] = open
 	}
 }
 
--- a/internal/fleet/sessions_test.go
+++ b/internal/fleet/sessions_test.go
@@ -8,8 +8,11 @@
 
 	"github.com/sirupsen/logrus"
 
+	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/waves"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
 	"birchcart/policy"
@@ -100,3 +103,54 @@
 		t.Error("one, or none")
 	}
 }
+
+// What a co-ordinator tells of its open unsafe queries comes to the leader's forecast: a session with one that may be open beyond the
+// deadline is named, and no offer is made of it; it is, once a later poll tells of none.
+func TestForecastKnowsWhatIsUnsafeAndOpen(t *testing.T) {
+	n := &Node{name: "b", copy: newCopy(), lead: lead.New(waves.Order)}
+	p := &sessions{n: n, section: &operator.Sessions{Most: 9}, rooms: map[string]migrate.Room{}, idle: map[string][]session.ID{}, unsafe: map[string][]migrate.Unsafe{}}
+	id := session.IDOf(1, []byte("k"))
+	limits := session.Limits{Revision: 1, InFlight: 9, PerMinute: 9, OfferFor: time.Second, IdleFor: time.Minute, Lease: time.Second, Grace: time.Second, SessionsMost: 9, Slots: 2}
+	for kind, body := range map[string]any{session.KindLimits: session.LimitsBody{Limits: limits}} {
+		raw, _ := json.Marshal(body)
+		if err := n.copy.book.Apply(0, nil, kind, raw); err != nil {
+			t.Fatal(err)
+		}
+	}
+	raw, _ := json.Marshal(session.ActsBody{From: "a", Acts: []session.Act{{Kind: session.Claim, ID: id}}})
+	if err := n.copy.book.Apply(0, nil, session.KindActs, raw); err != nil {
+		t.Fatal(err)
+	}
+	forecast := func(open ...talk.Open) (migrate.Forecast, int) {
+		for _, name := range []string{"a", "c"} {
+			m := talk.Poll{From: name, No: 1, Pinned: &talk.Pinned{Queries: 9, Memory: 1 << 20}}
+			if name == "a" {
+				m.Pinned.Owned, m.Pinned.Unsafe = 1, open
+			}
+			raw, err := talk.Encode(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := talk.Decode(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.hear(got.(talk.Poll))
+		}
+		p.sites = []migrate.Coordinator{{Name: "a", Live: true, Leaving: true, Deadline: time.Minute}, {Name: "c", Live: true, Rank: migrate.Stays}}
+		p.sitesAt, p.sitesBy = n.index, time.Hour
+		p.look(0, 0)
+		v := migrate.View{Book: n.copy.book, Coordinators: p.sites}
+		return migrate.Foresee(0, v, 0), len(migrate.New(migrate.Options{}).Step(0, v).Body.Offers)
+	}
+	f, offers := forecast(talk.Open{ID: id, Left: time.Minute + 1})
+	if f.Meets || len(f.Unsure) != 1 || f.Unsure[0] != id || offers != 0 {
+		t.Errorf("beyond the deadline: %+v, %d offers", f, offers)
+	}
+	if f, offers = forecast(talk.Open{ID: id, Left: time.Second}); !f.Meets || len(f.Unsure) > 0 || offers != 1 {
+		t.Errorf("open for as long as an offer: %+v, %d offers", f, offers)
+	}
+	if f, offers = forecast(); !f.Meets || len(f.Unsure) > 0 || offers != 1 {
+		t.Errorf("none: %+v, %d offers", f, offers)
+	}
+}
--- a/internal/fleet/talk/check.go
+++ b/internal/fleet/talk/check.go
@@ -39,6 +39,16 @@
 	if x := p.Pinned; x != nil && (x.Owned < 0 || x.Open < 0 || x.Queries < 0 || x.Memory < 0 || len(x.Idle) > IdleMost) {
 		return fmt.Errorf("a poll tells of sessions %d, open %d of %d, %d bytes, %d idle; %d of those at most", x.Owned, x.Open, x.Queries, x.Memory, len(x.Idle), IdleMost)
 	}
+	if x := p.Pinned; x != nil {
+		if len(x.Unsafe) > UnsafeMost {
+			return fmt.Errorf("a poll tells of %d unsafe queries, %d at most", len(x.Unsafe), UnsafeMost)
+		}
+		for _, o := range x.Unsafe {
+			if o.Left <= 0 || o.Left > OpenMost {
+				return fmt.Errorf("a poll tells of an unsafe query of %s that is open for %v", o.ID, o.Left)
+			}
+		}
+	}
 	for _, l := range p.Laid {
 		if l.Fence == 0 {
 			return fmt.Errorf("a drain of %.40q has no fence", l.Machine)
--- a/internal/fleet/talk/talk.go
+++ b/internal/fleet/talk/talk.go
@@ -50,6 +50,11 @@
 	// IdleMost is the idle sessions of which one Poll tells. Twice as many: polls of some 70 KB while one leaves; half: a plan
 	// may have to take busy ones while there are idle ones.
 	IdleMost = 1024
+	// UnsafeMost is the open unsafe queries of which one Poll tells, those first that may be open for longest: in what a swap can't promise these
+	// come first. Twice as many: 14 KB a poll of a busy one; half: a planner may offer a session that freezes for nothing.
+	UnsafeMost = 256
+	// OpenMost is for how long a query may be open at all: times beyond it are a fault of who tells them.
+	OpenMost = 24 * time.Hour
 	// WordMost is the bytes of a whole Word, encoded: a snapshot or entries grow by a third in JSON.
 	WordMost = SnapshotMost/3*4 + 1<<20
 )
@@ -91,6 +96,13 @@
 	Queries int          `json:"queries"`        // at most so many may be open
 	Memory  int64        `json:"memory"`         // bytes left for sessions
 	Idle    []session.ID `json:"idle,omitempty"` // sessions without an open query, the longest first; told while it leaves
+	Unsafe  []Open       `json:"unsafe,omitempty"`
+}
+
+// Open is a session with an open unsafe query, and for how long from now on that may be so.
+type Open struct {
+	ID   session.ID    `json:"id"`
+	Left time.Duration `json:"left"`
 }
 
 // Entry is one raw command of the ledger with its index in the agreed log. Indices grow, but not each by one: the log
--- a/internal/fleet/talk/talk_test.go
+++ b/internal/fleet/talk/talk_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
@@ -17,6 +18,7 @@
 	Poll{From: "a", No: math.MaxUint64, Index: 3, Laid: []Laid{{"r1", 4, false, ""}, {"r2", 5, true, "alone"}}, Load: 1.5, LoadKnown: true, Wall: 1 << 60,
 		Pinned: &Pinned{Owned: 3, Open: 2, Queries: 9, Memory: 1 << 20, Idle: []session.ID{session.IDOf(0, nil)}}},
 	Word{No: 9, From: "b", Leader: "b", Term: 2, Led: true, Since: 3, Index: 9, Entries: []Entry{{5, []byte{0, 255}}, {9, []byte("x")}}},
+	Poll{From: "a", No: 9, Pinned: &Pinned{Owned: 1, Unsafe: []Open{{session.IDOf(1, []byte("k")), time.Second}}}},
 	Word{No: 9, From: "c", Leader: "b", Index: 1},
 	Word{No: 9, From: "b", Leader: "b", Led: true, Index: 7, Snapshot: []byte("whole")},
 	Word{No: 9, From: "b", Leader: "b", Led: true, Index: 7, Packed: []byte("packed")},
@@ -53,6 +55,9 @@
 		{"a load of NaN", Poll{No: 1, From: "a", Load: math.NaN()}},
 		{"open -1 of 0", Poll{From: "a", No: 1, Pinned: &Pinned{Open: -1}}},
 		{"1025 idle", Poll{From: "a", No: 1, Pinned: &Pinned{Idle: make([]session.ID, IdleMost+1)}}},
+		{"257 unsafe queries, 256", Poll{From: "a", No: 1, Pinned: &Pinned{Unsafe: make([]Open, UnsafeMost+1)}}},
+		{"open for 0s", Poll{From: "a", No: 1, Pinned: &Pinned{Unsafe: make([]Open, 1)}}},
+		{"open for 24h0m0.000000001s", Poll{From: "a", No: 1, Pinned: &Pinned{Unsafe: []Open{{Left: OpenMost + 1}}}}},
 		{"a clock at -1ns", Poll{No: 1, From: "a", Wall: -1}},
 		{"answers no poll", Word{From: "a"}},
 		{"more than one of entries", Word{No: 1, From: "a", Led: true, Index: 1, Entries: []Entry{{1, nil}}, Snapshot: []byte{1}}},
