Count states of the pinned search as one that differ in times and orders only

The exhaustive search with all guards and all moves came to depth 3: its digest took in how a state had come to be, and each state was played anew from the beginning for each of its moves. The digest takes what is: books, keepers and the checker by their content, times by their distance from now, numbers that only tell an order by rank. States are copied by their types for each move. Queries that are alike are sent in one order.

--- a/internal/fleet/world/pinned/cmd/pinnedworld/main.go
+++ b/internal/fleet/world/pinned/cmd/pinnedworld/main.go
@@ -113,6 +113,7 @@
 }
 
 func (c *searchCmd) Run() error {
+	debug.SetGCPercent(1000) // copies are short-lived
 	if c.Off == "" {
 		f := pinned.Search("", c.Depth, c.Most, c.Rest, nil)
 		fmt.Println(f)
--- a/internal/fleet/world/pinned/moves.go
+++ b/internal/fleet/world/pinned/moves.go
@@ -7,7 +7,6 @@
 
 	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/session"
-	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/pinned/history"
 )
 
@@ -96,13 +95,13 @@
 		add("stop"+smallName(i), func() {
 			s.left.Stall--
 			n.asleep = true
-			s.tell(history.Event{Kind: history.Stopped, By: int32(i), On: true}, 2)
+			s.tell(history.Event{Kind: history.Stopped, By: int32(i), On: true})
 		}, "%c is stopped", name)
 	}
 	if n.asleep {
 		add("go", func() {
 			n.asleep = false
-			s.tell(history.Event{Kind: history.Stopped, By: int32(i)}, 2)
+			s.tell(history.Event{Kind: history.Stopped, By: int32(i)})
 		}, "%c goes on", name)
 	}
 	if s.left.Crash > 0 && !n.asleep {
@@ -112,8 +111,7 @@
 	if limits, _ := s.top().Limits(); need > 0 && !s.releasing[i] && (s.now-s.heard[i] > limits.SilentFor()) {
 		add("release"+smallName(i), func() {
 			s.releasing[i] = true
-			body := fmt.Sprintf(`{"name":%q,"silent":%d,"at":%d}`, smallName(i), max(s.now-s.heard[i], limits.SilentFor()), clockwork.Epoch+s.now)
-			s.words = append(slices.Clone(s.words), smallWord{node: i, kind: session.KindRelease, body: body, released: i + 1})
+			s.words = append(slices.Clone(s.words), smallWord{node: i, kind: session.KindRelease, released: i + 1, at: s.now, silent: limits.SilentFor()})
 		}, "the release of %c is proposed", name)
 	}
 }
@@ -122,20 +120,20 @@
 func (s *small) crash(i int) {
 	s.left.Crash--
 	n := &s.nodes[i]
-	s.tell(history.Event{Kind: history.Ended, By: int32(i), On: true}, 2)
+	s.tell(history.Event{Kind: history.Ended, By: int32(i), On: true})
 	for at := range s.queries {
 		q := &s.queries[at]
 		if q.request > 0 && q.at == i {
 			if _, open := s.asked[q.request]; open {
 				delete(s.asked, q.request)
-				s.tell(history.Event{Kind: history.Got, Request: q.request, Outcome: history.Broken}, q.session)
+				s.tell(history.Event{Kind: history.Got, Request: q.request, Outcome: history.Broken})
 				q.over = q.effect == keeper.Unsafe && s.off != OffAgain
 			}
 			delete(s.tokens, q.request)
 		}
 	}
-	s.tell(history.Event{Kind: history.Ended, By: int32(i)}, 2)
-	*n = smallNode{keeper: keeper.New(smallName(i), keeper.Options{}), applied: n.applied, born: s.now, started: true, sum: sumOf(n.sum, "crash")}
+	s.tell(history.Event{Kind: history.Ended, By: int32(i)})
+	*n = smallNode{keeper: keeper.New(smallName(i), keeper.Options{}), applied: n.applied, born: s.now, started: true}
 	s.words = slices.DeleteFunc(slices.Clone(s.words), func(w smallWord) bool { return w.answer && w.node == i })
 	book := s.books[n.applied]
 	s.step(i, keeper.Applied{Book: book, Index: uint64(n.applied), Agreed: book.Now()})
@@ -143,7 +141,8 @@
 
 func (s *small) queryMoves(at int, add func(string, func(), string, ...any)) {
 	q := &s.queries[at]
-	if !q.over && q.request == 0 && q.tries < 2 {
+	like := at == 3 && s.queries[2].tries == 0 // of two that are alike, the first is sent first
+	if !q.over && q.request == 0 && q.tries < 2 && !like {
 		for to := range smallCos {
 			if !s.nodes[to].asleep {
 				add(fmt.Sprint("send", at, smallName(to)), func() { s.sends(at, to) }, "query %d is sent to %c", at, 'a'+to)
@@ -154,8 +153,7 @@
 	case 1:
 		add("runs", func() {
 			q.parts = 2
-			s.tell(history.Event{Kind: history.Runs, Request: q.request}, q.session)
-			s.story[2] = sumOf(s.story[2], q.request)
+			s.tell(history.Event{Kind: history.Runs, Request: q.request})
 		}, "the replica runs query %d", at)
 	case 2:
 		add("ends", func() { s.ends(at, true) }, "query %d ends there", at)
@@ -168,21 +166,19 @@
 
 func (s *small) sends(at, to int) {
 	q := &s.queries[at]
-	s.requests++
 	q.tries++
-	q.request, q.at, q.due = s.requests, to, s.now+smallQuery
+	q.request, q.at, q.due = uint64(at*8+q.tries), to, s.now+smallQuery
 	s.asked[q.request], s.tokens[q.request] = at, at
 	s.tell(history.Event{Kind: history.Sent, Request: q.request, Session: int32(q.session), Query: int32(at), Effect: history.Effect(q.effect),
-		By: int32(to), Due: q.due}, q.session)
-	s.tell(history.Event{Kind: history.Arrived, Request: q.request}, q.session)
+		By: int32(to), Due: q.due})
+	s.tell(history.Event{Kind: history.Arrived, Request: q.request})
 	s.step(to, keeper.Arrived{Token: q.request, Session: smallID(q.session), Effect: q.effect, Due: q.due, Window: time.Minute, Needs: []string{"r"}})
 }
 
 // ends is the end of a part at the replica.
 func (s *small) ends(at int, effect bool) {
 	q := &s.queries[at]
-	s.tell(history.Event{Kind: history.Ran, Request: q.request, On: effect}, q.session)
-	s.story[2] = sumOf(s.story[2], q.request)
+	s.tell(history.Event{Kind: history.Ran, Request: q.request, On: effect})
 	q.parts, q.outcome = 3, keeper.MayHaveRun
 	if effect {
 		q.outcome = keeper.Done
@@ -201,7 +197,7 @@
 	if open && q.outcome == keeper.Done && (s.off == OffAsk || s.nodes[q.at].keeper.MayAnswer(s.now, token)) {
 		s.told(q.at, token, history.Served, "")
 	} else {
-		s.tell(history.Event{Kind: history.GivenUp, Request: token, By: int32(q.at)}, q.session)
+		s.tell(history.Event{Kind: history.GivenUp, Request: token, By: int32(q.at)})
 	}
 	s.step(q.at, keeper.Ended{Token: token, Outcome: q.outcome})
 	delete(s.tokens, token)
@@ -262,6 +258,6 @@
 		}
 		s.wait(smallShort)
 	}
-	s.tell(history.Event{Kind: history.Closed, Quiet: 40 * time.Second}, 2)
+	s.tell(history.Event{Kind: history.Closed, Quiet: 40 * time.Second})
 	return s.err
 }
--- a/internal/fleet/world/pinned/search.go
+++ b/internal/fleet/world/pinned/search.go
@@ -26,8 +26,8 @@
 	return s
 }
 
-// smallState is how a state is come to: by the moves of the one before, and one more. States are played anew from there,
-// since keepers can not be copied.
+// smallState is how a state is come to: by the moves of the one before, and one more. That takes 8 bytes where a copy takes some 10 kB, so a
+// state is played anew from the beginning when its turn comes, and copied for each move that goes on from it.
 type smallState struct {
 	from int32
 	move int16
@@ -101,7 +101,7 @@
 }
 
 // rowsAtOnce states are expanded between two looks at what was seen.
-const rowsAtOnce = 2048
+const rowsAtOnce = 256
 
 // playTo plays the moves to a state, and names them.
 func playTo(off Off, states []smallState, at int, scope *Scope, named bool) (*small, []string) {
@@ -137,12 +137,9 @@
 }
 
 func expand(off Off, states []smallState, at int, scope *Scope) (out []smallNext) {
-	s, _ := playTo(off, states, at, scope, false)
-	all := s.allowed(scope)
-	for i := range all {
-		if i > 0 {
-			s, _ = playTo(off, states, at, scope, false)
-		}
+	from, _ := playTo(off, states, at, scope, false)
+	for i := range from.allowed(scope) {
+		s := from.clone()
 		s.allowed(scope)[i].do()
 		out = append(out, smallNext{int16(i), s.digest(), s.err})
 	}
--- a/internal/fleet/world/pinned/small.go
+++ b/internal/fleet/world/pinned/small.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"slices"
-	"strings"
 	"time"
 
 	"birchcart/internal/fleet/keeper"
@@ -53,7 +51,6 @@
 	until, born  time.Duration
 	sure, asleep bool
 	started      bool // a process before this one may have something out
-	sum          uint64
 }
 
 type smallQueryState struct {
@@ -79,7 +76,9 @@
 	kind     string
 	body     string
 	twice    bool
-	released int // node+1
+	released int           // node+1
+	at       time.Duration // of a release: when the silence was measured
+	silent   time.Duration // as it was said; more than what is needed is all that counts
 }
 
 func (w smallWord) String() string {
@@ -105,13 +104,9 @@
 	heard     [smallCos]time.Duration
 	releasing [smallCos]bool
 	left      smallBudget
-	requests  uint64
 	stands    [2]stand
 	checker   *history.Checker
-	story     [3]uint64 // of each session, and of the replica
-	log       uint64
 	err       error
-	line      []byte
 	again     bool // what was checked already is played again
 }
 
@@ -123,7 +118,7 @@
 func smallName(n int) string { return string(rune('a' + n)) }
 
 func newSmall(off Off) *small {
-	s := &small{off: off, again: true, checker: history.New(history.Rules{Slack: 20 * time.Second, OfferFor: 20 * time.Second}), asked: map[uint64]int{},
+	s := &small{off: off, now: smallBegin, again: true, checker: history.New(history.Rules{Slack: 20 * time.Second, OfferFor: 20 * time.Second}), asked: map[uint64]int{},
 		tokens: map[uint64]int{}, left: smallBudget{1, 1, 1, 1, 2, 1, 1, 4, 4}}
 	limits := smallLimits
 	if off == OffGrace || off == OffSilence { // by which a release is judged; the leases stay as they are
@@ -133,68 +128,32 @@
 		limits.Lease = time.Millisecond
 	}
 	book := session.New()
-	book.Tick(clockwork.Epoch)
+	book.Tick(clockwork.Epoch + s.now)
 	s.books = []*session.Book{book}
 	s.commit(session.KindLimits, session.LimitsBody{Limits: limits})
-	s.tell(history.Event{Kind: history.Capped, N: 2}, 2)
+	s.tell(history.Event{Kind: history.Capped, N: 2})
 	s.commit(session.KindPlan, session.PlanBody{Shifts: []session.Shift{{To: "a", Replica: "r", N: 1}, {To: "b", Replica: "r", N: 1}}})
 	for i := range smallCos {
+		s.heard[i] = s.now
 		s.nodes[i] = smallNode{keeper: keeper.New(smallName(i), keeper.Options{})}
-		s.answered(smallWord{answer: true, node: i, index: len(s.books) - 1, lease: true})
+		s.answered(smallWord{answer: true, node: i, sent: s.now, index: len(s.books) - 1, lease: true})
 	}
 	s.queries = []smallQueryState{{session: 0, effect: keeper.Unsafe}, {session: 0, effect: keeper.Safe}, {session: 1, effect: keeper.Safe},
 		{session: 1, effect: keeper.Safe}}
 	for i := range 2 { // each session is claimed by a query that is not counted
 		s.words = nil
-		s.step(i, keeper.Arrived{Token: 1000 + uint64(i), Session: smallID(i), Due: smallQuery, Needs: []string{"r"}})
+		s.step(i, keeper.Arrived{Token: 1000 + uint64(i), Session: smallID(i), Due: s.now + smallQuery, Needs: []string{"r"}})
 		s.step(i, keeper.Left{Token: 1000 + uint64(i)})
 		s.deliver(0)
-		s.answered(smallWord{answer: true, node: i, index: len(s.books) - 1, lease: true})
+		s.answered(smallWord{answer: true, node: i, sent: s.now, index: len(s.books) - 1, lease: true})
 	}
 	s.words = nil
 	return s
 }
 
-// sumOf goes on with a sum over what comes to a place, in order.
-func sumOf(was uint64, parts ...any) uint64 {
-	sum := was*1099511628211 + 14695981039346656037
-	number := func(n uint64) { sum = (sum ^ n) * 1099511628211; sum ^= sum >> 29 }
-	for _, part := range parts {
-		switch part := part.(type) {
-		case uint64:
-			number(part)
-		case int:
-			number(uint64(part))
-		case time.Duration:
-			number(uint64(part))
-		case string:
-			for i := range len(part) {
-				number(uint64(part[i]))
-			}
-		case []byte:
-			for _, b := range part {
-				number(uint64(b))
-			}
-		case keeper.Arrived:
-			number(1<<32 | part.Token)
-		case keeper.Ended:
-			number(2<<32 | part.Token<<8 | uint64(part.Outcome))
-		case keeper.Left:
-			number(3<<32 | part.Token)
-		case keeper.Applied:
-			number(4<<32 | part.Index)
-		default:
-			panic(fmt.Sprintf("pinned: no sum of a %T", part))
-		}
-	}
-	return sum
-}
-
-// tell hands an event to the checker; of is the session that it is about, or 2 for the replica.
-func (s *small) tell(e history.Event, of int) {
+// tell hands an event to the checker.
+func (s *small) tell(e history.Event) {
 	e.At = s.now
-	s.line = e.Append(s.line[:0])
-	s.story[of] = sumOf(s.story[of], s.line)
 	if err := s.checker.Add(e); err != nil && s.err == nil {
 		s.err = err
 	}
@@ -219,7 +178,6 @@
 		s.fence = next
 	}
 	s.books = append(s.books, book)
-	s.log = sumOf(s.log, kind, string(raw), s.now)
 	for i := range 2 {
 		r, ok := book.Get(smallID(i))
 		now := stand{r.Owner, r.Epoch, r.Phase}
@@ -227,10 +185,10 @@
 		case !ok && s.stands[i].phase == session.Free:
 		case !ok:
 			s.stands[i] = stand{}
-			s.tell(history.Event{Kind: history.Freed, Session: int32(i), Why: r.Why}, i)
+			s.tell(history.Event{Kind: history.Freed, Session: int32(i), Why: r.Why})
 		case now != s.stands[i]:
 			s.stands[i] = now
-			s.tell(history.Event{Kind: history.Owned, Session: int32(i), By: int32(r.Owner[0] - 'a'), Epoch: r.Epoch, Phase: history.Phase(r.Phase)}, i)
+			s.tell(history.Event{Kind: history.Owned, Session: int32(i), By: int32(r.Owner[0] - 'a'), Epoch: r.Epoch, Phase: history.Phase(r.Phase)})
 		}
 	}
 	if s.again {
@@ -244,7 +202,7 @@
 // lease as the keeper of a node is told of it.
 func (s *small) lease(n *smallNode) keeper.Lease {
 	if s.off == OffLease && n.sure {
-		return keeper.Lease{Until: time.Hour, Sure: true}
+		return keeper.Lease{Until: s.now + time.Hour, Sure: true}
 	}
 	if n.started && s.off != OffFresh && s.now < n.born+smallLimits.Grace {
 		return keeper.Lease{}
@@ -254,10 +212,6 @@
 
 func (s *small) step(i int, in ...keeper.Input) {
 	n := &s.nodes[i]
-	n.sum = sumOf(n.sum, s.now)
-	for _, one := range in {
-		n.sum = sumOf(n.sum, one)
-	}
 	outs := slices.Clone(n.keeper.Step(s.now, append(in, s.lease(n))))
 	for _, o := range outs {
 		switch o := o.(type) {
@@ -296,7 +250,7 @@
 	q := &s.queries[at]
 	record, _ := s.books[s.nodes[i].applied].Get(smallID(q.session))
 	q.parts, q.epoch = 1, record.Epoch
-	s.tell(history.Event{Kind: history.Begun, Request: r.Token, By: int32(i), Epoch: q.epoch, Seq: r.Seq, N: 1}, q.session)
+	s.tell(history.Event{Kind: history.Begun, Request: r.Token, By: int32(i), Epoch: q.epoch, Seq: r.Seq, N: 1})
 }
 
 // told is the word that a client gets, at once.
@@ -311,8 +265,8 @@
 	if outcome == history.Served {
 		e.Epoch = q.epoch
 	}
-	s.tell(e, q.session)
-	s.tell(history.Event{Kind: history.Got, Request: token, Outcome: outcome}, q.session)
+	s.tell(e)
+	s.tell(history.Event{Kind: history.Got, Request: token, Outcome: outcome})
 	q.over = q.over || outcome == history.Served || outcome == history.Failed && (q.effect != keeper.Unsafe || s.off != OffAgain)
 	if s.off == OffEnded && q.parts > 0 {
 		s.step(i, keeper.Ended{Token: token, Outcome: keeper.MayHaveRun})
@@ -333,7 +287,6 @@
 		}
 		n.sure, n.until = true, max(n.until, from+smallLimits.Lease-smallLimits.Lease/100)
 	}
-	n.sum = sumOf(n.sum, s.log, n.applied)
 	book := s.books[n.applied]
 	s.step(w.node, keeper.Applied{Book: book, Index: uint64(n.applied), Agreed: book.Now()})
 	s.step(w.node)
@@ -352,7 +305,7 @@
 	case w.answer:
 		s.answered(w)
 	case w.released > 0:
-		s.commit(w.kind, w.body)
+		s.commit(w.kind, session.ReleaseBody{Name: smallName(w.node), Silent: w.silent, At: clockwork.Epoch + w.at})
 		s.releasing[w.released-1] = false
 	default:
 		s.heard[w.node] = s.now
@@ -379,20 +332,3 @@
 	}
 	return string(raw)
 }
-
-// digest of all that the future depends on: what each node was told and when, what is agreed, what is in flight, and how
-// each session and the replica came to be as they are.
-func (s *small) digest() uint64 {
-	words := make([]string, len(s.words))
-	for i, w := range s.words {
-		words[i] = w.String() + fmt.Sprint(w.twice)
-	}
-	slices.Sort(words)
-	h := fnv.New64a()
-	fmt.Fprint(h, s.now, s.log, s.story, s.queries, s.heard, s.releasing, s.left, strings.Join(words, "|"))
-	for i := range s.nodes {
-		n := &s.nodes[i]
-		fmt.Fprint(h, n.sum, n.applied, n.until, n.born, n.sure, n.asleep, n.started)
-	}
-	return h.Sum64()
-}
