Read and check the section of lanes in the operators' file

The fleet is to shed load by lanes that operators set. The section fleet.lanes has ordered lanes, accounts (tenants, marks and routes of a header), guarantees, floors by lane and class, mosts and lending. All that is wrong is told at once: a lane nobody is in, an account in two lanes, a key in two accounts, a most under its guarantee, promises over the whole, a floor over which the largest query of a class can't pass in a slot on the smallest fleet, a header that means something already, sizes. A machine needs 2 KiB for each account beside the fleet's. birchcart refuses it with the fleet section; nothing serves by it yet.

--- a/cmd/birchctl/main_test.go
+++ b/cmd/birchctl/main_test.go
@@ -141,7 +141,7 @@
 }
 
 func TestShippedFilesHold(t *testing.T) {
-	for _, name := range []string{"fleet", "fleet-sessions"} {
+	for _, name := range []string{"fleet", "fleet-sessions", "fleet-lanes"} {
 		if status, out := ctl(t, "lint", "--operator", "../../deploy/"+name+".jsonnet"); status != 0 {
 			t.Errorf("%s: %d: %s", name, status, out)
 		}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -27,6 +27,7 @@
 	Paused   bool             `json:"paused"`                                                              // nothing is granted
 	Work     []Work           `json:"work"`
 	Sessions *Sessions        `json:"sessions"` // pinned to one co-ordinator; absent: there are none
+	Lanes    *Lanes           `json:"lanes"`    // who keeps what while the fleet sheds load; absent: it sheds by no lanes
 }
 
 // Voter is one of the council.
--- a/internal/operator/fleetcheck.go
+++ b/internal/operator/fleetcheck.go
@@ -59,6 +59,7 @@
 	}
 	fl.checkWork(ms)
 	fl.checkSessions(ms)
+	fl.checkLanes(ms)
 }
 
 func (f *Fleet) checkWork(ms *schema.Mistakes) {
@@ -134,6 +135,7 @@
 		}
 	}
 	f.againstSessions(names, cfg, ms)
+	f.againstLanes(names, cfg, ms)
 	for i := range fl.Work {
 		if zone := fl.Work[i].Zone; zone != "" && settings.Place(names.Zones, zone) < 0 {
 			ms.Add(fmt.Sprintf("%s.work[%d].zone", fleetAt, i), schema.Shown(zone), "%s", schema.Unknown(zone, names.Zones))
@@ -152,6 +154,9 @@
 	if s := f.Fleet.Sessions; s != nil {
 		beside += int64(s.Most) * SessionMemory
 	}
+	if l := f.Fleet.Lanes; l != nil {
+		beside += int64(len(l.Accounts)) * AccountMemory
+	}
 	if least := servingMemory + beside; m.Memory < least {
 		out.Add(fleetAt, "", "limits.memory_mb gives %d MB; a fleet needs %d, of which %d beside the serving",
 			m.Memory>>20, least>>20, beside>>20)
