Read the mark of the lanes from the header that the operators' file names

The front reads a query's mark from one request header once it is told which; the file's section of lanes names it.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -106,6 +106,9 @@
 	if op != nil && op.Fleet != nil && op.Fleet.Sessions != nil {
 		server.Pin(op.Fleet.Sessions.Header, op.Fleet.Sessions.Owner)
 	}
+	if op != nil && op.Fleet != nil && op.Fleet.Lanes != nil {
+		server.Mark(op.Fleet.Lanes.Header)
+	}
 	var features *ogc.Server
 	if withFeatures {
 		features = ogc.New(cfg, op, ex, ready, log)
