--- a/cmd/birchctl/explain.go
+++ b/cmd/birchctl/explain.go
@@ -14,13 +14,16 @@
 
 type explainCommand struct {
 	files
-	Class  string   `help:"Class of query." required:""`
-	Shard  int      `help:"Shard; or --square." default:"-1"`
-	Square string   `help:"A named square or section; its first shard is shown."`
-	Parts  int      `help:"Parts of the query, for the part count." default:"4"`
-	At     string   `help:"A moment of an expectation's situation, as 'NAME@MS'; without it all is quiet." placeholder:"NAME@MS"`
-	Seed   uint64   `help:"Seed of the situation."`
-	Expect []string `help:"Files or folders of expectations that --at looks in." placeholder:"PATH" type:"path"`
+	Class    string   `help:"Class of query; or --session."`
+	Session  string   `help:"A session's key: what it pins, and what its clients are told." placeholder:"KEY"`
+	Tenant   string   `help:"The tenant of --session."`
+	Snapshot string   `help:"A snapshot of the agreed state, for --session." placeholder:"FILE" type:"path"`
+	Shard    int      `help:"Shard; or --square." default:"-1"`
+	Square   string   `help:"A named square or section; its first shard is shown."`
+	Parts    int      `help:"Parts of the query, for the part count." default:"4"`
+	At       string   `help:"A moment of an expectation's situation, as 'NAME@MS'; without it all is quiet." placeholder:"NAME@MS"`
+	Seed     uint64   `help:"Seed of the situation."`
+	Expect   []string `help:"Files or folders of expectations that --at looks in." placeholder:"PATH" type:"path"`
 }
 
 type explained struct {
@@ -53,6 +56,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Session != "" {
+		return c.session(l, p)
+	}
 	d := l.deployment()
 	class := settings.Place(l.Config.Names.Classes, c.Class)
 	if class < 0 {
--- a/cmd/birchctl/main_test.go
+++ b/cmd/birchctl/main_test.go
@@ -12,6 +12,9 @@
 	"testing"
 	"time"
 
+	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/template"
 )
 
@@ -252,3 +255,45 @@
 		}
 	}
 }
+
+// What a session's key comes to: its id, what pins it, who owns it by a snapshot, and what clients are told.
+func TestExplainSession(t *testing.T) {
+	b := session.New()
+	id := session.IDOf(2, []byte("k")) // coast, by its place
+	for kind, body := range map[string]any{session.KindLimits: session.LimitsBody{Limits: session.Limits{Revision: 1, Lease: time.Second, Grace: time.Second,
+		OfferFor: time.Second, IdleFor: time.Second, SessionsMost: 9, Slots: 1}}} {
+		raw, _ := json.Marshal(body)
+		if err := b.Apply(0, nil, kind, raw); err != nil {
+			t.Fatal(err)
+		}
+	}
+	raw, _ := json.Marshal(session.ActsBody{From: "bircher", Acts: []session.Act{{Kind: session.Claim, ID: id}}})
+	if err := b.Apply(0, nil, session.KindActs, raw); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := ledger.New(map[string]ledger.Part{"takeout": takeout.New(), "sessions": b}).Save()
+	path := filepath.Join(t.TempDir(), "snapshot")
+	if err = errors.Join(err, os.WriteFile(path, raw, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	const file = "../../deploy/fleet-sessions.jsonnet"
+	status, out := ctl(t, "-o", "json", "explain", "--operator", file, "--session", "k", "--tenant", "coast", "--snapshot", path)
+	var e explainedSession
+	if err := json.Unmarshal([]byte(out), &e); err != nil || status != 0 {
+		t.Fatal(status, err, out)
+	}
+	if e.ID != id.String() || e.Lane != 0 || len(e.Classes) != 2 || len(e.Phases) != 5 || e.Agreed == nil || *e.Agreed != (agreedSession{Phase: "pinned", Owner: "bircher", Epoch: 1}) {
+		t.Errorf("%s", out)
+	}
+	for _, c := range []struct {
+		says string
+		args []string
+	}{{"--tenant is needed", nil}, {"--tenant:", []string{"--tenant", "cost"}}, {"--snapshot:", []string{"--tenant", "coast", "--snapshot", file}}} {
+		if status, out := ctl(t, append([]string{"explain", "--operator", file, "--session", "k"}, c.args...)...); status != 2 || !strings.Contains(out, c.says) {
+			t.Errorf("%d, %s; wanted %s", status, out, c.says)
+		}
+	}
+	if status, out := ctl(t, "explain", "--operator", shipped, "--session", "k"); status != 2 || !strings.Contains(out, "nothing is pinned") {
+		t.Errorf("%d, %s", status, out)
+	}
+}
