--- a/internal/fleet/harness/check.go
+++ b/internal/fleet/harness/check.go
@@ -63,6 +63,7 @@
 	Bears     float64       // parts out at once, that a replica bears
 	Answer    time.Duration // for which a replica has a part open, at the least
 	Wait      time.Duration // of clients of sessions for what may run twice
+	Relayed   bool          // links to replicas may hold parts
 	Wrong     []string      // found while it ran
 	Asked     []Asked       // by the clients of sessions
 	Runs      []Run         // of theirs
--- a/internal/fleet/harness/cluster.go
+++ b/internal/fleet/harness/cluster.go
@@ -92,7 +92,7 @@
 	}
 	h := &c.h
 	h.Limits, h.Bears, h.Answer = c.limits, or(opt.Terms.Bears, bears), or(opt.Terms.Answer, answerTime)
-	h.Wait = or(opt.Terms.Wait, clientWait)
+	h.Relayed, h.Wait = opt.Terms.Relays, or(opt.Terms.Wait, clientWait)
 	h.Deaf, h.Silent = make([][]Span, processes), make([][]Span, processes)
 	h.Disturbed, h.Down, h.Ending, h.Stopped = make([][]Span, processes), make([][]Span, processes), make([][]Span, processes), make([][]Span, processes)
 	if c.fleet, err = standin.NewFleet(standin.FleetShape{
