Agree on the file's lanes in a real fleet: the leader proposes, all copies have them

The ledger of every co-ordinator has the part of lanes. The leader proposes its file's section when its revision is higher, the next one once the two before are no longer in force together; all log what came in force, and the summary has its revision. A section too large to be agreed on is refused at start and reload; the section begins and ends with the program.

--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/laneset"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
@@ -20,14 +21,15 @@
 	ledger *ledger.Ledger
 	order  *takeout.State
 	book   *session.Book
+	lanes  *laneset.Agreed
 }
 
 // part is the name of the order of work in the ledger.
 const part = "takeout"
 
 func newCopy() *copied {
-	s, b := takeout.New(), session.New()
-	return &copied{order: s, book: b, ledger: ledger.New(map[string]ledger.Part{part: s, sessionsPart: b})}
+	s, b, l := takeout.New(), session.New(), laneset.New()
+	return &copied{order: s, book: b, lanes: l, ledger: ledger.New(map[string]ledger.Part{part: s, sessionsPart: b, laneset.Part: l})}
 }
 
 // look calls do while nothing is applied; it must not wait.
--- /dev/null
+++ b/internal/fleet/lanes.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/operator"
+	"birchcart/internal/settings"
+)
+
+// lanes is one co-ordinator's part in which configuration of lanes is in force. What is not under mu belongs to the node's
+// run.
+type lanes struct {
+	n     *Node
+	no    uint64        // of the newest proposal in this term
+	term  uint64        // of it
+	after time.Duration // own time before which nothing is proposed
+	said  string        // in force, as the log has it
+
+	mu      sync.Mutex
+	own     *laneset.SetBody // of the file; nil: it can't be put in words, which was told
+	mix     *laneset.Mix
+	way     bool // a proposal is
+	refused bool // the newest one was, for good
+	note    string
+}
+
+// fitsLanes refuses a section that can't be agreed on, since it is too large.
+func fitsLanes(f *operator.File, names *settings.Names) error {
+	l := f.Fleet.Lanes
+	if l == nil {
+		return nil
+	}
+	_, err := laneset.Body(l, f.Fleet.Revision)
+	if err == nil {
+		_, err = laneset.Of(l, f.Fleet.Revision, names, routeNames(f))
+	}
+	if err != nil {
+		return fmt.Errorf("$.fleet.lanes: %w", err)
+	}
+	return nil
+}
+
+func routeNames(f *operator.File) (names []string) {
+	for i := range f.Routes {
+		names = append(names, f.Routes[i].Name)
+	}
+	return names
+}
+
+// openLanes begins the part, if the section is there.
+func (n *Node) openLanes() {
+	if n.file.Fleet.Lanes == nil {
+		return
+	}
+	n.lanes = &lanes{n: n, mix: laneset.NewMix(n.s.Config.Names, routeNames(n.file))}
+	n.lanes.reload(n.file.Fleet)
+}
+
+// reload takes a file that was read again.
+func (p *lanes) reload(f *operator.Fleet) {
+	b, err := laneset.Body(f.Lanes, f.Revision)
+	if err != nil {
+		p.n.log.WithError(err).Error("the section of lanes can't be agreed on")
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.own == nil || p.own.Revision != b.Revision || p.own.Sum != b.Sum {
+		p.own, p.after = &b, 0
+	}
+}
+
+// set is what this co-ordinator goes by now, whether that is another one than at the last call, and the revision that was
+// applied here, 0 for none. heard is the highest one that others say they have applied. Any goroutine may call it.
+func (p *lanes) set(now time.Duration, heard int) (set *laneset.Set, changed bool, applied int) {
+	look := laneset.Look{Now: now, Heard: heard}
+	p.n.copy.look(func() {
+		look.Agreed = p.n.copy.ledger.Now()
+		look.Force, look.Before = p.n.copy.lanes.InForce(look.Agreed)
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	look.Own = p.own
+	set, changed, note := p.mix.Step(look)
+	if note != "" && note != p.note {
+		p.n.log.Warn(note)
+	}
+	p.note = note
+	if look.Force != nil {
+		applied = look.Force.Revision
+	}
+	return set, changed, applied
+}
+
+// say logs what came in force.
+func (p *lanes) say() {
+	var force *laneset.Version
+	p.n.copy.look(func() { force, _ = p.n.copy.lanes.InForce(p.n.copy.ledger.Now()) })
+	if force == nil || force.Sum == p.said {
+		return
+	}
+	p.said = force.Sum
+	p.n.log.WithFields(logrus.Fields{"revision": force.Revision, "sum": force.Sum[:8]}).Info("lanes are in force")
+}
+
+// step proposes the own file's section while this co-ordinator leads and a lower revision is in force.
+func (p *lanes) step(now time.Duration) {
+	n := p.n
+	p.say()
+	at, may := n.lead.Time()
+	if n.term == 0 || !may || n.council == nil {
+		return
+	}
+	if p.term != n.term {
+		p.term, p.no, p.after = n.term, 0, 0
+	}
+	p.mu.Lock()
+	own, way, refused := p.own, p.way, p.refused
+	p.refused = false
+	p.mu.Unlock()
+	if refused {
+		p.after = now + lead.MistakeEvery
+	}
+	if own == nil || way || now < p.after {
+		return
+	}
+	var takes, differs bool
+	n.copy.look(func() {
+		takes = n.copy.lanes.Takes(own.Revision, at)
+		force, _ := n.copy.lanes.InForce(at)
+		differs = force != nil && force.Revision == own.Revision && force.Sum != own.Sum
+	})
+	if differs {
+		p.after = now + lead.MistakeEvery
+		n.log.WithField("revision", own.Revision).Warn("the file's lanes differ from those agreed under the same revision: give them a higher one")
+	}
+	if !takes {
+		return
+	}
+	p.no++
+	p.after = now + lead.RepeatAfter
+	raw, err := laneCommand(fmt.Sprintf("l-%d-%d", n.term, p.no), at, *own)
+	if err != nil {
+		p.after = now + lead.MistakeEvery
+		n.log.WithError(err).Error("the section of lanes can't be proposed")
+		return
+	}
+	p.mu.Lock()
+	p.way = true
+	p.mu.Unlock()
+	go p.propose(n.council, raw, own.Revision)
+}
+
+func laneCommand(id string, at time.Duration, b laneset.SetBody) ([]byte, error) {
+	body, err := json.Marshal(b)
+	if err != nil {
+		return nil, err
+	}
+	return ledger.Command{V: ledger.Version, ID: id, Part: laneset.Part, Kind: laneset.KindSet, At: at, Body: body}.Encode()
+}
+
+// propose puts a command to the council, beside the step. One of which nothing came is proposed anew: applied twice, the
+// second is of no higher revision.
+func (p *lanes) propose(seat *council.Council, raw []byte, revision int) {
+	ctx, cancel := context.WithTimeout(context.Background(), ProposeTime)
+	defer cancel()
+	err := seat.Propose(ctx, raw)
+	e := p.n.log.WithField("revision", revision)
+	switch {
+	case err == nil:
+		e.Info("the file's lanes were agreed on")
+	case errors.Is(err, ledger.ErrRefused):
+		e.WithError(err).Warn("the file's lanes were refused")
+	default:
+		e.WithError(err).Debug("a proposal of lanes came to nothing")
+	}
+	p.mu.Lock()
+	p.way, p.refused = false, errors.Is(err, ledger.ErrRefused)
+	p.mu.Unlock()
+	p.n.nudge()
+}
+
+// tell is this part of the summary.
+func (p *lanes) tell(f logrus.Fields) {
+	p.n.copy.look(func() {
+		force, before := p.n.copy.lanes.InForce(p.n.copy.ledger.Now())
+		if force != nil {
+			f["lanes_revision"] = force.Revision
+		}
+		if before != nil {
+			f["lanes_with"] = before.Revision
+		}
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.note != "" {
+		f["lanes_note"] = p.note
+	}
+}
--- /dev/null
+++ b/internal/fleet/lanes_test.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/config"
+	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/fleet/talk"
+	"birchcart/internal/operator"
+	"birchcart/internal/serve"
+	"birchcart/internal/settings"
+)
+
+// What programs without lanes have saved is read, and what is saved while there are none is read by them.
+func TestStatesOfProgramsWithoutLanes(t *testing.T) {
+	older := ledger.New(map[string]ledger.Part{part: takeout.New(), sessionsPart: session.New()})
+	if err := older.Apply(3, tick(t, 5)); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := older.Save()
+	c := newCopy()
+	if err != nil || c.take(talk.Word{Index: 3, Snapshot: raw}) != nil || c.ledger.Index() != 3 {
+		t.Fatal(err, c.ledger.Index())
+	}
+	if same, err := c.ledger.Save(); err != nil || !bytes.Equal(raw, same) || older.Load(same) != nil {
+		t.Errorf("%v: %s", err, same)
+	}
+}
+
+// A co-ordinator goes by what its copy has, and tells what it has applied; a file too large to agree on is refused.
+func TestLanesOfACopy(t *testing.T) {
+	names := &settings.Names{Classes: []string{"q"}}
+	f := &operator.File{Fleet: &operator.Fleet{Revision: 4, Lanes: &operator.Lanes{Slot: 10, Lanes: []operator.Lane{{Name: "all", Floor: 0.1}}}}}
+	var out bytes.Buffer
+	log := logrus.New()
+	log.Out = &out
+	n := &Node{copy: newCopy(), file: f, log: logrus.NewEntry(log), s: serve.Serving{Config: &config.Config{Names: names}}}
+	if err := fitsLanes(f, names); err != nil {
+		t.Fatal(err)
+	}
+	n.openLanes()
+	if set, changed, applied := n.lanes.set(1, 0); set == nil || !changed || applied != 0 || !strings.Contains(out.String(), "no lanes are agreed on yet") {
+		t.Errorf("%v %v %d: %s", set, changed, applied, out.String())
+	}
+	b, err := laneset.Body(f.Fleet.Lanes, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := laneCommand("l", 7, b)
+	if err != nil || n.copy.ledger.Apply(1, raw) != nil {
+		t.Fatal(err)
+	}
+	for heard, behind := range map[int]bool{4: false, 5: true} {
+		out.Reset()
+		if set, changed, applied := n.lanes.set(1, heard); set == nil || changed || applied != 4 || strings.Contains(out.String(), "is behind") != behind {
+			t.Errorf("heard of %d: %v %v %d: %s", heard, set, changed, applied, out.String())
+		}
+	}
+	fields := logrus.Fields{}
+	if n.lanes.tell(fields); fields["lanes_revision"] != 4 {
+		t.Error(fields)
+	}
+	f.Fleet.Lanes.Header = strings.Repeat("x", laneset.TextMost)
+	if err := fitsLanes(f, names); err == nil || !strings.HasPrefix(err.Error(), "$.fleet.lanes: ") {
+		t.Error(err)
+	}
+}
--- a/internal/fleet/laneset/mix.go
+++ b/internal/fleet/laneset/mix.go
@@ -9,7 +9,8 @@
 
 // Look is what is known at a moment.
 type Look struct {
-	Agreed        time.Duration // agreed time, as this co-ordinator knows it
+	Now           time.Duration // own monotonic time
+	Agreed        time.Duration // agreed time, as the newest command here tells it
 	Force, Before *Version      // of Agreed's InForce
 	Own           *SetBody      // of the own file; nil: it has no section, and there are no lanes here
 	Heard         int           // the highest revision that others say they have applied; 0: none
@@ -23,6 +24,8 @@
 	routes []string
 
 	began bool
+	force string        // in force, as last seen
+	since time.Duration // own time at which it was seen first
 	key   mixed
 	set   *Set
 	wrong string // why key can't be used
@@ -75,7 +78,11 @@
 		return mixed{own: l.Own.key()}, note
 	}
 	w.force = l.Force.key()
-	if l.Before != nil && l.Agreed < l.Force.Since+MixFor {
+	if w.force != m.force {
+		m.force, m.since = w.force, l.Now
+	}
+	// Agreed time stands still while nothing is agreed on; the own clock ends it then.
+	if l.Before != nil && l.Agreed < l.Force.Since+MixFor && l.Now < m.since+MixFor {
 		w.before = l.Before.key()
 	}
 	if l.Heard > l.Force.Revision {
--- a/internal/fleet/laneset/mix_test.go
+++ b/internal/fleet/laneset/mix_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestWhatOneCoordinatorGoesBy(t *testing.T) {
@@ -17,12 +18,12 @@
 		t.Fatal(err)
 	}
 	a, m := New(), NewMix(names, routes)
-	now, heard := start, 0
-	own := &first
+	now, own, heard := start, &first, 0
+	clock := time.Minute
 	step := func(what, lane string, changes bool, notes string) *Set {
 		t.Helper()
 		force, before := a.InForce(now)
-		set, changed, note := m.Step(Look{Agreed: now, Force: force, Before: before, Own: own, Heard: heard})
+		set, changed, note := m.Step(Look{Now: clock, Agreed: now, Force: force, Before: before, Own: own, Heard: heard})
 		got := "no lanes"
 		if set != nil {
 			got = set.Lanes[set.Lane(set.Account(2, 1, ""))].Name
@@ -49,10 +50,11 @@
 	if two.older == nil || two.Revision != 2 {
 		t.Errorf("not of both: %+v", two)
 	}
-	now += MixFor
+	clock += MixFor
 	if one := step("the second alone", "rest", true, ""); one.older != nil {
 		t.Error("the first counts still")
 	}
+	now += MixFor
 	a.Tick(now)
 	a.must(t, now, body(t, 3, `{"lanes":[{"name":"a","colour":"red"}]}`))
 	step("of a newer program", "rest", false, "can't be used here")
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -77,6 +77,7 @@
 	copy    *copied
 	// nil without the section of pinned sessions; its start decides
 	sessions *sessions
+	lanes    *lanes // likewise, of the section of lanes
 	mail     *mail
 	load     *exchange.Load
 	writer   *writer
@@ -180,6 +181,7 @@
 	n.keepLaid()
 	n.load = s.Exchange.Load()
 	n.openSessions(ctx, s)
+	n.openLanes()
 	n.done.Go(func() { n.run(ctx) })
 	return nil
 }
@@ -227,10 +229,15 @@
 		return errors.New("$.fleet: is missing; a fleet ends with the program")
 	case (f.Fleet.Sessions != nil) != (n.sessions != nil):
 		return errors.New("$.fleet.sessions: pinned sessions begin and end with the program")
+	case (f.Fleet.Lanes != nil) != (n.lanes != nil):
+		return errors.New("$.fleet.lanes: lanes begin and end with the program")
 	}
 	if err := fitsSessions(f.Fleet, n.s.Config.Names, &n.s.Config.Policy); err != nil {
 		return err
 	}
+	if err := fitsLanes(f, n.s.Config.Names); err != nil {
+		return err
+	}
 	if err := n.member.ReloadKeys(); err != nil {
 		return err
 	}
--- a/internal/fleet/sizes_test.go
+++ b/internal/fleet/sizes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -10,9 +12,11 @@
 	"time"
 
 	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/laneset"
 	"birchcart/internal/fleet/lead"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/pack"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/talk"
 )
@@ -70,6 +74,26 @@
 	}
 	do("asks", asks)
 
+	for revision := range 2 { // two sections of lanes in force, as large as may be
+		var text []byte
+		for range laneset.PackedMost * 29 / 30 {
+			text = append(text, byte(rnd.Uint32()))
+		}
+		sum := sha256.Sum256(text)
+		z, err := pack.Pack(text)
+		if err != nil || len(z) < laneset.PackedMost*9/10 {
+			t.Fatalf("%d bytes, %v", len(z), err)
+		}
+		index++
+		raw, err := laneCommand(fmt.Sprint("l-", index), now, laneset.SetBody{Revision: revision + 1, Sum: hex.EncodeToString(sum[:]), Z: z})
+		if err == nil {
+			err = c.ledger.Apply(index, raw)
+		}
+		if err != nil || len(raw) > talk.EntryMost {
+			t.Fatalf("%d bytes, %v", len(raw), err)
+		}
+	}
+
 	raw, err := c.order.Save() // the life of 20,000 items, without living them one by one
 	var all map[string]any
 	if err != nil || json.Unmarshal(raw, &all) != nil {
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -53,6 +53,9 @@
 	if err := fitsSessions(f, n.s.Config.Names, &n.s.Config.Policy); err != nil {
 		return fmt.Errorf("operators' file: %w", err)
 	}
+	if err := fitsLanes(n.file, n.s.Config.Names); err != nil {
+		return fmt.Errorf("operators' file: %w", err)
+	}
 	if f.Grants != "" {
 		dir := filepath.Dir(f.Grants)
 		if at, err := os.Stat(dir); err != nil || !at.IsDir() {
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -90,6 +90,9 @@
 			n.goForWork(fence)
 		}
 	}
+	if n.lanes != nil {
+		n.lanes.step(now)
+	}
 	n.agreedRevision = limits
 	n.hand(now, limits, asks)
 	n.keepSeats(now)
@@ -117,6 +120,9 @@
 	if n.sessions != nil {
 		n.sessions.reload(n.file.Fleet.Sessions)
 	}
+	if n.lanes != nil {
+		n.lanes.reload(n.file.Fleet)
+	}
 	n.asks = talk.Ask{From: n.name, Limits: Limits(n.file, &n.s.Config.Policy), Asks: Asks(n.file)}
 	n.askedAt, n.lines.differs = 0, 0
 	n.toLead = append(n.toLead, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
--- a/internal/fleet/tell.go
+++ b/internal/fleet/tell.go
@@ -92,5 +92,8 @@
 	if n.sessions != nil {
 		n.sessions.tell(f)
 	}
+	if n.lanes != nil {
+		n.lanes.tell(f)
+	}
 	n.log.WithFields(f).Info("the fleet")
 }
