--- a/cmd/birchctl/explain.go
+++ b/cmd/birchctl/explain.go
@@ -16,7 +16,10 @@
 	files
 	Class    string   `help:"Class of query; or --session."`
 	Session  string   `help:"A session's key: what it pins, and what its clients are told." placeholder:"KEY"`
-	Tenant   string   `help:"The tenant of --session."`
+	Lanes    bool     `help:"What the lanes say of a query of --class, --tenant, --route and --mark, any of them."`
+	Tenant   string   `help:"The tenant of --session or --lanes."`
+	Route    string   `help:"The route of --lanes."`
+	Mark     string   `help:"The mark of --lanes, as it stands in the lanes' header."`
 	Snapshot string   `help:"A snapshot of the agreed state, for --session." placeholder:"FILE" type:"path"`
 	Shard    int      `help:"Shard; or --square." default:"-1"`
 	Square   string   `help:"A named square or section; its first shard is shown."`
@@ -59,6 +62,9 @@
 	if c.Session != "" {
 		return c.session(l, p)
 	}
+	if c.Lanes {
+		return c.lanes(l, p)
+	}
 	d := l.deployment()
 	class := settings.Place(l.Config.Names.Classes, c.Class)
 	if class < 0 {
