--- a/internal/fleet/world/pinned/schedule.go
+++ b/internal/fleet/world/pinned/schedule.go
@@ -29,6 +29,7 @@
 	Away         time.Duration     `json:"away"`             // how long a machine of a swap is out
 	Abreast      int               `json:"abreast"`          // machines of a swap that go together
 	Repeat       bool              `json:"repeat,omitempty"` // clients ask unsafe queries that were served once more: not where owners are lost
+	Begin        time.Duration     `json:"begin,omitempty"`  // after which clients come: by then the slots of a large fleet are dealt
 	Within       time.Duration     `json:"within"`           // how long each has to get rid of its sessions; else the swap stops
 }
 
@@ -115,7 +116,8 @@
 	for i := range replicas {
 		s.Limits.Caps[replicaName(i)] = 4 * coordinators
 	}
-	s.Steps = []clockwork.Step{{At: 2*time.Second + 5*every/2, Kind: stepSwap}}
+	s.Begin = time.Duration(coordinators*replicas/(session.ActsMost/2)+1) * 2 * spreadEvery
+	s.Steps = []clockwork.Step{{At: s.Begin + 2*time.Second + 5*every/2, Kind: stepSwap}}
 	s.End = time.Hour
 	return s
 }
