--- a/internal/fleet/harness/sessions_test.go
+++ b/internal/fleet/harness/sessions_test.go
@@ -98,11 +98,13 @@
 		spoil func(h *History)
 		says  string
 	}{
-		"sound":                        {func(*History) {}, ""},
-		"twice":                        {func(h *History) { h.Runs = append(h.Runs, Run{At: at(3006), Query: 4}, Run{At: at(3007), Query: 4}) }, ""},
-		"a tally twice":                {func(h *History) { h.Runs = append(h.Runs, Run{At: at(47), Process: 1, Query: 1, Try: 2, Tally: true}) }, "S3: tally 1 of session 0 ran twice"},
-		"out of order":                 {func(h *History) { h.Runs = append(h.Runs, Run{At: at(68), Query: 1, Try: 5}) }, "S3: query 1 of session 0 ran"},
-		"out of order, held by a link": {func(h *History) { h.Relayed, h.Runs = true, append(h.Runs, Run{At: at(3006), Process: 1, Query: 2, Count: 3}) }, ""},
+		"sound":         {func(*History) {}, ""},
+		"twice":         {func(h *History) { h.Runs = append(h.Runs, Run{At: at(3006), Query: 4}, Run{At: at(3007), Query: 4}) }, ""},
+		"a tally twice": {func(h *History) { h.Runs = append(h.Runs, Run{At: at(47), Process: 1, Query: 1, Try: 2, Tally: true}) }, "S3: tally 1 of session 0 ran twice"},
+		"out of order":  {func(h *History) { h.Runs = append(h.Runs, Run{At: at(68), Query: 1, Try: 5}) }, "S3: query 1 of session 0 ran"},
+		"out of order, held by a link": {func(h *History) {
+			h.Relayed, h.Runs = true, append(h.Runs, Run{At: at(3006), Process: 1, Query: 2, Count: 3})
+		}, ""},
 		"a tally held by a link": {func(h *History) {
 			h.Relayed, h.Runs = true, append(h.Runs, Run{At: at(3006), Process: 1, Query: 3, Tally: true, Count: 4})
 		}, "S3: query 3 of session 0 ran by process 1 after query 4"},
