Play storms of accounts in lanes on real processes, and judge them by counts outside

Lanes between processes need a fleet whose capacity is known. Stand-in replicas work on one part at a time in the order of coming, 80 ms each; open-loop clients of five payers (within their guarantee, flooding, without one, of no account; uneven over co-ordinators; marked and unmarked retries) ask twice of what the replicas bear, in a calm, a storm and a calm.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: pinned properties build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures fleet-rest session-plots session-cost
+.PHONY: lanes pinned properties build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures fleet-rest session-plots session-cost
 
 # As the operators build it: the line in deploy/balancer.toml.
 build:
@@ -90,6 +90,12 @@
 pinned:
 	BIRCHCART_PINNED_SMALL=$(SMALL) BIRCHCART_PINNED=$(if $(filter command line,$(origin SEED)),$(SEED),$(PINNED)) go test -timeout 120m -v -count=1 -run 'TestPinned$$' ./internal/fleet/harness
 
+# Ten co-ordinators at twice what their replicas bear, with accounts in lanes, under the faults of each seed: 50 s each; BESIDE=3
+# plays three at a time, OFF=1 without the section, which has to fail.
+LANES ?= 1-36
+lanes:
+	BIRCHCART_LANES_OFF=$(OFF) BIRCHCART_LANES_BESIDE=$(BESIDE) BIRCHCART_LANES=$(if $(filter command line,$(origin SEED)),$(SEED),$(LANES)) go test -timeout 120m -v -count=1 -run 'TestLanes$$' ./internal/fleet/harness
+
 fleet-figures:
 	BIRCHCART_FLEET_FIGURES=20 go test -timeout 30m -v -count=1 -run TestFigures ./internal/fleet/harness
 
--- a/internal/fleet/harness/acts.go
+++ b/internal/fleet/harness/acts.go
@@ -51,6 +51,8 @@
 		c.pinned.Herd()
 	case DoProve:
 		c.prove()
+	case DoZone, DoZoneBack, DoHit:
+		c.stormy(st)
 	case DoVoter:
 		for _, i := range c.places(st.Who) {
 			if err := c.replace(i); err != nil {
@@ -70,7 +72,7 @@
 func (c *Cluster) act(do Act, i int) error {
 	p := c.procs[i]
 	switch do {
-	case DoAsk, DoAsk2, DoAskAll, DoVoter:
+	case DoAsk, DoAsk2, DoAskAll, DoVoter, DoMove:
 		if err := c.operator(i, do); err != nil {
 			return err
 		}
@@ -161,7 +163,7 @@
 			if from == listEnd && (f.Stop || f.Cut) {
 				c.begin(c.h.Silent, i, "link")
 			}
-		case (f.Cut || f.Stop) && i != c.Leader():
+		case (f.Cut || f.Stop) && (c.storm != nil || i != c.Leader()):
 			c.begin(c.h.Disturbed, i, "link")
 		}
 	}
--- a/internal/fleet/harness/cluster.go
+++ b/internal/fleet/harness/cluster.go
@@ -40,6 +40,7 @@
 	Dir      string // for logs, disks and files; must exist
 	Replicas bool   // swap the replicas
 	Also     bool   // and the co-ordinators
+	Laneless bool   // storms without the section of lanes
 	Limit    time.Duration
 	Terms    Terms // set by Play from the schedule
 }
@@ -55,6 +56,8 @@
 	stream *Stream
 	pinned *Sessions // nil: none
 	tally  tallies
+	storm  *Storm // nil: none
+	queues *queues
 	limits takeout.Limits
 	began  time.Time
 	rng    *rand.Rand
@@ -147,6 +150,10 @@
 	if n := opt.Terms.Sessions; n > 0 {
 		c.pinned = &Sessions{Addresses: serving, Many: n, Shards: shards, Rate: sessionRate, Seed: seed, Both: opt.Terms.Both, Wait: opt.Terms.Wait}
 	}
+	if opt.Terms.Storm > 0 {
+		c.queues = newQueues()
+		c.storm = &Storm{Addresses: serving, Payers: payers(), Shards: shards, Capacity: replicas / workTook.Seconds(), Seed: seed}
+	}
 	c.stream = &Stream{Addresses: serving, Shards: shards, Rate: or(opt.Terms.Rate, streamRate), Seed: seed}
 	return c, nil
 }
@@ -155,7 +162,7 @@
 func classes(t *Terms) []standin.FleetClass {
 	give := max(2.5, 1.25*t.Wait.Seconds())
 	out := []standin.FleetClass{{Name: "search", Promise: 1, GiveUp: give, Semantics: "repeatable", Need: 1, Floor: 1}}
-	if t.Sessions > 0 {
+	if t.Sessions > 0 || t.Storm > 0 {
 		out = append(out, standin.FleetClass{Name: "tally", Promise: 1, GiveUp: 2.5, Semantics: "once", Need: 1, Floor: 1})
 	}
 	return out
@@ -164,6 +171,9 @@
 // script answers each part with its id, and notes it.
 func (c *Cluster) script(machine string) standin.Script {
 	return func(a standin.Asked) standin.Does {
+		if c.queues != nil {
+			return standin.Does{After: c.queues.take(a.ID, machine, a.At), Value: []byte("v-" + a.ID)}
+		}
 		if value, ok := c.tally.run(a.ID, machine, a.Text, a.At); ok {
 			return standin.Does{After: c.h.Answer, Value: value}
 		}
--- a/internal/fleet/harness/fleet.go
+++ b/internal/fleet/harness/fleet.go
@@ -66,6 +66,9 @@
 			"sessions_most": 2 * n, "offer_ms": 3000, "in_flight": 256,
 		}
 	}
+	if c.opt.Terms.Storm > 0 && !c.opt.Laneless {
+		fleet["lanes"] = lanesSection(ask == DoMove)
+	}
 	raw, err := json.MarshalIndent(map[string]any{
 		"version": 1, "placement": map[string]any{"holders_least": l.HoldersLeast}, "fleet": fleet,
 	}, "", "  ")
--- a/internal/fleet/harness/schedule.go
+++ b/internal/fleet/harness/schedule.go
@@ -41,32 +41,36 @@
 type Act string
 
 const (
-	DoAsk    Act = "ask"     // writes the request for all machines into the files of Who, and says so to them
-	DoAsk2   Act = "ask 2"   // the same, for half of the machines with another reason
-	DoAskAll Act = "ask all" // the same as ask, over both
-	DoFault  Act = "fault"   // on the links From x To
-	DoHeal   Act = "heal"    // takes all faults off the links
-	DoReset  Act = "reset"   // of the connections From x To
-	DoKill   Act = "kill"
-	DoStart  Act = "start" // those of Who that do not run
-	DoLose   Act = "lose"  // the disk of one that does not run
-	DoStop   Act = "stop"  // SIGSTOP
-	DoCont   Act = "cont"  // SIGCONT
-	DoFull   Act = "full"  // no file grows any more
-	DoRoom   Act = "room"  // they may again
-	DoTear   Act = "tear"  // the council's file of one that does not run is cut short
-	DoFail   Act = "fail"  // a replica ends without a word, and comes back seconds later
-	DoNever  Act = "never" // the next replica that goes out stays away
-	DoRename Act = "rename"
-	DoSlow   Act = "slow"       // the site's tools wait some seconds before they use a grant, so that others may still send
-	DoRate   Act = "rate"       // of queries
-	DoOld    Act = "old list"   // a process's list changes no more
-	DoFalse  Act = "false list" // nor is it true: two replicas are gone there
-	DoTrue   Act = "true list"  // it has discovery's again
-	DoVoter  Act = "voter"      // another takes the seat of Who, by the files of all
-	DoProve  Act = "prove"      // waits until it has, and kills so many that the new one is needed for a majority
-	DoHerd   Act = "herd"       // all clients of sessions come within 100 ms
-	DoEarly  Act = "early"      // a replica that is granted goes out before it was told
+	DoAsk      Act = "ask"     // writes the request for all machines into the files of Who, and says so to them
+	DoAsk2     Act = "ask 2"   // the same, for half of the machines with another reason
+	DoAskAll   Act = "ask all" // the same as ask, over both
+	DoFault    Act = "fault"   // on the links From x To
+	DoHeal     Act = "heal"    // takes all faults off the links
+	DoReset    Act = "reset"   // of the connections From x To
+	DoKill     Act = "kill"
+	DoStart    Act = "start" // those of Who that do not run
+	DoLose     Act = "lose"  // the disk of one that does not run
+	DoStop     Act = "stop"  // SIGSTOP
+	DoCont     Act = "cont"  // SIGCONT
+	DoFull     Act = "full"  // no file grows any more
+	DoRoom     Act = "room"  // they may again
+	DoTear     Act = "tear"  // the council's file of one that does not run is cut short
+	DoFail     Act = "fail"  // a replica ends without a word, and comes back seconds later
+	DoNever    Act = "never" // the next replica that goes out stays away
+	DoRename   Act = "rename"
+	DoSlow     Act = "slow"       // the site's tools wait some seconds before they use a grant, so that others may still send
+	DoRate     Act = "rate"       // of queries
+	DoOld      Act = "old list"   // a process's list changes no more
+	DoFalse    Act = "false list" // nor is it true: two replicas are gone there
+	DoTrue     Act = "true list"  // it has discovery's again
+	DoVoter    Act = "voter"      // another takes the seat of Who, by the files of all
+	DoProve    Act = "prove"      // waits until it has, and kills so many that the new one is needed for a majority
+	DoHerd     Act = "herd"       // all clients of sessions come within 100 ms
+	DoEarly    Act = "early"      // a replica that is granted goes out before it was told
+	DoZone     Act = "zone"       // all replicas of a zone, Who by its place, end without a word
+	DoZoneBack Act = "zone back"  // and are back, cold
+	DoMove     Act = "move"       // an account is in a lower lane by the files of Who, and they are told to read them
+	DoHit      Act = "hit"        // half of all queries come to Who; none: as before
 )
 
 // Encode is the whole schedule, as one line of JSON.
@@ -93,7 +97,8 @@
 		return nil, errors.New("schedule: processes")
 	}
 	acts := []Act{DoAsk, DoAsk2, DoAskAll, DoFault, DoHeal, DoReset, DoKill, DoStart, DoLose, DoStop, DoCont, DoFull, DoRoom, DoFail,
-		DoNever, DoRename, DoEarly, DoSlow, DoRate, DoOld, DoFalse, DoTrue, DoVoter, DoProve, DoTear, DoHerd}
+		DoNever, DoRename, DoEarly, DoSlow, DoRate, DoOld, DoFalse, DoTrue, DoVoter, DoProve, DoTear, DoHerd,
+		DoZone, DoZoneBack, DoMove, DoHit}
 	for _, st := range s.Steps {
 		if !slices.Contains(acts, st.Do) {
 			return nil, fmt.Errorf("schedule: nothing does %q", st.Do)
--- a/internal/fleet/harness/terms.go
+++ b/internal/fleet/harness/terms.go
@@ -23,6 +23,7 @@
 	Sessions   int           `json:"sessions,omitempty"` // pinned ones, with a client each
 	Both       int           `json:"both,omitempty"`     // one of so many of their clients asks at two co-ordinators; 0: none
 	Wait       time.Duration `json:"wait,omitempty"`     // of their clients for what may run twice
+	Storm      time.Duration `json:"storm,omitempty"`    // for which payers in lanes ask more than the fleet bears; 0: there are none
 	Relays     bool          `json:"relays,omitempty"`   // discovery and replicas have relays before them too
 }
 
