--- /dev/null
+++ b/internal/fleet/lanes/gate_test.go
@@ -0,0 +1,287 @@
+package lanes
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/pressure"
+)
+
+const sec = time.Second
+
+// three lanes; gold is guaranteed 0.2, silver 0.1, of copper nobody is guaranteed anything.
+func three(more int) *laneset.Set {
+	lane := func(name string) laneset.Lane { return laneset.Lane{Name: name, Floor: 0.02, Lend: true} }
+	account := func(name string, lane int, guarantee, most float64) laneset.Account {
+		return laneset.Account{Name: name, Lane: lane, Guarantee: guarantee, Most: most, Key: laneset.Key(name)}
+	}
+	s := &laneset.Set{Slot: 10 * sec, Lanes: []laneset.Lane{lane("premium"), lane("plus"), lane("standard")},
+		Classes:  []laneset.Class{{Floor: 0.02, ComeBack: true}, {Floor: 0.02}},
+		Accounts: []laneset.Account{account("gold", 0, 0.2, 0), account("silver", 1, 0.1, 0.15), account("copper", 1, 0, 0)}}
+	for i := range more {
+		name := fmt.Sprint("account", i)
+		s.Accounts = append(s.Accounts, account(name, i%3, 0.5/float64(more), 0))
+	}
+	return s
+}
+
+// pressed is a fleet of ten that is asked 1500 and bears 1000, a tenth of all here.
+func pressed(level float64) State {
+	own := pressure.Own{Known: true, Asked: 150, ByLane: [pressure.LanesMost]float64{0, 30, 120}}
+	fl := pressure.Fleet{Known: true, Asked: 1500, ByLane: [pressure.LanesMost]float64{0, 300, 1200}, Members: 10}
+	return State{Level: level, Bears: 1000, Members: 10, Fleet: fl, Own: own, Slot: 7, SlotLeft: 4 * sec}
+}
+
+func gate(t testing.TB, level float64) *Gate {
+	g := New(sec, three(0), 10)
+	g.Level(sec, pressed(level))
+	return g
+}
+
+// play asks n times a second for some seconds and gives counts by reason.
+func play(g *Gate, from time.Duration, secs float64, rate int, q Ask) (n [Reasons]int) {
+	for i := range int(secs * float64(rate)) {
+		v := g.Admit(from+time.Duration(i)*sec/time.Duration(rate), q)
+		n[v.How]++
+	}
+	return n
+}
+
+func TestWithinItsGuaranteeAnAccountIsAdmittedAndNoFurther(t *testing.T) {
+	g := gate(t, 0.9) // 0.2 of 1000 over ten: 20/s
+	if n := play(g, sec, 10, 20, Ask{Account: 0, Cost: 1}); n[Guaranteed] != 200 {
+		t.Errorf("at its guarantee: %v", n)
+	}
+	n := play(g, 12*sec, 10, 100, Ask{Account: 0, Cost: 1})
+	if n[Guaranteed] < 200 || n[Guaranteed] > 245 || n[Cut] < 650 {
+		t.Errorf("at five times of it: %v", n)
+	}
+	if err := g.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAQueryLargerThanTheBurstPassesAndIsPaidLater(t *testing.T) {
+	g := gate(t, 1)
+	g.Share(sec, 0, 0.002) // 2/s, burst 4
+	n := play(g, sec, 100, 1, Ask{Account: 0, Cost: 10})
+	if all := n[Guaranteed] + n[Floor] + n[ClassFloor]; n[Guaranteed] < 19 || n[Guaranteed] > 22 || all > 60 {
+		t.Errorf("2/s in queries of 10, for 100 s: %v", n)
+	}
+	if err := g.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestNoLaneStarvesAndClassesKeepTheirFloor(t *testing.T) {
+	g := gate(t, 1)
+	n := play(g, sec, 10, 120, Ask{Account: -1, Cost: 1, Key: 3}) // floor of lane and class: about 2/s each here
+	if n[Floor] < 18 || n[Floor] > 24 || n[ClassFloor] < 16 || n[ClassFloor] > 24 || n[Cut] < 1100 {
+		t.Errorf("a lane that is all shed: %v", n)
+	}
+	if n := play(g, 12*sec, 10, 30, Ask{Account: 2, Cost: 1}); n[Floor] < 18 {
+		t.Errorf("another: %v", n)
+	}
+	if err := g.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestTheLastLaneGivesWayFirstAndByAccountsAndSlots(t *testing.T) {
+	cut := func(g *Gate, account int, key uint64) bool {
+		v := g.judge(2*sec, &Ask{Account: account, Key: key, Class: -1, Cost: 1})
+		return v.How != Free
+	}
+	share := func(g *Gate) (n float64) {
+		for k := range 10_000 {
+			if cut(g, -1, laneset.Key(fmt.Sprint(k))) {
+				n += 1e-4
+			}
+		}
+		return n
+	}
+	a, b := gate(t, 0.4), gate(t, 0.4) // half of the last lane's 1200 are 600
+	if s := share(a); math.Abs(s-0.5) > 0.02 || cut(a, 2, 0) {
+		t.Errorf("of the last lane %.3f is cut, of the middle one %v", s, cut(a, 2, 0))
+	}
+	same := 0
+	for k := range uint64(1000) {
+		if cut(a, -1, k) != cut(b, -1, k) {
+			t.Fatalf("key %d is cut at one only", k)
+		}
+		if cut(a, -1, k) {
+			same++
+		}
+	}
+	s := pressed(0.4)
+	s.Slot++
+	b.Level(sec, s)
+	for k := range uint64(1000) {
+		if cut(a, -1, k) && cut(b, -1, k) {
+			same--
+		}
+	}
+	if same < 150 {
+		t.Errorf("%d were cut in one slot and not in the next", same)
+	}
+	c := gate(t, 0.9) // 1350 of 1200 and 300: half of the middle one as well
+	if s := share(c); s < 0.999 || math.Abs(float64(c.lanes[1].cut)/math.MaxUint64-0.5) > 0.01 || c.lanes[0].cut != 0 || c.lanes[0].full {
+		t.Errorf("%.3f of the last lane, %v", s, c.lanes[:3])
+	}
+}
+
+func TestWhatOthersLeaveIdleIsBorrowed(t *testing.T) {
+	g := gate(t, 1)
+	if n := play(g, sec, 10, 100, Ask{Account: 0, Class: 1, Cost: 1}); n[Borrowed] != 0 {
+		t.Errorf("nothing was known to be idle: %v", n)
+	}
+	g.Level(20*sec, pressed(1))
+	play(g, 20*sec, 1, 100, Ask{Account: 0, Class: 1, Cost: 1}) // its own were idle as well
+	g.Level(21*sec, pressed(1))
+	n := play(g, 21*sec, 1, 100, Ask{Account: 0, Class: 1, Cost: 1})
+	if n[Borrowed] < 8 || n[Borrowed] > 21 { // silver's 10/s
+		t.Errorf("of 10/s that are idle: %v", n)
+	}
+	for j := range g.set.Lanes {
+		g.set.Lanes[j].Lend = false
+	}
+	g.Level(40*sec, pressed(1))
+	if n := play(g, 40*sec, 1, 100, Ask{Account: 0, Class: 1, Cost: 1}); n[Borrowed] != 0 {
+		t.Errorf("nobody lends: %v", n)
+	}
+}
+
+func TestMostOfLaneAndAccount(t *testing.T) {
+	g := gate(t, 0.3)
+	n := play(g, sec, 10, 100, Ask{Account: 1, Cost: 1}) // guaranteed 10/s, at most 15/s
+	if in := n[Guaranteed] + n[Free] + n[Floor] + n[ClassFloor] + n[Borrowed]; in < 140 || in > 185 || n[OverMost] < 600 {
+		t.Errorf("over its most: %v", n)
+	}
+	set := three(0)
+	set.Lanes[1].Most = 0.1 // 10/s here
+	g.Set(20*sec, set)
+	g.Level(20*sec, pressed(0.7))
+	g.Level(21*sec, pressed(0.7)) // 0.7 of 1500 is under the last lane's 1200
+	for i := range 1000 {
+		g.Admit(21*sec+time.Duration(i)*10*time.Millisecond, Ask{Account: 2, Cost: 1})
+	}
+	c := g.Counts()
+	if own, last := c.Queries[1][Free], c.Queries[2][Cut]+c.Queries[2][Free]; own < 90 || own > 140 || last < 800 {
+		t.Errorf("%d in its lane, %d as of the last", own, last)
+	}
+	if err := g.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestRefusalsNameATimeAndYieldingIsOnlyWhileLevelsAre(t *testing.T) {
+	g := gate(t, 1)
+	seen := map[time.Duration]bool{}
+	for i := range 200 {
+		v := g.Admit(sec, Ask{Account: -1, Class: i % 2, Cost: 5, Key: 5})
+		if v.Admitted {
+			continue
+		}
+		if i%2 == 1 && v.After != 0 || i%2 == 0 && (v.After < 4*sec || v.After > 14*sec) {
+			t.Fatalf("class %d: come back in %v", i%2, v.After)
+		}
+		seen[v.After] = true
+	}
+	if len(seen) < 80 {
+		t.Errorf("%d times to come back", len(seen))
+	}
+	if v := g.Admit(sec, Ask{Account: 0, Cost: 1}); v.YieldBy != 1 || v.How != Guaranteed {
+		t.Errorf("%+v", v)
+	}
+	g.Level(2*sec, pressed(0.1))
+	free := g.judge(2*sec, &Ask{Account: 2, Cost: 1})
+	if free.How != Free || free.YieldBy <= 1 || free.YieldBy > YieldMost {
+		t.Errorf("%+v", free)
+	}
+	g.Level(3*sec, pressed(0))
+	if v := g.Admit(3*sec, Ask{Account: 2, Cost: 1}); v.YieldBy != 1 || v.How != Free {
+		t.Errorf("%+v", v)
+	}
+}
+
+func TestAnAccountThatMovesDownIsHeldToTheStricterAtOnce(t *testing.T) {
+	old := three(0)
+	next := three(0)
+	next.Accounts[0].Lane, next.Accounts[0].Guarantee = 2, 0.02
+	g := New(sec, old, 10)
+	g.Level(sec, pressed(1))
+	play(g, sec, 10, 100, Ask{Account: 0, Cost: 1})
+	g.Set(11*sec, laneset.Stricter(old, next))
+	g.Level(11*sec, pressed(1))
+	if n := play(g, 11*sec, 10, 100, Ask{Account: 0, Class: -1, Cost: 1}); n[Guaranteed] < 18 || n[Guaranteed] > 26 {
+		t.Errorf("of 2/s: %v", n)
+	}
+	if err := g.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Each guard is taken out: what should be found is.
+func TestEachRuleIsFoundBroken(t *testing.T) {
+	for rule, breakIt := range map[string]func(g *Gate){
+		"L1": func(g *Gate) { g.lanes[2].floor.tokens, g.classes[0].floor.tokens = -1e9, -1e9 },
+		"L2": func(g *Gate) { g.accounts[0].sure.tokens = -1e9; play(g, 2*sec, 10, 100, Ask{Account: -1, Cost: 1}) },
+		"L3": func(g *Gate) { g.counts.Queries[0][Cut]++ },
+	} {
+		g := gate(t, 1)
+		breakIt(g)
+		for range 20 {
+			g.Admit(12*sec, Ask{Account: 0, Class: 0, Cost: 1})
+			g.Admit(12*sec, Ask{Account: -1, Class: 0, Cost: 1})
+		}
+		if err := g.Check(); err == nil || !strings.HasPrefix(err.Error(), rule) {
+			t.Errorf("%s: %v", rule, err)
+		}
+	}
+	g := gate(t, 0)
+	g.books.seen(sec, g, &Ask{Account: -1}, &Verdict{How: Cut, Lane: 2})
+	if err := g.Check(); err == nil || !strings.HasPrefix(err.Error(), "L6") {
+		t.Errorf("L6: %v", err)
+	}
+}
+
+// Whatever comes, the rules hold by the books, buckets stay within bounds, and who is beyond gets no more than the rates.
+func TestRulesHoldWhateverComes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := three(5)
+		g, now := New(0, set, 10), time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(-100, 3000).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				s := pressed(rapid.SampledFrom([]float64{0, 0.1, 0.4, 0.9, 1, math.NaN(), -1, 7}).Draw(t, "level"))
+				s.Bears = rapid.SampledFrom([]float64{0, 10, 1000, 1e9, math.Inf(1), math.NaN()}).Draw(t, "bears")
+				s.Members = rapid.IntRange(0, 300).Draw(t, "members")
+				s.Fleet.Known = rapid.Bool().Draw(t, "known")
+				g.Level(now, s)
+			case 1:
+				g.Share(now, rapid.IntRange(-1, 9).Draw(t, "account"), rapid.Float64Range(-1, 2).Draw(t, "share"))
+			case 2:
+				next := three(rapid.IntRange(0, 8).Draw(t, "accounts"))
+				next.Accounts[0].Guarantee = rapid.Float64Range(0, 0.3).Draw(t, "guarantee")
+				g.Set(now, next)
+			default:
+				q := Ask{Account: rapid.IntRange(-1, 9).Draw(t, "of"), Class: rapid.IntRange(-1, 3).Draw(t, "class"), Key: rapid.Uint64().Draw(t, "key"),
+					Cost: rapid.SampledFrom([]float64{0, 0.1, 1, 1, 50, math.NaN(), -3}).Draw(t, "cost"), Retry: rapid.Bool().Draw(t, "retry")}
+				v := g.Admit(now, q)
+				if v.Admitted == v.How.Refused() || v.After < 0 || !(v.YieldBy >= 1 && v.YieldBy <= YieldMost) || v.Admitted && v.After != 0 {
+					t.Fatalf("%+v", v)
+				}
+			}
+			if err := g.Check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/lanes/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package lanes
+
+const race = false
