Shed by lanes in birchcart-fleet: the gate before the exchange, words and loans by letters

internal/fleet/shed stands between the exchange, the gate, the controller, the shares and the gossip. Letters have a first byte of their own and wait for no step of the node. What is agreed comes from the copy, who is there from the agreed inventory and gossip, so that one that is cut off knows of how few it hears.

--- a/internal/fleet/lanes.go
+++ b/internal/fleet/lanes.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,8 +31,9 @@
 	mu      sync.Mutex
 	own     *laneset.SetBody // of the file; nil: it can't be put in words, which was told
 	mix     *laneset.Mix
-	way     bool // a proposal is
-	refused bool // the newest one was, for good
+	routes  []string // that it was made for
+	way     bool     // a proposal is
+	refused bool     // the newest one was, for good
 	note    string
 }
 
@@ -63,19 +65,22 @@
 	if n.file.Fleet.Lanes == nil {
 		return
 	}
-	n.lanes = &lanes{n: n, mix: laneset.NewMix(n.s.Config.Names, routeNames(n.file))}
-	n.lanes.reload(n.file.Fleet)
+	n.lanes = &lanes{n: n}
+	n.lanes.reload(n.file)
 }
 
 // reload takes a file that was read again.
-func (p *lanes) reload(f *operator.Fleet) {
-	b, err := laneset.Body(f.Lanes, f.Revision)
+func (p *lanes) reload(f *operator.File) {
+	b, err := laneset.Body(f.Fleet.Lanes, f.Fleet.Revision)
 	if err != nil {
 		p.n.log.WithError(err).Error("the section of lanes can't be agreed on")
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if names := routeNames(f); p.mix == nil || !slices.Equal(names, p.routes) { // queries come with places in this list
+		p.mix, p.routes = laneset.NewMix(p.n.s.Config.Names, names), names
+	}
 	if p.own == nil || p.own.Revision != b.Revision || p.own.Sum != b.Sum {
 		p.own, p.after = &b, 0
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -4,6 +4,7 @@
 //	council ──changes, news────┼──> Node.run: one step ─┤                  polls to the leader, leave to go
 //	exchange ──list, load──────┤    after any news, or   └──> lead.Step ──> proposals to the council (only while it leads)
 //	SIGHUP ──operators' file───┘    ten times a second
+//	exchange ──queries──> shed <──letters── member: lanes, beside all this (shedding.go); what is in force they read of the copy
 //
 // One goroutine (run) owns view, lead and what is known of polls; the agreed state is its copy's (copy.go). Nothing waits
 // here for disk or network: proposals, checks of the lead, the grants file and the hand-over have goroutines of their own.
@@ -28,6 +29,7 @@
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/lead"
 	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/shed"
 	"birchcart/internal/fleet/talk"
 	"birchcart/internal/fleet/view"
 	"birchcart/internal/operator"
@@ -78,6 +80,7 @@
 	// nil without the section of pinned sessions; its start decides
 	sessions *sessions
 	lanes    *lanes // likewise, of the section of lanes
+	shed     atomic.Pointer[shed.Shed]
 	mail     *mail
 	load     *exchange.Load
 	writer   *writer
@@ -182,6 +185,7 @@
 	n.load = s.Exchange.Load()
 	n.openSessions(ctx, s)
 	n.openLanes()
+	n.openShed(ctx, s)
 	n.done.Go(func() { n.run(ctx) })
 	return nil
 }
@@ -242,8 +246,10 @@
 		return err
 	}
 	n.mu.Lock()
+	was := n.file.Fleet.Lanes
 	n.file, n.news = f, true
 	n.mu.Unlock()
+	n.reloadShed(was, f.Fleet.Lanes)
 	n.nudge()
 	return nil
 }
--- /dev/null
+++ b/internal/fleet/shed/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package shed
+
+const raceOn = false
--- /dev/null
+++ b/internal/fleet/shedding.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/shed"
+	"birchcart/internal/fleet/takeout"
+	"birchcart/internal/operator"
+	"birchcart/internal/serve"
+)
+
+// openShed has queries go through the lanes, if there are any. It comes before the exchange runs.
+func (n *Node) openShed(ctx context.Context, s serve.Serving) {
+	if n.lanes == nil {
+		return
+	}
+	c := &crew{n: n}
+	p := shed.New(shed.Options{
+		Name: n.name, Zone: zone(s), Incarnation: uint64(n.start.UnixMilli()), Start: n.start, Fleet: s.Config.Policy.Aggregators,
+		Seed: s.Config.Policy.Seed, Policy: &s.Config.Policy, Log: n.log,
+		Set: n.lanes.set, Crew: c.now, Agreed: n.agreedTime,
+		Send: func(to string, raw []byte) {
+			if err := n.member.Send(to, raw); err != nil {
+				n.log.WithError(err).Debug("a letter of lanes is not sent")
+			}
+		},
+	})
+	n.shed.Store(p)
+	s.Exchange.Lane(p)
+	n.done.Go(func() { p.Run(ctx) })
+}
+
+// receive takes a message of another co-ordinator, from any goroutine. Those of lanes wait for no step of the node.
+func (n *Node) receive(from string, raw []byte) {
+	if len(raw) > 0 && raw[0] == shed.Kind {
+		if p := n.shed.Load(); p != nil { // else this one has no lanes
+			p.Hear(from, raw)
+		}
+		return
+	}
+	n.mail.put(letter{from, raw, n.now()})
+}
+
+func (n *Node) agreedTime() (at time.Duration) {
+	n.copy.look(func() { at = n.copy.ledger.Now() })
+	return at
+}
+
+// CrewEvery is between looks at who there is. Twice as long: words go to who is dead so much longer; half: at 300 co-ordinators
+// twice the sorting.
+const CrewEvery = time.Second
+
+// crew is who there is, for the lanes' steps alone.
+type crew struct {
+	n    *Node
+	at   time.Duration
+	last shed.Crew
+}
+
+// now is who is agreed to be there and not gone, and who gossip hears of. What is agreed stays while this one is cut off, so that
+// it knows of how few it hears.
+func (c *crew) now() shed.Crew {
+	now := c.n.now()
+	if c.last.Names != nil && now < c.at+CrewEvery {
+		return c.last
+	}
+	c.at = now
+	var agreed []takeout.Machine
+	c.n.copy.look(func() { agreed = c.n.copy.order.Machines() })
+	c.last = crewOf(c.n.name, agreed, c.n.member.Members())
+	return c.last
+}
+
+func crewOf(self string, agreed []takeout.Machine, heard []member.Member) (out shed.Crew) {
+	out.Names = []string{self}
+	for _, m := range agreed {
+		if m.Kind == takeout.Coordinator && m.Status != takeout.Gone {
+			out.Names = append(out.Names, m.Name)
+			out.Agreed++
+		}
+	}
+	for _, m := range heard {
+		if m.State == member.Alive || m.State == member.Suspect {
+			out.Names = append(out.Names, m.Name)
+		}
+		if m.State == member.Alive && m.Name != self {
+			out.Live = append(out.Live, m.Name)
+		}
+	}
+	slices.Sort(out.Names)
+	out.Names = slices.Compact(out.Names)
+	return out
+}
+
+// reloadShed says what of a section that was read again waits for the next start.
+func (n *Node) reloadShed(was, is *operator.Lanes) {
+	if was != nil && is != nil && was.Header != is.Header {
+		n.log.WithField("header", was.Header).Warn("marks are read from the header of the start; another one in the file counts at the next")
+	}
+}
--- /dev/null
+++ b/internal/fleet/shedding_test.go
@@ -0,0 +1,31 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+
+	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/shed"
+	"birchcart/internal/fleet/takeout"
+)
+
+// Who is agreed to be there counts as there, heard of or not; words and asks go to who is heard of.
+func TestCrew(t *testing.T) {
+	c := crewOf("a", []takeout.Machine{
+		{Name: "r1", Kind: takeout.Replica, Status: takeout.Up}, {Name: "a", Kind: takeout.Coordinator, Status: takeout.Up},
+		{Name: "b", Kind: takeout.Coordinator, Status: takeout.Unknown}, {Name: "c", Kind: takeout.Coordinator, Status: takeout.Gone},
+	}, []member.Member{{Name: "a", State: member.Alive}, {Name: "b", State: member.Dead}, {Name: "d", State: member.Suspect}, {Name: "e", State: member.Alive}})
+	if c.Agreed != 2 || !slices.Equal(c.Names, []string{"a", "b", "d", "e"}) || !slices.Equal(c.Live, []string{"e"}) {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Letters of lanes never reach the node's mail, with lanes here or without.
+func TestLettersOfLanesAreNoMail(t *testing.T) {
+	n := &Node{mail: newMail()}
+	n.receive("b", []byte{shed.Kind, 1, 0})
+	n.receive("b", []byte{1, 'p'})
+	if len(n.mail.queue) != 1 {
+		t.Error(len(n.mail.queue))
+	}
+}
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -68,7 +68,7 @@
 	m, err := member.Open(member.Options{
 		Name: n.name, Zone: zone(n.s), Incarnation: uint64(n.start.UnixNano()), Bind: f.Gossip.Bind, Advertise: f.Gossip.Advertise,
 		Join: f.Gossip.Join, Keys: f.Keys, Log: n.log,
-		Receive: func(from string, raw []byte) { n.mail.put(letter{from, raw, n.now()}) },
+		Receive: n.receive,
 	})
 	if err != nil {
 		return fmt.Errorf("operators' file: $.fleet.gossip or $.fleet.keys_file: %w", err)
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -121,7 +121,7 @@
 		n.sessions.reload(n.file.Fleet.Sessions)
 	}
 	if n.lanes != nil {
-		n.lanes.reload(n.file.Fleet)
+		n.lanes.reload(n.file)
 	}
 	n.asks = talk.Ask{From: n.name, Limits: Limits(n.file, &n.s.Config.Policy), Asks: Asks(n.file)}
 	n.askedAt, n.lines.differs = 0, 0
