Emulate fleets that shed load, with the real module behind the lanes, and judge L1 to L6

Whether lanes keep premium's worth cannot be told from the parts alone: their own plant has a module of three lines. internal/fleet/world/shedding plays co-ordinators with the real module, gate, controller, pressure, shares and laneset in virtual time against emulated replicas, clients, links, clocks and faults, beside three ways that know less. A judge counts what clients see and looks for L1 to L6 in that alone.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: lanes pinned properties build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures fleet-rest session-plots session-cost
+.PHONY: lanes pinned properties build test size linked race fuzz lint run clean expect search faults scripts routes bench worlds fleet fleet-figures fleet-rest session-plots session-cost shedding shedding-plots
 
 # As the operators build it: the line in deploy/balancer.toml.
 build:
@@ -115,6 +115,17 @@
 	nice -n 10 go run ./internal/fleet/migrate/cmd/sessionplots $(if $(LARGE),--large)
 	@! go list -deps ./cmd/birchcart ./cmd/birchcart-fleet | grep -E 'gonum.org|sessionplots' || { echo "a drawing library is linked into a program"; exit 1; }
 
+# Fleets that shed load, in virtual time, by lanes and by three ways that know less: SIZES=10,100,300 are some minutes of CPU.
+SIZES ?= 10,30
+shedding:
+	nice -n 10 go run ./internal/fleet/world/shedding/cmd/shedworld figures --sizes $(SIZES)
+	nice -n 10 go run ./internal/fleet/world/shedding/cmd/shedworld cases
+	nice -n 10 go run ./internal/fleet/world/shedding/cmd/shedworld sweep
+
+shedding-plots:
+	nice -n 10 go run ./internal/fleet/world/shedding/cmd/shedworld plots
+	@! go list -deps ./cmd/birchcart ./cmd/birchcart-fleet | grep -E 'gonum.org|shedworld' || { echo "a drawing library is linked into a program"; exit 1; }
+
 bench:
 	go test -run XXX -bench . ./internal/expect ./internal/placement ./internal/ogc ./policy
 
