Let an emulated storm come over some seconds, and tables say so

A load that triples at once shuts the module at thin traffic for 5 to 8 s, whatever lanes do; one that comes over 3 s does not. Both are to be told apart.

--- a/internal/fleet/world/shedding/cmd/shedworld/main.go
+++ b/internal/fleet/world/shedding/cmd/shedworld/main.go
@@ -38,13 +38,14 @@
 	Replicas int           `help:"0: by the number of co-ordinators."`
 	Premium  float64       `default:"0.8" help:"What the first lane asks, of its guarantees."`
 	For      time.Duration `default:"46s" help:"Virtual time."`
+	Ramp     time.Duration `help:"Over which the load comes."`
 	History  bool          `help:"Print it."`
 	Plan     bool          `help:"Print the plan alone."`
 }
 
 func (c *runCmd) plan() shedding.Plan {
 	p := shedding.New(c.N, c.Load, c.Seed)
-	p.Way, p.Shape, p.For, p.Premium = c.Way, c.Shape, c.For, c.Premium
+	p.Way, p.Shape, p.For, p.Premium, p.Ramp = c.Way, c.Shape, c.For, c.Premium, c.Ramp
 	if c.Replicas > 0 {
 		p.Replicas = c.Replicas
 	}
--- a/internal/fleet/world/shedding/cmd/shedworld/tables.go
+++ b/internal/fleet/world/shedding/cmd/shedworld/tables.go
@@ -31,11 +31,12 @@
 }
 
 type figuresCmd struct {
-	Sizes []int     `default:"10,100,300"`
-	Loads []float64 `default:"1.2,1.5,2,4"`
-	Ways  []string  `default:"lanes,each,quotas,even"`
-	Seed  uint64    `default:"1"`
-	Procs int       `default:"2"`
+	Sizes []int         `default:"10,100,300"`
+	Loads []float64     `default:"1.2,1.5,2,4"`
+	Ways  []string      `default:"lanes,each,quotas,even"`
+	Seed  uint64        `default:"1"`
+	Ramp  time.Duration `help:"Over which the load comes."`
+	Procs int           `default:"2"`
 }
 
 func (c *figuresCmd) Run() error {
@@ -44,6 +45,7 @@
 		for _, load := range c.Loads {
 			for _, way := range c.Ways {
 				p := shedding.New(n, load, c.Seed)
+				p.Ramp = c.Ramp
 				p.Way = shedding.Way(way)
 				plans = append(plans, p)
 			}
@@ -80,12 +82,13 @@
 }
 
 type casesCmd struct {
-	N     int      `default:"30" help:"Co-ordinators."`
-	Load  float64  `default:"2" help:"In the storm, of capacity."`
-	Seed  uint64   `default:"1"`
-	Procs int      `default:"2"`
-	Only  string   `help:"This case alone."`
-	Ways  []string `default:"lanes,each"`
+	N     int           `default:"30" help:"Co-ordinators."`
+	Load  float64       `default:"2" help:"In the storm, of capacity."`
+	Seed  uint64        `default:"1"`
+	Ramp  time.Duration `help:"Over which the load comes."`
+	Procs int           `default:"2"`
+	Only  string        `help:"This case alone."`
+	Ways  []string      `default:"lanes,each"`
 }
 
 func (c *casesCmd) Run() error {
@@ -97,6 +100,7 @@
 		}
 		for _, way := range c.Ways {
 			p := shedding.New(c.N, c.Load, c.Seed)
+			p.Ramp = c.Ramp
 			p.Way = shedding.Way(way)
 			k.Set(&p)
 			plans, names = append(plans, p), append(names, k.Name)
@@ -113,19 +117,21 @@
 }
 
 type sweepCmd struct {
-	N     int     `default:"30" help:"Co-ordinators."`
-	Load  float64 `default:"2" help:"In the storm, of capacity."`
-	Seed  uint64  `default:"1"`
-	Lost  []int   `default:"0,30,50,70,80,90,95,98,100" help:"Hundredths of words lost."`
-	Procs int     `default:"2"`
+	N     int           `default:"30" help:"Co-ordinators."`
+	Load  float64       `default:"2" help:"In the storm, of capacity."`
+	Seed  uint64        `default:"1"`
+	Lost  []int         `default:"0,30,50,70,80,90,95,98,100" help:"Hundredths of words lost."`
+	Ramp  time.Duration `help:"Over which the load comes."`
+	Procs int           `default:"2"`
 }
 
 func (c *sweepCmd) Run() error {
 	base := shedding.New(c.N, c.Load, c.Seed)
-	base.Way = shedding.Each
+	base.Way, base.Ramp = shedding.Each, c.Ramp
 	plans := []shedding.Plan{base}
 	for _, lost := range c.Lost {
 		p := shedding.New(c.N, c.Load, c.Seed)
+		p.Ramp = c.Ramp
 		p.Steps = []clockwork.Step{{At: 2 * time.Second, For: p.For, Kind: shedding.Lose, A: lost}}
 		plans = append(plans, p)
 	}
--- a/internal/fleet/world/shedding/load.go
+++ b/internal/fleet/world/shedding/load.go
@@ -39,6 +39,9 @@
 	x := p.Calm
 	if t >= p.Storm && t < p.stormEnd() {
 		x = p.Load
+		if t < p.Storm+p.Ramp {
+			x = p.Calm + (p.Load-p.Calm)*float64(t-p.Storm)/float64(p.Ramp)
+		}
 		if p.Shape == "steps" && int((t-p.Storm)/(3*time.Second))%2 == 1 {
 			x *= 1.3
 		}
--- a/internal/fleet/world/shedding/plan.go
+++ b/internal/fleet/world/shedding/plan.go
@@ -40,6 +40,7 @@
 	Steps        []clockwork.Step  `json:"steps,omitempty"`
 	Shape        string            `json:"shape,omitempty"` // of the load: "", "steps", "hot", "flood", "all premium"
 	Calmed       time.Duration     `json:"calmed"`          // ns, at the end, with the load of before
+	Ramp         time.Duration     `json:"ramp,omitempty"`  // ns, over which the storm's load comes
 }
 
 // Sizes gives how many replicas there are for so many co-ordinators: 300 of these have 200.
