--- a/internal/fleet/pressure/pressure.go
+++ b/internal/fleet/pressure/pressure.go
@@ -41,9 +41,6 @@
 	// QueueWeight is the pressure of queues that bring the median query to its promise, from where it is in calm. Twice: fleets
 	// rest with idle replicas; half: queues show no sooner than refusals, and the level swings.
 	QueueWeight = 0.3
-	// queueFrom is the median, as part of the promise, from which refusals count, or calm's if that is more; with queueFull more they
-	// count in full. Twice: a fleet that refuses a third is no storm; half: lanes go on shedding on top of a module that is shut.
-	queueFrom, queueFull = 0.2, 0.2
 	// calmLeast and calmMost bound what counts as calm, as part of the promise; calmFirst holds until it is known. Twice: queues
 	// never show; half: a class that is slow in calm counts as pressed for ever.
 	calmLeast, calmFirst, calmMost = 0.15, 0.5, 0.65
@@ -179,13 +176,7 @@
 	if late, all := sum.ends[Late]+sum.ends[Failed], sum.all(); all > 0 {
 		quiet := shed == 0 && sum.ends[Refused] == 0
 		m.tail = m.learn(now, m.tail, min(tailMost, late/all), quiet, tailFor, tailFor)
-		// Refusals are a sign as far as times show queues too: the module stays shut for a while after queues have gone, and
-		// what lanes shed on top of that only leaves replicas idle.
-		weight := 0.0
-		if ok {
-			weight = min(1, max(0, (median-max(queueFrom, m.calm))/queueFull))
-		}
-		o.Pressure = max(0, (late+weight*sum.ends[Refused])/all-m.tail) / (1 - m.tail)
+		o.Pressure = max(0, (late+sum.ends[Refused])/all-m.tail) / (1 - m.tail)
 	}
 	if ok {
 		m.calm = m.learn(now, m.calm, min(calmMost, max(calmLeast, median)), o.Pressure == 0 && shed == 0, calmFall, calmRise)
--- a/internal/fleet/pressure/pressure_test.go
+++ b/internal/fleet/pressure/pressure_test.go
@@ -30,21 +30,14 @@
 		known       bool
 	}{
 		"all in time": {func(m *Meter, now time.Duration, i int) { m.Ended(now, 1, InTime, took(0.2), promise) }, 0, 0, true},
-		"a third refused, with queues": {func(m *Meter, now time.Duration, i int) {
-			if i%3 == 0 {
-				m.Ended(now, 1, Refused, 0, promise)
-			} else {
-				m.Ended(now, 1, InTime, took(0.75), promise)
-			}
-		}, 0.25, 0.45, true},
-		// by a module that stays shut after its queues have gone: shedding on top of that leaves replicas idle
-		"a third refused, without": {func(m *Meter, now time.Duration, i int) {
+		// with short queues: a module that refuses keeps them short
+		"a third refused": {func(m *Meter, now time.Duration, i int) {
 			if i%3 == 0 {
 				m.Ended(now, 1, Refused, 0, promise)
 			} else {
 				m.Ended(now, 1, InTime, took(0.2), promise)
 			}
-		}, 0, 0, true},
+		}, 0.25, 0.45, true},
 		"all late": {func(m *Meter, now time.Duration, i int) { m.Ended(now, 1, Late, took(1.5), promise) }, 0.9, 1, true},
 		"queues": {func(m *Meter, now time.Duration, i int) {
 			m.Ended(now, 1, InTime, took(0.2+0.7*float64(i)/50), promise)
