--- a/internal/fleet/harness/storm_play.go
+++ b/internal/fleet/harness/storm_play.go
@@ -45,7 +45,7 @@
 	})
 	c.storm.Up = func(i int) bool { return c.procs[i].Running() }
 	h := &StormHistory{History: &c.h, Payers: c.storm.Payers, Capacity: c.storm.Capacity, Laneless: opt.Laneless, Case: s.Case}
-	c.storm.Start(calmShare)
+	c.storm.Start(calmShare / stormLoad)
 	h.Calm = time.Now()
 	c.sleep(calmFor)
 	c.storm.Load(1)
@@ -62,7 +62,7 @@
 		}
 	})
 	c.sleep(time.Until(h.Storm.Add(s.Terms.Storm)))
-	c.storm.Load(calmShare)
+	c.storm.Load(calmShare / stormLoad)
 	h.After = time.Now()
 	c.note("calm")
 	<-steps
