Give who wakes from a standstill its even part of a guarantee until it has stepped

More than a second after the last Level a part counts as the even one at most. TestWhoWakesHasItsEvenPart fails without it; the test that breaks each rule by hand steps first now.

--- a/internal/fleet/lanes/admit.go
+++ b/internal/fleet/lanes/admit.go
@@ -87,7 +87,11 @@
 	if q.Account >= 0 && q.Account < len(g.accounts) {
 		a, of = &g.accounts[q.Account], &g.set.Accounts[q.Account]
 		key, v.Lane, guaranteed = of.Key, of.Lane, of.Guarantee > 0
-		if rate = a.share * g.bears; rate > 0 && a.sure.fill(now, rate, sureBurst(rate)) > 0 {
+		share := a.share
+		if g.stale(now) {
+			share = min(share, of.Guarantee/g.members)
+		}
+		if rate = share * g.bears; rate > 0 && a.sure.fill(now, rate, sureBurst(rate)) > 0 {
 			v.How = Guaranteed
 			return v
 		}
@@ -132,6 +136,9 @@
 	return v
 }
 
+// stale says that this co-ordinator has stood still since the last Level.
+func (g *Gate) stale(now time.Duration) bool { return now-g.levelAt > StaleAfter }
+
 // mostRate is the own part of an account's most: as large as that of its guarantee.
 func (g *Gate) mostRate(a *account, of *laneset.Account) float64 {
 	if of.Guarantee > 0 {
--- a/internal/fleet/lanes/check.go
+++ b/internal/fleet/lanes/check.go
@@ -110,7 +110,7 @@
 		b.broken = fmt.Errorf("L6: a query of cost %.2f in lane %s is %s at level 0", q.Cost, name, v.How)
 	case v.How == Cut && l.left > slack:
 		b.broken = fmt.Errorf("L1: a query of cost %.2f in lane %s is refused with %.3f left of its floor of %.3f/s", q.Cost, name, l.left, l.rate)
-	case a != nil && a.rate > 0 && a.left > slack:
+	case a != nil && a.rate > 0 && a.left > slack && !g.stale(g.now):
 		b.broken = fmt.Errorf("L2: a query of cost %.2f of account %s is %s with %.3f left of its guarantee of %.3f/s", q.Cost,
 			g.set.Accounts[q.Account].Name, v.How, a.left, a.rate)
 	case v.After < 0 || v.After > AfterMost:
--- a/internal/fleet/lanes/gate.go
+++ b/internal/fleet/lanes/gate.go
@@ -33,6 +33,11 @@
 	SureFor = 30
 )
 
+// StaleAfter a Level without the next one a co-ordinator has stood still, and what it borrowed may be its lender's again: until it has
+// stepped its even part is all that counts. Twice: as much longer is used twice; half: a step that is late by a busy machine
+// refuses premium.
+const StaleAfter = time.Second
+
 type bucket struct {
 	tokens float64
 	at     time.Duration
@@ -81,7 +86,8 @@
 	now      time.Duration // it never goes back
 	members  float64
 	level    float64
-	bears    float64 // cost a second, of the fleet
+	levelAt  time.Duration // of the last Level
+	bears    float64       // cost a second, of the fleet
 	slot     uint64
 	slotEnds time.Duration
 	lanes    [pressure.LanesMost]lane
@@ -184,7 +190,7 @@
 	if s.Level != s.Level { // no number sheds nothing
 		s.Level = 0
 	}
-	g.members = float64(max(1, s.Members))
+	g.members, g.levelAt = float64(max(1, s.Members)), now
 	g.level, g.slot, g.slotEnds = min(1, max(0, s.Level)), s.Slot, now+max(0, min(s.SlotLeft, g.set.Slot))
 	fl, own := s.Fleet, s.Own
 	if !fl.Known { // as if the others fared alike
--- a/internal/fleet/lanes/gate_test.go
+++ b/internal/fleet/lanes/gate_test.go
@@ -95,6 +95,33 @@
 	}
 }
 
+// Guards against one that wakes from a standstill with a part that it borrowed and that has been its lender's for seconds (L5).
+func TestWhoWakesHasItsEvenPart(t *testing.T) {
+	ask := func(steps bool) (n int) {
+		g := gate(t, 0.9)
+		g.Share(sec, 0, 0.2) // all of it, 200/s; the even part is a tenth
+		at := 11 * sec
+		if steps {
+			g.Level(at, pressed(0.9))
+		}
+		for i := range 600 {
+			if v := g.Admit(at+time.Duration(i)*5*time.Millisecond/3, Ask{Account: 0, Cost: 1}); v.How == Guaranteed {
+				n++
+			}
+		}
+		if err := g.Check(); err != nil {
+			t.Error(err)
+		}
+		return n
+	}
+	if n := ask(false); n > 65 {
+		t.Errorf("%d parts within a second, its even part is 20 a second and two seconds' worth at once", n)
+	}
+	if n := ask(true); n < 550 {
+		t.Errorf("%d after a step, of 200 a second and as much again", n)
+	}
+}
+
 // A false word with a huge rate of which no lane has its part has nothing more shed of the lanes that are known.
 func TestARateOfNoLaneShedsNothing(t *testing.T) {
 	cut := func(asked float64) uint64 {
@@ -280,6 +307,7 @@
 	} {
 		g := gate(t, 1)
 		breakIt(g)
+		g.Level(12*sec, pressed(1)) // it has not stood still
 		for range 20 {
 			g.Admit(12*sec, Ask{Account: 0, Class: 0, Cost: 1})
 			g.Admit(12*sec, Ask{Account: -1, Class: 0, Cost: 1})
