End no connection over a request that waits unread or is being taken

Leads: closes that cross a request.

- ClientIdle, FirstTime and RequestTime ended a connection although the request, or its rest, waited unread (Pull asked no one; the read deadline hides bytes from a read): reset or 408 for what came in time (TestATimeRunsOutOverARequest, four times that run out).
- A client evicted in the middle of a slow request was closed over the rest of it (goes asked for kind slow alone): TestEvictedOverARequest.
- During the drain the answer before a pipelined request closed the connection after that request was read and before it was submitted, and it was then sent on behind the close (run cleared partial before submit): TestAnAnswerBetweenReadingAndAsking.
- The drain was done, and the process gone, over a connection that Accept had returned and Serve had not yet listed: TestAcceptedInTheMomentOfTheClose.
- The word for a body that is expected behind an open query was never sent: TestContinueBehindAQuery.

Change: what waits is read before a time counts as run out and before one who was asked to go goes; a request that is being taken keeps its connection; the drain also waits for the accepting to end, at most until the last answers are due; Expect is kept until the query before it is answered. Somebody who sends a byte now and then gains no time (TestATimeRunsOutOverATrickle fails if bytes that wait are not asked for).

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -48,7 +48,7 @@
 			idle = append(idle, c)
 		}
 		s.mu.Unlock()
-		if left == 0 {
+		if left == 0 && (s.hasTaken() || !s.hears()) {
 			tick.Stop()
 			return
 		}
@@ -64,6 +64,16 @@
 	}
 }
 
+// hasTaken tells whether the accepting has ended: until then a connection that was accepted may not be among the others.
+func (s *Server) hasTaken() bool {
+	select {
+	case <-s.taken:
+		return true
+	default:
+		return false
+	}
+}
+
 // look lets the accepting go on for a time, from now; false if the listener knows no times.
 func (s *Server) look(during time.Duration) bool {
 	ln, ok := s.ln.(interface{ SetDeadline(time.Time) error })
--- a/internal/front/endings_test.go
+++ b/internal/front/endings_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"strings"
@@ -53,7 +54,7 @@
 	st.Cleanup(func() { peer.Close(); nc.Close() })
 	c := newClient(st.s, nc)
 	c.good = true
-	return c, &conn{t: st.T, nc: peer, r: nil}
+	return c, &conn{st.T, peer, bufio.NewReader(peer)}
 }
 
 // The end of a client stands behind all that it has sent. On a connection of which no further request is taken it is
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -30,6 +30,8 @@
 	good    bool              // has sent a request that could be used
 	idleAt  time.Time
 	partial time.Time // when the first bytes of an unfinished request came
+	taking  bool      // a request has been read to its end and is neither asked nor waiting yet
+	expects bool      // the client waits for a word before it sends the body of the unfinished request
 	spoke   bool      // an answer was the last thing that happened
 
 	began  time.Time
@@ -65,12 +67,7 @@
 	})
 	last := false
 	for !last && in.Scan() {
-		c.mu.Lock()
-		if c.partial = (time.Time{}); ahead > 0 {
-			c.partial = c.conn.ReadAt()
-		}
-		c.mu.Unlock()
-		c.has(-c.unread)
+		c.cut(ahead)
 		last = c.request(&split.Request)
 	}
 	err := in.Err()
@@ -93,6 +90,17 @@
 	c.s.gone(c)
 }
 
+// cut notes that a request has been read to its end, with so many bytes of the next behind it.
+func (c *client) cut(ahead int) {
+	c.mu.Lock()
+	c.taking, c.expects = true, false
+	if c.partial = (time.Time{}); ahead > 0 {
+		c.partial = c.conn.ReadAt()
+	}
+	c.mu.Unlock()
+	c.has(-c.unread)
+}
+
 // lastWords answers what could not be read. What is still open on the connection is answered first.
 func (c *client) lastWords(status int) {
 	c.mu.Lock()
@@ -153,9 +161,7 @@
 	if r.split.Expects {
 		r.split.Expects = false
 		r.c.mu.Lock()
-		if r.c.asked == nil { // else it waits for its turn
-			r.c.out = append(r.c.out, h1.Continue...)
-		}
+		r.c.expects = true
 		r.c.mu.Unlock()
 	}
 	n, err := r.c.conn.Read(p)
@@ -177,6 +183,7 @@
 func (c *client) request(r *h1.Request) (last bool) {
 	c.mu.Lock()
 	dropped := c.closing // what follows the last request is not served
+	c.taking = !dropped
 	c.closing = c.closing || r.Close
 	c.mu.Unlock()
 	if !dropped {
@@ -232,6 +239,7 @@
 // submit hands a query on, or lets it wait for the one before.
 func (c *client) submit(q *exchange.Query) {
 	c.mu.Lock()
+	c.taking = false
 	if c.asked != nil {
 		if c.waiting = append(c.waiting, q); len(c.waiting) > c.s.limits.Pipelined {
 			open := c.asked
--- a/internal/front/reply.go
+++ b/internal/front/reply.go
@@ -56,6 +56,7 @@
 func (c *client) say(status int, header h1.Header) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.taking = false
 	if c.asked != nil { // read ahead: its answer would overtake the one before
 		c.closing = true
 		return
@@ -63,24 +64,32 @@
 	c.out = h1.AppendResponse(c.out, status, header, nil, c.ends())
 }
 
-// ends tells whether the answer that is written now is the connection's last.
+// ends tells whether the answer that is written now is the connection's last. It is not while a request waits for its
+// turn or is about to: whoever is told of the end looks for no further answer.
 func (c *client) ends() bool {
-	if c.s.leaving.Load() && len(c.waiting) == 0 && !(c.s.hears() && (!c.partial.IsZero() || c.conn.Waits())) {
+	if c.taking || len(c.waiting) > 0 {
+		return false
+	}
+	if c.s.leaving.Load() && !(c.s.hears() && (!c.partial.IsZero() || c.conn.Waits())) {
 		c.closing = true
 	}
-	return c.closing && len(c.waiting) == 0
+	return c.closing
 }
 
 // Pull hands over what is queued. It is called by the connection's goroutine.
 func (c *client) Pull(buf []byte) ([]byte, time.Time, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hung {
+	if c.hung && !c.conn.Waits() { // else that is read first, and may be all that was missing
 		c.hung = false
 		c.closing = c.closing || c.goes()
 	}
 	buf = append(buf, c.out...)
 	c.out = c.out[:0]
+	if c.expects && c.asked == nil && !c.closing { // else the answer comes first
+		c.expects = false
+		buf = append(buf, h1.Continue...)
+	}
 	c.spoke = c.spoke || len(buf) > 0
 	now := time.Now()
 	switch {
@@ -96,10 +105,8 @@
 		if first := c.began.Add(c.s.limits.FirstTime); !c.good && first.Before(until) {
 			until = first
 		}
-		if !now.Before(until) {
-			return buf, until, errSlow
-		}
-		return buf, until, nil
+		until, err := c.past(now, until, errSlow)
+		return buf, until, err
 	}
 	if len(buf) > 0 {
 		c.idleAt = now
@@ -109,12 +116,27 @@
 	if !c.good {
 		until = c.began.Add(c.s.limits.FirstTime)
 	}
-	if !now.Before(until) {
-		return buf, until, errIdle
+	until, err := c.past(now, until, errIdle)
+	return buf, until, err
+}
+
+// past ends a connection whose time is over, unless something waits there to be read: that came before, and the goroutine
+// comes to it late. It is read within what is left or a moment of its own. Who sends a byte now and then gains nothing, as
+// that is read by the next look.
+func (c *client) past(now, until time.Time, end error) (time.Time, error) {
+	switch {
+	case now.Before(until):
+		return until, nil
+	case c.conn.Waits():
+		return now.Add(lateRead), nil
 	}
-	return buf, until, nil
+	return until, end
 }
 
+// lateRead is the time for reading what waits already. It is done in one call; a wake in between has the source asked
+// again.
+const lateRead = 10 * time.Millisecond
+
 // Wrote is told how much went out; answers need no count.
 func (c *client) Wrote(int) {}
 
@@ -139,7 +161,7 @@
 func (c *client) sparing() (spare, time.Time) {
 	kind, since := idle, c.idleAt
 	switch {
-	case c.asked != nil || len(c.out) > 0 || c.closing || c.hung:
+	case c.asked != nil || c.taking || len(c.out) > 0 || c.closing || c.hung:
 		return needed, since
 	case !c.partial.IsZero() && c.s.leaving.Load() && c.s.hears():
 		return needed, since // nobody else wants its place, and what of it is on its way would be lost
