Ask no more clients to go than places are wanted

Seen: five idle clients whose goroutines are held, two places wanted, all five asked after 20 looks (TestNoMoreAreAskedToGoThanPlacesAreWanted, by a hook called with each look); now two, and the place is had once they run.

A client that takes no answer can't go until WriteTime is over, but was the one asked (TestWhoIsWrittenToIsNotAskedToGo failed, passes now): neither asked nor counted once it has been written to for SlowRequest.

Lines: the wait loop of Serve in accept.go, sparing and Wrote in reply.go.

--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -51,6 +51,7 @@
 	lastBy  atomic.Pointer[time.Time] // once told to end: when the last answer goes
 	unread  atomic.Int64              // bytes of requests that are not yet whole
 	toldAt  time.Time                 // of the last line on all connections being taken
+	looked  func()                    // called with each look for room, for tests
 }
 
 // New returns a server. ready tells whether a list has been had.
@@ -58,6 +59,7 @@
 	s := &Server{
 		limits: cfg.Limits, names: cfg.Names, shards: cfg.Policy.Shards, sink: sink, ready: ready,
 		log: logs.Limit(log, cfg.Limits.LogEvery), conns: map[*client]struct{}{}, taken: make(chan struct{}),
+		looked: func() {},
 	}
 	for _, c := range cfg.Policy.Classes {
 		s.keyed = append(s.keyed, c.Effect == policy.Keyed)
@@ -98,7 +100,10 @@
 				s.toldAt = now
 				s.log.Warn("all connections are taken", s.census())
 			}
-			s.evict(nil)
+			if wanted := len(s.conns) - s.limits.Clients - s.limits.ClientsOver + 1; s.going() < wanted {
+				s.evict(nil)
+			}
+			s.looked()
 			look := time.AfterFunc(s.limits.SlowRequest/4, func() { // one may be spared by then
 				s.mu.Lock()
 				s.room.Broadcast()
@@ -160,6 +165,18 @@
 	return best.hangUp()
 }
 
+// going counts the clients that were asked to go and will as soon as they have the processor.
+func (s *Server) going() (n int) {
+	for c := range s.conns {
+		c.mu.Lock()
+		if c.hung && !c.stuck() {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
 // census tells what the connections are, for the log.
 func (s *Server) census() logrus.Fields {
 	f := logrus.Fields{"connections": len(s.conns)}
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -33,6 +33,7 @@
 	taking  bool      // a request has been read to its end and is neither asked nor waiting yet
 	expects bool      // the client waits for a word before it sends the body of the unfinished request
 	spoke   bool      // an answer was the last thing that happened
+	writing time.Time // since when the newest bytes are being written, zero once they are
 
 	began  time.Time
 	unread int64 // bytes that have come of an unfinished request; the goroutine's own
--- a/internal/front/reply.go
+++ b/internal/front/reply.go
@@ -92,6 +92,9 @@
 	}
 	c.spoke = c.spoke || len(buf) > 0
 	now := time.Now()
+	if len(buf) > 0 {
+		c.writing = now
+	}
 	switch {
 	case c.asked != nil:
 		c.idleAt = now
@@ -138,7 +141,17 @@
 const lateRead = 10 * time.Millisecond
 
 // Wrote is told how much went out; answers need no count.
-func (c *client) Wrote(int) {}
+func (c *client) Wrote(int) {
+	c.mu.Lock()
+	c.writing = time.Time{}
+	c.mu.Unlock()
+}
+
+// stuck tells whether the client has not taken what is written for some time: it can't go before it has, or the time for
+// writing is over.
+func (c *client) stuck() bool {
+	return !c.writing.IsZero() && time.Since(c.writing) > c.s.limits.SlowRequest
+}
 
 // spare tells how well a connection can be spared; the first kinds go first.
 type spare int
@@ -161,7 +174,7 @@
 func (c *client) sparing() (spare, time.Time) {
 	kind, since := idle, c.idleAt
 	switch {
-	case c.asked != nil || c.taking || len(c.out) > 0 || c.closing || c.hung:
+	case c.asked != nil || c.taking || len(c.out) > 0 || c.closing || c.hung || c.stuck():
 		return needed, since
 	case !c.partial.IsZero() && c.s.leaving.Load() && c.s.hears():
 		return needed, since // nobody else wants its place, and what of it is on its way would be lost
