--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -516,8 +516,7 @@
 // is between requests; a new one has its time to speak first.
 func TestWhoMakesRoom(t *testing.T) {
 	t.Parallel()
-	// Far past what a busy machine takes from connecting to asking; one asked to go that has not gone a quarter of it later has
-	// the next one asked, too.
+	// Far past what a busy machine takes from connecting to asking.
 	const slowAfter = 600 * time.Millisecond
 	st := newStand(t, func(l *config.Limits) { l.Clients, l.ClientsOver, l.SlowRequest = 3, 1, slowAfter })
 	usual := st.dial()
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -138,7 +138,8 @@
 	return c.s.unread.Add(more) <= c.s.limits.UnreadBytes
 }
 
-// abandon tells the exchange that nobody waits any more.
+// abandon tells the exchange that nobody waits any more. The end of what a client sends is taken for its leaving, also
+// where it might still read: the two can't be told apart, and the protocol knows clients that close alone.
 func (c *client) abandon() {
 	c.mu.Lock()
 	q := c.asked
@@ -248,7 +249,9 @@
 			c.out = h1.AppendResponse(c.out, 400, nil, nil, true)
 			c.mu.Unlock()
 			// Guards against clients that send all at once: one after the other they would be answered long after
-			// the first has its error.
+			// the first has its error. The query in hand fails with them, which is allowed where it may have run
+			// (a refusal would not be). With its answer kept, such a client would hold a place, a reading goroutine
+			// and attempts for all its time; one that sends so much does not wait for any one answer.
 			c.s.log.Warn("bad request", logrus.Fields{"peer": c.peer, "status": 400, "reason": "too many at once"})
 			c.s.sink.Leave(open)
 			return
