Read the list and its watch as a stream of objects, not line by line

Lists may come indented, and an answer may have no length. The watch was cut at each line end (follow: bytes.Cut at '\n'), so a change laid out over lines failed at its first line and cost a new connection and the whole list; two objects on a line failed too, and one whose line end was held back was not told at all by that watch. An answer of the whole list with no length ends with its connection: bufio.Scanner gives no token there, stream.next took that for a failure, and such a list was refused for ever. Where the decisions ask, a connection that closed with the whole list was told them as a failure, and the watch waited for their next word.

A small scanner now finds each object's end, however it is laid out, and keeps its place over pieces. A pulse is an empty line between objects: line ends inside an object, the one after it, and blanks with no line end keep no watch alive. The size bound is on one object, as it was on a line. A whole list that ends its connection is whole with its object; a cut one is asked for again. The end of the connection after a whole list is no failure.

Seen red with the code before: TestObjectsInAllShapes (over lines, byte by byte, CR LF, two on a line, nothing between, no line end; the two shapes on single lines passed), TestAListWithNoLength (all four), TestAListThatClosesWhereItIsAskedFor; all pass now. TestAnObjectIsCutOff and the new cases of TestAWatchFallsSilent pin what held: they fail with planted faults (an index that moves on at the cut; line ends in an object, after one, or blanks taken as a pulse).

Ruled out: reuse of the connection after the whole list, 1xx, trickling answers and bodies were right.

Existing tests: TestOurOwnStandstillIsNotTheirs names the moved field. "A line that trickles" trickled its head too, byte by byte, and fell silent there by AgentTime; head and first byte now come at once, so that it is the object that trickles.

--- a/internal/discovery/ask.go
+++ b/internal/discovery/ask.go
@@ -25,6 +25,8 @@
 var (
 	errSilent = errors.New("silent over its time")
 	errTold   = errors.New("no answer in time for those who asked")
+	errEmpty  = errors.New("an answer with no list")
+	errTwice  = errors.New("an answer with more than one list")
 )
 
 // answer is how one ask went.
@@ -99,7 +101,7 @@
 		return nil, err
 	}
 	context.AfterFunc(ctx, func() { nc.Close() })
-	s := &stream{nc: nc, most: lim.ListBytes, by: began.Add(lim.AgentTime)}
+	s := &stream{nc: nc, whole: whole, by: began.Add(lim.AgentTime), objects: objects{most: lim.ListBytes}}
 	s.split.Limits = h1.Limits{Head: lim.HeadBytes}
 	s.in = bufio.NewScanner(s)
 	s.in.Buffer(nil, lim.HeadBytes+lim.BodyBytes)
@@ -110,37 +112,35 @@
 	if err := s.get(listTarget, f.address); err != nil {
 		return nil, err
 	}
-	for !s.split.Done {
-		if err := s.next(); err != nil {
-			return nil, err
-		}
+	if err := s.list(); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
 
 // stream reads responses from one connection.
 type stream struct {
-	nc    net.Conn
-	in    *bufio.Scanner
-	split h1.ResponseSplitter
-	line  []byte
-	most  int
-	by    time.Time // when what is waited for has to be whole, however many bytes of it come: an answer, or a line
-	late  int       // bytes read after that
-	leave context.CancelFunc
+	nc      net.Conn
+	whole   bool // its first answer is the whole list
+	in      *bufio.Scanner
+	split   h1.ResponseSplitter
+	objects objects
+	by      time.Time // when what is waited for has to be whole, however many bytes of it come: an answer, an object or a pulse
+	late    int       // bytes read after that
+	leave   context.CancelFunc
 }
 
 func (s *stream) end() { s.leave() }
 
 // until gives what is waited for now its time.
-func (s *stream) until(after time.Duration) { s.by, s.late = time.Now().Add(after), 0 }
+func (s *stream) until(by time.Time) { s.by, s.late = by, 0 }
 
 // Read reads until the time is up. What waits by then and was not read, since we had no processor, counts as come in
-// time, up to the most of a line: our own standstill is not the agent's silence.
+// time, up to the most of an object: our own standstill is not the agent's silence.
 func (s *stream) Read(p []byte) (int, error) {
 	s.nc.SetReadDeadline(s.by)
 	n, err := s.nc.Read(p)
-	if timedOut(err) && s.late < s.most && duplex.Waits(s.nc) {
+	if timedOut(err) && s.late < s.objects.most && duplex.Waits(s.nc) {
 		s.nc.SetReadDeadline(time.Time{}) // there is something: it does not wait
 		n, err = s.nc.Read(p)
 		s.late += n
@@ -159,6 +159,7 @@
 // get asks for a target and reads the answer's head.
 func (s *stream) get(target, host string) error {
 	s.split.Next()
+	s.objects = objects{raw: s.objects.raw[:0], most: s.objects.most}
 	s.nc.SetWriteDeadline(s.by)
 	if _, err := s.nc.Write(h1.AppendGet(nil, target, host)); err != nil {
 		return err
@@ -181,13 +182,39 @@
 	return errors.New("the connection ended")
 }
 
-// next adds a piece of the body to the line.
-func (s *stream) next() error {
+// next is a piece of the body, good until it is called again.
+func (s *stream) next() ([]byte, error) {
 	if !s.in.Scan() {
-		return s.err()
+		return nil, s.err()
+	}
+	return s.in.Bytes(), nil
+}
+
+// list reads the answer to its end, which has to hold one object. Where the end is that of the connection, or it closes
+// after the answer anyway, the object's end will do: a connection that stays open, or is reset, adds nothing to it.
+func (s *stream) list() error {
+	had := false
+	for !s.split.Done && !(had && s.split.Close) {
+		piece, err := s.next()
+		if err != nil {
+			return err
+		}
+		for len(piece) > 0 {
+			n, what, err := s.objects.scan(piece)
+			if err != nil {
+				return err
+			}
+			if piece = piece[n:]; what != foundObject {
+				continue
+			}
+			if had {
+				return errTwice
+			}
+			had = true
+		}
 	}
-	if s.line = append(s.line, s.in.Bytes()...); len(s.line) > s.most {
-		return fmt.Errorf("a line over %d bytes", s.most)
+	if !had {
+		return errEmpty
 	}
 	return nil
 }
--- a/internal/discovery/clock_test.go
+++ b/internal/discovery/clock_test.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// repeat writes a head, and then the same again and again for ever.
+func repeat(head, text string) func(net.Conn) {
+	return func(nc net.Conn) {
+		for io.WriteString(nc, head); every(nc, 30*time.Millisecond, text) == nil; {
+		}
+	}
+}
+
 func says(text string) func(net.Conn) { return func(nc net.Conn) { io.WriteString(nc, text) } }
 
 // runs starts a client of the agent; names gives what its lists hold, one name each.
@@ -172,18 +180,18 @@
 	old      = chunk(list(1, false, entry("v1", "Ready")) + "\n")
 	half     = whole(list(2, true, entry("v2", "Ready")))
 	badWatch = map[string]func(net.Conn){
-		"before the first byte": silent,
-		"inside the head":       says(partHead),
-		"a head that trickles":  trickle("HTTP/1.1 200 OK\r\nX: y"),
-		"after the head":        says(opened),
-		"between pulses":        says(opened + chunk("\n") + chunk("\n")),
-		"inside a line":         says(opened + chunk("\n") + chunk(`{"index":2,"snap`)),
-		"inside a chunk":        says(opened + chunk("\n") + "ff\r\n{"),
-		"a line that trickles":  trickle(opened + strings.Repeat(chunk("{"), 9)),
-		"old lines": func(nc net.Conn) {
-			for io.WriteString(nc, opened); every(nc, 30*time.Millisecond, old) == nil; {
-			}
-		},
+		"before the first byte":             silent,
+		"inside the head":                   says(partHead),
+		"a head that trickles":              trickle("HTTP/1.1 200 OK\r\nX: y"),
+		"after the head":                    says(opened),
+		"between pulses":                    says(opened + chunk("\n") + chunk("\n")),
+		"inside a line":                     says(opened + chunk("\n") + chunk(`{"index":2,"snap`)),
+		"inside a chunk":                    says(opened + chunk("\n") + "ff\r\n{"),
+		"a line that trickles":              repeat(opened, chunk("{")),
+		"an object that trickles":           repeat(opened+chunk("{"), chunk("1")),
+		"an object with no end, over lines": repeat(opened+chunk("{\n"), chunk("\n")),
+		"blanks and no line":                repeat(opened, chunk(" ")),
+		"old lines":                         repeat(opened, old),
 	}
 	badList = map[string]func(net.Conn){
 		"before the first byte": silent,
@@ -371,7 +379,7 @@
 	defer here.Close()
 	io.WriteString(there, "abc")
 	time.Sleep(20 * time.Millisecond)
-	s := &stream{nc: here, most: 100, by: time.Now().Add(-time.Second)}
+	s := &stream{nc: here, objects: objects{most: 100}, by: time.Now().Add(-time.Second)}
 	b := make([]byte, 10)
 	if n, err := s.Read(b); n != 3 || err != nil {
 		t.Errorf("%d %v", n, err)
@@ -381,12 +389,9 @@
 	}
 }
 
-// A whole list may come indented. A change that is spread over lines is had with the whole list, soon.
+// A whole list may come indented, and so may a change.
 func TestIndentedLists(t *testing.T) {
 	t.Parallel()
-	wide := func(raw string) string {
-		return strings.ReplaceAll(strings.ReplaceAll(raw, "{", "{\n  "), ",", ",\n  ")
-	}
 	s := newScripted(t, loopback(t))
 	now := make(chan time.Time, 1)
 	s.set(1, says(whole(wide(list(1, true, entry("v1", "Ready"))))+opened), nil)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -118,7 +118,21 @@
 
 const opened = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-func start(t *testing.T, ask bool) (*agent, *sink, *Client) {
+// Limits for agents that answer by hand: in brisk a silence ends soon, in calm none ever does.
+var (
+	brisk = config.Limits{
+		HeadBytes: 1000, BodyBytes: 1000, ListBytes: 1000, WatchSilence: 500 * time.Millisecond, AgentTime: 200 * time.Millisecond, LogEvery: time.Second,
+		RedialFirst: time.Millisecond, RedialMost: 200 * time.Millisecond,
+	}
+	calm = config.Limits{
+		HeadBytes: 1000, BodyBytes: 1000, ListBytes: 1000, WatchSilence: 2 * patience, AgentTime: 2 * patience, LogEvery: time.Second,
+		RedialFirst: time.Millisecond, RedialMost: 200 * time.Millisecond,
+	}
+)
+
+func start(t *testing.T, ask bool) (*agent, *sink, *Client) { return startWith(t, ask, brisk) }
+
+func startWith(t *testing.T, ask bool, limits config.Limits) (*agent, *sink, *Client) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -127,10 +141,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := &sink{make(chan exchange.List, 10), make(chan struct{}, 10)}
-	c := New(&config.Config{Discovery: ln.Addr().String(), Policy: policy.Config{MustAsk: ask}, Limits: config.Limits{
-		HeadBytes: 1000, BodyBytes: 1000, ListBytes: 1000, WatchSilence: 500 * time.Millisecond, AgentTime: 200 * time.Millisecond, LogEvery: time.Second,
-		RedialFirst: time.Millisecond, RedialMost: 200 * time.Millisecond,
-	}}, 5, s, logrus.NewEntry(log))
+	c := New(&config.Config{Discovery: ln.Addr().String(), Policy: policy.Config{MustAsk: ask}, Limits: limits}, 5, s, logrus.NewEntry(log))
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { c.Run(ctx); close(done) }()
--- /dev/null
+++ b/internal/discovery/endings_test.go
@@ -0,0 +1,168 @@
+package discovery
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"birchcart/policy"
+)
+
+// wide lays an object out over lines.
+func wide(raw string) string {
+	return strings.ReplaceAll(strings.ReplaceAll(raw, "{", "{\n  "), ",", ",\n  ")
+}
+
+// bytewise is a text in chunks of one byte.
+func bytewise(text string) string {
+	var b strings.Builder
+	for i := range len(text) {
+		b.WriteString(chunk(text[i : i+1]))
+	}
+	return b.String()
+}
+
+// reset ends a connection with a reset, whatever it holds.
+func reset(nc net.Conn) {
+	nc.(*net.TCPConn).SetLinger(0)
+	nc.Close()
+}
+
+// watching has the client take a whole list at version 41 and open a watch on the same connection.
+func watching(t *testing.T, a *agent, s *sink, entries ...string) net.Conn {
+	t.Helper()
+	nc, r := a.lists(41, entries...)
+	s.next(t)
+	a.watched(nc, r, 41)
+	return nc
+}
+
+// asked is a connection with what it asks for.
+func (a *agent) asked() (net.Conn, string) {
+	a.Helper()
+	nc, r := a.accept()
+	line, err := r.ReadString('\n')
+	for head := line; err == nil && head != "\r\n"; {
+		head, err = r.ReadString('\n')
+	}
+	if err != nil {
+		a.Fatal(err)
+	}
+	return nc, strings.Fields(line)[1]
+}
+
+// The objects of a watch are had in whatever shape and pieces they come, each at its last byte and all from the one watch.
+func TestObjectsInAllShapes(t *testing.T) {
+	one, two := list(42, false, entry("a", "Terminating")), list(43, false, entry("b", "Terminating"))
+	spaced := strings.Replace(one, `"index"`, `"note":"}{\" ][\\","index"`, 1)
+	for name, text := range map[string]string{
+		"a line each":                chunk(one + "\n" + two + "\n"),
+		"over several lines":         chunk(wide(one) + "\n" + wide(two) + "\n"),
+		"over lines, byte by byte":   bytewise("\n" + wide(one) + "\n\n" + wide(two)),
+		"over lines that end in CR":  chunk(strings.ReplaceAll(wide(one)+"\n"+wide(two)+"\n", "\n", "\r\n")),
+		"two on a line":              chunk(one + " " + two + "\n"),
+		"two with nothing between":   chunk(one + two),
+		"no end of the line":         chunk(one) + chunk(two),
+		"braces and quotes in texts": chunk(spaced + "\n" + two + "\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, s, _ := startWith(t, false, calm)
+			nc := watching(t, a, s, entry("a", "Ready"), entry("b", "Ready"))
+			io.WriteString(nc, text)
+			for _, want := range []string{"a", "b"} {
+				if l := s.next(t); l.Full || len(l.Entries) != 1 || l.Entries[0].Name != want || l.Entries[0].State != policy.Draining {
+					t.Fatalf("%+v, not the change of %s", l, want)
+				}
+			}
+		})
+	}
+}
+
+// An object that is cut off is not taken, and what it said is had from the next call.
+func TestAnObjectIsCutOff(t *testing.T) {
+	for name, end := range map[string]func(net.Conn){"end": func(nc net.Conn) { nc.Close() }, "reset": reset} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, s, _ := startWith(t, false, calm)
+			nc := watching(t, a, s, entry("a", "Ready"))
+			change := list(42, false, entry("a", "Terminating"))
+			io.WriteString(nc, chunk(change[:len(change)-1]))
+			end(nc)
+			nc, target := a.asked()
+			if len(s.lists) > 0 {
+				t.Error("half an object was taken")
+			}
+			if target != watchTarget(41) {
+				t.Fatalf("asked for %s", target)
+			}
+			io.WriteString(nc, opened+chunk(change+"\n"))
+			if l := s.next(t); l.Entries[0].State != policy.Draining {
+				t.Fatalf("%+v", l)
+			}
+		})
+	}
+}
+
+// A whole list whose answer names no length ends with its connection, and is whole with the object's end, whatever
+// becomes of the connection. The watch follows on another.
+func TestAListWithNoLength(t *testing.T) {
+	body := list(41, true, entry("a", "Ready"))
+	for name, c := range map[string]struct {
+		head string
+		then func(net.Conn)
+	}{
+		"closed":         {"HTTP/1.1 200 OK\r\n\r\n", func(nc net.Conn) { nc.Close() }},
+		"closed, HTTP 1": {"HTTP/1.0 200 OK\r\n\r\n", func(nc net.Conn) { nc.Close() }},
+		"left open":      {"HTTP/1.1 200 OK\r\n\r\n", silent},
+		"says close":     {fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", len(body)), silent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, s, client := startWith(t, false, calm)
+			cut, _ := a.asked() // the first is cut short: that is no list
+			io.WriteString(cut, "HTTP/1.1 200 OK\r\n\r\n"+body[:len(body)-1])
+			cut.Close()
+			nc, target := a.asked()
+			if client.HasList() || target != listTarget {
+				t.Fatalf("half a list was taken; asked for %s", target)
+			}
+			io.WriteString(nc, c.head+body)
+			c.then(nc)
+			if l := s.next(t); !l.Full || len(l.Entries) != 1 {
+				t.Fatalf("%+v", l)
+			}
+			nc, target = a.asked()
+			if target != watchTarget(41) {
+				t.Fatalf("asked for %s", target)
+			}
+			io.WriteString(nc, opened+chunk(list(42, false, entry("a", "Gone"))))
+			if l := s.next(t); l.Full || l.Entries[0].State != policy.Removed {
+				t.Fatalf("%+v", l)
+			}
+		})
+	}
+}
+
+// Where the decisions ask, a connection that ends with the whole list is no failure: the watch is opened without them.
+func TestAListThatClosesWhereItIsAskedFor(t *testing.T) {
+	a, s, c := startWith(t, true, calm)
+	c.Watch()
+	nc, _ := a.asked()
+	body := list(41, true, entry("a", "Ready"))
+	io.WriteString(nc, fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	nc.Close()
+	s.next(t)
+	nc, _ = a.asked()
+	if len(s.failed) > 0 {
+		t.Error("a list that was had was told as a failure")
+	}
+	io.WriteString(nc, opened)
+}
+
+// What a watch says below the version that is held may be old or of a discovery that began anew: it is not taken, nor is
+// the watch trusted further, and a fresh list tells. That one counts whatever its index, and what follows it too.
+// The first answer of a watch may be the whole list. It is fresh, and counts at any index; one further on counts from
+// the version that is held. The changes after it go by its index.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -15,6 +14,8 @@
 	"birchcart/internal/logs"
 )
 
+var errClosed = errors.New("closed after the whole list")
+
 // Sink takes the list.
 type Sink interface {
 	Listed(exchange.List)
@@ -45,7 +46,7 @@
 	c       *Client
 	address string
 	index   int64
-	whole   bool          // a whole list is wanted: at the start, after a line that could not be read, and after a silence
+	whole   bool          // a whole list is wanted: at the start, after an object that could not be used, and after a silence
 	wait    time.Duration // before the next connection
 	end     context.CancelFunc
 }
@@ -160,11 +161,11 @@
 			return
 		}
 		c.failed(f, err)
-		lasted := time.Since(began)
-		if f.wait = min(2*f.wait, c.limits.RedialMost); lasted > c.limits.RedialMost || f.wait == 0 {
+		lasted, closed := time.Since(began), errors.Is(err, errClosed)
+		if f.wait = min(2*f.wait, c.limits.RedialMost); lasted > c.limits.RedialMost || f.wait == 0 || closed {
 			f.wait = c.limits.RedialFirst
 		}
-		if word = c.ask && lasted < c.limits.AgentTime; word && c.leads(f) {
+		if word = c.ask && lasted < c.limits.AgentTime && !closed; word && c.leads(f) {
 			c.sink.ListFailed()
 		}
 		// A watch may be silent for longer than the rest of what it missed has: the whole list has all at once, a new
@@ -180,61 +181,69 @@
 // follow takes the list, if that was asked for, and then its changes, until the connection is of no more use.
 func (f *feed) follow(s *stream) error {
 	c := f.c
-	if f.whole {
-		if _, err := f.take(s.line); err != nil {
+	if s.whole {
+		if _, err := f.take(s.objects.raw, true); err != nil {
 			return err
 		}
-		if f.whole = false; s.split.Close {
-			return errors.New("closed after the whole list")
+		f.whole = false
+		if s.split.Close {
+			return errClosed
 		}
-		s.line = s.line[:0]
-		s.until(c.limits.AgentTime)
+		s.until(time.Now().Add(c.limits.AgentTime))
 		if err := s.get(watchTarget(f.index), f.address); err != nil {
 			return err
 		}
 	}
-	s.until(c.limits.WatchSilence)
+	s.until(time.Now().Add(c.limits.WatchSilence))
 	for !s.split.Done {
-		if err := s.next(); err != nil {
+		piece, err := s.next()
+		if err != nil {
 			return err
 		}
-		for {
-			line, rest, ok := bytes.Cut(s.line, []byte{'\n'})
-			if !ok {
-				break
-			}
-			news := true
-			if len(bytes.TrimSpace(line)) > 0 {
-				var err error
-				if news, err = f.take(line); err != nil {
-					f.whole = true // what that line said is missing: the whole list has it
-					return err
-				}
-			}
-			if news { // what is had already says nothing of what there is now, as a pulse does
-				s.until(c.limits.WatchSilence)
-				c.hear(f)
-			}
-			s.line = s.line[:copy(s.line, rest)]
+		if err := f.tell(s, piece); err != nil {
+			f.whole = true // what that said is missing: the whole list has it
+			return err
 		}
 	}
 	return errors.New("the answer ended")
 }
 
-// take reads one object and passes it on; news is false for changes that are had already. One that can't be read
-// leaves the list as it is. The first whole list
-// of a new address is where the move is done: from then on the old one is not heard.
-func (f *feed) take(raw []byte) (news bool, err error) {
+// tell takes what a piece of a watch says.
+func (f *feed) tell(s *stream, piece []byte) error {
+	for len(piece) > 0 {
+		n, what, err := s.objects.scan(piece)
+		if err != nil {
+			return err
+		}
+		piece = piece[n:]
+		news := what == foundPulse
+		if what == foundObject {
+			if news, err = f.take(s.objects.raw, false); err != nil {
+				return err
+			}
+		}
+		if news { // what is had already says nothing of what there is now, as a pulse does
+			s.until(time.Now().Add(f.c.limits.WatchSilence))
+			f.c.hear(f)
+		}
+	}
+	return nil
+}
+
+// take reads one object and passes it on; news is false for changes that are had already. One that can't be used leaves
+// the list as it is. The first whole list of a new address is where the move is done: from then on the old one is not
+// heard.
+func (f *feed) take(raw []byte, whole bool) (news bool, err error) {
 	c := f.c
 	list, index, odd, err := Parse(raw)
 	if err != nil {
-		c.noisy.Warn("a line of the list is passed over", logrus.Fields{"error": err, "bytes": len(raw)})
+		c.noisy.Warn("an object of the list is passed over", logrus.Fields{"error": err, "bytes": len(raw)})
 		return false, err
 	}
 	if len(odd) > 0 {
 		c.noisy.Warn("odd entries on the list", logrus.Fields{"entries": odd, "index": index})
 	}
-	list.Full = list.Full || f.whole
+	list.Full = list.Full || whole
 	if !list.Full && index <= f.index { // had already
 		return false, nil
 	}
