Ask for a fresh list where a watch says an index below the held one

Lead: a whole list that comes late undoes newer news. take took each whole list whatever its index, also one further on in a watch that had told newer changes: a drain told at 45 was undone by a whole list of 43. A change below the held index was passed over while pulses kept the watch alive: where discovery had begun anew at lower indexes, the co-ordinator stayed deaf for as long as the pulses came.

An index alone can't tell an old word from a new beginning; when it was asked for can. The first answer to a call, the whole list or the first object of a watch that is whole, was asked for after all that is held came, and counts at any index. Further on, and for changes, an index below ours isn't taken: the watch is left and the whole list asked for, which is right in both cases. An equal index counts for a whole list, and as had already for a change, as before.

Ruled out: whole lists of several asks can't overtake each other. All asks of one feed begin after its last word, the first answer counts and the others' connections are closed; after a move the old feed's word is dropped under the same lock.

TestAWholeListInAWatch (first answer below, at and above the held index) pins what held; it fails if the first answer is judged by its index too.

--- a/internal/discovery/endings_test.go
+++ b/internal/discovery/endings_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"birchcart/policy"
 )
@@ -164,5 +165,71 @@
 
 // What a watch says below the version that is held may be old or of a discovery that began anew: it is not taken, nor is
 // the watch trusted further, and a fresh list tells. That one counts whatever its index, and what follows it too.
+func TestAnIndexBelowOurs(t *testing.T) {
+	for name, below := range map[string]string{
+		"a change":     list(43, false, entry("a", "Ready"), entry("z", "Ready")),
+		"a whole list": list(43, true, entry("a", "Ready"), entry("b", "Ready")),
+	} {
+		for _, fresh := range []int{46, 3} {
+			t.Run(fmt.Sprint(name, " and then ", fresh), func(t *testing.T) {
+				t.Parallel()
+				a, s, _ := startWith(t, false, calm)
+				nc := watching(t, a, s, entry("a", "Ready"), entry("b", "Ready"))
+				io.WriteString(nc, chunk(list(45, false, entry("a", "Terminating"))+"\n"))
+				s.next(t)
+				io.WriteString(nc, chunk(below+"\n"))
+				go func() { // as far as pulses go all is well
+					for every(nc, 20*time.Millisecond, chunk("\n")) == nil {
+					}
+				}()
+				next, r := a.lists(fresh, entry("a", "Gone"))
+				if l := s.next(t); !l.Full || len(l.Entries) != 1 || l.Entries[0].State != policy.Removed {
+					t.Fatalf("%+v: not the fresh list", l)
+				}
+				a.watched(next, r, fresh)
+				io.WriteString(next, chunk(list(fresh+1, false, entry("y", "Ready"))+"\n"))
+				if l := s.next(t); l.Full || l.Entries[0].Name != "y" {
+					t.Fatalf("%+v", l)
+				}
+			})
+		}
+	}
+}
+
 // The first answer of a watch may be the whole list. It is fresh, and counts at any index; one further on counts from
 // the version that is held. The changes after it go by its index.
+func TestAWholeListInAWatch(t *testing.T) {
+	for _, index := range []int{3, 41, 60} {
+		t.Run(fmt.Sprint(index), func(t *testing.T) {
+			t.Parallel()
+			a, s, _ := startWith(t, false, calm)
+			nc := watching(t, a, s, entry("a", "Ready"), entry("b", "Ready"))
+			io.WriteString(nc, chunk(list(index, true, entry("a", "Ready"))+"\n"))
+			if l := s.next(t); !l.Full || len(l.Entries) != 1 {
+				t.Fatalf("%+v", l)
+			}
+			io.WriteString(nc, chunk(list(index+1, false, entry("a", "Terminating"))+"\n"))
+			if l := s.next(t); l.Full || l.Entries[0].State != policy.Draining {
+				t.Fatalf("%+v", l)
+			}
+			io.WriteString(nc, chunk(list(index+1, true, entry("z", "Ready"))+"\n"))
+			if l := s.next(t); !l.Full || l.Entries[0].Name != "z" {
+				t.Fatalf("%+v", l)
+			}
+		})
+	}
+}
+
+// wordless are watches that end, or never begin, without having told anything.
+// While every watch ends wordless, the whole list is had well before a change counts as told: where the list is pushed, and
+// where it is asked for and the decisions' word does not come.
+// A watch that ends when its next word is long due leaves no time for another that says nothing: the whole list is asked
+// for at once.
+// A head that comes late takes of the time that the watch has for its first word.
+// Where the list is asked for and the decisions were told that it can't be had, what there is when discovery is back does
+// not wait for them longer than WatchSilence.
+// A move in the middle of whatever becomes of the old address, and whether or not the decisions are waited for, has the
+// list from the new one at once.
+// shut holds that an agent has so many connections open, soon.
+// Asks that were open all together and are answered in one moment give one list; the others' connections are closed.
+// While the process has no descriptor left the list can't be asked for; it is had as soon as there is one.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -14,7 +14,10 @@
 	"birchcart/internal/logs"
 )
 
-var errClosed = errors.New("closed after the whole list")
+var (
+	errClosed = errors.New("closed after the whole list")
+	errOlder  = errors.New("an index below the one that is held")
+)
 
 // Sink takes the list.
 type Sink interface {
@@ -182,7 +185,7 @@
 func (f *feed) follow(s *stream) error {
 	c := f.c
 	if s.whole {
-		if _, err := f.take(s.objects.raw, true); err != nil {
+		if _, err := f.take(s.objects.raw, true, true); err != nil {
 			return err
 		}
 		f.whole = false
@@ -195,12 +198,12 @@
 		}
 	}
 	s.until(time.Now().Add(c.limits.WatchSilence))
-	for !s.split.Done {
+	for fresh := true; !s.split.Done; {
 		piece, err := s.next()
 		if err != nil {
 			return err
 		}
-		if err := f.tell(s, piece); err != nil {
+		if fresh, err = f.tell(s, piece, fresh); err != nil {
 			f.whole = true // what that said is missing: the whole list has it
 			return err
 		}
@@ -208,32 +211,38 @@
 	return errors.New("the answer ended")
 }
 
-// tell takes what a piece of a watch says.
-func (f *feed) tell(s *stream, piece []byte) error {
+// tell takes what a piece of a watch says; fresh is whether the watch has said nothing yet.
+func (f *feed) tell(s *stream, piece []byte, fresh bool) (bool, error) {
 	for len(piece) > 0 {
 		n, what, err := s.objects.scan(piece)
 		if err != nil {
-			return err
+			return fresh, err
 		}
 		piece = piece[n:]
 		news := what == foundPulse
 		if what == foundObject {
-			if news, err = f.take(s.objects.raw, false); err != nil {
-				return err
+			if news, err = f.take(s.objects.raw, false, fresh); err != nil {
+				return fresh, err
 			}
+			fresh = false
 		}
 		if news { // what is had already says nothing of what there is now, as a pulse does
 			s.until(time.Now().Add(f.c.limits.WatchSilence))
 			f.c.hear(f)
 		}
 	}
-	return nil
+	return fresh, nil
 }
 
 // take reads one object and passes it on; news is false for changes that are had already. One that can't be used leaves
 // the list as it is. The first whole list of a new address is where the move is done: from then on the old one is not
 // heard.
-func (f *feed) take(raw []byte, whole bool) (news bool, err error) {
+//
+// A list that is whole and fresh, the first answer to a call, was asked for after all that is held came: it counts
+// whatever its index, since discovery may have begun anew. Further on in a watch an index below ours is either old, and
+// then a whole list would undo what came since, or that of a new beginning, and then all that follows would be passed
+// over as old: only a fresh list can tell.
+func (f *feed) take(raw []byte, whole, fresh bool) (news bool, err error) {
 	c := f.c
 	list, index, odd, err := Parse(raw)
 	if err != nil {
@@ -244,7 +253,10 @@
 		c.noisy.Warn("odd entries on the list", logrus.Fields{"entries": odd, "index": index})
 	}
 	list.Full = list.Full || whole
-	if !list.Full && index <= f.index { // had already
+	if !(list.Full && fresh) && index < f.index {
+		return false, errOlder
+	}
+	if !list.Full && index == f.index { // had already
 		return false, nil
 	}
 	f.index = index
