Have the whole list in time when watches end wordless or decisions wait

Once the first whole list was had, run asked for it again only after a silence or a bad object: a watch that was refused, answered 500 or 503, or ended after its head was asked for again every 0.05 to 0.2 s for ever. A watch that ended 2.9 s after its last pulse was given a full 3 s again, after up to 1 s for its head: 6.9 s and the ask. Where the list is asked for, run waited for the decisions' word after each failure they were told; that is the least promise or must_ask_in_s, the lower one, and neither has a bound in the settings.

The feed now notes up to when its list is known to hold (a pulse, news, or the start of the ask that gave the whole list). An ask that begins when that is AgentTime ago asks for the whole list. The time for a watch's first word counts from the ask, not from its head. After a failure that was told, the decisions' word is waited for no longer than WatchSilence.

Worst sums from the last word, in ms, with an agent that takes all of AgentTime: silence 3000 + 50 + 1000 = 4050; silence broken off by an end 3000 + 200 + 1000 = 4200; an end, then a watch that says nothing 1000 + 3000 + 50 + 1000 = 5050; an end, then wordless watches 1000 + 200 + 1000 = 2200. Asked for: 3000 more than the failure, 200 and 1000, from the time that discovery can be reached again: 4200. Each ask on its own is bounded by AgentTime, so the list is had 0.2 s + a after discovery answers, a being its answer's time. Limits are unchanged.

Existing tests: TestAskedWatch and TestMoveWhereTheListIsAskedFor look at what is asked within milliseconds; they have longer limits now, so that a halt of the machine doesn't reach the new bounds. What they ask for is unchanged.

--- a/internal/discovery/ask.go
+++ b/internal/discovery/ask.go
@@ -67,7 +67,7 @@
 			return nil, errTold
 		case <-again:
 			no++
-			n, whole, index := no, f.whole, f.index
+			n, whole, index := no, f.wantsWhole(), f.index
 			each, leave := context.WithCancel(ctx)
 			open[n] = leave
 			c.feeds.Go(func() {
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	context.AfterFunc(ctx, func() { nc.Close() })
-	s := &stream{nc: nc, whole: whole, by: began.Add(lim.AgentTime), objects: objects{most: lim.ListBytes}}
+	s := &stream{nc: nc, whole: whole, began: began, by: began.Add(lim.AgentTime), objects: objects{most: lim.ListBytes}}
 	s.split.Limits = h1.Limits{Head: lim.HeadBytes}
 	s.in = bufio.NewScanner(s)
 	s.in.Buffer(nil, lim.HeadBytes+lim.BodyBytes)
@@ -121,7 +121,8 @@
 // stream reads responses from one connection.
 type stream struct {
 	nc      net.Conn
-	whole   bool // its first answer is the whole list
+	whole   bool      // its first answer is the whole list
+	began   time.Time // before its connection was asked for
 	in      *bufio.Scanner
 	split   h1.ResponseSplitter
 	objects objects
--- a/internal/discovery/clock_test.go
+++ b/internal/discovery/clock_test.go
@@ -141,11 +141,15 @@
 
 // runs starts a client of the agent; names gives what its lists hold, one name each.
 func runs(t *testing.T, address string, ask bool) (c *Client, names func(want string) time.Time, failed chan struct{}) {
+	return runsWith(t, address, ask, scaled, io.Discard)
+}
+
+func runsWith(t *testing.T, address string, ask bool, limits config.Limits, out io.Writer) (c *Client, names func(want string) time.Time, failed chan struct{}) {
 	standstills()
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(out)
 	s := &sink{make(chan exchange.List, 1000), make(chan struct{}, 1000)}
-	c = New(&config.Config{Discovery: address, Policy: policy.Config{MustAsk: ask}, Limits: scaled}, 0, s, logrus.NewEntry(log))
+	c = New(&config.Config{Discovery: address, Policy: policy.Config{MustAsk: ask}, Limits: limits}, 0, s, logrus.NewEntry(log))
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { c.Run(ctx); close(done) }()
@@ -330,7 +334,8 @@
 }
 
 // Where the decisions ask, a watch that was there and broke is asked for again before they are told, so that what it
-// missed does not wait for them; they hear when that does not help, and from then on nothing is asked without them.
+// missed does not wait for them; they hear when that does not help, and from then on nothing is asked without them for
+// WatchSilence.
 func TestABrokenWatchIsAskedForAgain(t *testing.T) {
 	t.Parallel()
 	s := newScripted(t, loopback(t))
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -215,9 +215,12 @@
 	s.next(t)
 }
 
-// Where the decisions ask for the list, nothing is asked without their word, and they hear when it can't be had.
+// Where the decisions ask for the list, nothing is asked without their word, and they hear when it can't be had. After
+// that their word is waited for no longer than WatchSilence, which is far longer here than what is looked at.
 func TestAskedWatch(t *testing.T) {
-	a, s, c := start(t, true)
+	limits := brisk
+	limits.WatchSilence = 3 * time.Second
+	a, s, c := startWith(t, true, limits)
 	for range 2 {
 		a.quiet()
 		c.Watch()
@@ -359,7 +362,7 @@
 // Where the decisions ask for the list, a move needs no word of theirs, and its failures are not told them while
 // the old address is heard.
 func TestMoveWhereTheListIsAskedFor(t *testing.T) {
-	a, s, c := start(t, true)
+	a, s, c := startWith(t, true, calm)
 	c.Watch()
 	old, r := a.lists(41, entry("a", "Ready"))
 	s.next(t)
--- a/internal/discovery/endings_test.go
+++ b/internal/discovery/endings_test.go
@@ -221,15 +221,120 @@
 }
 
 // wordless are watches that end, or never begin, without having told anything.
+var wordless = map[string]func(net.Conn){
+	"closed unanswered":     func(nc net.Conn) { nc.Close() },
+	"reset unanswered":      reset,
+	"500":                   says("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"),
+	"503, closed":           func(nc net.Conn) { io.WriteString(nc, "HTTP/1.1 503 No\r\nConnection: close\r\n\r\nno"); nc.Close() },
+	"unanswered":            silent,
+	"a head that trickles":  trickle("HTTP/1.1 200 OK\r\nX: y"),
+	"closed after the head": func(nc net.Conn) { io.WriteString(nc, opened); nc.Close() },
+	"reset after the head":  func(nc net.Conn) { io.WriteString(nc, opened); reset(nc) },
+	"ended after the head":  says(opened + "0\r\n\r\n"),
+	"no length, closed":     func(nc net.Conn) { io.WriteString(nc, "HTTP/1.0 200 OK\r\n\r\n"); nc.Close() },
+	"reset in an object": func(nc net.Conn) {
+		io.WriteString(nc, opened+chunk(`{"index":2,`))
+		reset(nc)
+	},
+	"an object with no end": says(opened + chunk(`{"index":2,`) + "0\r\n\r\n"),
+}
+
 // While every watch ends wordless, the whole list is had well before a change counts as told: where the list is pushed, and
 // where it is asked for and the decisions' word does not come.
+func TestWatchesThatEndWordless(t *testing.T) {
+	for name, bad := range wordless {
+		for _, ask := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", asked for: ", ask), func(t *testing.T) {
+				t.Parallel()
+				s := newScripted(t, loopback(t))
+				fell := make(chan time.Time, 1000)
+				s.set(1, nil, func(nc net.Conn) {
+					fell <- time.Now()
+					s.set(2, nil, bad) // for good: no watch ever tells of it
+					bad(nc)
+				})
+				c, names, _ := runs(t, s.ln.Addr().String(), ask)
+				c.Watch()
+				names("v1")
+				most := scaled.AgentTime + scaled.RedialMost + slack
+				if ask {
+					most += scaled.WatchSilence
+				}
+				intime(t, names("v2"), <-fell, min(most, toldBy))
+			})
+		}
+	}
+}
+
 // A watch that ends when its next word is long due leaves no time for another that says nothing: the whole list is asked
 // for at once.
+func TestAnEndInASilence(t *testing.T) {
+	t.Parallel()
+	s := newScripted(t, loopback(t))
+	last := make(chan time.Time, 1)
+	s.set(1, nil, func(nc net.Conn) {
+		io.WriteString(nc, opened+chunk("\n"))
+		last <- time.Now()
+		time.Sleep(scaled.WatchSilence * 9 / 10)
+		s.set(2, nil, func(nc net.Conn) {
+			time.Sleep(scaled.AgentTime * 9 / 10) // a head in time, and then nothing
+			io.WriteString(nc, opened)
+		})
+		nc.Close()
+	})
+	_, names, _ := runs(t, s.ln.Addr().String(), false)
+	names("v1")
+	intime(t, names("v2"), <-last, min(scaled.WatchSilence+scaled.RedialMost+slack, toldBy))
+}
+
 // A head that comes late takes of the time that the watch has for its first word.
+func TestALateHeadAndThenSilence(t *testing.T) {
+	t.Parallel()
+	s := newScripted(t, loopback(t))
+	asked := make(chan time.Time, 1)
+	s.set(1, nil, func(nc net.Conn) {
+		asked <- time.Now()
+		s.set(2, nil, nil)
+		time.Sleep(scaled.AgentTime * 9 / 10)
+		io.WriteString(nc, opened)
+	})
+	_, names, _ := runs(t, s.ln.Addr().String(), false)
+	names("v1")
+	intime(t, names("v2"), <-asked, scaled.WatchSilence+scaled.RedialFirst+slack)
+}
+
 // Where the list is asked for and the decisions were told that it can't be had, what there is when discovery is back does
 // not wait for them longer than WatchSilence.
+func TestAnOutageWhereTheDecisionsWait(t *testing.T) {
+	for name, bad := range badList {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newScripted(t, loopback(t))
+			s.set(1, nil, func(nc net.Conn) {
+				s.set(1, bad, bad)
+				reset(nc)
+			})
+			c, names, failed := runs(t, s.ln.Addr().String(), true)
+			c.Watch()
+			names("v1")
+			for range 2 { // the end of the watch, and then that it can't be had again
+				select {
+				case <-failed:
+				case <-time.After(patience):
+					t.Fatal("not told")
+				}
+			}
+			s.set(2, nil, nil)
+			back := time.Now()
+			intime(t, names("v2"), back, min(scaled.WatchSilence+scaled.RedialMost+slack, toldBy))
+		})
+	}
+}
+
 // A move in the middle of whatever becomes of the old address, and whether or not the decisions are waited for, has the
 // list from the new one at once.
 // shut holds that an agent has so many connections open, soon.
 // Asks that were open all together and are answered in one moment give one list; the others' connections are closed.
-// While the process has no descriptor left the list can't be asked for; it is had as soon as there is one.
+// failures counts what a log tells of failed asks, by what its line holds.
+// While the process has no descriptor left the list can't be asked for; it is had as soon as there is one, after however
+// many asks.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -50,6 +50,7 @@
 	address string
 	index   int64
 	whole   bool          // a whole list is wanted: at the start, after an object that could not be used, and after a silence
+	word    time.Time     // up to when what is held is known to hold: the last pulse or news, or the start of the ask for the list
 	wait    time.Duration // before the next connection
 	end     context.CancelFunc
 }
@@ -145,14 +146,9 @@
 // misses counts as told by a clock that does not wait for them. A move needs no word of theirs.
 func (f *feed) run(ctx context.Context) {
 	c := f.c
-	for word := c.ask; ctx.Err() == nil; {
+	for word, told := c.ask, false; ctx.Err() == nil; {
 		if word && c.leads(f) {
-			select {
-			case <-ctx.Done():
-				return
-			case <-c.asked:
-				f.wait = 0 // they have waited
-			}
+			f.await(ctx, told)
 		}
 		s, err := f.ask(ctx)
 		began := time.Now()
@@ -169,6 +165,7 @@
 			f.wait = c.limits.RedialFirst
 		}
 		if word = c.ask && lasted < c.limits.AgentTime && !closed; word && c.leads(f) {
+			told = true
 			c.sink.ListFailed()
 		}
 		// A watch may be silent for longer than the rest of what it missed has: the whole list has all at once, a new
@@ -177,27 +174,54 @@
 	}
 }
 
+// await waits for the decisions' word. Once they were told of a failure it waits for WatchSilence at most: how long they
+// wait has no bound of ours, but what discovery has meanwhile counts as told by the clock of a silence all the same.
+func (f *feed) await(ctx context.Context, told bool) {
+	var enough <-chan time.Time
+	if told {
+		enough = time.After(f.c.limits.WatchSilence)
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.c.asked:
+	case <-enough:
+	}
+	f.wait = 0 // they have waited
+}
+
 func (c *Client) failed(f *feed, err error) {
 	c.noisy.Warn("the watch of the list ended", logrus.Fields{"error": err, "index": f.index, "address": f.address})
 }
 
+// wantsWhole tells whether to ask for the whole list and not for a watch. A new watch may say nothing for WatchSilence
+// and be of no use then: with a word that is AgentTime old by now, the whole list would come close to the time at which
+// what was missed counts as told. So it is with watches that are refused, or end before they have told anything.
+func (f *feed) wantsWhole() bool { return f.whole || time.Since(f.word) > f.c.limits.AgentTime }
+
+// heard notes that what is held holds by now.
+func (f *feed) heard() {
+	f.word = time.Now()
+	f.c.hear(f)
+}
+
 // follow takes the list, if that was asked for, and then its changes, until the connection is of no more use.
 func (f *feed) follow(s *stream) error {
-	c := f.c
+	c, asked := f.c, s.began
 	if s.whole {
 		if _, err := f.take(s.objects.raw, true, true); err != nil {
 			return err
 		}
-		f.whole = false
+		f.whole, f.word = false, s.began
 		if s.split.Close {
 			return errClosed
 		}
-		s.until(time.Now().Add(c.limits.AgentTime))
+		asked = time.Now()
+		s.until(asked.Add(c.limits.AgentTime))
 		if err := s.get(watchTarget(f.index), f.address); err != nil {
 			return err
 		}
 	}
-	s.until(time.Now().Add(c.limits.WatchSilence))
+	s.until(asked.Add(c.limits.WatchSilence))
 	for fresh := true; !s.split.Done; {
 		piece, err := s.next()
 		if err != nil {
@@ -228,7 +252,7 @@
 		}
 		if news { // what is had already says nothing of what there is now, as a pulse does
 			s.until(time.Now().Add(f.c.limits.WatchSilence))
-			f.c.hear(f)
+			f.heard()
 		}
 	}
 	return fresh, nil
