Pin moves, asks that are left, and no descriptors in discovery's tests

Leads: a move of discovery's address in the middle of any failure; asks whose answer comes after another's; descriptors that are all in use while discovery is down. All were right. Checked: a move starts its own asks at once, whatever the old address does and whether or not the decisions are waited for; each ask's connection is closed by its context's end, also one that comes up or is answered after ask returned, and the channel of answers holds all that can be open, so no goroutine waits; a dial with no descriptor is a failed ask like another.

TestAMoveInTheMiddle (twelve ends, both modes), TestAsksThatAreAnsweredTogether and TestNoDescriptors pin that. Each was seen to fail with a planted fault: a move that begins AgentTime late, an old feed that isn't ended, an ask's context that isn't cancelled, failed asks that keep their place.

--- a/internal/discovery/endings_test.go
+++ b/internal/discovery/endings_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -333,8 +335,124 @@
 
 // A move in the middle of whatever becomes of the old address, and whether or not the decisions are waited for, has the
 // list from the new one at once.
+func TestAMoveInTheMiddle(t *testing.T) {
+	for name, bad := range wordless {
+		for _, ask := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", asked for: ", ask), func(t *testing.T) {
+				t.Parallel()
+				a, b := newScripted(t, loopback(t)), newScripted(t, loopback(t))
+				in := make(chan struct{}, 1000)
+				a.set(1, nil, func(nc net.Conn) {
+					a.set(1, bad, bad)
+					bad(nc)
+					in <- struct{}{}
+				})
+				b.set(3, nil, nil)
+				c, names, _ := runs(t, a.ln.Addr().String(), ask)
+				c.Watch()
+				names("v1")
+				if !strings.HasPrefix(name, "a head") { // that one goes on until it is left
+					<-in
+				}
+				moved := time.Now()
+				c.Move(b.ln.Addr().String())
+				intime(t, names("v3"), moved, scaled.RedialMost+slack)
+				shut(t, a, 0)
+				shut(t, b, 1)
+			})
+		}
+	}
+}
+
 // shut holds that an agent has so many connections open, soon.
+func shut(t *testing.T, s *scripted, want int) {
+	t.Helper()
+	for end := time.Now().Add(patience); s.count(0) != want; time.Sleep(lookEvery) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, want %d", s.count(0), want)
+		}
+	}
+}
+
 // Asks that were open all together and are answered in one moment give one list; the others' connections are closed.
+func TestAsksThatAreAnsweredTogether(t *testing.T) {
+	t.Parallel()
+	s := newScripted(t, loopback(t))
+	open, most, gate := make(chan struct{}, 1000), atomic.Int32{}, make(chan struct{})
+	s.set(1, func(nc net.Conn) {
+		if n := int32(s.count(0)); n > most.Load() {
+			most.Store(n)
+		}
+		open <- struct{}{}
+		<-gate
+		io.WriteString(nc, whole(list(2, true, entry("v2", "Ready"))))
+	}, nil)
+	c, names, _ := runs(t, s.ln.Addr().String(), false)
+	for range asksMost {
+		<-open
+	}
+	s.set(2, nil, nil)
+	close(gate)
+	names("v2")
+	shut(t, s, 1)
+	if n := most.Load(); n > asksMost+1 { // one may still be ending
+		t.Errorf("%d were open at once, %d allowed", n, asksMost)
+	}
+	if !c.HasList() {
+		t.Error("no list")
+	}
+}
+
 // failures counts what a log tells of failed asks, by what its line holds.
+type failures struct {
+	text string
+	n    atomic.Int32
+}
+
+func (f *failures) Write(line []byte) (int, error) {
+	if strings.Contains(string(line), f.text) {
+		f.n.Add(1)
+	}
+	return len(line), nil
+}
+
 // While the process has no descriptor left the list can't be asked for; it is had as soon as there is one, after however
 // many asks.
+func TestNoDescriptors(t *testing.T) {
+	s := newScripted(t, loopback(t))
+	down := make(chan struct{})
+	s.set(1, nil, func(nc net.Conn) {
+		<-down
+		s.set(2, nil, says(opened+chunk(list(2, false, entry("v2", "Ready"))+"\n")))
+		reset(nc)
+	})
+	refused := &failures{text: "too many open files"}
+	limits := scaled
+	limits.LogEvery = time.Nanosecond // each is told
+	_, names, _ := runsWith(t, s.ln.Addr().String(), false, limits, refused)
+	names("v1")
+	var before syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	back := func() {
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+			t.Fatal(err)
+		}
+	}
+	defer back()
+	none := before
+	none.Cur = 3 // the standard streams: any further one is refused, while what is open goes on
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &none); err != nil {
+		t.Fatal(err)
+	}
+	close(down)
+	for end := time.Now().Add(patience); refused.n.Load() <= 2*asksMost; time.Sleep(lookEvery) {
+		if time.Now().After(end) {
+			t.Fatalf("%d asks were refused", refused.n.Load())
+		}
+	}
+	back()
+	free := time.Now()
+	intime(t, names("v2"), free, scaled.AgentTime+scaled.RedialMost+slack)
+}
