Count the wait for the decisions' word from discovery's last word

Lead: where the list is asked for, add up an end, a watch that is opened anew and ends soon, and the decisions' wait. A watch ends up to AgentTime after its last word and is asked for again; the head takes up to AgentTime; it ends wordless within another AgentTime, which the decisions are told as a failure; they are waited for, WatchSilence at most, and the whole list takes up to AgentTime: 1 + 1 + 1 + 3 + 1 = 7 s of 6. With an agent that answers at once it is under 5.

await now counts WatchSilence from the last word of discovery where that is not longer ago, RedialMost at the least: the sum is 3 + 0.2 + 1 = 4.2 s. In an outage, where the last word is older, it stays WatchSilence from the failure.

--- a/internal/discovery/endings_test.go
+++ b/internal/discovery/endings_test.go
@@ -333,6 +333,31 @@
 	}
 }
 
+// A watch that is opened anew, ends soon and is told the decisions as a failure, leaves them only the rest of the time
+// that its silence has had: their wait counts from the last word.
+func TestAnEndWhereTheDecisionsWait(t *testing.T) {
+	t.Parallel()
+	s := newScripted(t, loopback(t))
+	last := make(chan time.Time, 1)
+	s.set(1, nil, func(nc net.Conn) {
+		io.WriteString(nc, opened)
+		time.Sleep(scaled.AgentTime * 12 / 10) // long enough to be asked for again without them
+		io.WriteString(nc, chunk("\n"))
+		last <- time.Now()
+		s.set(2, nil, func(nc net.Conn) {
+			time.Sleep(scaled.AgentTime * 8 / 10)
+			io.WriteString(nc, opened)
+			time.Sleep(scaled.AgentTime * 9 / 10)
+			nc.Close()
+		})
+		nc.Close()
+	})
+	c, names, _ := runs(t, s.ln.Addr().String(), true)
+	c.Watch()
+	names("v1")
+	intime(t, names("v2"), <-last, scaled.WatchSilence+scaled.RedialMost+slack)
+}
+
 // A move in the middle of whatever becomes of the old address, and whether or not the decisions are waited for, has the
 // list from the new one at once.
 func TestAMoveInTheMiddle(t *testing.T) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -174,12 +174,17 @@
 	}
 }
 
-// await waits for the decisions' word. Once they were told of a failure it waits for WatchSilence at most: how long they
-// wait has no bound of ours, but what discovery has meanwhile counts as told by the clock of a silence all the same.
+// await waits for the decisions' word. Once they were told of a failure it waits for WatchSilence at most, from the last
+// word of discovery if that is not longer ago: how long they wait has no bound of ours, but what discovery has meanwhile
+// counts as told by the clock of a silence all the same.
 func (f *feed) await(ctx context.Context, told bool) {
 	var enough <-chan time.Time
 	if told {
-		enough = time.After(f.c.limits.WatchSilence)
+		most := f.c.limits.WatchSilence
+		if left := most - time.Since(f.word); left > 0 {
+			most = max(left, f.c.limits.RedialMost)
+		}
+		enough = time.After(most)
 	}
 	select {
 	case <-ctx.Done():
