Refuse at the start settings that would be served otherwise than they say

A start took a class with no effect, no name or the name of another, shares over 1, no shards, numbers below 0, NaN and infinities; only check refused some. A count of classes in place of the list was looped over.

Lines at fault: config.Parse returned what settings.Config had read; Reader.Float took what strconv takes (NaN, Inf), Int cut 2.5 to 2; limits() took 0 for a connect time-out (dials without end, every connection silent) and for the idle time, ended a drain at once where no class tells give_up_s, and expected answers to given-up parts for 15 s whatever the deadline.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -88,6 +88,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
+	for _, list := range []string{"classes", "tenants"} { // an object's own count would be taken for the length
+		if _, counted := values[list+".count"]; counted && values[list] == nil {
+			return nil, fmt.Errorf("configuration: settings.%s: a list belongs there", list)
+		}
+	}
 	cfg := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known}
 	if cfg.Policy, cfg.Names, err = settings.Config(values); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
@@ -103,5 +108,11 @@
 	r := &settings.Reader{Values: values}
 	cfg.Report = r.Text("reporting.how")
 	cfg.Limits = limits(f.Limits, r)
-	return cfg, r.Err
+	if r.Err != nil {
+		return nil, fmt.Errorf("configuration: %w", r.Err)
+	}
+	if err := refuse(cfg, f.Limits, values); err != nil {
+		return nil, err
+	}
+	return cfg, nil
 }
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -75,38 +76,60 @@
 	TellEvery time.Duration // between lines that sum up the work
 }
 
+// What a file or a setting that is absent, or 0 where 0 can't be meant, comes to. Each of these is told by the platform's
+// files; no deployment's figure stands here.
 const (
+	// absentSockets and absentMemory: the most that the deployment page names for a day that counts. With less than the
+	// machine has a co-ordinator refuses early; with more it is killed.
+	absentSockets = 1024
+	absentMemory  = 192 << 20
+	// absentConnect (allowed.connect_timeout_s) is an assumption: many handshakes between data centres, and well under
+	// the second after which a machine sends a lost first packet again. 0 would be no limit to the dialling, and would
+	// make every connection with a part out a silent one.
+	absentConnect = 250 * time.Millisecond
+	// absentIdle (allowed.conn_idle_s) is an assumption: under the idle limits that servers ship with, a minute or more.
+	// Too short costs handshakes; too long has parts cross the close.
+	absentIdle = 15 * time.Second
+	// absentGiveUp (classes[].give_up_s) is the most that the protocol page puts off the end after SIGTERM for. A query
+	// that is open then has its client's own time as well, so that too long a guess keeps no query past it.
+	absentGiveUp = longestKept
+)
+
+const (
+	// spanMost is longer than any process lives.
+	spanMost = 365 * 24 * time.Hour
+	// remembered is longer than the deadlines that are usual: an answer that is no longer expected ends its connection.
+	// Where clients may wait for longer than this, so long.
+	remembered   = 15 * time.Second
+	leastSockets = 8    // for clients and replicas, of the least that serves anybody
 	fixedSockets = 24   // standard streams, listener, discovery, epoll and what the runtime opens
 	idleShare    = 0.75 // of the replica's idle limit: closed well before, or a part crosses the close
 	listPart     = 16   // of the memory: the line and what is read of it stand side by side
 	unreadPart   = 8    // of the memory: with buffers that double and the collector's slack it is a quarter
 	drainTime    = 700 * time.Millisecond
-	longestKept  = 3   // s: a deadline that is longer does not put off the end after SIGTERM
-	endShare     = 0.9 // of the longest deadline: all is answered well before SIGKILL
-	silentDials  = 4   // connect times without a word: a healthy machine would have taken a new connection
+	// longestKept is from the protocol page: a deadline that is longer does not put off SIGKILL after SIGTERM.
+	longestKept = 3 * time.Second
+	endShare    = 0.9 // of the longest deadline: all is answered well before SIGKILL
+	silentDials = 4   // connect times without a word: a healthy machine would have taken a new connection
 )
 
 func limits(m machine, s *settings.Reader) Limits {
 	sockets := m.Sockets
 	if sockets <= 0 {
-		sockets = 1024
+		sockets = absentSockets
 	}
 	memory := int64(m.MemoryMB) << 20
 	if memory <= 0 {
-		memory = 192 << 20
+		memory = absentMemory
 	}
-	free := max(8, sockets-fixedSockets)
-	connect := seconds(s.Float("allowed.connect_timeout_s", 0.25))
-	idle := seconds(s.Float("allowed.conn_idle_s", 15))
+	free := max(leastSockets, sockets-fixedSockets)
+	connect := cmp.Or(seconds(s.Float("allowed.connect_timeout_s", 0)), absentConnect)
+	idle := cmp.Or(seconds(s.Float("allowed.conn_idle_s", 0)), absentIdle)
 	comeBack := time.Duration(0)
 	if s.Bool("allowed.retry_after") { // the longest that clients heed: what is full empties slowly
 		comeBack = seconds(s.Float("allowed.max_retry_after_s", 0))
 	}
-	longest := 0.0 // that a client waits
-	for i := range s.Int("classes.count", 0) {
-		longest = max(longest, s.Float("classes."+strconv.Itoa(i)+".give_up_s", 0))
-	}
-	longest = min(longest, longestKept)
+	longest := longestWait(s)
 	return Limits{
 		Cores: m.Cores, Memory: memory, Sockets: sockets,
 
@@ -122,18 +145,28 @@
 		CallParts:  max(1, s.Int("family_info.per_call", 1)),
 		FrameBytes: 68 << 10, FrameTime: connect, ConnectTime: connect, Spread: 4, SiblingTime: 5 * time.Millisecond,
 		ReplicaIdle: time.Duration(idleShare * float64(idle)),
-		Silence:     silentDials * connect, Remember: 15 * time.Second, ProbeTime: connect,
+		Silence:     silentDials * connect, Remember: max(remembered, longest), ProbeTime: connect,
 
 		ListBytes: int(min(8<<20, memory/listPart)), WatchSilence: 3 * time.Second, AgentTime: time.Second, Forget: 30 * time.Second,
 		ReloadWait: 100 * time.Millisecond, ReloadTries: 6,
 		RedialFirst: 50 * time.Millisecond, RedialMost: 200 * time.Millisecond,
 
 		WriteTime: time.Second, AnswerBy: 40 * time.Millisecond,
-		DrainTime: drainTime, EndTime: drainTime + seconds(longest*endShare), LogEvery: time.Second, TellEvery: 10 * time.Second,
+		DrainTime: drainTime, EndTime: drainTime + time.Duration(endShare*float64(min(longest, longestKept))), LogEvery: time.Second, TellEvery: 10 * time.Second,
 		StepGap: 3 * time.Millisecond,
 	}
 }
 
+// longestWait is the longest that a client of any class waits.
+func longestWait(s *settings.Reader) time.Duration {
+	longest := time.Duration(0)
+	for i := range s.Int("classes.count", 0) {
+		told := seconds(s.Float("classes."+strconv.Itoa(i)+".give_up_s", 0))
+		longest = max(longest, cmp.Or(told, absentGiveUp))
+	}
+	return longest
+}
+
 // WithForward parts the connections to replicas between those that speak frames and feature servers: first the limits
 // of the former, then of the latter.
 func (l Limits) WithForward() (frames, servers Limits) {
@@ -151,4 +184,7 @@
 	return l
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds is a time of the settings, cut to spanMost: sums and multiples of it are times still.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, spanMost.Seconds()) * float64(time.Second))
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,7 +79,7 @@
 			Window:     s.Float(at+"window_s", 0),
 			Need:       s.Row("family_info.need_by_class", i, 1),
 			Floor:      s.Row("family_info.floor_by_class", i, 1),
-			FollowUp:   int(s.Row("family_info.follow_up", i, 0)),
+			FollowUp:   s.WholeRow("family_info.follow_up", i, 0),
 			ShortWorth: s.Row("family_info.short_worth", i, 0),
 		}
 		switch s.Text(at + "semantics") {
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -7,11 +7,15 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
 )
 
+// wholeMost is the largest count that is read: up to it each whole number is a float64's.
+const wholeMost = 1 << 53
+
 // Values holds settings by path, as text. A plain list is one entry with several texts; a list of objects
 // has its length under .count and its items under .0, .1 and so on.
 type Values map[string][]string
@@ -112,12 +116,12 @@
 	return ""
 }
 
-// Float returns a number.
+// Float returns a finite number.
 func (r *Reader) Float(path string, absent float64) float64 {
 	if _, ok := r.at(path); !ok {
 		return absent
 	}
-	x, err := strconv.ParseFloat(r.Text(path), 64)
+	x, err := finite(r.Text(path))
 	if err != nil {
 		r.fail(path, "a number")
 	}
@@ -125,7 +129,26 @@
 }
 
 // Int returns a whole number.
-func (r *Reader) Int(path string, absent int) int { return int(r.Float(path, float64(absent))) }
+func (r *Reader) Int(path string, absent int) int {
+	return r.whole(path, r.Float(path, float64(absent)))
+}
+
+func (r *Reader) whole(path string, x float64) int {
+	if x != math.Trunc(x) || math.Abs(x) > wholeMost {
+		r.fail(path, "a whole number")
+		return 0
+	}
+	return int(x)
+}
+
+// finite reads a number; NaN and the infinities, which the standard library reads too, are none.
+func finite(text string) (float64, error) {
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		return 0, strconv.ErrRange
+	}
+	return x, nil
+}
 
 // Bool returns a truth value, false if it is absent.
 func (r *Reader) Bool(path string) bool {
@@ -153,9 +176,14 @@
 	if i >= len(items) {
 		return absent
 	}
-	x, err := strconv.ParseFloat(items[i], 64)
+	x, err := finite(items[i])
 	if err != nil {
 		r.fail(path, "a row of numbers")
 	}
 	return x
 }
+
+// WholeRow reads the i-th whole number of a list that is given for each class.
+func (r *Reader) WholeRow(path string, i, absent int) int {
+	return r.whole(path, r.Row(path, i, float64(absent)))
+}
