Be ready 5 s after the start with no list too; listen after all that can refuse a start

Seen: with an empty, absent, malformed or drained known list and discovery silent or down, a process was never ready until discovery came.

Lines at fault, all in internal/serve/serve.go: ready := known || HasList, where known counted drained entries too; the listener opened before the routes and the recording were looked at, so that a refused start reset what the machine had accepted by then; a process told to end before it listened began to listen; stop, deferred in Run, gave SIGTERM back to the system while the last log lines were written, so that a second one ended the process by the signal.

Change: Limits.ReadyBy (5 s), known only with an entry that is up, listen last, no listening once told to end, SIGTERM caught for good.

Checked and ruled out: SIGHUP is caught as the first act of main; what runs before it is the initialising of packages. A query open at SIGTERM whose time is over the end's is waited for, not cut, as docs/design.md says; only one read in the drain is cut.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -60,6 +60,8 @@
 	RedialFirst  time.Duration // wait before a new connection, doubled up to the most
 	RedialMost   time.Duration // also from one ask to the next while none is answered: the rules' least grace is 250 ms
 
+	ReadyBy time.Duration // after the start, also with no list: queries are refused then, with a time to come back
+
 	Forget time.Duration // after so long a replica that is off the list is forgotten
 
 	// The configuration.
@@ -96,6 +98,9 @@
 )
 
 const (
+	// readyBy lies a second under the 6 s in which restarted co-ordinators have to be ready on the shortest days, and gives
+	// discovery five times AgentTime to answer first: with no list a co-ordinator only refuses.
+	readyBy = 5 * time.Second
 	// spanMost is longer than any process lives.
 	spanMost = 365 * 24 * time.Hour
 	// remembered is longer than the deadlines that are usual: an answer that is no longer expected ends its connection.
@@ -148,7 +153,7 @@
 		Silence:     silentDials * connect, Remember: max(remembered, longest), ProbeTime: connect,
 
 		ListBytes: int(min(8<<20, memory/listPart)), WatchSilence: 3 * time.Second, AgentTime: time.Second, Forget: 30 * time.Second,
-		ReloadWait: 100 * time.Millisecond, ReloadTries: 6,
+		ReadyBy: readyBy, ReloadWait: 100 * time.Millisecond, ReloadTries: 6,
 		RedialFirst: 50 * time.Millisecond, RedialMost: 200 * time.Millisecond,
 
 		WriteTime: time.Second, AnswerBy: 40 * time.Millisecond,
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,7 @@
 	"birchcart/internal/record"
 	"birchcart/internal/replica"
 	"birchcart/internal/replica/featureserver"
+	"birchcart/policy"
 )
 
 const (
@@ -37,6 +39,8 @@
 func Run(args Args, p *Process, hangups <-chan os.Signal, beside Beside) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// For good: once stop has run a further SIGTERM would end the process while it writes the last lines of its log.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM, os.Interrupt)
 	cfg, op, err := args.Files()
 	if err != nil {
 		return err
@@ -65,6 +69,7 @@
 // for none, are watched.
 func serve(ctx context.Context, cfg, other *config.Config, op *operator.File, args Args, hangups <-chan os.Signal, p *Process, beside Beside) error {
 	log := p.log.WithField("node", cfg.Name)
+	began := time.Now()
 	given := cfg
 	withFeatures := op != nil && op.Fronts.OGC != nil
 	if withFeatures {
@@ -95,13 +100,13 @@
 			log.WithError(err).Warn("the known list is passed over")
 		} else {
 			list.Full, list.Stale = true, true
-			index, known = at, len(list.Entries) > 0
+			index, known = at, slices.ContainsFunc(list.Entries, func(e exchange.Entry) bool { return e.State == policy.Up })
 			ex.Listed(list)
 		}
 	}
 	disc := discovery.New(cfg, index, ex, log)
 	ex.Join(replicas, disc)
-	ready := func() bool { return known || disc.HasList() }
+	ready := func() bool { return known || disc.HasList() || time.Since(began) >= cfg.Limits.ReadyBy }
 	server := front.New(cfg, ex, ready, log)
 	if op != nil && op.Fleet != nil && op.Fleet.Sessions != nil {
 		server.Pin(op.Fleet.Sessions.Header, op.Fleet.Sessions.Owner)
@@ -124,11 +129,6 @@
 		}
 		return nil
 	}
-	if beside == nil {
-		if err := listen(); err != nil {
-			return err
-		}
-	}
 	if op != nil {
 		table, err := op.Table(cfg.Names, cfg.Policy.Shards)
 		if err != nil {
@@ -158,6 +158,15 @@
 		defer r.end()
 		log.Info("the settings of another configuration are watched")
 	}
+	if ctx.Err() != nil { // nothing was taken yet, and a listener's end would cut off whoever came meanwhile
+		log.Info("told to end before it listened")
+		return nil
+	}
+	if beside == nil { // after all that can refuse a start: what the machine has accepted by then would be lost
+		if err := listen(); err != nil {
+			return err
+		}
+	}
 	if beside != nil {
 		var endByIt context.CancelFunc
 		ctx, endByIt = context.WithCancel(ctx)
@@ -197,7 +206,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	began := time.Now()
+	told := time.Now()
 	log.Info("told to end: draining")
 	var both sync.WaitGroup
 	if withFeatures {
@@ -209,6 +218,6 @@
 	server.Drain(running)
 	both.Wait()
 	pool.Close()
-	log.WithField("after", time.Since(began).Round(time.Millisecond)).Info("ended")
+	log.WithField("after", time.Since(told).Round(time.Millisecond)).Info("ended")
 	return nil
 }
