Give each killed and restarted process of the tests an address that nobody else gets

Seen: among many subtests side by side one process could not listen, as its port, free for a moment, had gone to another; a query then met the other's process. Found by 40 starts side by side, of which one failed on "address already in use"; moves of a replica's address, suspected first, were ruled out: the other 39 served their query over such a move.

Line at fault: freeAddress gives a port back before the process takes it, and a killed process's port is free again too.

Change: each subtest of TestKilledAndStartedAgain listens on a loopback address of its own.

--- a/cmd/birchcart/ends_test.go
+++ b/cmd/birchcart/ends_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -326,7 +327,7 @@
 // nothing for that and serves. It is ready in time whatever list it was given and whether or not discovery answers: at
 // once with one that names somebody, or with discovery's, and else so late as leaves discovery its chance.
 func TestKilledAndStartedAgain(t *testing.T) {
-	for _, c := range []struct {
+	for i, c := range []struct {
 		name, known string // "as it was" for that of the configuration
 		down        bool
 		by          time.Duration
@@ -343,8 +344,11 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			path, address, replica := held(t)
+			path, shared, replica := held(t)
 			t.Cleanup(func() { close(replica.release) })
+			// Of its own: the kernel gives a port of 127.0.0.1 to somebody else while it is free.
+			address := strings.Replace(shared, "127.0.0.1", fmt.Sprint("127.0.77.", 1+i), 1)
+			path = write(t, strings.Replace(text(t, path), shared, address, 1))
 			first, log := serving(t, "--config", path)
 			open := postLater(address, "open")
 			replica.awaitPart(t)
