Take back what waits for a connection to where a replica was

A replica that moves, or restarts, under its name had its connections retired, but Pool.Update took back what waited on them only where the new state was not up. Pull writes while the state is up, so a part that waited for a connection that was being dialled went to the old address, or to the old process, when it came up. Probes that waited went there also where the replica drained or was removed: Pull asks no state before it writes them.

Now all that is not written is taken back in each of these cases. Parts end as Moot, which proves that they never ran, so the decisions send them anew, also what may not run twice; judge() counts Moot against no replica. Probes end as Moot too. The dial is a field of the pool, so that a test can hold a connection that is coming up.

--- a/internal/replica/collect.go
+++ b/internal/replica/collect.go
@@ -124,6 +124,6 @@
 			l.p.log.Warn("a load report is passed over", map[string]any{"error": err})
 		}
 	}
-	l.p.probeEnded(l, pr, o, report)
+	l.p.probeEnded(pr, o, report)
 	return nil
 }
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"net"
 	"slices"
 	"time"
 
@@ -116,7 +115,7 @@
 
 // run is the goroutine of the connection.
 func (l *link) run() {
-	nc, err := net.DialTimeout("tcp", l.address, l.p.limits.ConnectTime)
+	nc, err := l.p.dial(l.address)
 	if err == nil {
 		l.p.mu.Lock()
 		l.conn = duplex.New(nc, l, l.p.limits.WriteTime).ReadFirst()
@@ -228,7 +227,7 @@
 		if pr.written {
 			o = policy.Broken
 		}
-		p.probeEnded(l, pr, o, nil)
+		p.probeEnded(pr, o, nil)
 	}
 	if err != nil && !errors.Is(err, errIdle) || len(out) > 0 {
 		p.log.Warn("a connection to a replica ended", logrus.Fields{
@@ -247,3 +246,14 @@
 	}
 	return back
 }
+
+// unask takes back the probes that are not yet written.
+func (l *link) unask() []*probe {
+	first := slices.IndexFunc(l.probes, func(pr *probe) bool { return !pr.written }) // they are written in order
+	if first < 0 {
+		return nil
+	}
+	back := slices.Clone(l.probes[first:])
+	l.probes = l.probes[:first]
+	return back
+}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"net"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 	byProbe bool     // load is reported to probes only
 	sink    Sink
 	log     *logs.Limited
+	dial    func(address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	targets map[uint64]*target
@@ -57,14 +59,20 @@
 		limits: cfg.Limits, reports: cfg.Policy.ReportNames, byProbe: cfg.Report == "on_probe", sink: sink,
 		log: logs.Limit(log, cfg.Limits.LogEvery), targets: map[uint64]*target{},
 		entries: map[*exchange.Attempt]*entry{},
+		dial: func(address string) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, cfg.Limits.ConnectTime)
+		},
 	}
 }
 
 // Update takes changed targets. A replica that drains or is gone gets nothing that is not yet written: the
-// drain counts from the telling, and a part may have waited for its connection meanwhile.
+// drain counts from the telling, and a part may have waited for its connection meanwhile. Nor does one that moved
+// or restarted get it at its old address or from its old process: the parts never ran, and go where the decisions
+// send them now.
 func (p *Pool) Update(changed []exchange.Target) {
 	p.mu.Lock()
 	var back []exchange.Result
+	var unasked []*probe
 	for _, c := range changed {
 		t := p.targets[c.Replica]
 		if t == nil {
@@ -73,14 +81,14 @@
 		}
 		moved := t.Address != "" && (t.Address != c.Address || !t.Started.Equal(c.Started))
 		t.Target = c
+		if c.State == policy.Up && !moved {
+			continue
+		}
 		for _, l := range t.links {
-			if c.State != policy.Up {
-				back = append(back, l.unqueue(policy.Moot)...)
-			}
-			if c.State != policy.Up || moved {
-				l.retired = true
-				l.wake()
-			}
+			back = append(back, l.unqueue(policy.Moot)...)
+			unasked = append(unasked, l.unask()...)
+			l.retired = true
+			l.wake()
 		}
 		if c.State == policy.Removed && len(t.links) == 0 {
 			delete(p.targets, c.Replica)
@@ -88,6 +96,9 @@
 	}
 	p.mu.Unlock()
 	p.tell(back)
+	for _, pr := range unasked {
+		p.probeEnded(pr, policy.Moot, nil)
+	}
 }
 
 func (p *Pool) tell(results []exchange.Result) {
@@ -247,7 +258,7 @@
 		pr := &probe{replica: replica, at: now}
 		l.probes = append(l.probes, pr)
 		l.wake()
-		time.AfterFunc(p.limits.ProbeTime, func() { p.probeEnded(l, pr, policy.TimedOut, nil) })
+		time.AfterFunc(p.limits.ProbeTime, func() { p.probeEnded(pr, policy.TimedOut, nil) })
 	}
 	p.mu.Unlock()
 	if l == nil {
@@ -263,7 +274,7 @@
 	ended   bool
 }
 
-func (p *Pool) probeEnded(l *link, pr *probe, o policy.Outcome, report []float64) {
+func (p *Pool) probeEnded(pr *probe, o policy.Outcome, report []float64) {
 	p.mu.Lock()
 	over := pr.ended
 	pr.ended = true
