Leave a call of which no byte has gone where it can be taken back

Pull handed all queued calls to the duplex at once and marked them written. Where a replica hangs and its socket is full, they waited in the write buffer for up to WriteTime (1 s): Withdraw and Unsend no longer reached them, a drain did not take them back, the time they tell was that of the pull, and when the replica read on they began at last.

Now one call is pulled at a time, and the link's writer asks the kernel once before it waits: of a call of which no byte was taken all parts go back to the queue, and the call is built anew when the peer takes bytes. Its end, if it came meanwhile, is read first. choose() counts a connection whose writer is blocked as a silent one. What has begun is written to its end as before, for WriteTime at the most. Bytes that the kernel has taken can't be taken back.

New tests hold a replica that does not read over full sockets. Each was seen to fail with its fault planted: all calls pulled at once (TestACallBehindABlockedOneHasNotBegun), nothing put back (TestAReplicaThatHangsIsToldToDrain, TestTheTimeLeftIsThatOfTheFirstByte: told the 59.4 s of the first pull, not the new time left), blocked connections chosen (TestABlockedConnectionGetsNoNewPart), the end of a frame not compared with the bytes written (TestResetUnderACallThatHasNotBegun, which pins what was right before).

--- /dev/null
+++ b/internal/replica/blocked_test.go
@@ -0,0 +1,247 @@
+package replica
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"birchcart/internal/config"
+	"birchcart/internal/exchange"
+	"birchcart/internal/frame"
+	"birchcart/policy"
+)
+
+// smallBuffer is what the test asks for each direction of a socket; the kernel takes a few times that.
+const smallBuffer = 4 << 10
+
+// bigText is more than the sockets of a connection hold with small buffers.
+var bigText = []byte(strings.Repeat("q", 4<<20))
+
+func patientLimits() config.Limits {
+	l := testLimits()
+	l.WriteTime, l.FrameBytes = patience, 8<<20
+	return l
+}
+
+// settled is for how long a full socket must take no more: within it the kernel, which asks a closed window first after
+// 200 ms, has passed on what little still fitted there.
+const settled = 500 * time.Millisecond
+
+// smallBuffers has connections hold little that the replica has not read. It must be called before one comes up.
+func (s *stand) smallBuffers() {
+	s.Helper()
+	raw, err := s.ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		s.Fatal(err)
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { // connections inherit it, and it stays as it is
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer)
+	}); err != nil || failed != nil {
+		s.Fatal(err, failed)
+	}
+	dial := s.pool.dial
+	s.pool.dial = func(address string) (*net.TCPConn, error) {
+		nc, err := dial(address)
+		if err == nil {
+			nc.SetWriteBuffer(smallBuffer)
+		}
+		return nc, err
+	}
+}
+
+// fillSockets has connections come up with full sockets: the replica reads *filled bytes before the first frame.
+func (s *stand) fillSockets(filled *int64) {
+	dial := s.pool.dial
+	s.pool.dial = func(address string) (*net.TCPConn, error) {
+		nc, err := dial(address)
+		if err != nil {
+			return nc, err
+		}
+		raw, err := nc.SyscallConn()
+		if err != nil {
+			return nil, err
+		}
+		for tookAt := time.Now(); time.Since(tookAt) < settled; time.Sleep(time.Millisecond) {
+			raw.Write(func(fd uintptr) bool {
+				n, err := syscall.Write(int(fd), bigText[:64<<10])
+				for ; n > 0 || errors.Is(err, syscall.EINTR); n, err = syscall.Write(int(fd), bigText[:64<<10]) {
+					*filled += int64(max(0, n))
+					tookAt = time.Now()
+				}
+				return true
+			})
+		}
+		return nc, nil
+	}
+}
+
+// link is the one connection of the replica.
+func (s *stand) link(look func(l *link) bool) bool {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	links := s.pool.targets[1].links
+	return len(links) > 0 && look(links[0])
+}
+
+// acceptFrames takes a connection on which frames of up to so many bytes come.
+func (s *stand) acceptFrames(most int) *peer {
+	s.Helper()
+	p := s.accept()
+	p.in = bufio.NewScanner(p.nc)
+	p.in.Buffer(nil, most)
+	p.in.Split(frame.Split(most))
+	return p
+}
+
+func (s *stand) untilBlocked() {
+	s.Helper()
+	s.eventually("the writer is not blocked", func() bool { return s.link(func(l *link) bool { return l.blocked }) })
+}
+
+// A call that waits behind another, of which a replica that hangs has taken a part, has not begun: it can be taken back,
+// and does not go when the replica reads on.
+func TestACallBehindABlockedOneHasNotBegun(t *testing.T) {
+	s := newStand(t, patientLimits())
+	s.smallBuffers()
+	open := s.holdDials()
+	big, left, withdrawn := attempt("q.1"), attempt("q.2"), attempt("q.3")
+	big.Text = bigText
+	for _, a := range []*exchange.Attempt{big, left, withdrawn} {
+		s.pool.Send(1, []*exchange.Attempt{a})
+	}
+	open()
+	p := s.acceptFrames(8 << 20)
+	s.untilBlocked()
+	if !s.pool.Unsend(left) {
+		t.Error("a call that has not begun could not be taken back")
+	}
+	if found, sent := s.pool.Withdraw(withdrawn); !found || sent {
+		t.Errorf("found %v, sent %v of a call that has not begun", found, sent)
+	}
+	s.pool.mu.Lock()
+	s.pool.limits.PerReplica = 1 // the next one has to take this connection
+	s.pool.mu.Unlock()
+	s.pool.Send(1, []*exchange.Attempt{attempt("q.4")})
+	for _, id := range []string{"q.1", "q.4"} {
+		if f := p.frame(); !strings.HasPrefix(f, "A"+id+" ") {
+			t.Errorf("a frame %q..., not of %s", f[:min(20, len(f))], id)
+		}
+	}
+}
+
+// sendUnbegun sends parts until the full socket takes no byte of one, and returns that.
+func (s *stand) sendUnbegun() *exchange.Attempt {
+	s.Helper()
+	for i := 0; ; i++ {
+		a := attempt(fmt.Sprint("q.", i))
+		s.pool.Send(1, []*exchange.Attempt{a})
+		blocked := false
+		s.eventually("a part neither went nor waits", func() bool {
+			return s.link(func(l *link) bool {
+				blocked = l.blocked
+				en := s.pool.entries[a]
+				return blocked || en != nil && en.written && en.end <= l.wrote
+			})
+		})
+		if blocked {
+			return a
+		}
+	}
+}
+
+// A replica that is told to drain while it takes no bytes gets none of a call that has not begun.
+func TestAReplicaThatHangsIsToldToDrain(t *testing.T) {
+	var filled int64
+	l := patientLimits()
+	l.PerReplica, l.Streams = 1, 1000
+	s := newStand(t, l)
+	s.smallBuffers()
+	s.fillSockets(&filled)
+	a := s.sendUnbegun()
+	p := s.accept()
+	s.link(func(l *link) bool { filled += l.wrote; return true })
+	s.set(policy.Draining)
+	if r := s.sink.next(t); r.Attempt != a || r.Outcome != policy.Moot {
+		t.Errorf("%+v", r)
+	}
+	if _, err := io.CopyN(io.Discard, p.nc, filled); err != nil {
+		t.Fatal(err)
+	}
+	p.quiet()
+}
+
+// What a call tells of the time left counts from when the replica takes its first byte.
+func TestTheTimeLeftIsThatOfTheFirstByte(t *testing.T) {
+	const left = 10 * time.Minute
+	var filled int64
+	l := patientLimits()
+	l.PerReplica, l.Streams = 1, 1000
+	s := newStand(t, l)
+	s.smallBuffers()
+	s.fillSockets(&filled)
+	a := s.sendUnbegun()
+	p := s.accept()
+	s.pool.mu.Lock()
+	a.Due = time.Now().Add(left) // other than it was when the call was pulled first
+	s.pool.mu.Unlock()
+	if _, err := io.CopyN(io.Discard, p.nc, filled); err != nil {
+		t.Fatal(err)
+	}
+	f := p.frame()
+	for !strings.HasPrefix(f, "A"+a.ID+" ") {
+		f = p.frame()
+	}
+	var told time.Duration
+	if _, err := fmt.Sscanf(f, "A"+a.ID+" 3 d=%d", &told); err != nil || told*time.Millisecond < left/2 || told*time.Millisecond > left {
+		t.Errorf("%q, %v", f, err)
+	}
+}
+
+// A replica that takes no bytes and is reset got no part, so what may not run twice may go again; one whose frame was
+// taken whole by then may have run.
+func TestResetUnderACallThatHasNotBegun(t *testing.T) {
+	s := newStand(t, patientLimits())
+	s.smallBuffers()
+	open := s.holdDials()
+	whole, cut, behind := attempt("q.1"), attempt("q.2"), attempt("q.3")
+	cut.Text = bigText
+	for _, a := range []*exchange.Attempt{whole, cut, behind} {
+		s.pool.Send(1, []*exchange.Attempt{a})
+	}
+	open()
+	p := s.accept()
+	p.frame()
+	s.untilBlocked()
+	p.nc.(*net.TCPConn).SetLinger(0)
+	p.nc.Close()
+	got := map[*exchange.Attempt]policy.Outcome{}
+	for range 3 {
+		r := s.sink.next(t)
+		got[r.Attempt] = r.Outcome
+	}
+	if got[whole] != policy.Broken || got[cut] != policy.Unreachable || got[behind] != policy.Unreachable {
+		t.Errorf("whole %v, cut %v, behind %v", got[whole], got[cut], got[behind])
+	}
+}
+
+// New parts do not queue up behind a call that a replica does not take.
+func TestABlockedConnectionGetsNoNewPart(t *testing.T) {
+	s := newStand(t, patientLimits())
+	s.smallBuffers()
+	big := attempt("q.1")
+	big.Text = bigText
+	s.pool.Send(1, []*exchange.Attempt{big})
+	s.accept()
+	s.untilBlocked()
+	s.pool.Send(1, []*exchange.Attempt{attempt("q.2")})
+	if f := s.accept().frame(); !strings.HasPrefix(f, "Aq.2 ") {
+		t.Errorf("%q", f)
+	}
+}
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -1,36 +1,26 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"birchcart/internal/frame"
 	"birchcart/policy"
 )
 
-// Pull builds what is to be written: calls, then parts that are given up, then probes. It is asked by the
-// connection's goroutine just before it writes, so what was taken back by then never goes.
+// Pull builds what is to be written: calls one by one, then parts that are given up and probes. It is asked by the
+// connection's goroutine just before it writes, so what was taken back by then never goes; nor does a call wait in
+// the buffer behind another of which a peer that is busy takes no more.
 func (l *link) Pull(buf []byte) ([]byte, time.Time, error) {
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	start := len(buf)
-	if l.t.State == policy.Up {
-		for _, call := range l.queue {
-			buf = l.appendCall(buf, start, call, now)
-		}
-	}
-	clear(l.queue)
-	l.queue = l.queue[:0]
-	for _, id := range l.giveUps {
-		buf = frame.AppendGiveUp(buf, id)
-	}
-	l.giveUps = l.giveUps[:0]
-	for _, pr := range l.probes {
-		if !pr.written {
-			pr.written = true
-			buf = frame.AppendProbe(buf, p.probeLetter())
-		}
+	if buf = l.appendNextCall(buf, now); len(buf) == start {
+		buf = l.appendAsides(buf)
+	} else if len(l.queue) > 0 || len(l.giveUps) > 0 || len(l.probes) > 0 && !l.probes[len(l.probes)-1].written {
+		l.wake() // for the rest
 	}
 	l.pulled += int64(len(buf) - start)
 	if !l.begun.IsZero() && !l.idle() { // what trickles counts from its first byte
@@ -54,6 +44,37 @@
 	return buf, until, nil
 }
 
+// appendNextCall appends the first call in the queue of which a part is still to be sent.
+func (l *link) appendNextCall(buf []byte, now time.Time) []byte {
+	l.unbegun, l.unbegunBytes = nil, 0
+	if l.t.State != policy.Up {
+		clear(l.queue)
+		l.queue = l.queue[:0]
+	}
+	start := len(buf)
+	for len(l.queue) > 0 && len(buf) == start {
+		call := l.queue[0]
+		l.queue = slices.Delete(l.queue, 0, 1)
+		buf = l.appendCall(buf, start, call, now)
+	}
+	return buf
+}
+
+// appendAsides appends what is not a call: the ids of parts that are given up, and probes.
+func (l *link) appendAsides(buf []byte) []byte {
+	for _, id := range l.giveUps {
+		buf = frame.AppendGiveUp(buf, id)
+	}
+	l.giveUps = l.giveUps[:0]
+	for _, pr := range l.probes {
+		if !pr.written {
+			pr.written = true
+			buf = frame.AppendProbe(buf, l.p.probeLetter())
+		}
+	}
+	return buf
+}
+
 func (p *Pool) probeLetter() byte {
 	if p.byProbe {
 		return frame.Load
@@ -91,6 +112,7 @@
 	for _, en := range live {
 		en.written, en.end, en.at = true, l.pulled+int64(len(buf)-start), now
 	}
+	l.unbegun, l.unbegunBytes = live, int64(len(buf)-start)
 	return buf
 }
 
@@ -102,10 +124,3 @@
 	}
 	return false
 }
-
-// Wrote counts what went out.
-func (l *link) Wrote(n int) {
-	l.p.mu.Lock()
-	l.wrote += int64(n)
-	l.p.mu.Unlock()
-}
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -30,6 +30,10 @@
 	probes  []*probe
 	pulled  int64 // bytes handed to the writer
 	wrote   int64 // of these, gone out
+	blocked bool  // the peer takes nothing for now
+
+	unbegun      []*entry // the call that was pulled last; it goes back where no byte of it can go out
+	unbegunBytes int64
 
 	heardAt  time.Time // last read, or when parts went out after a pause
 	idleAt   time.Time // when the last part ended
@@ -118,7 +122,7 @@
 	nc, err := l.p.dial(l.address)
 	if err == nil {
 		l.p.mu.Lock()
-		l.conn = duplex.New(nc, l, l.p.limits.WriteTime).ReadFirst()
+		l.conn = duplex.New(writer{nc, l}, l, l.p.limits.WriteTime).ReadFirst()
 		l.idleAt = time.Now()
 		l.p.mu.Unlock()
 		in := bufio.NewScanner(reader{l})
--- a/internal/replica/endings_test.go
+++ b/internal/replica/endings_test.go
@@ -14,7 +14,7 @@
 func (s *stand) holdDials() (open func()) {
 	gate := make(chan struct{})
 	dial := s.pool.dial
-	s.pool.dial = func(address string) (net.Conn, error) {
+	s.pool.dial = func(address string) (*net.TCPConn, error) {
 		nc, err := dial(address)
 		<-gate
 		return nc, err
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -29,7 +29,7 @@
 	byProbe bool     // load is reported to probes only
 	sink    Sink
 	log     *logs.Limited
-	dial    func(address string) (net.Conn, error)
+	dial    func(address string) (*net.TCPConn, error)
 
 	mu      sync.Mutex
 	targets map[uint64]*target
@@ -59,12 +59,18 @@
 		limits: cfg.Limits, reports: cfg.Policy.ReportNames, byProbe: cfg.Report == "on_probe", sink: sink,
 		log: logs.Limit(log, cfg.Limits.LogEvery), targets: map[uint64]*target{},
 		entries: map[*exchange.Attempt]*entry{},
-		dial: func(address string) (net.Conn, error) {
-			return net.DialTimeout("tcp", address, cfg.Limits.ConnectTime)
-		},
+		dial:    func(address string) (*net.TCPConn, error) { return dial(address, cfg.Limits.ConnectTime) },
 	}
 }
 
+func dial(address string, within time.Duration) (*net.TCPConn, error) {
+	nc, err := net.DialTimeout("tcp", address, within)
+	if err != nil {
+		return nil, err
+	}
+	return nc.(*net.TCPConn), nil
+}
+
 // Update takes changed targets. A replica that drains or is gone gets nothing that is not yet written: the
 // drain counts from the telling, and a part may have waited for its connection meanwhile. Nor does one that moved
 // or restarted get it at its old address or from its old process: the parts never ran, and go where the decisions
@@ -135,7 +141,7 @@
 }
 
 // choose finds the connection for a call: an open one that is heard of, else one that is coming up, else a
-// new one, and a silent one only where no more may be opened. Among open ones those go first on which nothing is
+// new one, and one that is silent, or takes no bytes for now, only where no more may be opened. Among open ones those go first on which nothing is
 // out, of these the ones that have answered since, then the least loaded, then the one that has been idle longest:
 // what comes late behind an answer shows by then.
 func (p *Pool) choose(t *target, call []*exchange.Attempt) *link {
@@ -145,7 +151,7 @@
 		switch {
 		case l.conn == nil:
 			return 1
-		case l.isSilent(now):
+		case l.blocked || l.isSilent(now):
 			return 2
 		}
 		return 0
--- /dev/null
+++ b/internal/replica/write.go
@@ -0,0 +1,97 @@
+package replica
+
+import (
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"syscall"
+
+	"birchcart/internal/duplex"
+)
+
+// writer is a connection whose peer may take nothing for a while. A call of which no byte has gone out waits in the
+// link's queue then, not in a buffer: it can be taken back, and what it tells of the time left is built anew when
+// the peer takes bytes again.
+type writer struct {
+	*net.TCPConn
+	l *link
+}
+
+// Write writes what was pulled, or, where the peer took nothing of it at first, what is pulled when it does.
+func (w writer) Write(pulled []byte) (int, error) {
+	raw, err := w.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	wrote, tries := 0, 0
+	var failed error
+	err = raw.Write(func(fd uintptr) bool {
+		if tries++; tries > 1 {
+			if duplex.Waits(w.TCPConn) { // perhaps its end, which is to be seen before anything is written
+				pulled = nil
+			} else {
+				pulled, _, _ = w.l.Pull(pulled[:0])
+			}
+			w.l.wake() // to be asked again: what else it said then is lost
+		}
+		if len(pulled) == 0 {
+			return true
+		}
+		wrote, failed = write(fd, pulled)
+		return failed != syscall.EAGAIN || !w.l.putBack()
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failed != nil && failed != syscall.EAGAIN:
+		return 0, os.NewSyscallError("write", failed)
+	case wrote == len(pulled):
+		return wrote, nil
+	}
+	w.l.block()
+	rest, err := w.TCPConn.Write(pulled[wrote:])
+	return wrote + rest, err
+}
+
+// write asks the kernel once to take bytes.
+func write(fd uintptr, b []byte) (int, error) {
+	for {
+		n, err := syscall.Write(int(fd), b)
+		if !errors.Is(err, syscall.EINTR) {
+			return max(0, n), err
+		}
+	}
+}
+
+// putBack returns the call that was pulled last to the head of the queue, as one that is not written. It tells
+// whether there was one.
+func (l *link) putBack() bool {
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	if len(l.unbegun) == 0 {
+		return false
+	}
+	for _, en := range l.unbegun {
+		en.written = false
+	}
+	l.queue = slices.Insert(l.queue, 0, l.unbegun)
+	l.pulled -= l.unbegunBytes
+	l.unbegun, l.unbegunBytes, l.blocked = nil, 0, true
+	return true
+}
+
+// block notes that the peer takes nothing for now.
+func (l *link) block() {
+	l.p.mu.Lock()
+	l.blocked = true
+	l.p.mu.Unlock()
+}
+
+// Wrote counts what went out.
+func (l *link) Wrote(n int) {
+	l.p.mu.Lock()
+	l.wrote += int64(n)
+	l.blocked = false
+	l.p.mu.Unlock()
+}
