Send nothing of a query whose client's leaving overtook it

The front hands on a query that waited behind another from the exchange's goroutine, in Reply, once it has put it into client.asked and let go of its lock; the goroutine that reads may see the client go right then and call Leave before Submit. left() found no such query and forgot the news, and arrived() then opened it: its parts were sent for a client that was gone.

Leave now marks the query under the exchange's lock, and arrived() drops one that is marked, before its route, session or lane see it. Nobody waits for its answer, so none is given.

The other tests in endings_test.go pin what was right before: leaving in the turn that opens a second step, while its parts wait for the next turn, and in it; where nothing may be cancelled; the last value and the leaving in one turn; one answer at the end.

--- /dev/null
+++ b/internal/exchange/endings_test.go
@@ -0,0 +1,171 @@
+package exchange
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"birchcart/internal/config"
+	"birchcart/policy"
+)
+
+// query is one that is not yet submitted.
+func (s *stand) query(id string, class int, shards ...int) *Query {
+	now := time.Now()
+	q := &Query{ID: id, Class: class, Tenant: -1, Received: now, Due: now.Add(2 * time.Second), Text: []byte("t")}
+	for _, shard := range shards {
+		q.Parts = append(q.Parts, Part{Shard: shard, Weight: 1 / float64(len(shards))})
+	}
+	q.Reply = func(r Reply) { s.replies = append(s.replies, r) }
+	return q
+}
+
+// silent checks that nothing was sent or answered in some turns, and that nothing is held.
+func (s *stand) silent() {
+	s.Helper()
+	for range 3 {
+		s.e.turn()
+	}
+	if sent := s.take(); len(sent) != 0 || len(s.replies) != 0 {
+		s.Errorf("%d attempts were sent and %d replies given", len(sent), len(s.replies))
+	}
+	s.empty()
+}
+
+// A client may go in the moment in which its query is handed on, by another goroutine than sees it go: the news of it then
+// comes with the query, or even before. Nothing of it is sent, and its id is free.
+func TestLeavingAtTheArrival(t *testing.T) {
+	for name, steps := range map[string]func(s *stand, q *Query){
+		"behind it in its turn":    func(s *stand, q *Query) { s.e.Submit(q); s.e.Leave(q) },
+		"before it in its turn":    func(s *stand, q *Query) { s.e.Leave(q); s.e.Submit(q) },
+		"in the turn before it":    func(s *stand, q *Query) { s.e.Leave(q); s.e.turn(); s.e.Submit(q) },
+		"twice, and on both sides": func(s *stand, q *Query) { s.e.Leave(q); s.e.Submit(q); s.e.Leave(q) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, nil)
+			steps(s, s.query("q", 0, 1, 2))
+			s.silent()
+			s.ask("q", 0, 1)
+			if len(s.take()) != 1 {
+				t.Error("the id is not free")
+			}
+		})
+	}
+}
+
+// secondStep has a query's first step answered; with the next turn its second would begin.
+func (s *stand) secondStep(leave func(q *Query)) {
+	q := s.ask("q", 1, 1, 2, 3)
+	for _, a := range s.take() {
+		s.hit(a, int64(a.Shard), "first")
+	}
+	leave(q)
+}
+
+// A client that goes as its second step opens, or when that waits for its turn, has none of it sent.
+func TestLeavingAtTheSecondStep(t *testing.T) {
+	for name, waits := range map[string]bool{"in the turn that opens it": false, "while its parts wait": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, nil)
+			s.secondStep(func(q *Query) {
+				if waits {
+					s.e.turn()
+					if len(s.e.next) == 0 {
+						t.Fatal("no second step")
+					}
+				}
+				s.e.Leave(q)
+			})
+			s.silent()
+		})
+	}
+}
+
+// A part of a second step that waits for its connection when the client goes is taken back, and what was written is
+// given up.
+func TestLeavingInTheSecondStep(t *testing.T) {
+	s := newStand(t, func(c *config.Config) { c.Limits.CallParts = 1 })
+	var left *Query
+	s.secondStep(func(q *Query) { left = q })
+	s.e.turn()
+	s.e.turn()
+	sent := s.take()
+	if len(sent) != 2 || sent[0].From == nil {
+		t.Fatalf("%d sent", len(sent))
+	}
+	s.p.written[sent[1]] = false
+	s.p.log = nil
+	s.e.Leave(left)
+	s.e.turn()
+	for _, a := range sent {
+		if !slices.Contains(s.p.log, "withdraw "+a.ID) {
+			t.Errorf("%s is out still: %v", a.ID, s.p.log)
+		}
+	}
+	s.silent()
+}
+
+// Where a query may not be cancelled, what of it is not written is taken back all the same when its client goes.
+func TestLeavingWhereNothingMayBeCancelled(t *testing.T) {
+	s := newStand(t, func(c *config.Config) { c.Policy.Cancel = false })
+	q := s.ask("q", 0, 1, 2)
+	sent := s.take()
+	s.p.written[sent[1]] = false
+	s.p.log = nil
+	s.e.Leave(q)
+	s.e.turn()
+	if !slices.Equal(s.p.log, []string{"unsend " + sent[1].ID}) {
+		t.Errorf("%v", s.p.log)
+	}
+	s.e.Ended(Result{Attempt: sent[0], Outcome: policy.OK, At: time.Now()})
+	s.silent()
+}
+
+// The last value and the news that the client has gone come in one turn: there is one answer at most, whichever is first.
+func TestAnAnswerCrossesTheLeaving(t *testing.T) {
+	for _, leftFirst := range []bool{true, false} {
+		s := newStand(t, nil)
+		q := s.ask("q", 0, 1)
+		a := s.take()[0]
+		if leftFirst {
+			s.e.Leave(q)
+		}
+		s.hit(a, 1, "v")
+		if !leftFirst {
+			s.e.Leave(q)
+		}
+		s.e.turn()
+		if leftFirst == (len(s.replies) == 1) || len(s.replies) > 1 {
+			t.Errorf("left first %v: %d replies", leftFirst, len(s.replies))
+		}
+		s.replies = nil
+		s.silent()
+	}
+}
+
+// A query whose end has passed is failed once: not again by the value that comes in the same turn, nor by its client's
+// leaving. What of it is out is given up.
+func TestOneAnswerAtTheEnd(t *testing.T) {
+	s := newStand(t, nil)
+	q := s.ask("q", 0, 1, 2)
+	sent := s.take()
+	s.p.log = nil
+	s.hit(sent[0], 1, "v")
+	s.hit(sent[1], 1, "v")
+	for i := range s.e.timers {
+		if s.e.timers[i].query != nil {
+			s.e.timers[i].at = time.Time{}
+			s.e.timers[0], s.e.timers[i] = s.e.timers[i], s.e.timers[0]
+		}
+	}
+	s.e.turn()
+	if r := s.reply(); r.Status != Failed {
+		t.Errorf("%+v", r)
+	}
+	if strings.Contains(strings.Join(s.p.log, " "), "send") {
+		t.Errorf("%v", s.p.log)
+	}
+	s.e.Leave(q)
+	s.silent()
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -137,8 +137,19 @@
 // Submit takes a query from the client side. Like all of the following it may be called from anywhere.
 func (e *Exchange) Submit(q *Query) { e.put(q) }
 
-// Leave tells that the client of a query has gone.
-func (e *Exchange) Leave(q *Query) { e.put(left{q}) }
+// Leave tells that the client of a query has gone. It may overtake the query's own Submit, which another goroutine calls.
+func (e *Exchange) Leave(q *Query) {
+	e.mu.Lock()
+	q.gone = true
+	e.mu.Unlock()
+	e.put(left{q})
+}
+
+func (e *Exchange) hasLeft(q *Query) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return q.gone
+}
 
 // Ended takes the end of an attempt from the replica side.
 func (e *Exchange) Ended(r Result) { e.put(r) }
--- a/internal/exchange/query.go
+++ b/internal/exchange/query.go
@@ -7,9 +7,13 @@
 	"birchcart/policy"
 )
 
-// arrived takes a query in, or turns it away before it reaches the decisions: what is full or malformed.
+// arrived takes a query in, or turns it away before it reaches the decisions: what is full or malformed, or was left.
 func (e *Exchange) arrived(m *Query) {
 	e.sums.queries++
+	if e.hasLeft(m) { // nobody waits for it, and the news of that may have come before it
+		e.sums.left++
+		return
+	}
 	if e.byID[m.ID] != nil { // the ids of its parts are at replicas, or may be still
 		e.sums.replies[Conflict]++
 		m.Reply(Reply{Status: Conflict})
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -25,6 +25,8 @@
 	Text          []byte
 	// Reply takes the one answer. It is called from the exchange's goroutine and must not block.
 	Reply func(Reply)
+
+	gone bool // its client has left; under the exchange's lock
 }
 
 // Part is one part that a query asks for. Work is in seconds, 0 if no hint came.
