Let calls that wait on a connection that ends go on another

A replica may close an idle connection at any time. A part that was queued in the moment in which the end had come and the link's goroutine had not looked yet was told as Unreachable: ReadFirst kept it from being written, but judge() in policy/health.go takes one Unreachable as enough to leave the replica out for its class, and the part had spent an attempt. The same befell what waited behind a call that was cut.

link.end now has such calls wait on another connection to the same replica, chosen like any other, once each. Where the connection never came up, took no bytes for WriteTime, or the replica is not up at that address any more, all is as before.

TestAPartMeetsTheEndOfItsConnection queues a call under the pool's lock after the end has come: before, it ended as Unreachable and no second connection came; now it is answered on one. TestAPartMovesOnce: 1 connection was dialled before, now 2; without the bound it goes on for ever.

--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"os"
 	"slices"
 	"time"
 
@@ -195,7 +196,7 @@
 }
 
 // end takes the connection out of the pool and tells what becomes of its parts: what was not wholly written
-// never ran, the rest may have.
+// never ran, the rest may have. Calls that had not begun go on to another connection.
 func (l *link) end(err error) {
 	p := l.p
 	p.mu.Lock()
@@ -211,6 +212,7 @@
 	if l.t.State == policy.Removed && len(l.t.links) == 0 && p.targets[l.t.Replica] == l.t {
 		delete(p.targets, l.t.Replica)
 	}
+	l.moveQueue(err)
 	var out []exchange.Result
 	for _, en := range l.parts {
 		o := policy.Unreachable
@@ -240,6 +242,36 @@
 	}
 }
 
+// moveQueue has the calls that wait on a connection that has ended wait on another. That it ended, idle perhaps, says
+// nothing of whether the replica can be reached; one that never came up, or took no bytes for so long, says that. A call
+// moves once: a replica that closes all its connections would have it for ever.
+func (l *link) moveQueue(err error) {
+	p := l.p
+	if l.conn == nil || errors.Is(err, os.ErrDeadlineExceeded) || l.t.State != policy.Up || l.t.Address != l.address {
+		return
+	}
+	for _, call := range l.queue {
+		var attempts []*exchange.Attempt
+		for _, en := range call {
+			if p.entries[en.a] == en && !en.moved {
+				attempts = append(attempts, en.a)
+			}
+		}
+		if len(attempts) == 0 {
+			continue
+		}
+		to := p.choose(l.t, attempts)
+		if to == nil {
+			return
+		}
+		p.enqueue(to, attempts)
+		for _, a := range attempts {
+			p.entries[a].moved = true
+			delete(l.parts, a.ID)
+		}
+	}
+}
+
 // unqueue takes back what is not yet written.
 func (l *link) unqueue(o policy.Outcome) (back []exchange.Result) {
 	for _, en := range l.parts {
--- a/internal/replica/endings_test.go
+++ b/internal/replica/endings_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
+	"birchcart/internal/duplex"
 	"birchcart/internal/exchange"
 	"birchcart/policy"
 )
@@ -62,6 +64,64 @@
 	}
 }
 
+// A part may be queued on a connection in the moment in which its end has come and its goroutine has not looked: nothing
+// of it is written there, and it goes on another connection. That an idle connection was closed says nothing against
+// its replica.
+func TestAPartMeetsTheEndOfItsConnection(t *testing.T) {
+	s := newStand(t, testLimits())
+	s.pool.Send(1, []*exchange.Attempt{attempt("q.1")})
+	p := s.accept()
+	p.frame()
+	p.say("Eq.1 hit 1 -\nv")
+	s.sink.next(t)
+	a, b := attempt("q.2"), attempt("q.3")
+	s.link(func(l *link) bool { // with the lock: the connection's goroutine can't take the end in yet
+		p.nc.Close()
+		s.eventually("the end does not come", func() bool { return !l.conn.Open() })
+		s.pool.enqueue(l, []*exchange.Attempt{a, b})
+		return true
+	})
+	next := s.accept()
+	if f := next.frame(); !strings.HasPrefix(f, "Aq.2 ") || !strings.Contains(f, "q.3 ") {
+		t.Fatalf("%q", f)
+	}
+	next.say("Eq.2 hit 1 -\nv")
+	next.say("Eq.3 hit 1 -\nv")
+	for range 2 {
+		if r := s.sink.next(t); r.Outcome != policy.OK {
+			t.Errorf("%+v", r)
+		}
+	}
+	s.eventually("the link stays", func() bool { return s.links() == 1 })
+	s.sink.none(t)
+}
+
+// A replica that closes each connection at once gets a part on two at the most, and has then taken none.
+func TestAPartMovesOnce(t *testing.T) {
+	s := newStand(t, testLimits())
+	dialled := 0
+	dial := s.pool.dial
+	s.pool.dial = func(address string) (*net.TCPConn, error) {
+		nc, err := dial(address)
+		p := s.accept()
+		p.nc.Close()
+		for end := time.Now().Add(patience); err == nil && !duplex.Waits(nc) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		dialled++
+		return nc, err
+	}
+	a := attempt("q.1")
+	s.pool.Send(1, []*exchange.Attempt{a})
+	if r := s.sink.next(t); r.Attempt != a || r.Outcome != policy.Unreachable {
+		t.Errorf("%+v", r)
+	}
+	s.eventually("the link stays", func() bool { return s.links() == 0 })
+	if dialled != 2 {
+		t.Errorf("%d connections were dialled", dialled)
+	}
+}
+
 // nextProbe waits for the end of a probe.
 func (s *sink) nextProbe(t *testing.T) exchange.Probed {
 	t.Helper()
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -47,6 +47,7 @@
 type entry struct {
 	a       *exchange.Attempt
 	l       *link
+	moved   bool             // waited on another connection before, which ended
 	written bool             // handed to the connection's writer
 	end     int64            // then: where its frame ends among the bytes of the connection
 	at      time.Time        // and when
@@ -129,6 +130,12 @@
 		}
 		return
 	}
+	p.enqueue(l, call)
+	p.mu.Unlock()
+}
+
+// enqueue has a call wait to be written on a connection.
+func (p *Pool) enqueue(l *link, call []*exchange.Attempt) {
 	entries := make([]*entry, len(call))
 	for i, a := range call {
 		entries[i] = &entry{a: a, l: l}
@@ -137,7 +144,6 @@
 	}
 	l.queue = append(l.queue, entries)
 	l.wake()
-	p.mu.Unlock()
 }
 
 // choose finds the connection for a call: an open one that is heard of, else one that is coming up, else a
