Give the exchange's inbox a type

The inbox was []any, and a turn told its messages apart by two type switches in which a message of a new type could be forgotten without a word. A message now takes itself in, and what is in force before all others says so by its type.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -29,11 +29,11 @@
 	start    time.Time
 
 	mu    sync.Mutex
-	inbox []any
+	inbox []message
 	wake  chan struct{}
 
 	// What follows belongs to the goroutine of Run.
-	taken   []any // the inbox of this turn
+	taken   []message // the inbox of this turn
 	events  []policy.Event
 	next    []policy.Event // for the next turn: second steps, and attempts that were withdrawn
 	lastID  uint64
@@ -109,12 +109,6 @@
 	attempts []*Attempt
 }
 
-// left is the news that a client went away.
-type left struct{ q *Query }
-
-// listFailed is the news that a watch could not be had or has ended.
-type listFailed struct{}
-
 // New returns an exchange; Join connects it before Run.
 func New(cfg *config.Config, log *logrus.Entry) *Exchange {
 	return &Exchange{
@@ -163,7 +157,7 @@
 // ListFailed tells that a watch could not be had or has ended.
 func (e *Exchange) ListFailed() { e.put(listFailed{}) }
 
-func (e *Exchange) put(m any) {
+func (e *Exchange) put(m message) {
 	e.mu.Lock()
 	e.inbox = append(e.inbox, m)
 	e.mu.Unlock()
@@ -213,34 +207,16 @@
 	e.mu.Unlock()
 	e.turned = time.Now()
 	e.events = e.events[:0]
-	for _, m := range e.taken { // the list first: what was read is in force before anything is sent
-		switch m := m.(type) {
-		case List:
-			e.listed(m)
-		case *routes:
-			e.routed(m)
-		case drains:
-			e.narrowed(m)
-		case listFailed:
-			e.events = append(e.events, policy.Event{Kind: policy.ListFailed})
+	for _, m := range e.taken {
+		if _, ahead := m.(news); ahead {
+			m.take(e)
 		}
 	}
 	e.events = append(e.events, e.next...)
 	e.next = e.next[:0]
 	for _, m := range e.taken {
-		switch m := m.(type) {
-		case *Query:
-			e.arrived(m)
-		case left:
-			e.left(m.q)
-		case release:
-			e.released(m.q)
-		case turnAway:
-			e.turnedAway(m.q, m.r)
-		case Result:
-			e.ended(m)
-		case Probed:
-			e.probed(m)
+		if _, ahead := m.(news); !ahead {
+			m.take(e)
 		}
 	}
 	clear(e.taken)
