Pin what an attempt tells of its time, and an answer that crosses its withdrawal

Checked and found right: Pull tells what is left when it builds the frame, send() bounds TryFor by the client's time, further attempts and second steps have the query's own end, and tell() forgets all that was read before it tells the first.

--- a/internal/exchange/endings_test.go
+++ b/internal/exchange/endings_test.go
@@ -169,3 +169,43 @@
 	s.e.Leave(q)
 	s.silent()
 }
+
+// An attempt has no more time than its client, nor than the decisions give it.
+func TestTheTimeOfAnAttempt(t *testing.T) {
+	for tryFor, whole := range map[float64]bool{0: true, 60: true, 1: false} {
+		s := newStand(t, nil)
+		q := s.ask("q", 0, 1)
+		s.e.send(&policy.Action{
+			Verb: policy.Send, Part: s.e.byID["q"].parts[0].id, Replica: s.e.targets["r0"].Replica, TryFor: tryFor,
+		})
+		if a := s.e.calls[0].attempts[0]; a.Due.Equal(q.Due) != whole || a.Due.After(q.Due) {
+			t.Errorf("tried for %v s: due %v after the client", tryFor, a.Due.Sub(q.Due))
+		}
+	}
+}
+
+// Nor has a further attempt, or one of a second step, more time than the client: it counts from the query's arrival.
+func TestNoLaterAttemptOutlivesItsClient(t *testing.T) {
+	s := newStand(t, nil)
+	q := s.ask("q", 1, 1, 2)
+	first := s.take()
+	s.e.Ended(Result{Attempt: first[0], Outcome: policy.Failed, At: time.Now()})
+	s.e.turn()
+	again := s.take()
+	if len(again) != 1 {
+		t.Fatalf("%d further attempts", len(again))
+	}
+	s.hit(again[0], 1, "v")
+	s.hit(first[1], 1, "v")
+	s.e.turn()
+	s.e.turn()
+	second := s.take()
+	if len(second) != 2 || second[0].From == nil {
+		t.Fatalf("%d attempts of a second step", len(second))
+	}
+	for _, a := range slices.Concat(again, second) {
+		if a.Due.After(q.Due) {
+			t.Errorf("%s is due %v after its client", a.ID, a.Due.Sub(q.Due))
+		}
+	}
+}
--- a/internal/replica/endings_test.go
+++ b/internal/replica/endings_test.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -133,3 +135,50 @@
 	}
 	panic("unreachable")
 }
+
+// What a part tells of the time left is what is left when its connection is up, not when it was queued.
+func TestTheTimeLeftIsThatOfTheConnection(t *testing.T) {
+	const left, waited = time.Hour, 20 * time.Minute
+	s := newStand(t, testLimits())
+	open := s.holdDials()
+	a := attempt("q.1")
+	a.Due = time.Now().Add(left)
+	s.pool.Send(1, []*exchange.Attempt{a})
+	s.pool.mu.Lock()
+	a.Due = a.Due.Add(-waited) // stands for as long a wait
+	s.pool.mu.Unlock()
+	open()
+	f := s.accept().frame()
+	var told time.Duration
+	if _, err := fmt.Sscanf(f, "Aq.1 3 d=%d", &told); err != nil || told*time.Millisecond > left-waited || told*time.Millisecond < left-2*waited {
+		t.Errorf("%q, %v", f, err)
+	}
+}
+
+// Whoever is told of an answer may give up another part whose answer was read with it: that one's end is on its way then,
+// and comes once; the replica is told nothing.
+func TestAnAnswerCrossesItsWithdrawal(t *testing.T) {
+	s := newStand(t, testLimits())
+	a, b := attempt("q.1"), attempt("q.2")
+	withdrawn := make(chan [2]bool, 1)
+	s.sink.then = func(r exchange.Result) {
+		if r.Attempt == a {
+			found, sent := s.pool.Withdraw(b)
+			withdrawn <- [2]bool{found, sent}
+		}
+	}
+	s.pool.Send(1, []*exchange.Attempt{a, b})
+	p := s.accept()
+	p.frame()
+	io.WriteString(p.nc, "\x00\x00\x00\x0eEq.1 hit 1 -\nv"+"\x00\x00\x00\x0eEq.2 hit 1 -\nv")
+	for _, want := range []*exchange.Attempt{a, b} {
+		if r := s.sink.next(t); r.Attempt != want || r.Outcome != policy.OK {
+			t.Errorf("%+v", r)
+		}
+	}
+	if got := <-withdrawn; got != [2]bool{} {
+		t.Errorf("found and sent: %v", got)
+	}
+	s.sink.none(t)
+	p.quiet()
+}
