Take back a call that is put back where its replica was

Between the pull of a call and the kernel's word that it takes no byte of it the replica may drain, move or restart: Update then saw the parts as written and left them, and putBack in write.go queued them again: for the old address where it is up, and where it drains for nobody, until their time was over. putBack now takes them back on a connection that is retired.

TestACallIsPutBackWhereAReplicaWas plays the connection's goroutine in that order: before, the part was pulled again (moved, restarted) and its end never told (all three).

--- a/internal/replica/blocked_test.go
+++ b/internal/replica/blocked_test.go
@@ -248,3 +248,41 @@
 		t.Errorf("%q", f)
 	}
 }
+
+// A replica drains, moves or restarts between the pull of a call and the kernel's word that it takes no byte of it: the
+// call is taken back then, and does not wait for the replica that was.
+func TestACallIsPutBackWhereAReplicaWas(t *testing.T) {
+	for name, change := range map[string]func(*exchange.Target){
+		"moved":     func(c *exchange.Target) { c.Address = "127.0.0.1:1" },
+		"restarted": func(c *exchange.Target) { c.Started = time.Now() },
+		"draining":  func(c *exchange.Target) { c.State = policy.Draining },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, testLimits())
+			s.holdDials()
+			a := attempt("q.1")
+			s.pool.Send(1, []*exchange.Attempt{a})
+			l := s.pool.targets[1].links[0] // its own goroutine is held: the test plays it
+			if out, _, _ := l.Pull(nil); len(out) == 0 {
+				t.Fatal("nothing was pulled")
+			}
+			target := exchange.Target{Replica: 1, Name: "r", Address: s.ln.Addr().String(), State: policy.Up}
+			change(&target)
+			s.pool.Update([]exchange.Target{target})
+			if !l.putBack() {
+				t.Fatal("nothing was put back")
+			}
+			if out, _, _ := l.Pull(nil); len(out) != 0 {
+				t.Errorf("pulled again: %q", out)
+			}
+			select {
+			case r := <-s.sink.results:
+				if r.Attempt != a || r.Outcome != policy.Moot {
+					t.Errorf("%+v", r)
+				}
+			default:
+				t.Error("its end was not told")
+			}
+		})
+	}
+}
--- a/internal/replica/write.go
+++ b/internal/replica/write.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"birchcart/internal/duplex"
+	"birchcart/internal/exchange"
+	"birchcart/policy"
 )
 
 // writer is a connection whose peer may take nothing for a while. A call of which no byte has gone out waits in the
@@ -65,11 +67,11 @@
 }
 
 // putBack returns the call that was pulled last to the head of the queue, as one that is not written. It tells
-// whether there was one.
+// whether there was one. Where the replica drains, moved or restarted since the pull, its parts are taken back.
 func (l *link) putBack() bool {
 	l.p.mu.Lock()
-	defer l.p.mu.Unlock()
 	if len(l.unbegun) == 0 {
+		l.p.mu.Unlock()
 		return false
 	}
 	for _, en := range l.unbegun {
@@ -78,6 +80,12 @@
 	l.queue = slices.Insert(l.queue, 0, l.unbegun)
 	l.pulled -= l.unbegunBytes
 	l.unbegun, l.unbegunBytes, l.blocked = nil, 0, true
+	var back []exchange.Result
+	if l.retired {
+		back = l.unqueue(policy.Moot)
+	}
+	l.p.mu.Unlock()
+	l.p.tell(back)
 	return true
 }
 
