Write no call behind half a line that nothing had asked for

A part may be queued on an idle connection in the moment in which half a line of the replica's has come there. The part was written behind it: Pull ends a connection for a frame that does not go on only after FrameTime, and all that is out counts as failed then and may have run. An idle one is retired by tell() as soon as that is seen; only the part that waited made a difference. Pull now ends the connection where no part is out on it, and the calls that wait go on another.

TestAPartMeetsHalfALine queues a part under the pool's lock after the bytes have come: before, no other connection came up.

--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -17,6 +17,10 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	start := len(buf)
+	if !l.begun.IsZero() && len(l.queue) > 0 && !l.anyWritten() {
+		l.finished = true
+		return buf, now, errStray
+	}
 	if buf = l.appendNextCall(buf, now); len(buf) == start {
 		buf = l.appendAsides(buf)
 	} else if len(l.queue) > 0 || len(l.giveUps) > 0 || len(l.probes) > 0 && !l.probes[len(l.probes)-1].written {
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -150,6 +150,7 @@
 
 var (
 	errIdle    = errors.New("closed as idle")
+	errStray   = errors.New("a frame began that nothing had asked for")
 	errStalled = errors.New("a frame began and did not go on")
 )
 
--- a/internal/replica/endings_test.go
+++ b/internal/replica/endings_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
+	"unsafe"
 
 	"birchcart/internal/duplex"
 	"birchcart/internal/exchange"
@@ -77,6 +80,7 @@
 	p.say("Eq.1 hit 1 -\nv")
 	s.sink.next(t)
 	a, b := attempt("q.2"), attempt("q.3")
+	s.untilParked()
 	s.link(func(l *link) bool { // with the lock: the connection's goroutine can't take the end in yet
 		p.nc.Close()
 		s.eventually("the end does not come", func() bool { return !l.conn.Open() })
@@ -182,3 +186,64 @@
 	s.sink.none(t)
 	p.quiet()
 }
+
+// untilParked waits until the goroutines of all connections wait for their peers: they have looked at what is queued then, and
+// will not before they are woken.
+func (s *stand) untilParked() {
+	s.Helper()
+	s.eventually("a connection's goroutine does not rest", func() bool {
+		stacks := make([]byte, 1<<20)
+		found := false
+		for stack := range strings.SplitSeq(string(stacks[:runtime.Stack(stacks, true)]), "\n\n") {
+			if !strings.Contains(stack, "replica.(*link).run(") {
+				continue
+			}
+			if head, _, _ := strings.Cut(stack, "\n"); !strings.Contains(head, "[IO wait") {
+				return false
+			}
+			found = true
+		}
+		return found
+	})
+}
+
+// acknowledged tells that the other machine's kernel has all that was said.
+func (p *peer) acknowledged() bool {
+	raw, err := p.nc.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var left int32
+	var failed syscall.Errno
+	raw.Control(func(fd uintptr) {
+		_, _, failed = syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&left)))
+	})
+	return failed == 0 && left == 0
+}
+
+// A part may be queued on an idle connection in the moment in which half a line has come there. Nothing that is out can be
+// meant, so the part goes on another connection, and not on one that would end under it.
+func TestAPartMeetsHalfALine(t *testing.T) {
+	s := newStand(t, testLimits())
+	s.pool.Send(1, []*exchange.Attempt{attempt("q.1")})
+	p := s.accept()
+	p.frame()
+	p.say("Eq.1 hit 1 -\nv")
+	s.sink.next(t)
+	s.untilParked()
+	s.link(func(l *link) bool { // with the lock: the connection's goroutine can't look at it yet
+		io.WriteString(p.nc, "\x00\x00\x00\x0eEq.9 ")
+		s.eventually("the bytes do not come", p.acknowledged)
+		s.pool.enqueue(l, []*exchange.Attempt{attempt("q.2")})
+		return true
+	})
+	next := s.accept()
+	if f := next.frame(); !strings.HasPrefix(f, "Aq.2 ") {
+		t.Fatalf("%q", f)
+	}
+	next.say("Eq.2 hit 1 -\nv")
+	if r := s.sink.next(t); r.Outcome != policy.OK {
+		t.Errorf("%+v", r)
+	}
+	p.ended()
+}
