Ask a shared discovery one patient call at a time, and ever less often while it refuses

Cause: discovery serves calls in turn and turns away what would wait for over 2 s. We asked as of an agent that answers at no cost: five calls side by side, each left after AgentTime (1 s) though its answer was on its way, the next 50 to 200 ms after a refusal, and two calls (whole list, watch) after each silence. Being refused costs discovery time too, so that it did nothing else. Lines at fault: ask.go (asksMost, AgentTime, RedialMost for both modes), watch.go (f.whole after each silence; the wait for the decisions' word, at most 3 s of not asking while the clock of 6 s ran). Ruled out: the module (its word was not waited for in the first 3 s); lists lost or misread (each that came was taken).

Shared: one call at once, CallTime (2.2 s) for its answer, waits of 0.2 to 2 s doubled and drawn from half up, counted from the call's beginning; after a silence the watch is opened anew, whose answer says first what was missed, and the whole list is asked for only where that brings nothing. The decisions' first word begins it and they hear of failures, but nothing waits for them afterwards. Pushed lists: as before.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -60,6 +60,10 @@
 	RedialFirst  time.Duration // wait before a new connection, doubled up to the most
 	RedialMost   time.Duration // also from one ask to the next while none is answered: the rules' least grace is 250 ms
 
+	CallTime  time.Duration // for the whole answer to a call, where the list is asked for: discovery serves calls in turn
+	CallFirst time.Duration // wait from a failed call to the next, doubled up to the most
+	CallMost  time.Duration
+
 	ReadyBy time.Duration // after the start, also with no list: queries are refused then, with a time to come back
 
 	Forget time.Duration // after so long a replica that is off the list is forgotten
@@ -115,7 +119,15 @@
 	// longestKept is from the protocol page: a deadline that is longer does not put off SIGKILL after SIGTERM.
 	longestKept = 3 * time.Second
 	endShare    = 0.9 // of the longest deadline: all is answered well before SIGKILL
-	silentDials = 4   // connect times without a word: a healthy machine would have taken a new connection
+	// callTime: discovery turns away a call whose answer it would have in over 2 s, so what it takes is answered within
+	// that. With the silence of a watch before it, 3 s, that is under the 6 s after which what was missed counts as told;
+	// half as long leaves calls whose answer is on its way.
+	callTime = 2200 * time.Millisecond
+	// callMost: a wait and a call are under 6 s together, so that what discovery has once it can be reached again is had in
+	// time. Half as long and refused co-ordinators keep it busy with refusing; twice as long is over the 6 s.
+	callMost    = 2 * time.Second
+	callFirst   = 200 * time.Millisecond
+	silentDials = 4 // connect times without a word: a healthy machine would have taken a new connection
 )
 
 func limits(m machine, s *settings.Reader) Limits {
@@ -153,6 +165,7 @@
 		Silence:     silentDials * connect, Remember: max(remembered, longest), ProbeTime: connect,
 
 		ListBytes: int(min(8<<20, memory/listPart)), WatchSilence: 3 * time.Second, AgentTime: time.Second, Forget: 30 * time.Second,
+		CallTime: callTime, CallFirst: callFirst, CallMost: callMost,
 		ReadyBy: readyBy, ReloadWait: 100 * time.Millisecond, ReloadTries: 6,
 		RedialFirst: 50 * time.Millisecond, RedialMost: 200 * time.Millisecond,
 
--- a/internal/discovery/ask.go
+++ b/internal/discovery/ask.go
@@ -31,22 +31,20 @@
 
 // answer is how one ask went.
 type answer struct {
-	no  int
-	s   *stream
-	err error
+	no    int
+	began time.Time
+	s     *stream
+	err   error
 }
 
-// ask asks the agent for what is wanted until it has an answer: the whole list, or the head of a watch. Each ask has
-// its own connection and AgentTime. The next one begins RedialMost later at the latest, beside those that wait still:
-// an agent that is silent while discovery is down may never answer what it was asked then, and what it has counts as
-// told from the moment of its return. The first answer counts and the others are left. Where the decisions wait for
-// an end, it gives up after WatchSilence: with the silence before it, that is as long as news may stay unheard.
+// ask asks for what is wanted until it has an answer: the whole list, or the head of a watch. Each ask has its own
+// connection and the pace's answerTime. Of an agent the next one begins RedialMost later at the latest, beside those that
+// wait still: an agent that is silent while discovery is down may never answer what it was asked then, and what it has
+// counts as told from the moment of its return. The first answer counts and the others are left. Where the decisions
+// ask, an ask that fails after WatchSilence of failures ends it, so that they hear of it.
 func (f *feed) ask(ctx context.Context) (*stream, error) {
-	c, lim := f.c, &f.c.limits
-	var giveUp <-chan time.Time
-	if c.ask && c.leads(f) {
-		giveUp = time.After(f.wait + lim.WatchSilence)
-	}
+	c := f.c
+	began := time.Now()
 	answers := make(chan answer, asksMost)
 	open := map[int]context.CancelFunc{}
 	defer func() {
@@ -54,27 +52,26 @@
 			leave()
 		}
 	}()
-	due := time.Now().Add(f.wait)
+	due := began.Add(c.pace.spread(f.wait))
 	for no := 0; ; {
 		var again <-chan time.Time
-		if len(open) < asksMost {
+		if len(open) < c.pace.atOnce {
 			again = time.After(time.Until(due))
 		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-giveUp:
-			return nil, errTold
 		case <-again:
 			no++
 			n, whole, index := no, f.wantsWhole(), f.index
 			each, leave := context.WithCancel(ctx)
 			open[n] = leave
 			c.feeds.Go(func() {
+				asked := time.Now()
 				s, err := f.try(each, whole, index)
-				answers <- answer{n, s, err}
+				answers <- answer{n, asked, s, err}
 			})
-			due = time.Now().Add(lim.RedialMost)
+			due = time.Now().Add(c.limits.RedialMost)
 		case a := <-answers:
 			leave := open[a.no]
 			if delete(open, a.no); a.err == nil {
@@ -83,25 +80,37 @@
 			}
 			leave()
 			c.failed(f, a.err)
-			f.wait = max(lim.RedialFirst, min(2*f.wait, lim.RedialMost))
-			if soon := time.Now().Add(f.wait); soon.Before(due) {
-				due = soon
+			f.wait = c.pace.next(f.wait)
+			if c.ask && c.leads(f) && time.Since(began) >= c.limits.WatchSilence {
+				return nil, errTold
 			}
+			due = f.after(a, due)
 		}
 	}
 }
 
+// after tells when the next ask is due once one has failed; due is when it was.
+func (f *feed) after(a answer, due time.Time) time.Time {
+	if f.c.pace.shared { // from its beginning: one that got no answer in its time has waited already
+		return a.began.Add(f.c.pace.spread(f.wait))
+	}
+	if soon := time.Now().Add(f.wait); soon.Before(due) {
+		return soon
+	}
+	return due
+}
+
 // try is one ask. Its connection is closed when the context ends.
 func (f *feed) try(ctx context.Context, whole bool, index int64) (*stream, error) {
 	lim := &f.c.limits
-	d := net.Dialer{Timeout: lim.AgentTime}
+	d := net.Dialer{Timeout: f.c.pace.answerTime}
 	began := time.Now()
 	nc, err := d.DialContext(ctx, "tcp", f.address)
 	if err != nil {
 		return nil, err
 	}
 	context.AfterFunc(ctx, func() { nc.Close() })
-	s := &stream{nc: nc, whole: whole, began: began, by: began.Add(lim.AgentTime), objects: objects{most: lim.ListBytes}}
+	s := &stream{nc: nc, whole: whole, began: began, by: began.Add(f.c.pace.answerTime), objects: objects{most: lim.ListBytes}}
 	s.split.Limits = h1.Limits{Head: lim.HeadBytes}
 	s.in = bufio.NewScanner(s)
 	s.in.Buffer(nil, lim.HeadBytes+lim.BodyBytes)
@@ -129,6 +138,7 @@
 	by      time.Time // when what is waited for has to be whole, however many bytes of it come: an answer, an object or a pulse
 	late    int       // bytes read after that
 	leave   context.CancelFunc
+	up      bool // the watch was answered
 }
 
 func (s *stream) end() { s.leave() }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -29,6 +29,7 @@
 // moves to another address: then the old one goes on until the new one has a whole list.
 type Client struct {
 	ask     bool // the decisions say when to watch
+	pace    pace
 	limits  config.Limits
 	sink    Sink
 	log     *logrus.Entry
@@ -53,6 +54,8 @@
 	word    time.Time     // up to when what is held is known to hold: the last pulse or news, or the start of the ask for the list
 	wait    time.Duration // before the next connection
 	end     context.CancelFunc
+
+	reopened bool // a watch of a shared discovery has fallen silent, and nothing was heard since
 }
 
 // New returns a client that has the list up to index already.
@@ -60,6 +63,7 @@
 	c := &Client{
 		ask: cfg.Policy.MustAsk, limits: cfg.Limits, sink: sink, log: log,
 		noisy: logs.Limit(log, cfg.Limits.LogEvery), asked: make(chan struct{}, 1),
+		pace: newPace(cfg.Policy.MustAsk, &cfg.Limits),
 	}
 	c.lead = &feed{c: c, address: cfg.Discovery, index: index, whole: true}
 	return c
@@ -141,15 +145,18 @@
 	return c.lead == f
 }
 
-// run has the list until the context ends. Where the decisions ask, their word begins it and follows each failure that
-// they are told; a watch that had come up and broke is first asked for again without them, for WatchSilence, since what it
-// misses counts as told by a clock that does not wait for them. A move needs no word of theirs.
+// run has the list until the context ends. Where the decisions ask, their word begins it, and they are told of failures. It
+// does not wait for them then: what is missed counts as told by a clock that does not either, and the pace bounds how
+// often discovery is asked.
 func (f *feed) run(ctx context.Context) {
 	c := f.c
-	for word, told := c.ask, false; ctx.Err() == nil; {
-		if word && c.leads(f) {
-			f.await(ctx, told)
+	if c.ask && c.leads(f) {
+		select {
+		case <-ctx.Done():
+		case <-c.asked:
 		}
+	}
+	for ctx.Err() == nil {
 		s, err := f.ask(ctx)
 		began := time.Now()
 		if err == nil {
@@ -161,37 +168,29 @@
 		}
 		c.failed(f, err)
 		lasted, closed := time.Since(began), errors.Is(err, errClosed)
-		if f.wait = min(2*f.wait, c.limits.RedialMost); lasted > c.limits.RedialMost || f.wait == 0 || closed {
-			f.wait = c.limits.RedialFirst
+		if f.wait = c.pace.next(f.wait); lasted > c.pace.most || closed {
+			f.wait = c.pace.first
 		}
-		if word = c.ask && lasted < c.limits.AgentTime && !closed; word && c.leads(f) {
-			told = true
+		if c.ask && lasted < c.limits.AgentTime && !closed && c.leads(f) {
 			c.sink.ListFailed()
 		}
-		// A watch may be silent for longer than the rest of what it missed has: the whole list has all at once, a new
-		// watch says nothing until something changes.
-		f.whole = f.whole || errors.Is(err, errSilent)
+		if errors.Is(err, errSilent) {
+			f.afterSilence(s)
+		}
 	}
 }
 
-// await waits for the decisions' word. Once they were told of a failure it waits for WatchSilence at most, from the last
-// word of discovery if that is not longer ago: how long they wait has no bound of ours, but what discovery has meanwhile
-// counts as told by the clock of a silence all the same.
-func (f *feed) await(ctx context.Context, told bool) {
-	var enough <-chan time.Time
-	if told {
-		most := f.c.limits.WatchSilence
-		if left := most - time.Since(f.word); left > 0 {
-			most = max(left, f.c.limits.RedialMost)
-		}
-		enough = time.After(most)
+// afterSilence decides what is asked for once discovery has been silent. A new watch of an agent may be silent for longer
+// than the rest of what was missed has, while the whole list has all at once. Of a shared discovery that would be two
+// calls where one has the same: the answer to a watch says first what was missed. Only when that brings nothing either
+// is the whole list asked for.
+func (f *feed) afterSilence(s *stream) {
+	switch {
+	case !f.c.pace.shared || f.reopened:
+		f.whole = true
+	case s.up:
+		f.reopened, f.word = true, time.Now()
 	}
-	select {
-	case <-ctx.Done():
-	case <-f.c.asked:
-	case <-enough:
-	}
-	f.wait = 0 // they have waited
 }
 
 func (c *Client) failed(f *feed, err error) {
@@ -199,13 +198,13 @@
 }
 
 // wantsWhole tells whether to ask for the whole list and not for a watch. A new watch may say nothing for WatchSilence
-// and be of no use then: with a word that is AgentTime old by now, the whole list would come close to the time at which
-// what was missed counts as told. So it is with watches that are refused, or end before they have told anything.
-func (f *feed) wantsWhole() bool { return f.whole || time.Since(f.word) > f.c.limits.AgentTime }
+// and be of no use then: with a word that is old by now, the whole list would come close to the time at which what was
+// missed counts as told. So it is with watches that are refused, or end before they have told anything.
+func (f *feed) wantsWhole() bool { return f.whole || time.Since(f.word) > f.c.pace.wordAge }
 
 // heard notes that what is held holds by now.
 func (f *feed) heard() {
-	f.word = time.Now()
+	f.word, f.reopened = time.Now(), false
 	f.c.hear(f)
 }
 
@@ -216,16 +215,20 @@
 		if _, err := f.take(s.objects.raw, true, true); err != nil {
 			return err
 		}
-		f.whole, f.word = false, s.began
+		f.whole, f.reopened, f.word = false, false, s.began
 		if s.split.Close {
 			return errClosed
 		}
 		asked = time.Now()
-		s.until(asked.Add(c.limits.AgentTime))
+		s.until(asked.Add(c.pace.answerTime))
 		if err := s.get(watchTarget(f.index), f.address); err != nil {
 			return err
 		}
 	}
+	if c.pace.shared { // a call that waited its turn says nothing of the watch that it opened
+		asked = time.Now()
+	}
+	s.up = true
 	s.until(asked.Add(c.limits.WatchSilence))
 	for fresh := true; !s.split.Done; {
 		piece, err := s.next()
