--- a/internal/discovery/calls_test.go
+++ b/internal/discovery/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,12 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/config"
+	"birchcart/internal/exchange"
+	"birchcart/policy"
 )
 
 // shared is a discovery that all co-ordinators call, and that serves calls in turn: one takes serveTime, and one that would
@@ -152,3 +159,22 @@
 	defer s.mu.Unlock()
 	t.Log(fmt.Sprint(s.refused, " calls were refused"))
 }
+
+// Where the list is asked for, one that is held from before the start is watched at once: the answer tells what has changed.
+func TestAHeldListIsWatchedAtOnce(t *testing.T) {
+	a := newAgent(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &sink{make(chan exchange.List, 10), make(chan struct{}, 10)}
+	c := New(&config.Config{Discovery: a.address(), Policy: policy.Config{MustAsk: true}, Limits: calm}, 5, s, logrus.NewEntry(log))
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go c.Run(ctx)
+	c.Watch()
+	nc, r := a.accept()
+	a.expect(r, "/api/targets?watch=1&after=5")
+	io.WriteString(nc, opened+chunk(list(6, false, entry("a", "Terminating"))+"\n"))
+	if l := s.next(t); l.Full || len(l.Entries) != 1 || l.Entries[0].State != policy.Draining {
+		t.Errorf("%+v", l)
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -58,14 +58,19 @@
 	reopened bool // a watch of a shared discovery has fallen silent, and nothing was heard since
 }
 
-// New returns a client that has the list up to index already.
+// NoIndex stands for that of a list where none is held.
+const NoIndex int64 = -1
+
+// New returns a client that has the list up to index already, or NoIndex. A list that was held before the start may be old:
+// an agent is asked for the whole one. A shared discovery tells what has changed since with the watch, by one call instead
+// of two in the moment in which many may start.
 func New(cfg *config.Config, index int64, sink Sink, log *logrus.Entry) *Client {
 	c := &Client{
 		ask: cfg.Policy.MustAsk, limits: cfg.Limits, sink: sink, log: log,
 		noisy: logs.Limit(log, cfg.Limits.LogEvery), asked: make(chan struct{}, 1),
 		pace: newPace(cfg.Policy.MustAsk, &cfg.Limits),
 	}
-	c.lead = &feed{c: c, address: cfg.Discovery, index: index, whole: true}
+	c.lead = &feed{c: c, address: cfg.Discovery, index: index, whole: !c.pace.shared || index == NoIndex, word: time.Now()}
 	return c
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -93,14 +93,17 @@
 		pool = replica.New(cfg, ex, log)
 		replicas = pool
 	}
-	index, known := int64(0), false
+	index, known := discovery.NoIndex, false
 	if len(cfg.Known) > 0 {
 		list, at, _, err := discovery.Parse(cfg.Known)
 		if err != nil {
 			log.WithError(err).Warn("the known list is passed over")
 		} else {
 			list.Full, list.Stale = true, true
-			index, known = at, slices.ContainsFunc(list.Entries, func(e exchange.Entry) bool { return e.State == policy.Up })
+			if len(list.Entries) > 0 { // an empty one is no ground for asking for changes alone
+				index = at
+			}
+			known = slices.ContainsFunc(list.Entries, func(e exchange.Entry) bool { return e.State == policy.Up })
 			ex.Listed(list)
 		}
 	}
