Name the dialer with a fixed source address sourceaddr, before: dialfrom

The term of the field, as docs/glossary.md has it.

Ran: go vet ./internal/fleet/... ./cmd/birchcart-fleet; go test -short of the package, council and member (its importers): all pass.

--- a/internal/fleet/council/layer.go
+++ b/internal/fleet/council/layer.go
@@ -8,7 +8,7 @@
 
 	"github.com/hashicorp/raft"
 
-	"birchcart/internal/fleet/dialfrom"
+	"birchcart/internal/fleet/sourceaddr"
 )
 
 // ConnsMost connections are open at once, both ways; further ones are refused. Raft holds up to some 10 to each voter.
@@ -60,7 +60,7 @@
 }
 
 func (s *layer) Dial(a raft.ServerAddress, wait time.Duration) (net.Conn, error) {
-	conn, err := dialfrom.Dial(s.from, string(a), wait)
+	conn, err := sourceaddr.Dial(s.from, string(a), wait)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/member/delegate.go
+++ b/internal/fleet/member/delegate.go
@@ -7,7 +7,7 @@
 
 	"github.com/hashicorp/memberlist"
 
-	"birchcart/internal/fleet/dialfrom"
+	"birchcart/internal/fleet/sourceaddr"
 )
 
 // delegate is what the engine calls. It calls with its own locks held: nothing here waits or calls back.
@@ -97,7 +97,7 @@
 
 func (c *counted) DialAddressTimeout(a memberlist.Address, wait time.Duration) (net.Conn, error) {
 	// The engine's own dial leaves the source to the kernel.
-	conn, err := dialfrom.Dial(c.from, a.Addr, wait)
+	conn, err := sourceaddr.Dial(c.from, a.Addr, wait)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/dialfrom/dialfrom.go
+++ b/internal/fleet/sourceaddr/sourceaddr.go
@@ -1,6 +1,6 @@
-// Package dialfrom dials from the address that a process listens at, so that all its connections and packets come from
+// Package sourceaddr dials from the address that a process listens at, so that all its connections and packets come from
 // one address of a machine that has several: what filters and relays between the machines of a fleet go by.
-package dialfrom
+package sourceaddr
 
 import (
 	"net"
--- a/internal/fleet/dialfrom/dialfrom_test.go
+++ b/internal/fleet/sourceaddr/sourceaddr_test.go
@@ -1,4 +1,4 @@
-package dialfrom
+package sourceaddr
 
 import (
 	"net"
