Name the cache of completed requests completed, before: ran

The term of the field, as docs/glossary.md has it. The form in which a hand-over carries it is the same.

Ran: go vet and go test -short of the package and its importers (keeper, pins, world/pinned): all pass.

--- a/internal/fleet/ran/ran.go
+++ b/internal/fleet/completed/completed.go
@@ -1,7 +1,7 @@
-// Package ran is what a session remembers of its latest queries that must not run twice, so that a client which repeats one
-// is told so at once, at the owner where it ran and at the next ones: a hand-over carries it. It has those that ran or may
-// have run. One that surely never ran is not in it, and may come again. Pure: times come in.
-package ran
+// Package completed is the cache of a session's latest completed requests that must not run twice: a client that repeats
+// one of them is told so at once, at the owner where it ran and at later owners, since a hand-over carries the cache. It holds
+// requests that ran or may have run. One that surely never ran is not in it, and may come again. Pure: times come in.
+package completed
 
 import (
 	"encoding/binary"
--- a/internal/fleet/ran/save.go
+++ b/internal/fleet/completed/save.go
@@ -1,4 +1,4 @@
-package ran
+package completed
 
 import (
 	"encoding/binary"
--- a/internal/fleet/keeper/again.go
+++ b/internal/fleet/keeper/again.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"birchcart/internal/fleet/ran"
+	"birchcart/internal/fleet/completed"
 	"birchcart/internal/fleet/session"
 )
 
@@ -15,7 +15,7 @@
 
 // ranBefore says that a query of that id, which may run until due, must not begin: it ran here or at an owner before, or may have, and one of both is
 // unsafe, or both are keyed and the repeat could act again.
-func (s *sess) ranBefore(id ran.ID, effect Effect, due time.Duration) bool {
+func (s *sess) ranBefore(id completed.ID, effect Effect, due time.Duration) bool {
 	e, ok := s.ran.Find(id)
 	return ok && (effect == Unsafe || e.Bars(due))
 }
@@ -33,9 +33,9 @@
 	if q.effect == Safe || end == NotRun || q.epoch != q.s.epoch {
 		return
 	}
-	e := ran.Entry{ID: q.id, How: ran.MayHaveRun, Seq: uint32(q.seq)}
+	e := completed.Entry{ID: q.id, How: completed.MayHaveRun, Seq: uint32(q.seq)}
 	if end == Done {
-		e.How = ran.Served
+		e.How = completed.Served
 	}
 	if q.effect == Keyed {
 		e = e.Keys(q.began + q.window - q.window/windowSlack)
@@ -52,7 +52,7 @@
 // carried takes over what a hand took along. Its windows end by agreed time, of which too little may be known here: until the adoption they
 // are kept by the time since the hand. The adoption is stamped after it was proposed from here, which bounds the agreed time from above.
 func (k *Keeper) carried(s *sess, r session.Record) {
-	got, err := ran.Load(r.State, r.Seq, r.Since)
+	got, err := completed.Load(r.State, r.Seq, r.Since)
 	if s.unread = err != nil; s.unread {
 		k.say("session %s is declined: %v", session.ID(s.id), err)
 	}
--- a/internal/fleet/keeper/again_test.go
+++ b/internal/fleet/keeper/again_test.go
@@ -6,14 +6,14 @@
 	"testing"
 	"time"
 
-	"birchcart/internal/fleet/ran"
+	"birchcart/internal/fleet/completed"
 	"birchcart/internal/fleet/session"
 )
 
 // named is a query of session 1 that its client calls by a name.
 func (r *rig) named(token uint64, e Effect, name string) Arrived {
 	q := r.q(token, e)
-	q.ID = ran.IDOf(name)
+	q.ID = completed.IDOf(name)
 	return q
 }
 
--- a/internal/fleet/keeper/check.go
+++ b/internal/fleet/keeper/check.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"birchcart/internal/fleet/ran"
+	"birchcart/internal/fleet/completed"
 	"birchcart/internal/fleet/session"
 )
 
@@ -175,7 +175,7 @@
 		return fmt.Errorf("S3: session %v counts %d, %d, %d, %d, it has %d, %d, %d, %d", id, s.waits, s.runs, s.alone, s.left, waits, runs, alone, left)
 	case s.phase == Frozen && runs > 0:
 		return fmt.Errorf("S3: session %v is frozen with %d queries open", id, runs)
-	case len(s.ran) > ran.Most || len(s.ran) > 0 && s.phase == Pinned && s.ran[len(s.ran)-1].Seq > uint32(s.seq):
+	case len(s.ran) > completed.Most || len(s.ran) > 0 && s.phase == Pinned && s.ran[len(s.ran)-1].Seq > uint32(s.seq):
 		return fmt.Errorf("bounds: session %v, at %d, remembers %+v", id, s.seq, s.ran)
 	case waits > k.o.WaitsMost:
 		return fmt.Errorf("bounds: %d queries of session %v wait", waits, id)
--- a/internal/fleet/keeper/play_test.go
+++ b/internal/fleet/keeper/play_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"birchcart/internal/fleet/ran"
+	"birchcart/internal/fleet/completed"
 	"birchcart/internal/fleet/session"
 )
 
@@ -93,7 +93,7 @@
 	need := [][]string{nil, {"r1"}, {"r1"}, {"r1", "r2"}, {"r2", "r2"}}[p.draw(5)]
 	q := &asked{n: n, at: p.now, Arrived: Arrived{Token: uint64(len(p.all) + 1), Session: id(n), Client: uint64(p.draw(2)), Effect: effect,
 		Due: p.now + time.Duration(p.draw(6)+1)*sec/2, Window: time.Duration(p.draw(4)) * sec, Needs: need}}
-	q.ID = []ran.ID{{}, ran.IDOf("a"), ran.IDOf("b"), ran.IDOf("c")}[p.draw(4)]
+	q.ID = []completed.ID{{}, completed.IDOf("a"), completed.IDOf("b"), completed.IDOf("c")}[p.draw(4)]
 	p.all = append(p.all, q)
 	p.news = append(p.news, &q.Arrived)
 }
@@ -292,7 +292,7 @@
 
 // before says that one that ran, or may have, is called the same, and that a repeat of it could act again.
 func (b *asked) before(q *asked) bool {
-	return b != q && b.n == q.n && b.ID == q.ID && q.ID != ran.ID{} && b.Effect != Safe && q.Effect != Safe && b.runs && b.ended && b.outcome != NotRun
+	return b != q && b.n == q.n && b.ID == q.ID && q.ID != completed.ID{} && b.Effect != Safe && q.Effect != Safe && b.runs && b.ended && b.outcome != NotRun
 }
 
 // run is S1 and S3 for one that begins.
--- a/internal/fleet/keeper/queue.go
+++ b/internal/fleet/keeper/queue.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"birchcart/internal/fleet/ran"
+	"birchcart/internal/fleet/completed"
 )
 
 // query is one that waits or runs.
@@ -11,7 +11,7 @@
 	token  uint64
 	no     uint64 // of its arrival here
 	client uint64
-	id     ran.ID
+	id     completed.ID
 	s      *sess
 	needs  []string
 	due    time.Duration
@@ -139,9 +139,9 @@
 	fence  uint64 // frozen: of the offer
 	client uint64 // who opened it here
 	used   time.Duration
-	again  time.Duration // acting: when its act is due again
-	ran    ran.Record    // its latest queries that must not run twice; adopting: their windows by the time since the hand
-	handed time.Duration // adopting: own time of the first proposal to adopt it, and the agreed one of the hand
+	again  time.Duration    // acting: when its act is due again
+	ran    completed.Record // its latest queries that must not run twice; adopting: their windows by the time since the hand
+	handed time.Duration    // adopting: own time of the first proposal to adopt it, and the agreed one of the hand
 	wait   list
 	open   list // until their Ended, so beyond over
 
--- a/internal/fleet/keeper/types.go
+++ b/internal/fleet/keeper/types.go
@@ -10,8 +10,8 @@
 import (
 	"time"
 
+	"birchcart/internal/fleet/completed"
 	"birchcart/internal/fleet/pool"
-	"birchcart/internal/fleet/ran"
 	"birchcart/internal/fleet/session"
 )
 
@@ -82,7 +82,7 @@
 		Token   uint64
 		Session session.ID
 		Client  uint64
-		ID      ran.ID
+		ID      completed.ID
 		Effect  Effect
 		Lane    uint8
 		Due     time.Duration
--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -18,8 +18,8 @@
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/exchange"
+	"birchcart/internal/fleet/completed"
 	"birchcart/internal/fleet/keeper"
-	"birchcart/internal/fleet/ran"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/talk"
 	"birchcart/internal/operator"
@@ -249,7 +249,7 @@
 		Due: q.Due.Sub(p.o.Start), Window: time.Duration(class.Window * float64(time.Second)), Needs: needs(*p.holders.Load(), q.Parts),
 	}
 	if class.Effect != policy.Safe { // its id is its key: the frames carry it, and no other
-		arrived.ID = ran.IDOf(q.ID)
+		arrived.ID = completed.IDOf(q.ID)
 	}
 	p.mu.Lock()
 	var n *pin
--- a/internal/fleet/world/pinned/client.go
+++ b/internal/fleet/world/pinned/client.go
@@ -5,8 +5,8 @@
 	"math"
 	"time"
 
+	"birchcart/internal/fleet/completed"
 	"birchcart/internal/fleet/keeper"
-	"birchcart/internal/fleet/ran"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/pinned/history"
@@ -36,7 +36,7 @@
 	first  time.Duration
 	needs  []string
 	errs   int
-	id     ran.ID
+	id     completed.ID
 	again  bool // it was served, and its client repeats it nevertheless
 	at     int  // by that co-ordinator
 }
@@ -80,7 +80,7 @@
 		q.effect = keeper.Unsafe
 	}
 	if q.effect != keeper.Safe {
-		q.id = ran.IDOf(fmt.Sprint(q.n))
+		q.id = completed.IDOf(fmt.Sprint(q.n))
 	}
 	first := w.rng.IntN(len(w.replicas))
 	q.needs = append(q.needs, w.replicas[first].name)
