Name the package of compression compress, before: pack

The term of the field, as docs/glossary.md has it. The bytes that come out and the texts of its errors ("pack: ...") are the same.

--- a/internal/fleet/pack/pack.go
+++ b/internal/fleet/compress/compress.go
@@ -1,6 +1,6 @@
-// Package pack makes large agreed things smaller for the log and for links: the same bytes in give the same bytes out, and
+// Package compress is compression of large agreed commands and states, for the log and for links: the same bytes in give the same bytes out, and
 // what comes out of an unpacking is bounded before it is made. Pure.
-package pack
+package compress
 
 import (
 	"fmt"
--- a/internal/fleet/pack/pack_test.go
+++ b/internal/fleet/compress/compress_test.go
@@ -1,4 +1,4 @@
-package pack
+package compress
 
 import (
 	"bytes"
--- a/internal/fleet/laneset/agreed_test.go
+++ b/internal/fleet/laneset/agreed_test.go
@@ -11,13 +11,13 @@
 
 	"pgregory.net/rapid"
 
+	"birchcart/internal/fleet/compress"
 	"birchcart/internal/fleet/ledger"
-	"birchcart/internal/fleet/pack"
 )
 
 // body carries any text.
 func body(t rapid.TB, revision int, text string) SetBody {
-	z, err := pack.Pack([]byte(text))
+	z, err := compress.Pack([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/laneset/text.go
+++ b/internal/fleet/laneset/text.go
@@ -6,8 +6,8 @@
 	"encoding/json"
 	"fmt"
 
+	"birchcart/internal/fleet/compress"
 	"birchcart/internal/fleet/ledger"
-	"birchcart/internal/fleet/pack"
 	"birchcart/internal/operator"
 )
 
@@ -35,7 +35,7 @@
 	if len(text) > TextMost {
 		return SetBody{}, fmt.Errorf("laneset: the section has %d bytes, %d at most", len(text), TextMost)
 	}
-	z, err := pack.Pack(text)
+	z, err := compress.Pack(text)
 	if err != nil {
 		return SetBody{}, fmt.Errorf("laneset: %w", err)
 	}
@@ -62,7 +62,7 @@
 	if len(b.Z) > PackedMost {
 		return nil, fmt.Errorf("laneset: revision %d has %d bytes packed, %d at most", b.Revision, len(b.Z), PackedMost)
 	}
-	text, err := pack.Unpack(b.Z, TextMost)
+	text, err := compress.Unpack(b.Z, TextMost)
 	if err != nil {
 		return nil, fmt.Errorf("laneset: revision %d: %w", b.Revision, err)
 	}
--- a/internal/fleet/ledger/command.go
+++ b/internal/fleet/ledger/command.go
@@ -11,7 +11,7 @@
 	"fmt"
 	"time"
 
-	"birchcart/internal/fleet/pack"
+	"birchcart/internal/fleet/compress"
 )
 
 // Version of the commands and of the snapshot. Another one is refused in words, never guessed.
@@ -91,7 +91,7 @@
 	if len(raw) <= PackOver {
 		return raw, nil
 	}
-	z, err := pack.Pack(raw)
+	z, err := compress.Pack(raw)
 	if err != nil {
 		return nil, fmt.Errorf("ledger: command %s: %w", c.ID, err)
 	}
@@ -117,7 +117,7 @@
 		var p packed
 		err := Strict(raw, &p)
 		if err == nil {
-			raw, err = pack.Unpack(p.Z, CommandMost)
+			raw, err = compress.Unpack(p.Z, CommandMost)
 		}
 		if errors.Is(err, ErrUnknown) {
 			return Command{}, fmt.Errorf("%w: %w", ErrVersion, err)
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"birchcart/internal/fleet/pack"
+	"birchcart/internal/fleet/compress"
 )
 
 // book is a part that writes down what acted, in order.
@@ -261,7 +261,7 @@
 		t.Error(err)
 	}
 	hold := func(inner []byte) []byte {
-		z, err := pack.Pack(inner)
+		z, err := compress.Pack(inner)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/sizes_test.go
+++ b/internal/fleet/sizes_test.go
@@ -11,12 +11,12 @@
 	"testing"
 	"time"
 
+	"birchcart/internal/fleet/compress"
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/laneset"
 	"birchcart/internal/fleet/lead"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/member"
-	"birchcart/internal/fleet/pack"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/talk"
 )
@@ -80,7 +80,7 @@
 			text = append(text, byte(rnd.Uint32()))
 		}
 		sum := sha256.Sum256(text)
-		z, err := pack.Pack(text)
+		z, err := compress.Pack(text)
 		if err != nil || len(z) < laneset.PackedMost*9/10 {
 			t.Fatalf("%d bytes, %v", len(z), err)
 		}
--- a/internal/fleet/talk/talk.go
+++ b/internal/fleet/talk/talk.go
@@ -10,7 +10,7 @@
 	"fmt"
 	"time"
 
-	"birchcart/internal/fleet/pack"
+	"birchcart/internal/fleet/compress"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
 )
@@ -130,7 +130,7 @@
 	Index    uint64  `json:"index"`
 	Entries  []Entry `json:"entries,omitempty"`
 	Snapshot []byte  `json:"snapshot,omitempty"`
-	Packed   []byte  `json:"packed,omitempty"` // a snapshot that pack.Pack made smaller
+	Packed   []byte  `json:"packed,omitempty"` // a snapshot that compress.Pack made smaller
 	// More says that the Word was cut short at a bound: the next poll should come at once.
 	More bool `json:"more,omitempty"`
 }
@@ -167,7 +167,7 @@
 	if len(raw) > StateMost {
 		return fmt.Errorf("a state has %d bytes, %d at most", len(raw), StateMost)
 	}
-	packed, err := pack.Pack(raw)
+	packed, err := compress.Pack(raw)
 	if err != nil {
 		return err
 	}
@@ -183,7 +183,7 @@
 	if len(w.Packed) == 0 {
 		return w.Snapshot, nil
 	}
-	return pack.Unpack(w.Packed, StateMost)
+	return compress.Unpack(w.Packed, StateMost)
 }
 
 // Fill puts as many entries into the Word as its bounds allow, in order, and sets More if some stay for the next one.
