Name the peer protocol's package peerproto, before: talk

The term of the field, as docs/glossary.md has it. Versions, kinds and bodies of the messages are the same.

Ran: go vet and go test -short of the package and its importers (fleet, lead, pins, shed, view, world): all pass.

--- a/internal/fleet/answers_test.go
+++ b/internal/fleet/answers_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/view"
 )
 
@@ -14,10 +14,10 @@
 func TestPollsAtRestWaitForEachOther(t *testing.T) {
 	n := &Node{copy: newCopy(), term: 7, loads: map[string]told{}, waiting: waiting{by: map[string]polled{}}}
 	now := time.Minute
-	poll := func(from string, p talk.Poll) bool {
+	poll := func(from string, p peerproto.Poll) bool {
 		t.Helper()
 		p.From = from
-		raw, err := talk.Encode(p)
+		raw, err := peerproto.Encode(p)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -34,7 +34,7 @@
 	names := make([]string, 300)
 	for i := range names {
 		names[i] = string(rune('a'+i/26)) + string(rune('a'+i%26))
-		if !poll(names[i], talk.Poll{No: 1}) {
+		if !poll(names[i], peerproto.Poll{No: 1}) {
 			t.Fatal("the first poll of one waits for a tick")
 		}
 	}
@@ -44,7 +44,7 @@
 	rounds := 0
 	for i := range 3 * len(names) { // each polls three times more, spread over its second
 		now += view.PollEvery / time.Duration(len(names))
-		if poll(names[i%len(names)], talk.Poll{No: uint64(2 + i/len(names))}) {
+		if poll(names[i%len(names)], peerproto.Poll{No: uint64(2 + i/len(names))}) {
 			t.Fatalf("poll %d with nothing new wants a step", i)
 		}
 		if answer(0) {
@@ -57,10 +57,10 @@
 	press := func(what string, agreed uint64, say func() bool) {
 		t.Helper()
 		now += VerifyRest
-		poll("aa", talk.Poll{No: 20})
+		poll("aa", peerproto.Poll{No: 20})
 		answer(0)
 		now += VerifyEvery
-		poll("aa", talk.Poll{No: 21})
+		poll("aa", peerproto.Poll{No: 21})
 		if answer(0) {
 			t.Fatal("a poll at rest is answered before others could join it")
 		}
@@ -68,16 +68,18 @@
 			t.Errorf("%s waits: soon %v", what, soon)
 		}
 	}
-	press("one that laid a drain", 0, func() bool { return poll("ab", talk.Poll{No: 9, Laid: []talk.Laid{{Machine: "r", Fence: 1}}}) })
+	press("one that laid a drain", 0, func() bool {
+		return poll("ab", peerproto.Poll{No: 9, Laid: []peerproto.Laid{{Machine: "r", Fence: 1}}})
+	})
 	press("an entry that was agreed", 3, func() bool { return true })
 	for _, name := range names {
-		poll(name, talk.Poll{No: 30})
+		poll(name, peerproto.Poll{No: 30})
 	}
-	press("one that was silent", 0, func() bool { now += 2*view.PollEvery + 1; return poll("ac", talk.Poll{No: 31}) })
-	if err := n.copy.take(talk.Word{Index: 5, Entries: []talk.Entry{{Index: 5, Raw: tick(t, 5)}}}); err != nil {
+	press("one that was silent", 0, func() bool { now += 2*view.PollEvery + 1; return poll("ac", peerproto.Poll{No: 31}) })
+	if err := n.copy.take(peerproto.Word{Index: 5, Entries: []peerproto.Entry{{Index: 5, Raw: tick(t, 5)}}}); err != nil {
 		t.Fatal(err)
 	}
-	if !poll("ad", talk.Poll{No: 40, Index: 4}) || poll("ad", talk.Poll{No: 41, Index: 5}) {
+	if !poll("ad", peerproto.Poll{No: 40, Index: 4}) || poll("ad", peerproto.Poll{No: 41, Index: 5}) {
 		t.Error("one that lacks an entry should not wait, one that has all should")
 	}
 }
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -8,9 +8,9 @@
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/laneset"
 	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 // copied is this co-ordinator's copy of the agreed state. A voter's council applies to it; without a seat the words that
@@ -58,7 +58,7 @@
 
 // take applies what a word of the leader brought, if this copy is not the council's to apply to. It says why the
 // copy can't go on from it: entries that follow on what is missing here, a snapshot that can't be read.
-func (c *copied) take(w talk.Word) error {
+func (c *copied) take(w peerproto.Word) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.ledger
--- a/internal/fleet/lanes_test.go
+++ b/internal/fleet/lanes_test.go
@@ -10,9 +10,9 @@
 	"birchcart/internal/config"
 	"birchcart/internal/fleet/laneset"
 	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 	"birchcart/internal/operator"
 	"birchcart/internal/serve"
 	"birchcart/internal/settings"
@@ -26,7 +26,7 @@
 	}
 	raw, err := older.Save()
 	c := newCopy()
-	if err != nil || c.take(talk.Word{Index: 3, Snapshot: raw}) != nil || c.ledger.Index() != 3 {
+	if err != nil || c.take(peerproto.Word{Index: 3, Snapshot: raw}) != nil || c.ledger.Index() != 3 {
 		t.Fatal(err, c.ledger.Index())
 	}
 	if same, err := c.ledger.Save(); err != nil || !bytes.Equal(raw, same) || older.Load(same) != nil {
--- a/internal/fleet/lead/lead.go
+++ b/internal/fleet/lead/lead.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 // Times and bounds of a leader.
@@ -101,7 +101,7 @@
 		From  string
 		No    uint64
 		Index uint64
-		Laid  []talk.Laid
+		Laid  []peerproto.Laid
 		Wall  time.Duration
 	}
 	// Members is the members' news, whole and with the own name, as they are now.
--- a/internal/fleet/lead/lead_test.go
+++ b/internal/fleet/lead/lead_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 const s = time.Second
@@ -137,7 +137,7 @@
 			if name == r.lazy {
 				fence += 1000
 			}
-			p.Laid = append(p.Laid, talk.Laid{Machine: it.Machine, Fence: fence, Refused: name == r.refuses, Why: "alone"})
+			p.Laid = append(p.Laid, peerproto.Laid{Machine: it.Machine, Fence: fence, Refused: name == r.refuses, Why: "alone"})
 		}
 	}
 	return p
--- a/internal/fleet/lead/lies_test.go
+++ b/internal/fleet/lead/lies_test.go
@@ -4,8 +4,8 @@
 	"slices"
 	"testing"
 
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 // A co-ordinator that says it laid what it did not, for all numbers that may come and for machines that it names wrongly, speaks
@@ -16,7 +16,7 @@
 	lie := func(machine string) {
 		p := Polled{From: "a", No: uint64(r.now) + 1, Wall: 5000*s + r.now}
 		for fence := range uint64(64) {
-			p.Laid = append(p.Laid, talk.Laid{Machine: machine, Fence: fence + 1})
+			p.Laid = append(p.Laid, peerproto.Laid{Machine: machine, Fence: fence + 1})
 		}
 		r.in = append(r.in, p)
 	}
--- a/internal/fleet/lead/observe_test.go
+++ b/internal/fleet/lead/observe_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 func TestAtRestNothingIsProposed(t *testing.T) {
@@ -157,7 +157,7 @@
 			t.Errorf("names of %d: %d machines differ after %d observations", length, len(r.l.differs(r.l.seen())), parts)
 		}
 		for _, p := range r.all[before:] {
-			if raw, err := p.Command.Encode(); err != nil || len(p.Command.Body) > PartMost+4096 || len(raw) > talk.EntriesMost {
+			if raw, err := p.Command.Encode(); err != nil || len(p.Command.Body) > PartMost+4096 || len(raw) > peerproto.EntriesMost {
 				t.Errorf("names of %d: %s of %d bytes, %d in the log: %v", length, p.Command.Kind, len(p.Command.Body), len(raw), err)
 			}
 		}
--- a/internal/fleet/lead/told.go
+++ b/internal/fleet/lead/told.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 // heard is what a co-ordinator's newest poll said.
@@ -16,7 +16,7 @@
 	at   time.Duration // own time at which a poll of its last came
 	no   uint64
 	noAt time.Duration // own time at which that number came
-	laid []talk.Laid
+	laid []peerproto.Laid
 	clock
 }
 
@@ -39,7 +39,7 @@
 	}
 	laid := slices.Clone(p.Laid)
 	if p.No != 0 && p.No < h.no && l.now-h.noAt < LateMost {
-		laid = slices.DeleteFunc(laid, func(x talk.Laid) bool { return !slices.Contains(h.laid, x) })
+		laid = slices.DeleteFunc(laid, func(x peerproto.Laid) bool { return !slices.Contains(h.laid, x) })
 	} else {
 		h.no, h.noAt = p.No, l.now
 		h.clock = clock{off: p.Wall - l.now, at: l.now, set: p.Wall > 0}
@@ -107,9 +107,9 @@
 	var missing []string
 	for _, name := range must {
 		silent := l.silence(name)
-		var says *talk.Laid
+		var says *peerproto.Laid
 		if h := l.heard[name]; h != nil {
-			if i := slices.IndexFunc(h.laid, func(x talk.Laid) bool { return x.Fence == it.Fence && x.Machine == it.Machine }); i >= 0 {
+			if i := slices.IndexFunc(h.laid, func(x peerproto.Laid) bool { return x.Fence == it.Fence && x.Machine == it.Machine }); i >= 0 {
 				says = &h.laid[i]
 			}
 		}
--- a/internal/fleet/lead/told_test.go
+++ b/internal/fleet/lead/told_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 func TestSilenceCountsFromTheLastPollAndTheElection(t *testing.T) {
@@ -124,14 +124,14 @@
 func TestALatePollTakesBackNoSilenceAndGivesNoWord(t *testing.T) {
 	r := begin(t)
 	r.silent = "c"
-	x, y := talk.Laid{Machine: "r1", Fence: 1}, talk.Laid{Machine: "r2", Fence: 2}
-	r.in = append(r.in, Polled{From: "c", No: 1 << 50, Laid: []talk.Laid{y}}, Polled{From: "c", No: 1 << 49, Laid: []talk.Laid{x, y}})
+	x, y := peerproto.Laid{Machine: "r1", Fence: 1}, peerproto.Laid{Machine: "r2", Fence: 2}
+	r.in = append(r.in, Polled{From: "c", No: 1 << 50, Laid: []peerproto.Laid{y}}, Polled{From: "c", No: 1 << 49, Laid: []peerproto.Laid{x, y}})
 	r.step(100 * time.Millisecond)
-	r.want("what both say", r.l.heard["c"].laid, []talk.Laid{y})
+	r.want("what both say", r.l.heard["c"].laid, []peerproto.Laid{y})
 	r.run(LateMost)
-	r.in = append(r.in, Polled{From: "c", No: 1 << 49, Laid: []talk.Laid{x}})
+	r.in = append(r.in, Polled{From: "c", No: 1 << 49, Laid: []peerproto.Laid{x}})
 	r.step(100 * time.Millisecond)
-	r.want("a process whose clock went back", r.l.heard["c"].laid, []talk.Laid{x})
+	r.want("a process whose clock went back", r.l.heard["c"].laid, []peerproto.Laid{x})
 	for i := range HeardMost + 5 {
 		r.in = append(r.in, Polled{From: fmt.Sprint(i), No: 1})
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -29,8 +29,8 @@
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/lead"
 	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/shed"
-	"birchcart/internal/fleet/talk"
 	"birchcart/internal/fleet/view"
 	"birchcart/internal/operator"
 	"birchcart/internal/serve"
@@ -111,12 +111,12 @@
 	toView    []view.Input
 	toLead    []lead.Input
 	term      uint64 // in which this one leads; 0: it does not
-	asks      talk.Ask
+	asks      peerproto.Ask
 	voters    map[string]bool
 	names     []string // of the voters, sorted
 	turn      int      // of the voter that is asked next while no leader is known
 	leader    string   // as far as it is known here
-	sent      talk.Poll
+	sent      peerproto.Poll
 	answered  uint64 // number of the newest poll with a word of the leader
 	sentTo    string
 	namedAt   uint64 // number of the newest poll that was sent on to whom a word named
--- a/internal/fleet/parts_test.go
+++ b/internal/fleet/parts_test.go
@@ -17,8 +17,8 @@
 
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 	"birchcart/internal/operator"
 )
 
@@ -54,17 +54,19 @@
 // that can't be understood halts it.
 func TestCopyTakesWords(t *testing.T) {
 	c := newCopy()
-	entry := func(index uint64) talk.Entry { return talk.Entry{Index: index, Raw: tick(t, time.Duration(index))} }
+	entry := func(index uint64) peerproto.Entry {
+		return peerproto.Entry{Index: index, Raw: tick(t, time.Duration(index))}
+	}
 	for _, step := range []struct {
-		w     talk.Word
+		w     peerproto.Word
 		index uint64
 		wrong bool
 	}{
-		{talk.Word{Since: 0, Index: 5, Entries: []talk.Entry{entry(3), entry(5)}}, 5, false},
-		{talk.Word{Since: 3, Index: 7, Entries: []talk.Entry{entry(5), entry(7)}}, 7, false}, // of a poll before
-		{talk.Word{Since: 9, Index: 11, Entries: []talk.Entry{entry(11)}}, 7, true},
-		{talk.Word{Since: 7, Index: 9}, 7, false},
-		{talk.Word{Index: 20, Snapshot: []byte("torn")}, 7, true},
+		{peerproto.Word{Since: 0, Index: 5, Entries: []peerproto.Entry{entry(3), entry(5)}}, 5, false},
+		{peerproto.Word{Since: 3, Index: 7, Entries: []peerproto.Entry{entry(5), entry(7)}}, 7, false}, // of a poll before
+		{peerproto.Word{Since: 9, Index: 11, Entries: []peerproto.Entry{entry(11)}}, 7, true},
+		{peerproto.Word{Since: 7, Index: 9}, 7, false},
+		{peerproto.Word{Index: 20, Snapshot: []byte("torn")}, 7, true},
 	} {
 		if err := c.take(step.w); (err != nil) != step.wrong || c.ledger.Index() != step.index {
 			t.Errorf("%+v: %v, stands at %d", step.w, err, c.ledger.Index())
@@ -75,13 +77,13 @@
 		t.Fatal(err)
 	}
 	d := newCopy()
-	if err := d.take(talk.Word{Index: 7, Snapshot: snapshot}); err != nil || d.ledger.Digest() != c.ledger.Digest() {
+	if err := d.take(peerproto.Word{Index: 7, Snapshot: snapshot}); err != nil || d.ledger.Digest() != c.ledger.Digest() {
 		t.Errorf("%v, another state", err)
 	}
-	if err := d.take(talk.Word{Since: 7, Index: 8, Entries: []talk.Entry{{Index: 8, Raw: []byte(`{"v":9}`)}}}); err != nil {
+	if err := d.take(peerproto.Word{Since: 7, Index: 8, Entries: []peerproto.Entry{{Index: 8, Raw: []byte(`{"v":9}`)}}}); err != nil {
 		t.Error(err)
 	}
-	if err := d.take(talk.Word{Since: 7, Index: 9, Entries: []talk.Entry{entry(9)}}); err != nil || d.ledger.Halted() == nil || d.ledger.Index() != 7 {
+	if err := d.take(peerproto.Word{Since: 7, Index: 9, Entries: []peerproto.Entry{entry(9)}}); err != nil || d.ledger.Halted() == nil || d.ledger.Index() != 7 {
 		t.Errorf("%v, halted %v at %d", err, d.ledger.Halted(), d.ledger.Index())
 	}
 }
@@ -89,9 +91,11 @@
 // A copy takes the state of a newer era in place of its own, however far its own index is, and nothing more of an older one.
 func TestCopyTakesANewerEra(t *testing.T) {
 	c, behind := newCopy(), newCopy()
-	entry := func(index uint64) talk.Entry { return talk.Entry{Index: index, Raw: tick(t, time.Duration(index))} }
+	entry := func(index uint64) peerproto.Entry {
+		return peerproto.Entry{Index: index, Raw: tick(t, time.Duration(index))}
+	}
 	for to, index := range map[*copied]uint64{c: 9, behind: 4} {
-		if err := to.take(talk.Word{Index: index, Entries: []talk.Entry{entry(index)}}); err != nil {
+		if err := to.take(peerproto.Word{Index: index, Entries: []peerproto.Entry{entry(index)}}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -100,17 +104,17 @@
 		t.Fatal(err)
 	}
 	era := behind.era()
-	if err := c.take(talk.Word{Index: 10, Era: era, Entries: []talk.Entry{entry(10)}}); err == nil || c.ledger.Index() != 9 {
+	if err := c.take(peerproto.Word{Index: 10, Era: era, Entries: []peerproto.Entry{entry(10)}}); err == nil || c.ledger.Index() != 9 {
 		t.Errorf("entries of a newer era were taken: %v", err)
 	}
-	if err := c.take(talk.Word{Index: 4, Era: era, Snapshot: snapshot}); err != nil || c.ledger.Index() != 4 || c.era() != era {
+	if err := c.take(peerproto.Word{Index: 4, Era: era, Snapshot: snapshot}); err != nil || c.ledger.Index() != 4 || c.era() != era {
 		t.Errorf("%v: stands at %d of era %d", err, c.ledger.Index(), c.era())
 	}
 	old, err := newCopy().ledger.Save()
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, w := range []talk.Word{{Index: 12, Entries: []talk.Entry{entry(12)}}, {Index: 12, Snapshot: old}} {
+	for _, w := range []peerproto.Word{{Index: 12, Entries: []peerproto.Entry{entry(12)}}, {Index: 12, Snapshot: old}} {
 		if err := c.take(w); err == nil || c.ledger.Index() != 4 || c.era() != era {
 			t.Errorf("a word of an older era was taken: %v", err)
 		}
@@ -237,7 +241,7 @@
 	if s, err := decodeSeats(raw); !isSeats(raw) || err != nil || len(s.Voters) != 2 {
 		t.Errorf("%+v %v", s, err)
 	}
-	if _, err := talk.Decode(raw); err == nil {
+	if _, err := peerproto.Decode(raw); err == nil {
 		t.Error("it is taken for another message")
 	}
 	if _, err := decodeSeats(append(raw, make([]byte, seatsMost)...)); err == nil {
@@ -249,23 +253,23 @@
 // more: it leads until another has its seat. It asks so once for each poll: two that name each other keep nobody busy.
 func TestALeaderThatIsToVoteNoMoreIsFound(t *testing.T) {
 	n := &Node{name: "e", names: []string{"a", "b", "e"}, silent: 9, leader: "gone"}
-	n.sent = talk.Poll{No: 7}
+	n.sent = peerproto.Poll{No: 7}
 	if n.sentTo = n.whom(); n.sentTo != "b" || n.leader != "" {
 		t.Fatalf("asks %q, leader %q", n.sentTo, n.leader)
 	}
-	for _, no := range []talk.Word{{No: 6, Leader: "old"}, {No: 7}, {No: 7, Leader: "b"}, {No: 7, Leader: "e"}} {
+	for _, no := range []peerproto.Word{{No: 6, Leader: "old"}, {No: 7}, {No: 7, Leader: "b"}, {No: 7, Leader: "e"}} {
 		if n.named(no) {
 			t.Errorf("%+v is followed", no)
 		}
 	}
-	if !n.named(talk.Word{No: 7, Leader: "old"}) || n.leader != "old" {
+	if !n.named(peerproto.Word{No: 7, Leader: "old"}) || n.leader != "old" {
 		t.Errorf("the leader that was named is not asked: %q", n.leader)
 	}
 	n.sentTo = "old"
-	if n.named(talk.Word{No: 7, Leader: "a"}) {
+	if n.named(peerproto.Word{No: 7, Leader: "a"}) {
 		t.Error("a poll is sent on a second time")
 	}
-	if n.sent.No = 8; !n.named(talk.Word{No: 8, Leader: "a"}) {
+	if n.sent.No = 8; !n.named(peerproto.Word{No: 8, Leader: "a"}) {
 		t.Error("the next poll is not sent on")
 	}
 	for range 4 {
--- a/internal/fleet/talk/check.go
+++ b/internal/fleet/peerproto/check.go
@@ -1,4 +1,4 @@
-package talk
+package peerproto
 
 import (
 	"errors"
--- a/internal/fleet/talk/talk.go
+++ b/internal/fleet/peerproto/peerproto.go
@@ -1,7 +1,7 @@
-// Package talk holds the messages that co-ordinators send each other beside the gossip: a follower's Poll for what was
+// Package peerproto holds the messages that co-ordinators send each other beside the gossip: a follower's Poll for what was
 // agreed, the Word that answers it, and an Ask that carries what a follower read in its operators' file. Pure: it only
 // encodes and decodes. A message is one byte of version, one of kind, and a JSON body.
-package talk
+package peerproto
 
 import (
 	"bytes"
--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -20,8 +20,8 @@
 	"birchcart/internal/exchange"
 	"birchcart/internal/fleet/completed"
 	"birchcart/internal/fleet/keeper"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
-	"birchcart/internal/fleet/talk"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
 	"birchcart/policy"
@@ -99,7 +99,7 @@
 	news   bool
 	sums   keeper.Sums
 	idle   []session.ID // while it leaves
-	unsafe []talk.Open
+	unsafe []peerproto.Open
 	openAt time.Duration // own time as of which they are
 	leaves bool
 	busy   bool // something waits for what is to be agreed
@@ -193,11 +193,11 @@
 }
 
 // Unsafe are the sessions with an open unsafe query, those that may be so for longest first, and for how long from now.
-func (p *Pins) Unsafe() []talk.Open {
+func (p *Pins) Unsafe() []peerproto.Open {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	gone := p.now() - p.openAt
-	var out []talk.Open
+	var out []peerproto.Open
 	for _, o := range p.unsafe {
 		if o.Left -= gone; o.Left > 0 {
 			out = append(out, o)
@@ -424,12 +424,12 @@
 			p.o.Log.WithError(err).Error("a rule of the pinned sessions does not hold")
 		}
 	}
-	var unsafe []talk.Open
+	var unsafe []peerproto.Open
 	asked := now >= p.askedAt+IdleEvery
 	if asked {
-		p.askedAt, p.opened = now, p.keeper.Unsafe(p.opened[:0], talk.UnsafeMost)
+		p.askedAt, p.opened = now, p.keeper.Unsafe(p.opened[:0], peerproto.UnsafeMost)
 		for _, o := range p.opened {
-			unsafe = append(unsafe, talk.Open(o))
+			unsafe = append(unsafe, peerproto.Open(o))
 		}
 	}
 	var idle []session.ID
@@ -437,7 +437,7 @@
 		p.idledAt = now
 		p.keeper.Idle(func(id session.ID, _ time.Duration) bool {
 			idle = append(idle, id)
-			return len(idle) < talk.IdleMost
+			return len(idle) < peerproto.IdleMost
 		})
 	}
 	p.mu.Lock()
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -6,7 +6,7 @@
 
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/lead"
-	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/view"
 )
 
@@ -33,23 +33,23 @@
 		n.seat(l.from, l.raw)
 		return true
 	}
-	m, err := talk.Decode(l.raw)
+	m, err := peerproto.Decode(l.raw)
 	if err != nil {
 		n.lines.limited(n, l.at, "a message of "+l.from+" is left out: "+err.Error())
 		return false
 	}
 	switch m := m.(type) {
-	case talk.Poll:
+	case peerproto.Poll:
 		return m.From == l.from && n.poll(l.at, m)
-	case talk.Word:
+	case peerproto.Word:
 		if m.From == l.from {
 			n.word(m)
 		}
-	case talk.Acts:
+	case peerproto.Acts:
 		if n.term != 0 && m.From == l.from && n.sessions != nil {
 			n.sessions.wanted = append(n.sessions.wanted, m)
 		}
-	case talk.Ask:
+	case peerproto.Ask:
 		if n.term != 0 {
 			n.toLead = append(n.toLead, lead.Asks{Limits: m.Limits, Asks: m.Asks})
 		}
@@ -59,7 +59,7 @@
 
 // poll takes one. The leader answers once it knows that it still leads; another voter names who does. One that says nothing
 // new and lacks nothing waits for the step that comes anyway.
-func (n *Node) poll(at time.Duration, p talk.Poll) (soon bool) {
+func (n *Node) poll(at time.Duration, p peerproto.Poll) (soon bool) {
 	era, own := max(p.Era, 1), n.copy.era()
 	if era > own {
 		n.outlive(p.From, era)
@@ -86,7 +86,7 @@
 	if leader == n.name {
 		leader = "" // elected, but not yet sure of all that was agreed; or about to step down
 	}
-	n.send(p.From, talk.Word{No: p.No, From: n.name, Leader: leader, Index: n.council.Applied(), Era: eraSent(own)})
+	n.send(p.From, peerproto.Word{No: p.No, From: n.name, Leader: leader, Index: n.council.Applied(), Era: eraSent(own)})
 	return false
 }
 
@@ -124,7 +124,7 @@
 	})
 	own := n.copy.era()
 	for from, p := range v.polls {
-		w := talk.Word{No: p.no, From: n.name, Leader: n.name, Term: n.term, Led: true, Since: p.index, Index: p.index, Era: eraSent(own),
+		w := peerproto.Word{No: p.no, From: n.name, Leader: n.name, Term: n.term, Led: true, Since: p.index, Index: p.index, Era: eraSent(own),
 			Unlisted: !listed[from]}
 		if err := n.bring(&w, p, own); err != nil {
 			n.lines.limited(n, n.now(), "what was agreed can't be handed to "+from+", which stays cut off: "+err.Error())
@@ -137,15 +137,15 @@
 
 // bring puts what was agreed after a poll's index into its answer: entries, or the state for who is too far behind or of an
 // era before.
-func (n *Node) bring(w *talk.Word, p polled, own uint64) error {
+func (n *Node) bring(w *peerproto.Word, p polled, own uint64) error {
 	if p.era == own {
-		entries, snapshot, at := n.council.Since(p.index, talk.EntriesMost)
+		entries, snapshot, at := n.council.Since(p.index, peerproto.EntriesMost)
 		if len(snapshot) > 0 {
 			return n.states.into(w, snapshot, at, own)
 		}
-		all := make([]talk.Entry, len(entries))
+		all := make([]peerproto.Entry, len(entries))
 		for i, e := range entries {
-			all[i] = talk.Entry{Index: e.Index, Raw: e.Raw}
+			all[i] = peerproto.Entry{Index: e.Index, Raw: e.Raw}
 		}
 		if w.Fill(all) == nil {
 			if w.Index = at; len(w.Entries) > 0 {
@@ -170,12 +170,12 @@
 // handed keeps the newest state as it goes out, for all that are behind alike.
 type handed struct {
 	at, era uint64
-	word    talk.Word
+	word    peerproto.Word
 	err     error
 }
 
 // into puts a state into a word.
-func (s *handed) into(w *talk.Word, raw []byte, at, era uint64) error {
+func (s *handed) into(w *peerproto.Word, raw []byte, at, era uint64) error {
 	if s.at != at || s.era != era {
 		*s = handed{at: at, era: era}
 		s.err = s.word.Whole(raw)
@@ -184,7 +184,7 @@
 	return s.err
 }
 
-func (n *Node) answerTo(from string, w talk.Word) {
+func (n *Node) answerTo(from string, w peerproto.Word) {
 	if from == n.name {
 		n.word(w)
 	} else {
@@ -205,7 +205,7 @@
 }
 
 // word takes the answer to a poll.
-func (n *Node) word(w talk.Word) {
+func (n *Node) word(w peerproto.Word) {
 	if w.No > n.sent.No || w.No <= n.answered {
 		return // no poll of this process, or one whose answer was overtaken
 	}
@@ -233,13 +233,13 @@
 // pollNow sends what the view wants asked.
 func (n *Node) pollNow(p view.Poll) {
 	n.silent++
-	n.ask(talk.Poll{From: n.name, No: p.No, Index: p.Index, Era: eraSent(n.era), Laid: n.sayable(p.Laid), Load: n.own.load, LoadKnown: n.own.known,
+	n.ask(peerproto.Poll{From: n.name, No: p.No, Index: p.Index, Era: eraSent(n.era), Laid: n.sayable(p.Laid), Load: n.own.load, LoadKnown: n.own.known,
 		Pinned: n.sessions.room()})
 }
 
 // named says whether a word that is not the leader's names one who is to be asked at once: once for each poll, since two may
 // name each other, and whoever it names, since one that is to vote no more may lead still.
-func (n *Node) named(w talk.Word) bool {
+func (n *Node) named(w peerproto.Word) bool {
 	if w.No != n.sent.No || w.No == n.namedAt || w.Leader == "" || w.Leader == n.name || w.Leader == n.sentTo {
 		return false
 	}
@@ -248,7 +248,7 @@
 }
 
 // ask sends a poll to the leader, or to the voters in turn while none is known.
-func (n *Node) ask(p talk.Poll) {
+func (n *Node) ask(p peerproto.Poll) {
 	if n.term != 0 {
 		p.Wall = time.Duration(time.Now().UnixNano())
 		n.sent, n.sentTo = p, n.name
@@ -279,15 +279,15 @@
 	return to
 }
 
-func (n *Node) askOf(to string, p talk.Poll) {
+func (n *Node) askOf(to string, p peerproto.Poll) {
 	p.Wall = time.Duration(time.Now().UnixNano())
 	n.sent, n.sentTo = p, to
 	n.send(to, p)
 }
 
 // send sends a message; nobody waits for it, and a lost one comes again.
-func (n *Node) send(to string, m talk.Message) {
-	raw, err := talk.Encode(m)
+func (n *Node) send(to string, m peerproto.Message) {
+	raw, err := peerproto.Encode(m)
 	if err == nil {
 		err = n.member.Send(to, raw)
 	}
--- a/internal/fleet/seats.go
+++ b/internal/fleet/seats.go
@@ -18,7 +18,7 @@
 	SeatsEvery = 2 * time.Second
 
 	seatsVersion = 1
-	kindSeats    = 's' // none of talk's
+	kindSeats    = 's' // none of peerproto's
 	seatsMost    = 64 << 10
 )
 
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -17,11 +17,11 @@
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/migrate"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/pins"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/steward"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 	"birchcart/internal/fleet/view"
 	"birchcart/internal/operator"
 	"birchcart/internal/placement"
@@ -68,11 +68,11 @@
 	sitesBy  time.Duration         // own time by which they are made anew
 	foretold string                // the newest forecast in the log
 	toldAt   time.Duration
-	wanted   []talk.Acts   // to be proposed by this leader
-	way      atomic.Int64  // proposals under way
-	leaves   uint64        // the grant by which this one may go, once it has no session; 0: none
-	looked   bool          // at what a process before this one had
-	after    time.Duration // own time until which parts of that one may run at replicas
+	wanted   []peerproto.Acts // to be proposed by this leader
+	way      atomic.Int64     // proposals under way
+	leaves   uint64           // the grant by which this one may go, once it has no session; 0: none
+	looked   bool             // at what a process before this one had
+	after    time.Duration    // own time until which parts of that one may run at replicas
 
 	mu   sync.Mutex
 	acts []session.Act  // of the own keeper, to be handed on
@@ -170,7 +170,7 @@
 	p.mu.Unlock()
 	if len(acts) > 0 && n.leader != "" {
 		p.no++
-		m := talk.Acts{From: n.name, No: p.no, Acts: acts[:fits(acts)]}
+		m := peerproto.Acts{From: n.name, No: p.no, Acts: acts[:fits(acts)]}
 		if n.term != 0 {
 			p.wanted = append(p.wanted, m)
 		} else if n.leader != n.name {
@@ -249,20 +249,20 @@
 }
 
 // room is what this co-ordinator tells of its sessions.
-func (p *sessions) room() *talk.Pinned {
+func (p *sessions) room() *peerproto.Pinned {
 	if p == nil {
 		return nil
 	}
 	s := p.pins.Sums()
 	owned := p.owned()
-	return &talk.Pinned{
+	return &peerproto.Pinned{
 		Owned: owned, Open: s.Open + s.Waiting, Queries: queriesMost,
 		Memory: max(0, int64(p.section.Most)*operator.SessionMemory-int64(owned)*operator.SessionMemory), Idle: p.pins.Idle(), Unsafe: p.pins.Unsafe(),
 	}
 }
 
 // hear takes what another one told of its sessions, with a poll.
-func (p *sessions) hear(from talk.Poll) {
+func (p *sessions) hear(from peerproto.Poll) {
 	if x := from.Pinned; x != nil {
 		p.rooms[from.From] = migrate.Room{Sessions: p.section.Most, Told: x.Owned, Open: x.Open, Queries: x.Queries, Memory: 2 * x.Memory}
 		p.idle[from.From] = x.Idle
@@ -327,7 +327,7 @@
 		if bytes += actBytes; a.Fence+a.Seq > 0 || a.Why != "" {
 			bytes += actBytes + len(a.Why) + len(a.State)*4/3
 		}
-		if i == session.ActsMost || bytes > talk.EntryMost && i > 0 {
+		if i == session.ActsMost || bytes > peerproto.EntryMost && i > 0 {
 			return i
 		}
 	}
--- a/internal/fleet/sessions_test.go
+++ b/internal/fleet/sessions_test.go
@@ -10,8 +10,8 @@
 
 	"birchcart/internal/fleet/lead"
 	"birchcart/internal/fleet/migrate"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
-	"birchcart/internal/fleet/talk"
 	"birchcart/internal/fleet/waves"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
@@ -96,8 +96,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(body) > talk.EntryMost || n < 500 {
-		t.Errorf("%d hands in %d bytes, %d at most", n, len(body), talk.EntryMost)
+	if len(body) > peerproto.EntryMost || n < 500 {
+		t.Errorf("%d hands in %d bytes, %d at most", n, len(body), peerproto.EntryMost)
 	}
 	if fits(many[:1]) != 1 || fits(nil) != 0 {
 		t.Error("one, or none")
@@ -121,21 +121,21 @@
 	if err := n.copy.book.Apply(0, nil, session.KindActs, raw); err != nil {
 		t.Fatal(err)
 	}
-	forecast := func(open ...talk.Open) (migrate.Forecast, int) {
+	forecast := func(open ...peerproto.Open) (migrate.Forecast, int) {
 		for _, name := range []string{"a", "c"} {
-			m := talk.Poll{From: name, No: 1, Pinned: &talk.Pinned{Queries: 9, Memory: 1 << 20}}
+			m := peerproto.Poll{From: name, No: 1, Pinned: &peerproto.Pinned{Queries: 9, Memory: 1 << 20}}
 			if name == "a" {
 				m.Pinned.Owned, m.Pinned.Unsafe = 1, open
 			}
-			raw, err := talk.Encode(m)
+			raw, err := peerproto.Encode(m)
 			if err != nil {
 				t.Fatal(err)
 			}
-			got, err := talk.Decode(raw)
+			got, err := peerproto.Decode(raw)
 			if err != nil {
 				t.Fatal(err)
 			}
-			p.hear(got.(talk.Poll))
+			p.hear(got.(peerproto.Poll))
 		}
 		p.sites = []migrate.Coordinator{{Name: "a", Live: true, Leaving: true, Deadline: time.Minute}, {Name: "c", Live: true, Rank: migrate.Stays}}
 		p.sitesAt, p.sitesBy = n.index, time.Hour
@@ -143,11 +143,11 @@
 		v := migrate.View{Book: n.copy.book, Coordinators: p.sites}
 		return migrate.Foresee(0, v, 0), len(migrate.New(migrate.Options{}).Step(0, v).Body.Offers)
 	}
-	f, offers := forecast(talk.Open{ID: id, Left: time.Minute + 1})
+	f, offers := forecast(peerproto.Open{ID: id, Left: time.Minute + 1})
 	if f.Meets || len(f.Unsure) != 1 || f.Unsure[0] != id || offers != 0 {
 		t.Errorf("beyond the deadline: %+v, %d offers", f, offers)
 	}
-	if f, offers = forecast(talk.Open{ID: id, Left: time.Second}); !f.Meets || len(f.Unsure) > 0 || offers != 1 {
+	if f, offers = forecast(peerproto.Open{ID: id, Left: time.Second}); !f.Meets || len(f.Unsure) > 0 || offers != 1 {
 		t.Errorf("open for as long as an offer: %+v, %d offers", f, offers)
 	}
 	if f, offers = forecast(); !f.Meets || len(f.Unsure) > 0 || offers != 1 {
--- a/internal/fleet/shed/letters.go
+++ b/internal/fleet/shed/letters.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// Kind is the first byte of a letter between co-ordinators' lanes. It is no version of talk's.
+	// Kind is the first byte of a letter between co-ordinators' lanes. It is no version of peerproto's.
 	Kind = 'L'
 	// letterVersion of letters; another one is left out.
 	letterVersion = 1
--- a/internal/fleet/shed/letters_test.go
+++ b/internal/fleet/shed/letters_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"birchcart/internal/exchange"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/pressure"
 	"birchcart/internal/fleet/shares"
-	"birchcart/internal/fleet/talk"
 )
 
 func word(from string) pressure.Word {
@@ -26,8 +26,8 @@
 	if err != nil || len(words) != 2 || words[1].From != "c" || len(in) != 2 || in[0].(shares.Ask).Want != 5 {
 		t.Fatal(words, in, err)
 	}
-	if raw[0] == talk.Version {
-		t.Error("a letter of lanes passes for one of talk's")
+	if raw[0] == peerproto.Version {
+		t.Error("a letter of lanes passes for one of peerproto's")
 	}
 	two := len(encode(said, word("a"))) // a whole one too
 	for n := range raw {
--- a/internal/fleet/sizes_test.go
+++ b/internal/fleet/sizes_test.go
@@ -17,8 +17,8 @@
 	"birchcart/internal/fleet/lead"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 // name of 64 bytes that resembles no other.
@@ -89,7 +89,7 @@
 		if err == nil {
 			err = c.ledger.Apply(index, raw)
 		}
-		if err != nil || len(raw) > talk.EntryMost {
+		if err != nil || len(raw) > peerproto.EntryMost {
 			t.Fatalf("%d bytes, %v", len(raw), err)
 		}
 	}
@@ -130,12 +130,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := talk.Word{No: 9, From: "a", Leader: "a", Term: 7, Led: true}
+	w := peerproto.Word{No: 9, From: "a", Leader: "a", Term: 7, Led: true}
 	var s handed
 	if err := s.into(&w, raw, c.ledger.Index(), 1); err != nil {
 		t.Fatal(err)
 	}
-	sent, err := talk.Encode(w)
+	sent, err := peerproto.Encode(w)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -143,18 +143,18 @@
 	if most := member.LargeMost - 1024; len(sent) > most || len(raw) < 10<<20 {
 		t.Errorf("%d bytes of a state of %d, %d at most", len(sent), len(raw), most)
 	}
-	m, err := talk.Decode(sent)
+	m, err := peerproto.Decode(sent)
 	if err != nil {
 		t.Fatal(err)
 	}
 	to := newCopy()
-	if err := to.take(m.(talk.Word)); err != nil {
+	if err := to.take(m.(peerproto.Word)); err != nil {
 		t.Fatal(err)
 	}
 	if came, err := to.ledger.Save(); err != nil || !bytes.Equal(came, raw) {
 		t.Fatalf("another state came: %v", err)
 	}
-	torn := m.(talk.Word)
+	torn := m.(peerproto.Word)
 	torn.Packed, torn.Index = torn.Packed[:len(torn.Packed)/2], torn.Index+1
 	if err := to.take(torn); err == nil || to.ledger.Index() != c.ledger.Index() {
 		t.Errorf("a torn state was taken: %v", err)
@@ -163,10 +163,10 @@
 	if err := s.into(&w, []byte("small"), c.ledger.Index()+1, 1); err != nil || string(w.Snapshot) != "small" || w.Packed != nil {
 		t.Errorf("%v, %d bytes packed", err, len(w.Packed))
 	}
-	if err := s.into(&w, make([]byte, talk.StateMost+1), c.ledger.Index()+2, 1); err == nil || !strings.Contains(err.Error(), "at most") {
+	if err := s.into(&w, make([]byte, peerproto.StateMost+1), c.ledger.Index()+2, 1); err == nil || !strings.Contains(err.Error(), "at most") {
 		t.Error(err)
 	}
-	noise := make([]byte, talk.PackedMost+1<<20)
+	noise := make([]byte, peerproto.PackedMost+1<<20)
 	rnd := rand.New(rand.NewPCG(3, 4))
 	for i := range noise {
 		noise[i] = byte(rnd.Uint32())
@@ -181,8 +181,8 @@
 func TestNobodySpeaksForAnother(t *testing.T) {
 	n := &Node{copy: newCopy(), term: 7, loads: map[string]told{}, waiting: waiting{by: map[string]polled{}}}
 	n.sent.No = 1
-	for _, m := range []talk.Message{talk.Poll{From: "b", No: 1, Laid: []talk.Laid{{Machine: "r1", Fence: 1}}}, talk.Word{From: "b", No: 1, Leader: "b", Term: 9, Led: true}} {
-		raw, err := talk.Encode(m)
+	for _, m := range []peerproto.Message{peerproto.Poll{From: "b", No: 1, Laid: []peerproto.Laid{{Machine: "r1", Fence: 1}}}, peerproto.Word{From: "b", No: 1, Leader: "b", Term: 9, Led: true}} {
+		raw, err := peerproto.Encode(m)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -206,9 +206,9 @@
 func TestSizesMeet(t *testing.T) {
 	const heads = 4 << 10 // of a message, around what it brings in base 64
 	for what, sizes := range map[string][2]int{
-		"commands into the council": {ledger.EntryMost, council.CommandMost}, "the council's into a word": {council.CommandMost, talk.EntryMost},
-		"entries into the gossip": {talk.EntryMost/3*4 + heads, member.LargeMost}, "states into the gossip": {talk.PackedMost/3*4 + heads, member.LargeMost},
-		"a follower's file into the gossip": {talk.PollMost, member.LargeMost}, "observations into a word": {lead.PartMost + heads, talk.EntriesMost},
+		"commands into the council": {ledger.EntryMost, council.CommandMost}, "the council's into a word": {council.CommandMost, peerproto.EntryMost},
+		"entries into the gossip": {peerproto.EntryMost/3*4 + heads, member.LargeMost}, "states into the gossip": {peerproto.PackedMost/3*4 + heads, member.LargeMost},
+		"a follower's file into the gossip": {peerproto.PollMost, member.LargeMost}, "observations into a word": {lead.PartMost + heads, peerproto.EntriesMost},
 	} {
 		if sizes[0] > sizes[1] {
 			t.Errorf("%s: %d bytes may be made, %d are taken", what, sizes[0], sizes[1])
@@ -236,20 +236,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := talk.Word{No: 1, From: "a", Led: true, Index: 5}
-	if err := w.Fill([]talk.Entry{{Index: 4, Raw: raw}, {Index: 5, Raw: raw}}); err != nil || len(w.Entries) != 1 || !w.More {
+	w := peerproto.Word{No: 1, From: "a", Led: true, Index: 5}
+	if err := w.Fill([]peerproto.Entry{{Index: 4, Raw: raw}, {Index: 5, Raw: raw}}); err != nil || len(w.Entries) != 1 || !w.More {
 		t.Fatalf("%v, %d entries", err, len(w.Entries))
 	}
-	sent, err := talk.Encode(w)
+	sent, err := peerproto.Encode(w)
 	if err != nil || len(sent) > member.LargeMost {
 		t.Fatalf("%d bytes: %v", len(sent), err)
 	}
-	m, err := talk.Decode(sent)
+	m, err := peerproto.Decode(sent)
 	if err != nil {
 		t.Fatal(err)
 	}
 	to := newCopy()
-	if err := to.take(m.(talk.Word)); err != nil || len(to.order.Asks().Requests) != 2 || len(to.order.Asks().Requests[1].Names) != 10_000 {
+	if err := to.take(m.(peerproto.Word)); err != nil || len(to.order.Asks().Requests) != 2 || len(to.order.Asks().Requests[1].Names) != 10_000 {
 		t.Fatalf("%v, %d requests", err, len(to.order.Asks().Requests))
 	}
 	t.Logf("an entry that asks for 10,000 machines twice has %d bytes", len(raw))
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -11,8 +11,8 @@
 	"birchcart/internal/fleet/lead"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/member"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 	"birchcart/internal/fleet/view"
 )
 
@@ -123,7 +123,7 @@
 	if n.lanes != nil {
 		n.lanes.reload(n.file)
 	}
-	n.asks = talk.Ask{From: n.name, Limits: Limits(n.file, &n.s.Config.Policy), Asks: Asks(n.file)}
+	n.asks = peerproto.Ask{From: n.name, Limits: Limits(n.file, &n.s.Config.Policy), Asks: Asks(n.file)}
 	n.askedAt, n.lines.differs = 0, 0
 	n.toLead = append(n.toLead, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
 }
--- a/internal/fleet/view/lease_test.go
+++ b/internal/fleet/view/lease_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 func TestTheLeaseRunsFromTheSendingLessTheDrift(t *testing.T) {
@@ -161,12 +161,12 @@
 
 	r = begin(t)
 	var many []takeout.Item
-	for i := range talk.LaidMost + 9 {
+	for i := range peerproto.LaidMost + 9 {
 		many = append(many, r.item("b", uint64(i+1), takeout.Granted))
 	}
 	r.applied(many...)
 	r.run(s)
-	r.want("told of in one poll", len(r.polls[len(r.polls)-1].Laid), talk.LaidMost)
+	r.want("told of in one poll", len(r.polls[len(r.polls)-1].Laid), peerproto.LaidMost)
 }
 
 // play is a seeded life of a view: grants come and go, answers are lost, late and repeated, the process stalls.
--- a/internal/fleet/view/polls.go
+++ b/internal/fleet/view/polls.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/peerproto"
 )
 
 // polls are the numbered questions to the council and what came of them.
@@ -98,7 +98,7 @@
 func (v *View) tell(now time.Duration) []Laid {
 	var laid []Laid
 	for _, l := range v.lays {
-		if len(laid) == talk.LaidMost {
+		if len(laid) == peerproto.LaidMost {
 			break
 		}
 		switch {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -11,8 +11,8 @@
 	"slices"
 	"time"
 
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 )
 
 // Times and bounds of a view.
@@ -46,7 +46,7 @@
 )
 
 // Laid is what a co-ordinator says of one live grant.
-type Laid = talk.Laid
+type Laid = peerproto.Laid
 
 // State is what a view reads of the agreed order of work; *takeout.State is one.
 type State interface {
--- a/internal/fleet/whole_test.go
+++ b/internal/fleet/whole_test.go
@@ -4,8 +4,8 @@
 	"testing"
 
 	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
-	"birchcart/internal/fleet/talk"
 )
 
 // savedPart counts how often it is saved.
@@ -25,7 +25,7 @@
 	p := &savedPart{Book: session.New()}
 	n := &Node{copy: &copied{ledger: ledger.New(map[string]ledger.Part{sessionsPart: p})}}
 	for i := range 3 {
-		w := talk.Word{}
+		w := peerproto.Word{}
 		if err := n.bring(&w, polled{era: 1}, 2); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/world/leader.go
+++ b/internal/fleet/world/leader.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/talk"
 	"birchcart/internal/fleet/world/clockwork"
 )
 
@@ -49,7 +49,7 @@
 	return lead.Applied{State: n.book.out, Index: uint64(n.applied), Now: n.book.led.Now()}
 }
 
-func (n *node) polled(p talk.Poll) lead.Polled {
+func (n *node) polled(p peerproto.Poll) lead.Polled {
 	if n.w.Loose.AnyClock {
 		p.Wall = 0
 	}
--- a/internal/fleet/world/polls.go
+++ b/internal/fleet/world/polls.go
@@ -4,12 +4,12 @@
 	"time"
 
 	"birchcart/internal/fleet/lead"
-	"birchcart/internal/fleet/talk"
+	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/view"
 )
 
 type pending struct {
-	poll talk.Poll
+	poll peerproto.Poll
 	from int
 	at   time.Duration
 }
@@ -31,10 +31,10 @@
 		to = n.w.council[n.w.rng.IntN(len(n.w.council))]
 	}
 	n.leader = -1 // until it answers
-	word := talk.Poll{From: n.name, No: p.No, Index: p.Index, Load: n.w.loadOfOne(), LoadKnown: true, Wall: n.wall()}
+	word := peerproto.Poll{From: n.name, No: p.No, Index: p.Index, Load: n.w.loadOfOne(), LoadKnown: true, Wall: n.wall()}
 	for _, l := range p.Laid {
 		if n.sayable(l) {
-			word.Laid = append(word.Laid, talk.Laid(l))
+			word.Laid = append(word.Laid, peerproto.Laid(l))
 		}
 	}
 	n.w.polls[pollKey{n.id, p.No}] = n.w.Now
@@ -49,11 +49,11 @@
 	}
 }
 
-func (n *node) onPoll(from int, p talk.Poll) {
+func (n *node) onPoll(from int, p peerproto.Poll) {
 	switch {
 	case n.v == nil:
 	case !n.v.leads:
-		w := talk.Word{No: p.No, From: n.name}
+		w := peerproto.Word{No: p.No, From: n.name}
 		if n.v.leader >= 0 {
 			w.Leader = n.w.nodes[n.v.leader].name
 		}
@@ -107,13 +107,13 @@
 }
 
 func (n *node) answer(p pending) {
-	w := talk.Word{No: p.poll.No, From: n.name, Leader: n.name, Term: n.v.term, Led: true, Since: p.poll.Index, Index: uint64(n.applied)}
+	w := peerproto.Word{No: p.poll.No, From: n.name, Leader: n.name, Term: n.v.term, Led: true, Since: p.poll.Index, Index: uint64(n.applied)}
 	w.Unlisted = !lead.Counts(n.book.out, p.poll.From)
 	state := n.snap
 	if since := int(p.poll.Index); since >= n.v.base {
 		for i := since + 1; i <= n.applied; i++ {
 			if raw := n.v.log[i-n.v.base-1].raw; raw != nil {
-				w.Entries = append(w.Entries, talk.Entry{Index: uint64(i), Raw: raw})
+				w.Entries = append(w.Entries, peerproto.Entry{Index: uint64(i), Raw: raw})
 			}
 		}
 		if len(w.Entries) > entriesMost {
@@ -126,7 +126,7 @@
 	n.w.send(n.id, p.from, func(o *node) { o.onWord(w) })
 }
 
-func (n *node) onWord(w talk.Word) {
+func (n *node) onWord(w peerproto.Word) {
 	n.leader = -1
 	if o := n.w.byName[w.Leader]; o != nil {
 		n.leader = o.id
@@ -146,7 +146,7 @@
 }
 
 // follow brings the copy of a co-ordinator without a vote on.
-func (n *node) follow(w talk.Word) {
+func (n *node) follow(w peerproto.Word) {
 	if w.Snapshot != nil {
 		n.load(w.Snapshot, int(w.Index))
 		return
