Name the planner of maintenance waves waveplan, before: waves

The term of the field, as docs/glossary.md has it.

Ran: go vet and go test -short of the package and its importers (fleet, migrate, world): all pass.

--- a/internal/fleet/migrate/order.go
+++ b/internal/fleet/migrate/order.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/waves"
+	"birchcart/internal/fleet/waveplan"
 )
 
 // FromState is what the agreed order of work says of the co-ordinators, by name: ranks by the waves of a plan, who leaves and
 // until when. Live and Room are left to be filled in: Live is what the inventory says, leases are not looked at. It costs a plan
 // of waves, so it is worth asking only after the state, or the time for a wait, has changed.
 func FromState(s *takeout.State, now time.Duration) []Coordinator {
-	plan := waves.Plan(waves.FromState(s, now))
+	plan := waveplan.Plan(waveplan.FromState(s, now))
 	rank := map[string]int{}
 	for w, names := range plan.Waves {
 		for _, name := range names {
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -14,7 +14,7 @@
 	"birchcart/internal/fleet/member"
 	"birchcart/internal/fleet/store"
 	"birchcart/internal/fleet/view"
-	"birchcart/internal/fleet/waves"
+	"birchcart/internal/fleet/waveplan"
 	"birchcart/internal/operator"
 	"birchcart/internal/serve"
 )
@@ -36,7 +36,7 @@
 	slices.Sort(n.names)
 	n.view = view.New(n.name, ms(f.Lease))
 	n.view.NumberFrom(uint64(n.start.UnixNano()))
-	n.lead = lead.New(waves.Order)
+	n.lead = lead.New(waveplan.Order)
 }
 
 // zone of this co-ordinator, "" if the settings name none.
--- a/internal/fleet/waves/bound.go
+++ b/internal/fleet/waveplan/bound.go
@@ -1,4 +1,4 @@
-package waves
+package waveplan
 
 import (
 	"fmt"
--- a/internal/fleet/waves/problem.go
+++ b/internal/fleet/waveplan/problem.go
@@ -1,8 +1,8 @@
-// Package waves plans in which order machines go out for work. Machines that may be away together go in one wave; beside
+// Package waveplan plans in which order machines go out for work. Machines that may be away together go in one wave; beside
 // the plan stands a number of waves that no plan can go below. It is pure: no clock, goroutine, I/O or random number, and
 // the same problem gives the same plan. A plan is only a proposal: the rules of takeout are checked again when a
 // grant is applied, and nothing here can loosen them.
-package waves
+package waveplan
 
 import (
 	"cmp"
--- a/internal/fleet/world/swap.go
+++ b/internal/fleet/world/swap.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/waves"
+	"birchcart/internal/fleet/waveplan"
 	"birchcart/internal/fleet/world/clockwork"
 )
 
@@ -33,17 +33,17 @@
 }
 
 // Planned is the planner's own view of a swap, at the moment at which it was asked for and all are up.
-func Planned(s *Schedule) (waves.Result, error) {
+func Planned(s *Schedule) (waveplan.Result, error) {
 	w := New(s)
 	w.populate()
 	for w.Now < time.Minute && len(w.top.out.Open()) == 0 {
 		w.Play(w.Now+10*time.Millisecond, func() bool { return w.err != nil })
 	}
 	if w.err != nil {
-		return waves.Result{}, w.err
+		return waveplan.Result{}, w.err
 	}
 	if len(w.top.out.Open()) == 0 {
-		return waves.Result{}, fmt.Errorf("nothing was asked for in a minute")
+		return waveplan.Result{}, fmt.Errorf("nothing was asked for in a minute")
 	}
-	return waves.Plan(waves.FromState(w.top.out, w.top.led.Now())), nil
+	return waveplan.Plan(waveplan.FromState(w.top.out, w.top.led.Now())), nil
 }
--- a/internal/fleet/world/world.go
+++ b/internal/fleet/world/world.go
@@ -10,7 +10,7 @@
 	"birchcart/internal/fleet/lead"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/waves"
+	"birchcart/internal/fleet/waveplan"
 	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/history"
 )
@@ -99,7 +99,7 @@
 		shared: s.Coordinators > sharedOver || s.Seed%ownEvery != 0}
 	w.rng = clockwork.Rand(s.Seed, "world")
 	w.links = newLinks(s.Coordinators, s.Link, clockwork.Rand(s.Seed, "links"))
-	w.top, w.order = newBook(), waves.Order
+	w.top, w.order = newBook(), waveplan.Order
 	return w
 }
 
