Name the adapter of the libraries' loggers logadapter, before: enginelog

The term of the field, as docs/glossary.md has it. The lines that it logs and their limits are the same.

Ran: go vet and go test -short of the package and its importers (council, member): all pass.

--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -13,7 +13,7 @@
 	"github.com/hashicorp/raft"
 	"github.com/sirupsen/logrus"
 
-	"birchcart/internal/fleet/enginelog"
+	"birchcart/internal/fleet/logadapter"
 	"birchcart/internal/fleet/store"
 )
 
@@ -218,7 +218,7 @@
 }
 
 func prepare(o Options, fail func(error)) (*prepared, error) {
-	log := enginelog.New(o.Log).Hclog("raft")
+	log := logadapter.New(o.Log).Hclog("raft")
 	p := &prepared{conf: raft.DefaultConfig()}
 	p.conf.LocalID = raft.ServerID(o.Name)
 	patience := time.Duration(max(1, o.Patience))
--- a/internal/fleet/enginelog/enginelog.go
+++ b/internal/fleet/logadapter/logadapter.go
@@ -1,7 +1,7 @@
-// Package enginelog carries what the libraries of the fleet (consensus, gossip) write about themselves into our own log:
+// Package logadapter carries what the libraries of the fleet (consensus, gossip) write about themselves into our own log:
 // one line each, at its own level, and never more than a stated number, since a library that meets a fault says so
 // at each attempt.
-package enginelog
+package logadapter
 
 import (
 	"bytes"
--- a/internal/fleet/enginelog/enginelog_test.go
+++ b/internal/fleet/logadapter/logadapter_test.go
@@ -1,4 +1,4 @@
-package enginelog
+package logadapter
 
 import (
 	"bytes"
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -15,7 +15,7 @@
 	"github.com/hashicorp/memberlist"
 	"github.com/sirupsen/logrus"
 
-	"birchcart/internal/fleet/enginelog"
+	"birchcart/internal/fleet/logadapter"
 )
 
 // Of the gossip engine, for a fleet of 300 in one network at under 4 KB/s a node at rest.
@@ -109,7 +109,7 @@
 	m.news.init(o)
 	m.inbox.init(o.Receive)
 	m.lanes.init(m)
-	lines := enginelog.New(o.Log)
+	lines := logadapter.New(o.Log)
 
 	host, port, err := address(o.Bind)
 	if err != nil {
