End a connection in the middle of a frame that nobody waits for any more

Cause: a frame of which a replica that hangs has taken a part went on for up to WriteTime (1 s) after its query had ended (writer.Write in internal/replica/write.go; Withdraw and Unsend in pool.go did not look at it), and an attempt begins with its frame's last byte: one that begins 0.1 s after its client left is a break.

Change: once no part of such a frame is waited for, and nothing else that is waited for is out on the connection, the write is cut, and the connection ends. Whether the frame is whole by then can't be known, so the attempt still counts as one that may have run.

Measured: TestHalfAFrameEndsWithItsQuery fails in both cases without the cut and passes with it; the package passes, and its tests of blocked connections with -race.

--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -68,6 +68,10 @@
 // ReadAt is when the newest bytes were read.
 func (c *Conn) ReadAt() time.Time { return c.readAt }
 
+// CutWrite has a write that waits for the peer fail at once. It may be called from anywhere; a write that begins later has
+// its whole time.
+func (c *Conn) CutWrite() { c.nc.SetWriteDeadline(past) }
+
 // Close closes the connection.
 func (c *Conn) Close() error { return c.nc.Close() }
 
--- a/internal/replica/blocked_test.go
+++ b/internal/replica/blocked_test.go
@@ -286,3 +286,73 @@
 		})
 	}
 }
+
+// Of a frame in whose middle a replica hangs the rest does not go out once nobody waits for its parts: the attempt would
+// begin with its last byte, for a client that has left.
+func TestHalfAFrameEndsWithItsQuery(t *testing.T) {
+	for name, end := range map[string]func(*Pool, *exchange.Attempt) (sent bool){
+		"withdrawn":                 func(p *Pool, a *exchange.Attempt) bool { _, sent := p.Withdraw(a); return sent },
+		"query over, no cancelling": func(p *Pool, a *exchange.Attempt) bool { return !p.Unsend(a) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := patientLimits()
+			l.WriteTime = 10 * patience // it is not the time for writing that ends it
+			s := newStand(t, l)
+			s.smallBuffers()
+			big := attempt("q.1")
+			big.Text = bigText
+			s.pool.Send(1, []*exchange.Attempt{big})
+			p := s.accept()
+			s.untilBlocked()
+			if !end(s.pool, big) {
+				t.Error("a frame that may be whole by now was taken for one that never ran")
+			}
+			s.eventually("the connection goes on", func() bool { return s.links() == 0 })
+			n, err := io.Copy(io.Discard, p.nc)
+			if n >= int64(len(bigText)) {
+				t.Errorf("%d bytes went out: all of the frame", n)
+			}
+			if err != nil && !errors.Is(err, syscall.ECONNRESET) {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// The rest of a frame goes out where somebody waits still: for another part of it, or for one that went before.
+func TestHalfAFrameGoesOnForOthers(t *testing.T) {
+	t.Run("of the same frame", func(t *testing.T) {
+		l := patientLimits()
+		l.Streams = 2
+		s := newStand(t, l)
+		s.smallBuffers()
+		big, other := attempt("q.1"), attempt("r.1")
+		big.Text = bigText
+		s.pool.Send(1, []*exchange.Attempt{big, other})
+		p := s.acceptFrames(8 << 20)
+		s.untilBlocked()
+		s.pool.Withdraw(big)
+		if f := p.frame(); !strings.Contains(f, "r.1 ") {
+			t.Errorf("a frame without the part that is waited for: %q...", f[:min(40, len(f))])
+		}
+	})
+	t.Run("of one before", func(t *testing.T) {
+		l := patientLimits()
+		l.PerReplica, l.Streams = 1, 2
+		s := newStand(t, l)
+		s.smallBuffers()
+		before, big := attempt("r.1"), attempt("q.1")
+		big.Text = bigText
+		s.pool.Send(1, []*exchange.Attempt{before})
+		p := s.acceptFrames(8 << 20)
+		p.frame()
+		s.pool.Send(1, []*exchange.Attempt{big})
+		s.untilBlocked()
+		s.pool.Withdraw(big)
+		p.frame()
+		p.say("Er.1 hit 0 -\nvalue")
+		if r := s.sink.next(t); r.Attempt != before || r.Outcome != policy.OK {
+			t.Errorf("%+v", r)
+		}
+	})
+}
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -32,8 +32,9 @@
 	pulled  int64 // bytes handed to the writer
 	wrote   int64 // of these, gone out
 	blocked bool  // the peer takes nothing for now
+	halfway bool  // and has taken a part of what was pulled last
 
-	unbegun      []*entry // the call that was pulled last; it goes back where no byte of it can go out
+	unbegun      []*entry // the call that was pulled last, none if that was no call; it goes back where no byte of it can go out
 	unbegunBytes int64
 
 	heardAt  time.Time // last read, or when parts went out after a pause
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -49,6 +49,7 @@
 	l       *link
 	moved   bool             // waited on another connection before, which ended
 	written bool             // handed to the connection's writer
+	dropped bool             // its query is over; the rest of its frame need not go out
 	end     int64            // then: where its frame ends among the bytes of the connection
 	at      time.Time        // and when
 	answer  *exchange.Result // read, and told once what came with it has been looked at
@@ -232,16 +233,23 @@
 	p.forget(en)
 	l.expect(a.ID, time.Now())
 	l.giveUps = append(l.giveUps, a.ID)
+	l.cutFrame()
 	l.wake()
 	return true, true
 }
 
-// Unsend takes back an attempt that is not yet written.
+// Unsend takes back an attempt that is not yet written. One whose frame waits in the middle for the replica to read on is
+// not: it may be whole by now. But then the rest of its frame does not go out, if it can be helped.
 func (p *Pool) Unsend(a *exchange.Attempt) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	en := p.entries[a]
-	if en == nil || en.written {
+	switch {
+	case en == nil:
+		return false
+	case en.written:
+		en.dropped = true
+		en.l.cutFrame()
 		return false
 	}
 	p.forget(en)
--- a/internal/replica/write.go
+++ b/internal/replica/write.go
@@ -89,17 +89,32 @@
 	return true
 }
 
-// block notes that the peer takes nothing for now.
+// block notes that the peer has taken a part of what was pulled, and takes nothing for now.
 func (l *link) block() {
 	l.p.mu.Lock()
-	l.blocked = true
+	l.blocked, l.halfway = true, true
 	l.p.mu.Unlock()
 }
 
+// cutFrame ends the connection if it is in the middle of a frame of which the replica takes no more for now, and nobody
+// waits for any part of that frame: what went out later would begin an attempt for a client that has left. Where other
+// parts are out on the connection it goes on, since they would be lost with it. The pool's lock is held.
+func (l *link) cutFrame() {
+	if !l.halfway || len(l.unbegun) == 0 {
+		return
+	}
+	for _, en := range l.parts {
+		if en.written && !en.dropped {
+			return
+		}
+	}
+	l.conn.CutWrite()
+}
+
 // Wrote counts what went out.
 func (l *link) Wrote(n int) {
 	l.p.mu.Lock()
 	l.wrote += int64(n)
-	l.blocked = false
+	l.blocked, l.halfway = false, false
 	l.p.mu.Unlock()
 }
