Hand on no query whose client's end stands behind it already

Cause: a request that is read late (its connection waited to be accepted, or its goroutine for the processor) was handed to the exchange before the end behind it was read (submit in internal/front/read.go), and a turn in between sends its parts: for a client that left more than 0.1 s ago each is a break. The same for a request read ahead whose turn comes while the connection's goroutine is held up in a write (reply in reply.go).

Change: the socket is looked at, without reading it, right before a query is handed on.

Measured: TestLeavingBeforeItsRequestsAreRead (four ways) and TestLeavingUnseenOverAnAnswer fail without the two looks and pass with them; front, exchange and duplex pass with -race. The end is known to have come by the kernel's state of the socket.

--- a/internal/front/endings_test.go
+++ b/internal/front/endings_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"birchcart/internal/config"
 	"birchcart/internal/exchange"
 )
@@ -37,6 +39,13 @@
 
 // unstarted is a connection whose goroutine has not had the processor yet.
 func (st *stand) unstarted() (*client, *conn) {
+	st.Helper()
+	c, peer, _ := st.unstartedOn()
+	return c, peer
+}
+
+// unstartedOn tells the server's socket too.
+func (st *stand) unstartedOn() (*client, *conn, *net.TCPConn) {
 	st.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -54,7 +63,24 @@
 	st.Cleanup(func() { peer.Close(); nc.Close() })
 	c := newClient(st.s, nc)
 	c.good = true
-	return c, &conn{st.T, peer, bufio.NewReader(peer)}
+	return c, &conn{st.T, peer, bufio.NewReader(peer)}, nc.(*net.TCPConn)
+}
+
+// closeWait is the state of a socket whose peer has ended, as the kernel numbers it.
+const closeWait = 8
+
+// hasEnd waits until the end of the peer has come to a socket, whether or not what stands before it was read.
+func (st *stand) hasEnd(nc *net.TCPConn) {
+	st.Helper()
+	raw, err := nc.SyscallConn()
+	if err != nil {
+		st.Fatal(err)
+	}
+	st.until("the client's end comes", func() bool {
+		var info *unix.TCPInfo
+		raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+		return err == nil && info.State == closeWait
+	})
 }
 
 // The end of a client stands behind all that it has sent. On a connection of which no further request is taken it is
@@ -162,3 +188,52 @@
 		return len(st.s.conns) == 0
 	})
 }
+
+// A client that has left before its requests are read, since we come to them late, has nothing begun for it: the end that
+// stands behind them is seen first.
+func TestLeavingBeforeItsRequestsAreRead(t *testing.T) {
+	for name, sent := range map[string]string{
+		"one request":        query("a", "", goodBody),
+		"several":            query("a", "", goodBody) + query("b", "", goodBody) + query("c", "", goodBody),
+		"the last one":       query("a", "Connection: close\r\n", goodBody),
+		"and half a request": query("a", "", goodBody) + query("b", "", goodBody)[:100],
+	} {
+		t.Run(name, func(t *testing.T) {
+			st := newStand(t, nil)
+			c, peer, nc := st.unstartedOn()
+			peer.write(sent)
+			peer.nc.Close()
+			st.hasEnd(nc)
+			c.run()
+			if n := len(st.sink.asked); n > 0 {
+				t.Errorf("%d queries of a client that had left were handed on", n)
+			}
+		})
+	}
+}
+
+// A client that ends while an answer waits to be taken has its further requests never asked, though its end can't be read
+// before the answer is out.
+func TestLeavingUnseenOverAnAnswer(t *testing.T) {
+	st := newStand(t, func(l *config.Limits) { l.WriteTime = time.Hour })
+	c, peer, nc := st.unstartedOn()
+	go c.run()
+	peer.write(query("a", "", goodBody) + query("b", "", goodBody) + query("c", "", goodBody))
+	a := st.next()
+	st.until("all is read", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.waiting) == 2
+	})
+	a.Reply(hugeReply())
+	b := st.next()
+	if _, err := io.ReadFull(peer.nc, make([]byte, 100)); err != nil { // it is being written
+		t.Fatal(err)
+	}
+	peer.nc.(*net.TCPConn).CloseWrite()
+	st.hasEnd(nc)
+	b.Reply(exchange.Reply{})
+	if n := len(st.sink.asked); n > 0 {
+		t.Error("a query of a client that had left was handed on")
+	}
+}
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -238,10 +238,17 @@
 	c.submit(q)
 }
 
-// submit hands a query on, or lets it wait for the one before.
+// submit hands a query on, or lets it wait for the one before. A client whose end stands behind its request already, since
+// we come to it late, has left: nothing begins for it.
 func (c *client) submit(q *exchange.Query) {
+	left := !c.conn.Open()
 	c.mu.Lock()
 	c.taking = false
+	if left {
+		c.closing = true // the goroutine reads the end next
+		c.mu.Unlock()
+		return
+	}
 	if c.asked != nil {
 		if c.waiting = append(c.waiting, q); len(c.waiting) > c.s.limits.Pipelined {
 			open := c.asked
--- a/internal/front/reply.go
+++ b/internal/front/reply.go
@@ -33,7 +33,10 @@
 	c.asked = nil
 	c.out = h1.AppendResponse(c.out, statuses[r.Status], header, body, c.ends())
 	var next *exchange.Query
-	if len(c.waiting) > 0 {
+	switch {
+	case len(c.waiting) > 0 && !c.conn.Open(): // the client left while its goroutine was held up in a write
+		c.waiting, c.closing = nil, true
+	case len(c.waiting) > 0:
 		next, c.waiting = c.waiting[0], c.waiting[1:]
 		c.asked = next
 	}
