Take a replica that changes its kind off the other side

Cause: Mux.Update (internal/replica/mux.go) said that a replica which becomes a feature server, or ceases to be one, is gone from the other side, and only left it out there: what waited for a connection was sent still.

Measured: TestAReplicaChangesItsKind fails without it after its minute of patience and passes with it.

--- a/internal/replica/mux.go
+++ b/internal/replica/mux.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"birchcart/internal/exchange"
+	"birchcart/policy"
 )
 
 // KindFeatures is the type, on discovery's list, of replicas that are feature servers.
@@ -13,19 +14,19 @@
 type Mux struct {
 	frames, features exchange.Replicas
 
-	mu     sync.Mutex
-	served map[uint64]bool // feature servers
+	mu      sync.Mutex
+	feature map[uint64]bool // by replica: whether it is a feature server
 }
 
 // NewMux puts two replica sides together.
 func NewMux(frames, features exchange.Replicas) *Mux {
-	return &Mux{frames: frames, features: features, served: map[uint64]bool{}}
+	return &Mux{frames: frames, features: features, feature: map[uint64]bool{}}
 }
 
 func (m *Mux) of(replica uint64) exchange.Replicas {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.served[replica] {
+	if m.feature[replica] {
 		return m.features
 	}
 	return m.frames
@@ -36,13 +37,20 @@
 	var frames, features []exchange.Target
 	m.mu.Lock()
 	for _, t := range changed {
-		if t.Kind == KindFeatures {
-			m.served[t.Replica] = true
-			features = append(features, t)
-		} else {
-			delete(m.served, t.Replica)
-			frames = append(frames, t)
+		own, other := &frames, &features
+		isFeature := t.Kind == KindFeatures
+		if isFeature {
+			own, other = &features, &frames
 		}
+		if was, known := m.feature[t.Replica]; known && was != isFeature {
+			gone := t
+			gone.State = policy.Removed
+			*other = append(*other, gone)
+		}
+		if m.feature[t.Replica] = isFeature; t.State == policy.Removed {
+			delete(m.feature, t.Replica)
+		}
+		*own = append(*own, t)
 	}
 	m.mu.Unlock()
 	m.frames.Update(frames)
