--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -178,3 +178,27 @@
 	}
 	held.drained(done)
 }
+
+// A query from before the end whose client waits past the time for the last answers has its answer still: its replicas are at
+// work, and it is for SIGKILL to end that, not for the drain.
+func TestAQueryOutlivesTheTimeForLastAnswers(t *testing.T) {
+	st := newStand(t, nil)
+	c := st.dial()
+	c.write(strings.Replace(query("a", "", goodBody), "X-Timeout-Ms: 480", "X-Timeout-Ms: 60000", 1))
+	q := st.next()
+	done := st.draining()
+	st.until("the time for last answers is over", func() bool { return !st.s.hears() })
+	if end := st.s.lastBy.Load(); !q.Due.After(*end) {
+		t.Fatalf("due %v before the last answers", end.Sub(q.Due))
+	}
+	select {
+	case <-done:
+		t.Fatal("done over an open query")
+	case <-time.After(3 * drainTick):
+	}
+	q.Reply(exchange.Reply{})
+	if r := c.status(200); !r.Close {
+		t.Error("the connection is kept")
+	}
+	st.drained(done)
+}
