Look at a half-written configuration every 0.1 s after a hangup, not ever more seldom

Cause: what a new address of discovery has to tell counts 4 s after SIGHUP. A file that was half written then was looked at after 0.1, 0.3, 0.7, 1.5 and 3.1 s (run in internal/serve/reload.go), so one that was whole at 1.6 s was read 1.5 s later, and its list had up to 4.3 s after the hangup.

Change: looks are ReloadWait apart, for as long as before; of a bad file one line a second is logged, not one a look.

Measured: TestReloadOfAHalfWrittenFileFollowsItsEnd (four times of the file's end, on a fake clock) fails without it; the tests of reloads, hangups and refused settings of cmd/birchcart pass.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -69,7 +69,7 @@
 	Forget time.Duration // after so long a replica that is off the list is forgotten
 
 	// The configuration.
-	ReloadWait  time.Duration // before a file that can't be read is looked at again, doubled each time
+	ReloadWait  time.Duration // before a file that can't be read is looked at again
 	ReloadTries int           // looks at one
 
 	// All.
@@ -125,8 +125,13 @@
 	callTime = 2200 * time.Millisecond
 	// callMost: a wait and a call are under 6 s together, so that what discovery has once it can be reached again is had in
 	// time. Half as long and refused co-ordinators keep it busy with refusing; twice as long is over the 6 s.
-	callMost    = 2 * time.Second
-	callFirst   = 200 * time.Millisecond
+	callMost  = 2 * time.Second
+	callFirst = 200 * time.Millisecond
+	// reloadWait and reloadTries: what a new address has to tell counts 4 s after the hangup. A file that is whole by 2.7 s
+	// is read within reloadWait then, and its list had within RedialMost and AgentTime. Twice as long between looks takes
+	// as much from that; a look costs the reading of one file.
+	reloadWait  = 100 * time.Millisecond
+	reloadTries = 31
 	silentDials = 4 // connect times without a word: a healthy machine would have taken a new connection
 )
 
@@ -166,7 +171,7 @@
 
 		ListBytes: int(min(8<<20, memory/listPart)), WatchSilence: 3 * time.Second, AgentTime: time.Second, Forget: 30 * time.Second,
 		CallTime: callTime, CallFirst: callFirst, CallMost: callMost,
-		ReadyBy: readyBy, ReloadWait: 100 * time.Millisecond, ReloadTries: 6,
+		ReadyBy: readyBy, ReloadWait: reloadWait, ReloadTries: reloadTries,
 		RedialFirst: 50 * time.Millisecond, RedialMost: 200 * time.Millisecond,
 
 		WriteTime: time.Second, AnswerBy: 40 * time.Millisecond,
--- a/internal/serve/reload.go
+++ b/internal/serve/reload.go
@@ -10,6 +10,7 @@
 
 	"birchcart/internal/config"
 	"birchcart/internal/exchange"
+	"birchcart/internal/logs"
 	"birchcart/internal/ogc"
 )
 
@@ -23,27 +24,27 @@
 	ex       *exchange.Exchange
 	beside   Beside // nil if there is none
 	log      *logrus.Entry
+	failures *logs.Limited // of the looks since the last hangup
 }
 
 // run takes the file at each SIGHUP. One that can't be read, or is not whole yet, changes nothing and is looked at
 // again for a while; a further SIGHUP begins anew.
 func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
-	tries, wait := 0, time.Duration(0)
+	tries := 0
 	var again <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
-			tries, wait = r.cfg.Limits.ReloadTries, r.cfg.Limits.ReloadWait
+			tries, r.failures = r.cfg.Limits.ReloadTries, logs.Limit(r.log, r.cfg.Limits.LogEvery)
 		case <-again:
 		}
 		if again = nil; r.reload() {
 			continue
 		}
 		if tries--; tries > 0 {
-			again = time.After(wait)
-			wait *= 2
+			again = time.After(r.cfg.Limits.ReloadWait)
 		} else {
 			r.log.Error("the configuration is left as it was")
 		}
@@ -54,31 +55,31 @@
 	src := config.Source{Path: r.src.Config, Name: r.src.Name, Listen: r.src.Listen}
 	cfg, err := config.Reload(src)
 	if err != nil {
-		r.log.WithError(err).Warn("the configuration can't be read again")
+		r.failures.Warn("the configuration can't be read again", logrus.Fields{"error": err})
 		return false
 	}
 	op, err := readOperator(r.src.Operator)
 	if err != nil {
-		r.log.WithError(err).Warn("the operators' file can't be read again")
+		r.failures.Warn("the operators' file can't be read again", logrus.Fields{"error": err})
 		return false
 	}
 	if op != nil {
 		if err := op.AgainstNames(r.cfg.Names, &r.cfg.Policy); err != nil {
-			r.log.WithError(err).Warn("the operators' file can't be used")
+			r.failures.Warn("the operators' file can't be used", logrus.Fields{"error": err})
 			return false
 		}
 		table, err := op.Table(r.cfg.Names, r.cfg.Policy.Shards)
 		if err != nil {
-			r.log.WithError(err).Warn("the operators' file can't be used")
+			r.failures.Warn("the operators' file can't be used", logrus.Fields{"error": err})
 			return false
 		}
 		if err := fits(r.cfg, op, r.beside); err != nil {
-			r.log.WithError(err).Warn("the operators' file can't be used")
+			r.failures.Warn("the operators' file can't be used", logrus.Fields{"error": err})
 			return false
 		}
 		if r.beside != nil {
 			if err := r.beside.Reload(op); err != nil {
-				r.log.WithError(err).Warn("the operators' file can't be used")
+				r.failures.Warn("the operators' file can't be used", logrus.Fields{"error": err})
 				return false
 			}
 		}
