Give up the dialling of a connection that nothing will go on

Cause: a replica that drains, moved, restarted or is gone had the connections that were still dialled to it brought up, and then closed (Update in internal/replica/pool.go only marked them): a handshake of work for the replica, and a place of the few connections held for up to the connect time.

Change: retiring a connection ends its dialling.

Tests: holdDials, by which connections come up in the moment in which they are given up, dials without the new context, as the order that it forces would be left to chance otherwise; what the tests ask for is unchanged.

Measured: TestADialIsGivenUpWhereAReplicaWas fails in its four cases without it; the package passes, with -race too.

--- a/internal/replica/blocked_test.go
+++ b/internal/replica/blocked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -47,8 +48,8 @@
 		s.Fatal(err, failed)
 	}
 	dial := s.pool.dial
-	s.pool.dial = func(address string) (*net.TCPConn, error) {
-		nc, err := dial(address)
+	s.pool.dial = func(ctx context.Context, address string) (*net.TCPConn, error) {
+		nc, err := dial(ctx, address)
 		if err == nil {
 			nc.SetWriteBuffer(smallBuffer)
 		}
@@ -59,8 +60,8 @@
 // fillSockets has connections come up with full sockets: the replica reads *filled bytes before the first frame.
 func (s *stand) fillSockets(filled *int64) {
 	dial := s.pool.dial
-	s.pool.dial = func(address string) (*net.TCPConn, error) {
-		nc, err := dial(address)
+	s.pool.dial = func(ctx context.Context, address string) (*net.TCPConn, error) {
+		nc, err := dial(ctx, address)
 		if err != nil {
 			return nc, err
 		}
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"os"
 	"slices"
@@ -21,7 +22,8 @@
 	p       *Pool
 	t       *target
 	address string
-	conn    *duplex.Conn // nil until it is up
+	conn    *duplex.Conn       // nil until it is up
+	hangUp  context.CancelFunc // ends its dialling
 
 	queue   [][]*entry           // calls not yet written
 	parts   map[string]*entry    // by id: not ended, written or not
@@ -51,16 +53,27 @@
 // open starts a connection.
 func (p *Pool) open(t *target) *link {
 	now := time.Now()
+	ctx, hangUp := context.WithCancel(context.Background())
 	l := &link{
-		p: p, t: t, address: t.Address, parts: map[string]*entry{}, ghosts: map[string]time.Time{},
+		p: p, t: t, address: t.Address, hangUp: hangUp, parts: map[string]*entry{}, ghosts: map[string]time.Time{},
 		heardAt: now, idleAt: now,
 	}
 	t.links = append(t.links, l)
 	p.links++
-	go l.run()
+	go l.run(ctx)
 	return l
 }
 
+// retire has a connection get no new part, and closes it once it is idle. One that is still dialled is given up: nothing
+// waits for it then, and a handshake would cost the replica work.
+func (l *link) retire() {
+	l.retired = true
+	if l.conn == nil {
+		l.hangUp()
+	}
+	l.wake()
+}
+
 // fits tells whether a call may go on this connection.
 func (l *link) fits(call []*exchange.Attempt, now time.Time) bool {
 	if l.retired || l.finished || len(l.parts)+len(call) > max(l.p.limits.Streams, len(call)) ||
@@ -120,8 +133,9 @@
 }
 
 // run is the goroutine of the connection.
-func (l *link) run() {
-	nc, err := l.p.dial(l.address)
+func (l *link) run(ctx context.Context) {
+	nc, err := l.p.dial(ctx, l.address)
+	l.hangUp()
 	if err == nil {
 		l.p.mu.Lock()
 		l.conn = duplex.New(writer{nc, l}, l, l.p.limits.WriteTime).ReadFirst()
--- a/internal/replica/endings_test.go
+++ b/internal/replica/endings_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -21,8 +22,8 @@
 func (s *stand) holdDials() (open func()) {
 	gate := make(chan struct{})
 	dial := s.pool.dial
-	s.pool.dial = func(address string) (*net.TCPConn, error) {
-		nc, err := dial(address)
+	s.pool.dial = func(ctx context.Context, address string) (*net.TCPConn, error) {
+		nc, err := dial(context.WithoutCancel(ctx), address) // it comes up even if it is given up in that moment
 		<-gate
 		return nc, err
 	}
@@ -107,8 +108,8 @@
 	s := newStand(t, testLimits())
 	dialled := 0
 	dial := s.pool.dial
-	s.pool.dial = func(address string) (*net.TCPConn, error) {
-		nc, err := dial(address)
+	s.pool.dial = func(ctx context.Context, address string) (*net.TCPConn, error) {
+		nc, err := dial(ctx, address)
 		p := s.accept()
 		p.nc.Close()
 		for end := time.Now().Add(patience); err == nil && !duplex.Waits(nc) && time.Now().Before(end); {
@@ -247,3 +248,33 @@
 	}
 	p.ended()
 }
+
+// A connection that is still dialled when its replica moved, restarted, drains or is gone is given up, and its place is free
+// at once: a handshake later would cost the replica work, and nothing would come of it.
+func TestADialIsGivenUpWhereAReplicaWas(t *testing.T) {
+	for name, change := range map[string]func(*exchange.Target){
+		"moved":     func(c *exchange.Target) { c.Address = "127.0.0.1:1" },
+		"restarted": func(c *exchange.Target) { c.Started = time.Now() },
+		"draining":  func(c *exchange.Target) { c.State = policy.Draining },
+		"removed":   func(c *exchange.Target) { c.State = policy.Removed },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := testLimits()
+			l.ConnectTime = 10 * patience
+			s := newStand(t, l)
+			target := exchange.Target{Replica: 2, Name: "h", Address: hanging(t), State: policy.Up}
+			s.pool.Update([]exchange.Target{target})
+			a := attempt("q.1")
+			s.pool.Send(2, []*exchange.Attempt{a})
+			if n := s.links(); n != 1 {
+				t.Fatalf("%d connections, want the one that is dialled", n)
+			}
+			change(&target)
+			s.pool.Update([]exchange.Target{target})
+			if r := s.sink.next(t); r.Attempt != a || r.Outcome != policy.Moot {
+				t.Errorf("%+v", r)
+			}
+			s.eventually("the dialling goes on", func() bool { return s.links() == 0 })
+		})
+	}
+}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -29,7 +30,7 @@
 	byProbe bool     // load is reported to probes only
 	sink    Sink
 	log     *logs.Limited
-	dial    func(address string) (*net.TCPConn, error)
+	dial    func(ctx context.Context, address string) (*net.TCPConn, error)
 
 	mu      sync.Mutex
 	targets map[uint64]*target
@@ -61,16 +62,19 @@
 		limits: cfg.Limits, reports: cfg.Policy.ReportNames, byProbe: cfg.Report == "on_probe", sink: sink,
 		log: logs.Limit(log, cfg.Limits.LogEvery), targets: map[uint64]*target{},
 		entries: map[*exchange.Attempt]*entry{},
-		dial:    func(address string) (*net.TCPConn, error) { return dial(address, cfg.Limits.ConnectTime) },
+		dial:    dialer(cfg.Limits.ConnectTime),
 	}
 }
 
-func dial(address string, within time.Duration) (*net.TCPConn, error) {
-	nc, err := net.DialTimeout("tcp", address, within)
-	if err != nil {
-		return nil, err
+func dialer(within time.Duration) func(ctx context.Context, address string) (*net.TCPConn, error) {
+	d := net.Dialer{Timeout: within}
+	return func(ctx context.Context, address string) (*net.TCPConn, error) {
+		nc, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return nc.(*net.TCPConn), nil
 	}
-	return nc.(*net.TCPConn), nil
 }
 
 // Update takes changed targets. A replica that drains or is gone gets nothing that is not yet written: the
@@ -95,8 +99,7 @@
 		for _, l := range t.links {
 			back = append(back, l.unqueue(policy.Moot)...)
 			unasked = append(unasked, l.unask()...)
-			l.retired = true
-			l.wake()
+			l.retire()
 		}
 		if c.State == policy.Removed && len(t.links) == 0 {
 			delete(p.targets, c.Replica)
@@ -207,8 +210,7 @@
 	if oldest == nil {
 		return false
 	}
-	oldest.retired = true
-	oldest.wake()
+	oldest.retire()
 	return true
 }
 
@@ -310,8 +312,7 @@
 	defer p.mu.Unlock()
 	for _, t := range p.targets {
 		for _, l := range t.links {
-			l.retired = true
-			l.wake()
+			l.retire()
 		}
 	}
 }
