--- a/internal/fleet/lead/lead.go
+++ b/internal/fleet/drainctl/lead.go
@@ -1,7 +1,7 @@
-// Package lead is the leader's step: from what it sees and hears it proposes commands for the agreed order of work.
+// Package drainctl is the leader's step: from what it sees and hears it proposes commands for the agreed order of work.
 // Pure: time and news come in, proposals go out. Whatever it proposes is checked again when it is applied, so a stale or
 // wrong leader cannot let go what the agreed state forbids. At rest, with nothing asked for, it proposes nothing.
-package lead
+package drainctl
 
 import (
 	"errors"
--- a/internal/fleet/lead/lead_test.go
+++ b/internal/fleet/drainctl/lead_test.go
@@ -1,4 +1,4 @@
-package lead
+package drainctl
 
 import (
 	"errors"
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"birchcart/internal/exchange"
-	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/drainctl"
 	"birchcart/internal/fleet/member"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/policy"
@@ -32,11 +32,11 @@
 
 // coordinators is the members' news as the leader takes it. Incarnations are times of start. Loads are those that came
 // with polls: they are told more often than gossip tells them.
-func coordinators(list []member.Member, loads map[string]told, voters map[string]bool, now time.Duration) []lead.Member {
-	out := make([]lead.Member, len(list))
+func coordinators(list []member.Member, loads map[string]told, voters map[string]bool, now time.Duration) []drainctl.Member {
+	out := make([]drainctl.Member, len(list))
 	for i, m := range list {
 		l, ok := loads[m.Name]
-		out[i] = lead.Member{
+		out[i] = drainctl.Member{
 			Name: m.Name, Zone: m.Zone, Status: states[m.State], Started: time.Duration(m.Incarnation), Voter: voters[m.Name],
 			Load: l.load, LoadKnown: ok && l.known, LoadAge: now - l.at,
 		}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -2,7 +2,7 @@
 //
 //	member ──letters──> mail ──┐                        ┌──> view.Step ──> drains laid over the exchange's list, grants file,
 //	council ──changes, news────┼──> Node.run: one step ─┤                  polls to the leader, leave to go
-//	exchange ──list, load──────┤    after any news, or   └──> lead.Step ──> proposals to the council (only while it leads)
+//	exchange ──list, load──────┤    after any news, or   └──> drainctl.Step ──> proposals to the council (only while it leads)
 //	SIGHUP ──operators' file───┘    ten times a second
 //	exchange ──queries──> shed <──letters── member: lanes, beside all this (shedding.go); what is in force they read of the copy
 //
@@ -27,7 +27,7 @@
 
 	"birchcart/internal/exchange"
 	"birchcart/internal/fleet/council"
-	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/drainctl"
 	"birchcart/internal/fleet/member"
 	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/shed"
@@ -86,7 +86,7 @@
 	writer   *writer
 	start    time.Time
 
-	ended    chan lead.Ended
+	ended    chan drainctl.Ended
 	verified chan verified
 	closed   chan struct{} // the seat was given up
 	looks    chan looked
@@ -107,9 +107,9 @@
 
 	// What follows belongs to run.
 	view      *view.View
-	lead      *lead.Lead
+	lead      *drainctl.Lead
 	toView    []view.Input
-	toLead    []lead.Input
+	toLead    []drainctl.Input
 	term      uint64 // in which this one leads; 0: it does not
 	asks      peerproto.Ask
 	voters    map[string]bool
@@ -344,7 +344,7 @@
 	case s.Leading:
 		n.term = s.Term
 		n.log.WithField("term", s.Term).Info("leads the council")
-		n.toLead = append(n.toLead, lead.Elected{Term: s.Term, Own: n.name}, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
+		n.toLead = append(n.toLead, drainctl.Elected{Term: s.Term, Own: n.name}, drainctl.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
 		n.fedAt, n.listFed = 0, time.Time{} // list and members are told at once
 		clear(n.loads)
 	default:
@@ -372,7 +372,7 @@
 	}
 	n.term = 0
 	n.waiting.none()
-	n.toLead = append(n.toLead, lead.Deposed{})
+	n.toLead = append(n.toLead, drainctl.Deposed{})
 }
 
 // Leave hands the lead over and says that this co-ordinator goes. What is laid stays laid until Stop.
--- a/internal/fleet/restore.go
+++ b/internal/fleet/restore.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/fleet/council"
-	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/drainctl"
 	"birchcart/internal/fleet/store"
 	"birchcart/internal/operator"
 )
@@ -52,7 +52,7 @@
 func (r *renewed) Save() ([]byte, error) {
 	limits, _ := r.order.Limits()
 	now := time.Duration(time.Now().UnixNano())
-	until := max(now, time.Duration(r.stopped.UnixNano())+lead.Longest(limits)+limits.Settle)
+	until := max(now, time.Duration(r.stopped.UnixNano())+drainctl.Longest(limits)+limits.Settle)
 	if err := r.ledger.Renew(now, until); err != nil {
 		return nil, err
 	}
--- a/internal/fleet/sessions_test.go
+++ b/internal/fleet/sessions_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/drainctl"
 	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
@@ -107,7 +107,7 @@
 // What a co-ordinator tells of its open unsafe queries comes to the leader's forecast: a session with one that may be open beyond the
 // deadline is named, and no offer is made of it; it is, once a later poll tells of none.
 func TestForecastKnowsWhatIsUnsafeAndOpen(t *testing.T) {
-	n := &Node{name: "b", copy: newCopy(), lead: lead.New(waveplan.Order)}
+	n := &Node{name: "b", copy: newCopy(), lead: drainctl.New(waveplan.Order)}
 	p := &sessions{n: n, section: &operator.Sessions{Most: 9}, rooms: map[string]migrate.Room{}, idle: map[string][]session.ID{}, unsafe: map[string][]migrate.Unsafe{}}
 	id := session.IDOf(1, []byte("k"))
 	limits := session.Limits{Revision: 1, InFlight: 9, PerMinute: 9, OfferFor: time.Second, IdleFor: time.Minute, Lease: time.Second, Grace: time.Second, SessionsMost: 9, Slots: 2}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/drainctl"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/member"
 	"birchcart/internal/fleet/peerproto"
@@ -31,7 +31,7 @@
 	n.taken()
 	n.feed(now)
 	var out []view.Output
-	var propose []lead.Output
+	var propose []drainctl.Output
 	var f grantsFile
 	var limits, asks int     // revisions agreed
 	var whole, unlisted bool // of an answer
@@ -40,12 +40,12 @@
 		if err := l.Halted(); err != nil && !n.halted {
 			n.halted = true
 			n.toView = append(n.toView, view.Halted{Err: err})
-			n.toLead = append(n.toLead, lead.Deposed{})
+			n.toLead = append(n.toLead, drainctl.Deposed{})
 		}
 		if l.Index() != n.index || l.Era() != n.era || !n.stepped {
 			n.index, n.era, n.stepped = l.Index(), l.Era(), true
 			n.toView = append(n.toView, view.Applied{State: n.copy.order, Index: n.index, Now: l.Now(), Era: n.era})
-			n.toLead = append(n.toLead, lead.Applied{State: n.copy.order, Index: n.index, Now: l.Now(), Era: n.era})
+			n.toLead = append(n.toLead, drainctl.Applied{State: n.copy.order, Index: n.index, Now: l.Now(), Era: n.era})
 			f.Items = n.copy.order.Items()
 		}
 		if a := n.answer; a != nil {
@@ -76,11 +76,11 @@
 	n.keepAgain(now)
 	for _, o := range propose {
 		switch o := o.(type) {
-		case lead.Propose:
+		case drainctl.Propose:
 			n.propose(o.Command)
-		case lead.HandOver:
+		case drainctl.HandOver:
 			go n.handOver()
-		case lead.Log:
+		case drainctl.Log:
 			n.log.Info(o.Text)
 		}
 	}
@@ -125,7 +125,7 @@
 	}
 	n.asks = peerproto.Ask{From: n.name, Limits: Limits(n.file, &n.s.Config.Policy), Asks: Asks(n.file)}
 	n.askedAt, n.lines.differs = 0, 0
-	n.toLead = append(n.toLead, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
+	n.toLead = append(n.toLead, drainctl.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
 }
 
 // sample measures the own load and tells it by gossip.
@@ -151,13 +151,13 @@
 	n.fedAt = now
 	n.loads[n.name] = n.own
 	maps.DeleteFunc(n.loads, func(_ string, l told) bool { return now-l.at > LoadFor })
-	n.toLead = append(n.toLead, lead.Members{List: coordinators(n.member.Members(), n.loads, n.voters, now)})
+	n.toLead = append(n.toLead, drainctl.Members{List: coordinators(n.member.Members(), n.loads, n.voters, now)})
 	n.mu.Lock()
 	list, known := n.list, n.list != nil && !n.stale
 	n.mu.Unlock()
 	if heard := n.s.Heard(); known && heard.After(n.listFed) {
 		n.listFed = heard
-		n.toLead = append(n.toLead, lead.Listed{List: machines(list), Age: max(time.Since(heard), 0)})
+		n.toLead = append(n.toLead, drainctl.Listed{List: machines(list), Age: max(time.Since(heard), 0)})
 	}
 }
 
@@ -210,7 +210,7 @@
 	raw, err := c.Encode()
 	if err != nil {
 		n.log.WithError(err).Error("a proposal can't be written")
-		n.toLead = append(n.toLead, lead.Ended{ID: c.ID, Err: err})
+		n.toLead = append(n.toLead, drainctl.Ended{ID: c.ID, Err: err})
 		return
 	}
 	n.proposing++
@@ -222,9 +222,9 @@
 		if errors.Is(err, ledger.ErrTwice) {
 			err = nil
 		}
-		e := lead.Ended{}
+		e := drainctl.Ended{}
 		if err, known := outcome(err); known {
-			e = lead.Ended{ID: c.ID, Err: err}
+			e = drainctl.Ended{ID: c.ID, Err: err}
 		}
 		n.ended <- e
 	}()
--- a/internal/fleet/world/leader.go
+++ b/internal/fleet/world/leader.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/drainctl"
 	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/world/clockwork"
@@ -20,19 +20,19 @@
 			return
 		}
 		n.leads = true
-		n.stepLead(lead.Elected{Term: n.v.term, Own: n.name}, n.leadApplied())
+		n.stepLead(drainctl.Elected{Term: n.v.term, Own: n.name}, n.leadApplied())
 	}
-	var in []lead.Input
+	var in []drainctl.Input
 	if n.w.Now >= n.newsAt { // the members' news and the list are confirmed once a second
 		n.newsAt = n.w.Now + time.Second
 		in = append(in, n.members())
 	}
 	if len(in) > 0 && n.stuck == 0 { // discovery confirms its list, as long as its news arrives
-		in = append(in, lead.Listed{List: n.w.lists.at(n.list)})
+		in = append(in, drainctl.Listed{List: n.w.lists.at(n.list)})
 	}
 	if n.asks != nil && n.asks != n.askedOf {
 		n.askedOf = n.asks
-		in = append(in, lead.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
+		in = append(in, drainctl.Asks{Limits: n.asks.Limits, Asks: n.asks.Asks})
 	}
 	n.stepLead(in...)
 }
@@ -40,20 +40,20 @@
 func (n *node) leadDown() {
 	if n.leads {
 		n.leads = false
-		n.stepLead(lead.Deposed{})
+		n.stepLead(drainctl.Deposed{})
 	}
 	n.proposed = nil
 }
 
-func (n *node) leadApplied() lead.Applied {
-	return lead.Applied{State: n.book.out, Index: uint64(n.applied), Now: n.book.led.Now()}
+func (n *node) leadApplied() drainctl.Applied {
+	return drainctl.Applied{State: n.book.out, Index: uint64(n.applied), Now: n.book.led.Now()}
 }
 
-func (n *node) polled(p peerproto.Poll) lead.Polled {
+func (n *node) polled(p peerproto.Poll) drainctl.Polled {
 	if n.w.Loose.AnyClock {
 		p.Wall = 0
 	}
-	return lead.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid, Wall: p.Wall}
+	return drainctl.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid, Wall: p.Wall}
 }
 
 // gossipLag is how old the members' news is, and deadAfter how long a silent one takes to be counted as gone.
@@ -63,11 +63,11 @@
 )
 
 // members is the gossip's news at this co-ordinator: whom nobody reaches is gone after a while.
-func (n *node) members() lead.Members {
-	out := make([]lead.Member, 0, len(n.w.nodes))
+func (n *node) members() drainctl.Members {
+	out := make([]drainctl.Member, 0, len(n.w.nodes))
 	load := n.w.loadOfOne()
 	for _, o := range n.w.nodes {
-		m := lead.Member{Name: o.name, Zone: zone(o.id, n.w.s.Zones), Status: takeout.Up, Started: clockwork.Epoch + o.started, Voter: o.v != nil,
+		m := drainctl.Member{Name: o.name, Zone: zone(o.id, n.w.s.Zones), Status: takeout.Up, Started: clockwork.Epoch + o.started, Voter: o.v != nil,
 			Load: load, LoadKnown: true, LoadAge: gossipLag}
 		if !o.up && n.w.Now-o.downAt > deadAfter {
 			m.Status, m.LoadKnown = takeout.Gone, false
@@ -77,7 +77,7 @@
 		}
 		out = append(out, m)
 	}
-	return lead.Members{List: out}
+	return drainctl.Members{List: out}
 }
 
 // loadOfOne: clients go to the co-ordinators whose processes are there.
@@ -104,9 +104,9 @@
 	return true
 }
 
-func (n *node) stepLead(in ...lead.Input) {
+func (n *node) stepLead(in ...drainctl.Input) {
 	for _, o := range n.lead.Step(n.mono(), n.wall(), in) {
-		if _, ok := o.(lead.HandOver); ok {
+		if _, ok := o.(drainctl.HandOver); ok {
 			inc := n.inc
 			n.w.After(0, func() {
 				if n.inc == inc && n.runs() {
@@ -114,7 +114,7 @@
 				}
 			})
 		}
-		p, ok := o.(lead.Propose)
+		p, ok := o.(drainctl.Propose)
 		if !ok {
 			continue
 		}
@@ -159,11 +159,11 @@
 }
 
 // ends tells the pure leader what came of its proposals up to the applied entry.
-func (n *node) ends(from int) (in []lead.Input) {
+func (n *node) ends(from int) (in []drainctl.Input) {
 	for i := from + 1; i <= n.applied; i++ {
 		if id, ok := n.proposed[i]; ok {
 			delete(n.proposed, i)
-			in = append(in, lead.Ended{ID: id, Err: n.w.results[i]})
+			in = append(in, drainctl.Ended{ID: id, Err: n.w.results[i]})
 		}
 	}
 	return in
--- a/internal/fleet/world/node.go
+++ b/internal/fleet/world/node.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/drainctl"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
@@ -57,7 +57,7 @@
 	snapAt  int
 
 	view    *view.View
-	lead    *lead.Lead
+	lead    *drainctl.Lead
 	leads   bool // the pure leader's step runs
 	leader  int  // whom it polls, -1: any voter
 	waiting []pending
@@ -90,7 +90,7 @@
 	n.leader, n.waiting, n.owed, n.flush, n.leads, n.proposed, n.toldView, n.askedOf = -1, nil, nil, false, false, nil, 0, nil
 	n.view = view.New(n.name, n.w.s.Limits.Lease)
 	n.view.NumberFrom(uint64(n.w.Now) + 1) // as by the start's time in nanoseconds
-	n.lead = lead.New(n.w.order)
+	n.lead = drainctl.New(n.w.order)
 	n.drains, n.grants = map[string]bool{}, nil
 	n.booted()
 	n.list = n.w.lists.newest()
@@ -232,7 +232,7 @@
 	n.owed = rest
 	n.stepView(in...)
 	if n.leads && n.toldAt != n.applied {
-		n.stepLead(append([]lead.Input{n.leadApplied()}, n.ends(n.toldAt)...)...)
+		n.stepLead(append([]drainctl.Input{n.leadApplied()}, n.ends(n.toldAt)...)...)
 		n.toldAt = n.applied
 	}
 }
--- a/internal/fleet/world/world.go
+++ b/internal/fleet/world/world.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"time"
 
-	"birchcart/internal/fleet/lead"
+	"birchcart/internal/fleet/drainctl"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/waveplan"
@@ -42,7 +42,7 @@
 	changes int                       // of leaders
 	leapt   bool                      // a clock is off by more than the offset of all
 	results map[int]error             // of entries refused when they were applied
-	order   lead.Order                // the planner's
+	order   drainctl.Order            // the planner's
 
 	checker *history.Checker
 	digest  hash.Hash64
