--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/sessionctl/steward.go
@@ -1,8 +1,8 @@
-// Package steward is what the leader proposes for pinned sessions: the limits of the operators' file, each co-ordinator's
+// Package sessionctl is what the leader proposes for pinned sessions: the limits of the operators' file, each co-ordinator's
 // share of slots, the release of who has been silent for longer than its lease, and the planner's moves. Pure: it looks at the agreed state and
 // says what it wants changed. Nothing waits for an end: what is wanted still, is proposed again, and what came twice or
 // late the agreed state refuses.
-package steward
+package sessionctl
 
 import (
 	"fmt"
--- a/internal/fleet/steward/steward_test.go
+++ b/internal/fleet/sessionctl/steward_test.go
@@ -1,4 +1,4 @@
-package steward
+package sessionctl
 
 import (
 	"encoding/json"
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -20,7 +20,7 @@
 	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/pins"
 	"birchcart/internal/fleet/session"
-	"birchcart/internal/fleet/steward"
+	"birchcart/internal/fleet/sessionctl"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
 	"birchcart/internal/operator"
@@ -55,7 +55,7 @@
 type sessions struct {
 	n        *Node
 	pins     *pins.Pins
-	steward  *steward.Steward
+	steward  *sessionctl.Steward
 	section  *operator.Sessions // in force here
 	no       uint64             // of the newest message of acts
 	lookAt   time.Duration      // of the next look of the steward
@@ -75,8 +75,8 @@
 	after    time.Duration    // own time until which parts of that one may run at replicas
 
 	mu   sync.Mutex
-	acts []session.Act  // of the own keeper, to be handed on
-	done []steward.Done // of the steward's proposals
+	acts []session.Act     // of the own keeper, to be handed on
+	done []sessionctl.Done // of the steward's proposals
 }
 
 // openSessions begins the part, if the section is there. It comes before the exchange runs.
@@ -85,7 +85,7 @@
 	if section == nil {
 		return
 	}
-	p := &sessions{n: n, steward: steward.New(), section: section, rooms: map[string]migrate.Room{}, idle: map[string][]session.ID{}, unsafe: map[string][]migrate.Unsafe{}, no: uint64(n.start.UnixNano())}
+	p := &sessions{n: n, steward: sessionctl.New(), section: section, rooms: map[string]migrate.Room{}, idle: map[string][]session.ID{}, unsafe: map[string][]migrate.Unsafe{}, no: uint64(n.start.UnixNano())}
 	p.pins = pins.New(pins.Options{
 		Name: n.name, Start: n.start, Exchange: s.Exchange, Log: n.log, Names: s.Config.Names, Policy: &s.Config.Policy,
 		Book: n.copy.book, Look: n.copy.look,
@@ -202,10 +202,10 @@
 	done := p.done
 	p.done = nil
 	p.mu.Unlock()
-	var out []steward.Propose
+	var out []sessionctl.Propose
 	n.copy.look(func() {
 		p.look(now, at)
-		out = p.steward.Step(steward.Look{
+		out = p.steward.Step(sessionctl.Look{
 			Now: now, Agreed: at, Book: n.copy.book, Order: n.copy.order, Want: p.limits(), Slots: p.section.Pool, Silent: n.lead.Silent, Done: done,
 			Sites: p.sites, PerSlot: p.perSlot(), Paused: n.copy.order.Asks().Paused,
 		})
@@ -340,7 +340,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.done = append(p.done, steward.Done{No: no, Known: known})
+	p.done = append(p.done, sessionctl.Done{No: no, Known: known})
 	p.mu.Unlock()
 }
 
