--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/pins/pins.go
@@ -3,7 +3,7 @@
 // own, so that the exchange's turn never waits for it or for what is agreed.
 //
 //	exchange ──Pinned, Over──> inputs ──┐                    ┌──Release, TurnAway──> exchange
-//	node ──News (index, lease)──────────┼──> keeper.Step ────┤
+//	node ──News (index, lease)──────────┼──> sessionowner.Step ────┤
 //	clock ──────────────────────────────┘                    └──acts──> node, to the council
 package pins
 
@@ -19,9 +19,9 @@
 
 	"birchcart/internal/exchange"
 	"birchcart/internal/fleet/completed"
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
 	"birchcart/policy"
@@ -69,14 +69,14 @@
 // Pins keeps the queries of pinned sessions in order. It is an exchange.Pins.
 type Pins struct {
 	o       Options
-	keeper  *keeper.Keeper // run's alone
-	checked time.Duration  // run's alone, as the next
+	keeper  *sessionowner.Keeper // run's alone
+	checked time.Duration        // run's alone, as the next
 	idledAt time.Duration
 	askedAt time.Duration // when the keeper was last asked what is unsafe and open
-	opened  []keeper.Open
+	opened  []sessionowner.Open
 	look    func() // steps the keeper with what is given; one for all steps, as it costs memory
-	given   []keeper.Input
-	words   []keeper.Output
+	given   []sessionowner.Input
+	words   []sessionowner.Output
 	lease   atomic.Int64 // own time until which a served answer may be given; 0: not
 	holders atomic.Pointer[[][]string]
 	file    atomic.Pointer[rules]
@@ -84,20 +84,20 @@
 	seed    maphash.Seed // for clients' names
 
 	mu     sync.Mutex
-	in     []keeper.Input
-	spare  []keeper.Input // the one before, to be used again
+	in     []sessionowner.Input
+	spare  []sessionowner.Input // the one before, to be used again
 	by     map[*exchange.Query]*pin
 	tokens map[uint64]*pin
 	ended  []*pin // the keeper has not been told of their end, or is just being told
 	free   []*pin // to be used again
 	last   uint64
-	lent   keeper.Lease // newest, not yet given
+	lent   sessionowner.Lease // newest, not yet given
 	index  uint64
 	era    uint64
 	agreed time.Duration
 	moved  bool
 	news   bool
-	sums   keeper.Sums
+	sums   sessionowner.Sums
 	idle   []session.ID // while it leaves
 	unsafe []peerproto.Open
 	openAt time.Duration // own time as of which they are
@@ -113,8 +113,8 @@
 	effect policy.Effect
 	told   atomic.Bool // the keeper gave its word: no served answer any more
 	// What the keeper is told of it, in one piece of memory.
-	arrived keeper.Arrived
-	ended   keeper.Ended
+	arrived sessionowner.Arrived
+	ended   sessionowner.Ended
 }
 
 // rules are what the operators' file pins.
@@ -151,7 +151,7 @@
 	}
 	p.file.Store(r)
 	if p.keeper == nil {
-		p.keeper = keeper.New(p.o.Name, keeper.Options{SessionsMost: s.Most})
+		p.keeper = sessionowner.New(p.o.Name, sessionowner.Options{SessionsMost: s.Most})
 	}
 }
 
@@ -164,7 +164,7 @@
 	p.mu.Lock()
 	p.moved = p.moved || index != p.index || era != p.era
 	p.index, p.era, p.agreed = index, era, agreed
-	p.lent, p.news = keeper.Lease{Until: until, Sure: until > 0}, true
+	p.lent, p.news = sessionowner.Lease{Until: until, Sure: until > 0}, true
 	p.mu.Unlock()
 	p.nudge()
 }
@@ -174,7 +174,7 @@
 	p.mu.Lock()
 	p.leaves = true
 	p.mu.Unlock()
-	p.put(keeper.Leaving{})
+	p.put(sessionowner.Leaving{})
 }
 
 // Stay says that this co-ordinator goes no more.
@@ -182,7 +182,7 @@
 	p.mu.Lock()
 	p.leaves, p.idle = false, nil
 	p.mu.Unlock()
-	p.put(keeper.Staying{})
+	p.put(sessionowner.Staying{})
 }
 
 // Idle are sessions of which nothing was open at the last step, the longest unused first, while this co-ordinator leaves.
@@ -207,7 +207,7 @@
 }
 
 // Sums are the keeper's counts as of its last step.
-func (p *Pins) Sums() keeper.Sums {
+func (p *Pins) Sums() sessionowner.Sums {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.sums
@@ -220,7 +220,7 @@
 	return p.busy
 }
 
-func (p *Pins) put(in keeper.Input) {
+func (p *Pins) put(in sessionowner.Input) {
 	p.mu.Lock()
 	p.in = append(p.in, in)
 	p.mu.Unlock()
@@ -244,7 +244,7 @@
 	}
 	class := &p.o.Policy.Classes[q.Class]
 	var key [keyRoom]byte
-	arrived := keeper.Arrived{
+	arrived := sessionowner.Arrived{
 		Session: session.IDOf(q.Tenant, append(key[:0], q.Session...)), Client: maphash.String(p.seed, q.Client), Effect: effects[class.Effect], Lane: r.lanes[q.Tenant+1],
 		Due: q.Due.Sub(p.o.Start), Window: time.Duration(class.Window * float64(time.Second)), Needs: needs(*p.holders.Load(), q.Parts),
 	}
@@ -261,7 +261,7 @@
 	}
 	p.last++
 	arrived.Token = p.last
-	n.token, n.q, n.effect, n.arrived, n.ended = p.last, q, class.Effect, arrived, keeper.Ended{}
+	n.token, n.q, n.effect, n.arrived, n.ended = p.last, q, class.Effect, arrived, sessionowner.Ended{}
 	p.by[q], p.tokens[n.token] = n, n
 	p.in = append(p.in, &n.arrived)
 	p.mu.Unlock()
@@ -289,7 +289,7 @@
 	return all
 }
 
-var effects = map[policy.Effect]keeper.Effect{policy.Safe: keeper.Safe, policy.Keyed: keeper.Keyed, policy.Unsafe: keeper.Unsafe}
+var effects = map[policy.Effect]sessionowner.Effect{policy.Safe: sessionowner.Safe, policy.Keyed: sessionowner.Keyed, policy.Unsafe: sessionowner.Unsafe}
 
 // Begin implements exchange.Pins: a release may lie in the inbox while the process is stopped, and what was sure when it was
 // given need not be any more.
@@ -300,7 +300,7 @@
 	if n == nil || !n.told.Load() && p.now() < time.Duration(p.lease.Load()) {
 		return exchange.Reply{}, true
 	}
-	return exchange.Reply{Status: exchange.Refused, After: p.after(keeper.BackLater)}, false
+	return exchange.Reply{Status: exchange.Refused, After: p.after(sessionowner.BackLater)}, false
 }
 
 // Final implements exchange.Pins: an answer is given as served only while the lease is sure at this very moment and the
@@ -318,7 +318,7 @@
 	if n.effect != policy.Safe { // of a keyed one nobody here looks at what is left of its window
 		return exchange.Reply{Status: exchange.Failed}
 	}
-	return exchange.Reply{Status: exchange.Refused, After: p.after(keeper.BackLater)}
+	return exchange.Reply{Status: exchange.Refused, After: p.after(sessionowner.BackLater)}
 }
 
 // after is a time to come back as the settings allow it.
@@ -343,9 +343,9 @@
 	in.Token, in.Told = n.token, true
 	switch {
 	case o.Served:
-		in.Outcome = keeper.Done
+		in.Outcome = sessionowner.Done
 	case o.Ran:
-		in.Outcome = keeper.MayHaveRun
+		in.Outcome = sessionowner.MayHaveRun
 	}
 	if !o.Until.IsZero() {
 		in.Until = o.Until.Sub(p.o.Start)
@@ -381,7 +381,7 @@
 	in := p.in
 	p.in = p.spare[:0]
 	if p.moved {
-		in = append(in, keeper.Applied{Book: p.o.Book, Index: p.index, Agreed: p.agreed, Era: p.era})
+		in = append(in, sessionowner.Applied{Book: p.o.Book, Index: p.index, Agreed: p.agreed, Era: p.era})
 	}
 	lent, leaves, ended := p.lent, p.leaves, len(p.ended)
 	if p.news {
@@ -396,9 +396,9 @@
 	var acts []session.Act
 	for _, o := range out { // refusals and recalls before the lease is published, releases after it: Begin looks at both
 		switch o := o.(type) {
-		case keeper.Act:
+		case sessionowner.Act:
 			acts = append(acts, o.Act)
-		case keeper.Run:
+		case sessionowner.Run:
 		default:
 			p.do(o)
 		}
@@ -410,7 +410,7 @@
 	}
 	p.lease.Store(int64(until))
 	for _, o := range out {
-		if r, ok := o.(keeper.Run); ok {
+		if r, ok := o.(sessionowner.Run); ok {
 			p.do(r)
 		}
 	}
@@ -468,24 +468,24 @@
 }
 
 // do carries out one word of the keeper's.
-func (p *Pins) do(o keeper.Output) {
+func (p *Pins) do(o sessionowner.Output) {
 	find := func(token uint64) *pin {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.tokens[token]
 	}
 	switch o := o.(type) {
-	case keeper.Run:
+	case sessionowner.Run:
 		if n := find(o.Token); n != nil {
 			p.o.Exchange.Release(n.q)
 		}
-	case keeper.Refuse:
+	case sessionowner.Refuse:
 		p.turn(find(o.Token), exchange.Reply{Status: exchange.Refused, After: p.after(o.After), Owner: o.Owner})
-	case keeper.Recall:
+	case sessionowner.Recall:
 		p.turn(find(o.Token), exchange.Reply{Status: exchange.Refused, After: p.after(o.After), Owner: o.Owner})
-	case keeper.Fail:
+	case sessionowner.Fail:
 		p.turn(find(o.Token), exchange.Reply{Status: exchange.Failed})
-	case keeper.Log:
+	case sessionowner.Log:
 		p.o.Log.Info(o.Text)
 	}
 }
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/sessionowner/keeper.go
@@ -1,4 +1,4 @@
-package keeper
+package sessionowner
 
 import (
 	"bytes"
--- a/internal/fleet/keeper/types.go
+++ b/internal/fleet/sessionowner/types.go
@@ -1,11 +1,11 @@
-// Package keeper is one co-ordinator's side of pinned sessions: which queries of a session begin and in which order,
+// Package sessionowner is one co-ordinator's side of pinned sessions: which queries of a session begin and in which order,
 // which wait, when a session is quiet enough to be handed on, and what a client is told. Pure: time comes in, by the own
 // monotonic clock, and what is to be done comes out. What is agreed is read only; acts upon it go out as proposals and
 // count when the state shows them.
 //
 // Each query that Arrived gets exactly one word: a served answer that MayAnswer allowed, or one Refuse, Recall or Fail. Of one
 // that came to Run the keeper wants to hear Ended, whatever was told meanwhile: its slots are in use until then.
-package keeper
+package sessionowner
 
 import (
 	"time"
--- a/internal/fleet/world/pinned/canon.go
+++ b/internal/fleet/world/pinned/canon.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/fleet/world/clockwork"
 )
 
@@ -233,7 +233,7 @@
 		c.value(v.Elem(), whole, "")
 	case reflect.Struct:
 		t := v.Type()
-		if t == reflect.TypeFor[keeper.Keeper]() { // its clock against the agreed one
+		if t == reflect.TypeFor[sessionowner.Keeper]() { // its clock against the agreed one
 			c.word(uint64(v.FieldByName("agreed").Int() - v.FieldByName("agreedAt").Int()))
 		}
 		for _, f := range planOf(t) {
--- a/internal/fleet/world/pinned/client.go
+++ b/internal/fleet/world/pinned/client.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"birchcart/internal/fleet/completed"
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/pinned/history"
 )
@@ -30,7 +30,7 @@
 // query of a client. It may be sent several times, as several requests.
 type query struct {
 	n      int32
-	effect keeper.Effect
+	effect sessionowner.Effect
 	lasts  time.Duration
 	until  time.Duration // no more tries after
 	first  time.Duration
@@ -75,11 +75,11 @@
 	q := &query{n: cl.next, lasts: clockwork.Between(w.rng, QueryMost/4, QueryMost), first: w.Now, until: w.Now + 2*QueryMost}
 	switch w.rng.IntN(10) {
 	case 0, 1:
-		q.effect = keeper.Keyed
+		q.effect = sessionowner.Keyed
 	case 2, 3:
-		q.effect = keeper.Unsafe
+		q.effect = sessionowner.Unsafe
 	}
-	if q.effect != keeper.Safe {
+	if q.effect != sessionowner.Safe {
 		q.id = completed.IDOf(fmt.Sprint(q.n))
 	}
 	first := w.rng.IntN(len(w.replicas))
@@ -125,7 +125,7 @@
 	w.tell(history.Event{Kind: history.Got, Request: rq.id, Outcome: outcome, Why: why})
 	switch {
 	case q.again && outcome != history.Refused: // that nothing of it ran is the checker's to see
-		if outcome == history.Failed && why == keeper.Repeated.String() {
+		if outcome == history.Failed && why == sessionowner.Repeated.String() {
 			w.Figures.Repeated++
 			if rq.to.id != q.at {
 				w.Figures.Elsewhere++
@@ -134,13 +134,13 @@
 		return
 	case outcome == history.Served:
 		w.done(q, true)
-		if w.s.Repeat && q.effect == keeper.Unsafe {
+		if w.s.Repeat && q.effect == sessionowner.Unsafe {
 			copied := *q
 			copied.again, copied.at, copied.until = true, rq.to.id, w.Now+repeatWithin+2*QueryMost
 			w.After(clockwork.Between(w.rng, 0, repeatWithin), func() { cl.send(&copied) })
 		}
 		return
-	case outcome == history.Failed, outcome == history.Broken && why != down && q.effect == keeper.Unsafe:
+	case outcome == history.Failed, outcome == history.Broken && why != down && q.effect == sessionowner.Unsafe:
 		q.errs++
 		w.errs(cl.n)
 		w.done(q, false)
--- a/internal/fleet/world/pinned/co.go
+++ b/internal/fleet/world/pinned/co.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/fleet/view"
 	"birchcart/internal/fleet/world/pinned/history"
 )
@@ -25,7 +25,7 @@
 	held        []held
 	copy        *agreed
 	view        *view.View
-	keeper      *keeper.Keeper
+	keeper      *sessionowner.Keeper
 	bornAt      time.Duration // own
 	hint        int           // who leads, -1: not known
 	asked       bool          // a poll is not answered yet
@@ -97,7 +97,7 @@
 	}
 	c.view = view.New(c.name, w.limits.Lease)
 	c.view.NumberFrom(uint64(w.Now) + 1)
-	c.keeper = keeper.New(c.name, keeper.Options{})
+	c.keeper = sessionowner.New(c.name, sessionowner.Options{})
 	if w.Now > 0 {
 		w.tell(history.Event{Kind: history.Ended, By: int32(c.id)})
 	}
@@ -184,35 +184,35 @@
 }
 
 // lease as the keeper is told of it. A process acts only once what the one before it had out is over at the replicas.
-func (c *co) lease() keeper.Lease {
+func (c *co) lease() sessionowner.Lease {
 	now, lease := c.mono(), c.w.limits.Lease
 	if c.view.CutOff(now) || !c.w.Loose.Fresh && c.inc > 1 && now-c.bornAt < GraceLeast {
-		return keeper.Lease{}
+		return sessionowner.Lease{}
 	}
-	return keeper.Lease{Until: now - c.view.Age(now) + lease - lease/view.Drift, Sure: true}
+	return sessionowner.Lease{Until: now - c.view.Age(now) + lease - lease/view.Drift, Sure: true}
 }
 
 // step is a turn of the keeper.
-func (c *co) step(in ...keeper.Input) {
+func (c *co) step(in ...sessionowner.Input) {
 	if c.w.err != nil {
 		return
 	}
 	for _, o := range c.keeper.Step(c.mono(), in) {
 		switch o := o.(type) {
-		case keeper.Run:
+		case sessionowner.Run:
 			c.begin(o)
-		case keeper.Refuse:
+		case sessionowner.Refuse:
 			c.answer(o.Token, history.Refused, o.Why.String(), o.After, o.Owner)
-		case keeper.Fail:
+		case sessionowner.Fail:
 			c.answer(o.Token, history.Failed, o.Why.String(), 0, "")
-		case keeper.Recall:
+		case sessionowner.Recall:
 			c.answer(o.Token, history.Refused, o.Why.String(), o.After, o.Owner)
 			if run := c.open[o.Token]; run != nil {
 				for _, cancel := range run.cancels {
 					c.w.After(c.w.link(), cancel)
 				}
 			}
-		case keeper.Act:
+		case sessionowner.Act:
 			if len(c.acts) == 0 {
 				c.later(time.Millisecond, c.flush)
 			}
@@ -232,7 +232,7 @@
 	c.conns[rq.id] = rq
 	c.deliver(c.inc, func() {
 		c.w.tell(history.Event{Kind: history.Arrived, Request: rq.id})
-		c.step(keeper.Arrived{Token: rq.id, Session: rq.cl.id, Client: uint64(rq.cl.n), Effect: rq.q.effect, Due: c.mono() + rq.due - c.w.Now,
+		c.step(sessionowner.Arrived{Token: rq.id, Session: rq.cl.id, Client: uint64(rq.cl.n), Effect: rq.q.effect, Due: c.mono() + rq.due - c.w.Now,
 			Window: 3 * QueryMost, Needs: rq.q.needs, ID: rq.q.id})
 	})
 }
@@ -242,15 +242,15 @@
 		c.deliver(c.inc, func() {
 			delete(c.conns, rq.id)
 			c.gone = rq.id
-			c.step(keeper.Left{Token: rq.id})
+			c.step(sessionowner.Left{Token: rq.id})
 		})
 	}
 }
 
-func (c *co) begin(r keeper.Run) {
+func (c *co) begin(r sessionowner.Run) {
 	rq := c.conns[r.Token]
 	if rq == nil && r.Token == c.gone { // its turn came in the step that learns of it, by time: it ends without having run
-		c.later(0, func() { c.step(keeper.Ended{Token: r.Token, Outcome: keeper.NotRun, Told: true}) })
+		c.later(0, func() { c.step(sessionowner.Ended{Token: r.Token, Outcome: sessionowner.NotRun, Told: true}) })
 		return
 	}
 	if rq == nil {
@@ -270,10 +270,10 @@
 }
 
 // over is the end of a query that ran.
-func (c *co) over(o *out, outcome keeper.Outcome) {
+func (c *co) over(o *out, outcome sessionowner.Outcome) {
 	id := o.rq.id
 	delete(c.open, id)
-	if c.conns[id] != nil && outcome == keeper.Done && (c.w.Loose.Unasked || c.keeper.MayAnswer(c.mono(), id)) {
+	if c.conns[id] != nil && outcome == sessionowner.Done && (c.w.Loose.Unasked || c.keeper.MayAnswer(c.mono(), id)) {
 		c.w.tell(history.Event{Kind: history.Answered, Request: id, By: int32(c.id), Outcome: history.Served, Epoch: o.epoch})
 		rq := c.conns[id]
 		delete(c.conns, id)
@@ -281,7 +281,7 @@
 	} else {
 		c.w.tell(history.Event{Kind: history.GivenUp, Request: id, By: int32(c.id)})
 	}
-	c.step(keeper.Ended{Token: id, Outcome: outcome})
+	c.step(sessionowner.Ended{Token: id, Outcome: outcome})
 }
 
 func (c *co) answer(token uint64, outcome history.Outcome, why string, after time.Duration, owner string) {
--- a/internal/fleet/world/pinned/faults.go
+++ b/internal/fleet/world/pinned/faults.go
@@ -4,8 +4,8 @@
 	"maps"
 	"time"
 
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/fleet/world/clockwork"
 )
 
@@ -154,7 +154,7 @@
 			w.elect() // it hands over before it goes
 		}
 		if c.up {
-			c.deliver(c.inc, func() { c.step(keeper.Leaving{}) })
+			c.deliver(c.inc, func() { c.step(sessionowner.Leaving{}) })
 		}
 	}
 	for _, i := range waves[0] {
--- a/internal/fleet/world/pinned/figures.go
+++ b/internal/fleet/world/pinned/figures.go
@@ -5,9 +5,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionowner"
 )
 
 // Figures of a world, beside those of its history.
@@ -93,7 +93,7 @@
 		switch {
 		case r.Owner == c.name && r.Phase == session.Offered:
 			p := c.keeper.Phase(r.ID)
-			if _, known := w.stopped[r.ID]; !known && (p == keeper.Quiescing || p == keeper.Frozen) {
+			if _, known := w.stopped[r.ID]; !known && (p == sessionowner.Quiescing || p == sessionowner.Frozen) {
 				w.stopped[r.ID] = w.Now
 			}
 		case r.Owner == c.name && r.Phase == session.Handed:
@@ -101,7 +101,7 @@
 		}
 	}
 	for id := range c.quiescing {
-		if c.keeper.Phase(id) != keeper.Pinned {
+		if c.keeper.Phase(id) != sessionowner.Pinned {
 			continue
 		}
 		delete(c.quiescing, id)
--- a/internal/fleet/world/pinned/moves.go
+++ b/internal/fleet/world/pinned/moves.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/fleet/world/pinned/history"
 )
 
@@ -127,16 +127,16 @@
 			if _, open := s.asked[q.request]; open {
 				delete(s.asked, q.request)
 				s.tell(history.Event{Kind: history.Got, Request: q.request, Outcome: history.Broken})
-				q.over = q.effect == keeper.Unsafe && s.off != OffAgain
+				q.over = q.effect == sessionowner.Unsafe && s.off != OffAgain
 			}
 			delete(s.tokens, q.request)
 		}
 	}
 	s.tell(history.Event{Kind: history.Ended, By: int32(i)})
-	*n = smallNode{keeper: keeper.New(smallName(i), keeper.Options{}), applied: n.applied, born: s.now, started: true}
+	*n = smallNode{keeper: sessionowner.New(smallName(i), sessionowner.Options{}), applied: n.applied, born: s.now, started: true}
 	s.words = slices.DeleteFunc(slices.Clone(s.words), func(w smallWord) bool { return w.answer && w.node == i })
 	book := s.books[n.applied]
-	s.step(i, keeper.Applied{Book: book, Index: uint64(n.applied), Agreed: book.Now()})
+	s.step(i, sessionowner.Applied{Book: book, Index: uint64(n.applied), Agreed: book.Now()})
 }
 
 func (s *small) queryMoves(at int, add func(string, func(), string, ...any)) {
@@ -172,16 +172,16 @@
 	s.tell(history.Event{Kind: history.Sent, Request: q.request, Session: int32(q.session), Query: int32(at), Effect: history.Effect(q.effect),
 		By: int32(to), Due: q.due})
 	s.tell(history.Event{Kind: history.Arrived, Request: q.request})
-	s.step(to, keeper.Arrived{Token: q.request, Session: smallID(q.session), Effect: q.effect, Due: q.due, Window: time.Minute, Needs: []string{"r"}})
+	s.step(to, sessionowner.Arrived{Token: q.request, Session: smallID(q.session), Effect: q.effect, Due: q.due, Window: time.Minute, Needs: []string{"r"}})
 }
 
 // ends is the end of a part at the replica.
 func (s *small) ends(at int, effect bool) {
 	q := &s.queries[at]
 	s.tell(history.Event{Kind: history.Ran, Request: q.request, On: effect})
-	q.parts, q.outcome = 3, keeper.MayHaveRun
+	q.parts, q.outcome = 3, sessionowner.MayHaveRun
 	if effect {
-		q.outcome = keeper.Done
+		q.outcome = sessionowner.Done
 	}
 	if _, known := s.tokens[q.request]; !known { // its process has gone
 		q.parts, q.request = 0, 0
@@ -194,12 +194,12 @@
 	token := q.request
 	q.parts = 0
 	_, open := s.asked[token]
-	if open && q.outcome == keeper.Done && (s.off == OffAsk || s.nodes[q.at].keeper.MayAnswer(s.now, token)) {
+	if open && q.outcome == sessionowner.Done && (s.off == OffAsk || s.nodes[q.at].keeper.MayAnswer(s.now, token)) {
 		s.told(q.at, token, history.Served, "")
 	} else {
 		s.tell(history.Event{Kind: history.GivenUp, Request: token, By: int32(q.at)})
 	}
-	s.step(q.at, keeper.Ended{Token: token, Outcome: q.outcome})
+	s.step(q.at, sessionowner.Ended{Token: token, Outcome: q.outcome})
 	delete(s.tokens, token)
 	q.request = 0
 }
@@ -216,7 +216,7 @@
 		if q.parts == 2 {
 			s.ends(at, false)
 		} else {
-			q.parts, q.outcome = 3, keeper.MayHaveRun
+			q.parts, q.outcome = 3, sessionowner.MayHaveRun
 			if _, known := s.tokens[q.request]; !known {
 				q.parts, q.request = 0, 0
 			}
--- a/internal/fleet/world/pinned/polls.go
+++ b/internal/fleet/world/pinned/polls.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/fleet/view"
 )
 
@@ -168,7 +168,7 @@
 	if !c.w.s.Shared {
 		agreed = c.copy.led.Now()
 	}
-	c.step(keeper.Applied{Book: book, Index: uint64(c.copy.index), Agreed: agreed}, c.lease())
+	c.step(sessionowner.Applied{Book: book, Index: uint64(c.copy.index), Agreed: agreed}, c.lease())
 	for r := range book.Flights {
 		if r.Owner == c.name || r.To == c.name || r.Source == c.name {
 			c.hot()
--- a/internal/fleet/world/pinned/replica.go
+++ b/internal/fleet/world/pinned/replica.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"birchcart/internal/fleet/keeper"
+	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/pinned/history"
 )
@@ -42,15 +42,15 @@
 // part of a query that a co-ordinator has out.
 type part struct {
 	ended   bool
-	outcome keeper.Outcome
+	outcome sessionowner.Outcome
 }
 
 // sendPart lets one part of a query go to a replica, and sees to its end at the co-ordinator in any case.
 func (c *co) sendPart(o *out, p *part, r *replica) {
 	w := c.w
 	inc, left := c.inc, o.rq.due-w.Now
-	over := func(outcome keeper.Outcome) { c.partEnded(inc, o, p, outcome) }
-	w.After(left+PartOver, func() { over(keeper.MayHaveRun) })
+	over := func(outcome sessionowner.Outcome) { c.partEnded(inc, o, p, outcome) }
+	w.After(left+PartOver, func() { over(sessionowner.MayHaveRun) })
 	if w.partCut(c, r) {
 		return
 	}
@@ -59,21 +59,21 @@
 		way += clockwork.Between(w.rng, 0, PartLate-way)
 	}
 	w.After(way, func() {
-		back := func(outcome keeper.Outcome) {
+		back := func(outcome sessionowner.Outcome) {
 			if !w.partCut(c, r) {
 				w.After(w.link(), func() { over(outcome) })
 			}
 		}
 		switch {
 		case !r.up || w.rng.Float64() < w.s.Rough/4:
-			back(keeper.NotRun)
+			back(sessionowner.NotRun)
 		default:
 			r.begin(o, left, back)
 		}
 	})
 }
 
-func (r *replica) begin(o *out, left time.Duration, back func(keeper.Outcome)) {
+func (r *replica) begin(o *out, left time.Duration, back func(sessionowner.Outcome)) {
 	w, rq := r.w, o.rq
 	key := partKey{rq.id, r.inc}
 	w.tell(history.Event{Kind: history.Runs, Request: rq.id, Replica: int32(r.n)})
@@ -97,15 +97,15 @@
 		}
 		end(needs <= left)
 		if needs <= left && !broken {
-			back(keeper.Done)
+			back(sessionowner.Done)
 		} else {
-			back(keeper.MayHaveRun)
+			back(sessionowner.MayHaveRun)
 		}
 	})
 	o.cancels = append(o.cancels, func() { // its connection was closed by the co-ordinator
 		if r.runs[key] != nil {
 			end(false)
-			back(keeper.MayHaveRun)
+			back(sessionowner.MayHaveRun)
 		}
 	})
 }
@@ -127,7 +127,7 @@
 }
 
 // partEnded takes the end of one part; with the last of them the query is over.
-func (c *co) partEnded(inc int, o *out, p *part, outcome keeper.Outcome) {
+func (c *co) partEnded(inc int, o *out, p *part, outcome sessionowner.Outcome) {
 	if p.ended || c.inc != inc {
 		return
 	}
@@ -136,7 +136,7 @@
 			return
 		}
 		p.ended, p.outcome = true, outcome
-		all := keeper.Outcome(255)
+		all := sessionowner.Outcome(255)
 		for _, one := range o.parts {
 			switch {
 			case !one.ended:
@@ -144,7 +144,7 @@
 			case all == 255 || all == one.outcome:
 				all = one.outcome
 			default:
-				all = keeper.MayHaveRun
+				all = sessionowner.MayHaveRun
 			}
 		}
 		c.over(o, all)
--- a/internal/fleet/world/pinned/shared.go
+++ b/internal/fleet/world/pinned/shared.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/pool"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionowner"
 )
 
 // reading is what a leader reads of its own copy. In a shared world that is the state above all, which a leader has at once.
@@ -26,7 +26,7 @@
 }
 
 // reader is what the keeper reads.
-func (c *co) reader() keeper.Reader {
+func (c *co) reader() sessionowner.Reader {
 	if c.w.s.Shared {
 		return past{c}
 	}
--- a/internal/fleet/world/pinned/small.go
+++ b/internal/fleet/world/pinned/small.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"birchcart/internal/fleet/keeper"
 	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/fleet/world/clockwork"
 	"birchcart/internal/fleet/world/pinned/history"
 )
@@ -46,7 +46,7 @@
 var Offs = []Off{OffLease, OffSending, OffReleasing, OffSilence, OffGrace, OffFresh, OffAsk, OffEpoch, OffFreed, OffEnded, OffAgain, OffLeader}
 
 type smallNode struct {
-	keeper       *keeper.Keeper
+	keeper       *sessionowner.Keeper
 	applied      int
 	until, born  time.Duration
 	sure, asleep bool
@@ -55,13 +55,13 @@
 
 type smallQueryState struct {
 	session int
-	effect  keeper.Effect
+	effect  sessionowner.Effect
 	tries   int
 	request uint64 // of the open try; 0: none
 	at      int
 	due     time.Duration
 	parts   int // 0: not out, 1: on its way, 2: runs, 3: its end is on its way back
-	outcome keeper.Outcome
+	outcome sessionowner.Outcome
 	epoch   uint64
 	over    bool // served, or never sent again
 }
@@ -135,15 +135,15 @@
 	s.commit(session.KindPlan, session.PlanBody{Shifts: []session.Shift{{To: "a", Replica: "r", N: 1}, {To: "b", Replica: "r", N: 1}}})
 	for i := range smallCos {
 		s.heard[i] = s.now
-		s.nodes[i] = smallNode{keeper: keeper.New(smallName(i), keeper.Options{})}
+		s.nodes[i] = smallNode{keeper: sessionowner.New(smallName(i), sessionowner.Options{})}
 		s.answered(smallWord{answer: true, node: i, sent: s.now, index: len(s.books) - 1, lease: true})
 	}
-	s.queries = []smallQueryState{{session: 0, effect: keeper.Unsafe}, {session: 0, effect: keeper.Safe}, {session: 1, effect: keeper.Safe},
-		{session: 1, effect: keeper.Safe}}
+	s.queries = []smallQueryState{{session: 0, effect: sessionowner.Unsafe}, {session: 0, effect: sessionowner.Safe}, {session: 1, effect: sessionowner.Safe},
+		{session: 1, effect: sessionowner.Safe}}
 	for i := range 2 { // each session is claimed by a query that is not counted
 		s.words = nil
-		s.step(i, keeper.Arrived{Token: 1000 + uint64(i), Session: smallID(i), Due: s.now + smallQuery, Needs: []string{"r"}})
-		s.step(i, keeper.Left{Token: 1000 + uint64(i)})
+		s.step(i, sessionowner.Arrived{Token: 1000 + uint64(i), Session: smallID(i), Due: s.now + smallQuery, Needs: []string{"r"}})
+		s.step(i, sessionowner.Left{Token: 1000 + uint64(i)})
 		s.deliver(0)
 		s.answered(smallWord{answer: true, node: i, sent: s.now, index: len(s.books) - 1, lease: true})
 	}
@@ -200,30 +200,30 @@
 }
 
 // lease as the keeper of a node is told of it.
-func (s *small) lease(n *smallNode) keeper.Lease {
+func (s *small) lease(n *smallNode) sessionowner.Lease {
 	if s.off == OffLease && n.sure {
-		return keeper.Lease{Until: s.now + time.Hour, Sure: true}
+		return sessionowner.Lease{Until: s.now + time.Hour, Sure: true}
 	}
 	if n.started && s.off != OffFresh && s.now < n.born+smallLimits.Grace {
-		return keeper.Lease{}
+		return sessionowner.Lease{}
 	}
-	return keeper.Lease{Until: n.until, Sure: n.sure}
+	return sessionowner.Lease{Until: n.until, Sure: n.sure}
 }
 
-func (s *small) step(i int, in ...keeper.Input) {
+func (s *small) step(i int, in ...sessionowner.Input) {
 	n := &s.nodes[i]
 	outs := slices.Clone(n.keeper.Step(s.now, append(in, s.lease(n))))
 	for _, o := range outs {
 		switch o := o.(type) {
-		case keeper.Run:
+		case sessionowner.Run:
 			s.run(i, o)
-		case keeper.Refuse:
+		case sessionowner.Refuse:
 			s.told(i, o.Token, history.Refused, o.Why.String())
-		case keeper.Recall:
+		case sessionowner.Recall:
 			s.told(i, o.Token, history.Refused, o.Why.String())
-		case keeper.Fail:
+		case sessionowner.Fail:
 			s.told(i, o.Token, history.Failed, o.Why.String())
-		case keeper.Act:
+		case sessionowner.Act:
 			raw, err := json.Marshal(session.ActsBody{From: smallName(i), Acts: []session.Act{o.Act}})
 			if err != nil {
 				s.err = err
@@ -242,7 +242,7 @@
 	}
 }
 
-func (s *small) run(i int, r keeper.Run) {
+func (s *small) run(i int, r sessionowner.Run) {
 	at, known := s.tokens[r.Token]
 	if !known {
 		return // one of those before the beginning
@@ -267,9 +267,9 @@
 	}
 	s.tell(e)
 	s.tell(history.Event{Kind: history.Got, Request: token, Outcome: outcome})
-	q.over = q.over || outcome == history.Served || outcome == history.Failed && (q.effect != keeper.Unsafe || s.off != OffAgain)
+	q.over = q.over || outcome == history.Served || outcome == history.Failed && (q.effect != sessionowner.Unsafe || s.off != OffAgain)
 	if s.off == OffEnded && q.parts > 0 {
-		s.step(i, keeper.Ended{Token: token, Outcome: keeper.MayHaveRun})
+		s.step(i, sessionowner.Ended{Token: token, Outcome: sessionowner.MayHaveRun})
 	}
 	if q.parts == 0 {
 		q.request = 0
@@ -288,7 +288,7 @@
 		n.sure, n.until = true, max(n.until, from+smallLimits.Lease-smallLimits.Lease/100)
 	}
 	book := s.books[n.applied]
-	s.step(w.node, keeper.Applied{Book: book, Index: uint64(n.applied), Agreed: book.Now()})
+	s.step(w.node, sessionowner.Applied{Book: book, Index: uint64(n.applied), Agreed: book.Now()})
 	s.step(w.node)
 }
 
