--- a/internal/fleet/pins/pins.go
+++ b/internal/fleet/sessiongate/pins.go
@@ -1,11 +1,11 @@
-// Package pins is the thin I/O around a keeper of pinned sessions: it stands between the exchange, where queries come and
+// Package sessiongate is the thin I/O around a keeper of pinned sessions: it stands between the exchange, where queries come and
 // end, and the agreed state. It decides nothing: what waits, runs or is turned away the keeper says, in a goroutine of its
 // own, so that the exchange's turn never waits for it or for what is agreed.
 //
 //	exchange ──Pinned, Over──> inputs ──┐                    ┌──Release, TurnAway──> exchange
 //	node ──News (index, lease)──────────┼──> sessionowner.Step ────┤
 //	clock ──────────────────────────────┘                    └──acts──> node, to the council
-package pins
+package sessiongate
 
 import (
 	"context"
--- a/internal/fleet/pins/pins_test.go
+++ b/internal/fleet/sessiongate/pins_test.go
@@ -1,4 +1,4 @@
-package pins
+package sessiongate
 
 import (
 	"encoding/json"
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -18,9 +18,9 @@
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/peerproto"
-	"birchcart/internal/fleet/pins"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/sessionctl"
+	"birchcart/internal/fleet/sessiongate"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
 	"birchcart/internal/operator"
@@ -54,7 +54,7 @@
 // sessions is one co-ordinator's part in pinned sessions. What is not said to be shared belongs to the node's run.
 type sessions struct {
 	n        *Node
-	pins     *pins.Pins
+	pins     *sessiongate.Pins
 	steward  *sessionctl.Steward
 	section  *operator.Sessions // in force here
 	no       uint64             // of the newest message of acts
@@ -86,7 +86,7 @@
 		return
 	}
 	p := &sessions{n: n, steward: sessionctl.New(), section: section, rooms: map[string]migrate.Room{}, idle: map[string][]session.ID{}, unsafe: map[string][]migrate.Unsafe{}, no: uint64(n.start.UnixNano())}
-	p.pins = pins.New(pins.Options{
+	p.pins = sessiongate.New(sessiongate.Options{
 		Name: n.name, Start: n.start, Exchange: s.Exchange, Log: n.log, Names: s.Config.Names, Policy: &s.Config.Policy,
 		Book: n.copy.book, Look: n.copy.look,
 		Propose: func(acts []session.Act) {
