--- a/internal/fleet/shed/letters.go
+++ b/internal/fleet/loadshed/letters.go
@@ -1,4 +1,4 @@
-package shed
+package loadshed
 
 import (
 	"encoding/binary"
--- a/internal/fleet/shed/race_test.go
+++ b/internal/fleet/loadshed/race_test.go
@@ -1,5 +1,5 @@
 //go:build race
 
-package shed
+package loadshed
 
 const raceOn = true
--- a/internal/fleet/shed/shed.go
+++ b/internal/fleet/loadshed/shed.go
@@ -1,4 +1,4 @@
-// Package shed is the thin I/O around the lanes: it stands between the exchange, where queries come and end, the gate that
+// Package loadshed is the thin I/O around the lanes: it stands between the exchange, where queries come and end, the gate that
 // decides on them, and the rest of the fleet. It decides nothing itself.
 //
 //	exchange ──Enter──> lanes.Gate     (in the exchange's turn, under a lock that is held for no I/O)
@@ -6,7 +6,7 @@
 //	run, each Every: meter -> own word -> a few members, with some words of others and what shares ask and answer
 //	                 letters -> pressure.News -> Fleet -> lanes.Control -> Gate.Level; shares.Shares -> Gate.Share
 //	                 what is agreed -> Gate.Set
-package shed
+package loadshed
 
 import (
 	"context"
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -28,9 +28,9 @@
 	"birchcart/internal/exchange"
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/drainctl"
+	"birchcart/internal/fleet/loadshed"
 	"birchcart/internal/fleet/member"
 	"birchcart/internal/fleet/peerproto"
-	"birchcart/internal/fleet/shed"
 	"birchcart/internal/fleet/view"
 	"birchcart/internal/operator"
 	"birchcart/internal/serve"
@@ -80,7 +80,7 @@
 	// nil without the section of pinned sessions; its start decides
 	sessions *sessions
 	lanes    *lanes // likewise, of the section of lanes
-	shed     atomic.Pointer[shed.Shed]
+	shed     atomic.Pointer[loadshed.Shed]
 	mail     *mail
 	load     *exchange.Load
 	writer   *writer
--- a/internal/fleet/shedding.go
+++ b/internal/fleet/shedding.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"birchcart/internal/fleet/loadshed"
 	"birchcart/internal/fleet/member"
-	"birchcart/internal/fleet/shed"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/operator"
 	"birchcart/internal/serve"
@@ -18,7 +18,7 @@
 		return
 	}
 	c := &crew{n: n}
-	p := shed.New(shed.Options{
+	p := loadshed.New(loadshed.Options{
 		Name: n.name, Zone: zone(s), Incarnation: uint64(n.start.UnixMilli()), Start: n.start, Fleet: s.Config.Policy.Aggregators,
 		Seed: s.Config.Policy.Seed, Policy: &s.Config.Policy, Log: n.log,
 		Set: n.lanes.set, Crew: c.now, Agreed: n.agreedTime,
@@ -35,7 +35,7 @@
 
 // receive takes a message of another co-ordinator, from any goroutine. Those of lanes wait for no step of the node.
 func (n *Node) receive(from string, raw []byte) {
-	if len(raw) > 0 && raw[0] == shed.Kind {
+	if len(raw) > 0 && raw[0] == loadshed.Kind {
 		if p := n.shed.Load(); p != nil { // else this one has no lanes
 			p.Hear(from, raw)
 		}
@@ -57,12 +57,12 @@
 type crew struct {
 	n    *Node
 	at   time.Duration
-	last shed.Crew
+	last loadshed.Crew
 }
 
 // now is who is agreed to be there and not gone, and who gossip hears of. What is agreed stays while this one is cut off, so that
 // it knows of how few it hears.
-func (c *crew) now() shed.Crew {
+func (c *crew) now() loadshed.Crew {
 	now := c.n.now()
 	if c.last.Names != nil && now < c.at+CrewEvery {
 		return c.last
@@ -74,7 +74,7 @@
 	return c.last
 }
 
-func crewOf(self string, agreed []takeout.Machine, heard []member.Member) (out shed.Crew) {
+func crewOf(self string, agreed []takeout.Machine, heard []member.Member) (out loadshed.Crew) {
 	out.Names = []string{self}
 	for _, m := range agreed {
 		if m.Kind == takeout.Coordinator && m.Status != takeout.Gone {
--- a/internal/fleet/shedding_test.go
+++ b/internal/fleet/shedding_test.go
@@ -4,8 +4,8 @@
 	"slices"
 	"testing"
 
+	"birchcart/internal/fleet/loadshed"
 	"birchcart/internal/fleet/member"
-	"birchcart/internal/fleet/shed"
 	"birchcart/internal/fleet/takeout"
 )
 
@@ -23,7 +23,7 @@
 // Letters of lanes never reach the node's mail, with lanes here or without.
 func TestLettersOfLanesAreNoMail(t *testing.T) {
 	n := &Node{mail: newMail()}
-	n.receive("b", []byte{shed.Kind, 1, 0})
+	n.receive("b", []byte{loadshed.Kind, 1, 0})
 	n.receive("b", []byte{1, 'p'})
 	if len(n.mail.queue) != 1 {
 		t.Error(len(n.mail.queue))
