--- a/cmd/birchctl/lanes.go
+++ b/cmd/birchctl/lanes.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strings"
 
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/schema"
 	"birchcart/internal/settings"
 )
@@ -55,7 +55,7 @@
 	if err := errors.Join(err1, err2, err3); err != nil {
 		return err
 	}
-	s, err := laneset.Of(l.Operator.Fleet.Lanes, l.Operator.Fleet.Revision, names, routes)
+	s, err := laneconfig.Of(l.Operator.Fleet.Lanes, l.Operator.Fleet.Revision, names, routes)
 	if err != nil {
 		return err
 	}
--- a/cmd/birchctl/main_test.go
+++ b/cmd/birchctl/main_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
@@ -273,13 +273,13 @@
 	if err := b.Apply(0, nil, session.KindActs, raw); err != nil {
 		t.Fatal(err)
 	}
-	lanes := laneset.New()
-	set, err := laneset.Body(&operator.Lanes{}, 1)
+	lanes := laneconfig.New()
+	set, err := laneconfig.Body(&operator.Lanes{}, 1)
 	raw, _ = json.Marshal(set)
-	if err = errors.Join(err, lanes.Apply(0, nil, laneset.KindSet, raw)); err != nil {
+	if err = errors.Join(err, lanes.Apply(0, nil, laneconfig.KindSet, raw)); err != nil {
 		t.Fatal(err)
 	}
-	raw, err = ledger.New(map[string]ledger.Part{"takeout": takeout.New(), "sessions": b, laneset.Part: lanes}).Save()
+	raw, err = ledger.New(map[string]ledger.Part{"takeout": takeout.New(), "sessions": b, laneconfig.Part: lanes}).Save()
 	path := filepath.Join(t.TempDir(), "snapshot")
 	if err = errors.Join(err, os.WriteFile(path, raw, 0o600)); err != nil {
 		t.Fatal(err)
--- a/cmd/birchctl/session.go
+++ b/cmd/birchctl/session.go
@@ -6,7 +6,7 @@
 	"os"
 	"strings"
 
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/takeout"
@@ -65,7 +65,7 @@
 			return err
 		}
 		b := session.New()
-		if err := ledger.New(map[string]ledger.Part{"takeout": takeout.New(), "sessions": b, laneset.Part: laneset.New()}).Load(raw); err != nil {
+		if err := ledger.New(map[string]ledger.Part{"takeout": takeout.New(), "sessions": b, laneconfig.Part: laneconfig.New()}).Load(raw); err != nil {
 			return fmt.Errorf("--snapshot: %w", err)
 		}
 		r, _ := b.Get(id)
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"birchcart/internal/fleet/council"
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
@@ -21,15 +21,15 @@
 	ledger *ledger.Ledger
 	order  *takeout.State
 	book   *session.Book
-	lanes  *laneset.Agreed
+	lanes  *laneconfig.Agreed
 }
 
 // part is the name of the order of work in the ledger.
 const part = "takeout"
 
 func newCopy() *copied {
-	s, b, l := takeout.New(), session.New(), laneset.New()
-	return &copied{order: s, book: b, lanes: l, ledger: ledger.New(map[string]ledger.Part{part: s, sessionsPart: b, laneset.Part: l})}
+	s, b, l := takeout.New(), session.New(), laneconfig.New()
+	return &copied{order: s, book: b, lanes: l, ledger: ledger.New(map[string]ledger.Part{part: s, sessionsPart: b, laneconfig.Part: l})}
 }
 
 // look calls do while nothing is applied; it must not wait.
--- a/internal/fleet/laneset/set.go
+++ b/internal/fleet/laneconfig/set.go
@@ -1,7 +1,7 @@
-// Package laneset is which configuration of lanes is in force: the operators' section compiled for queries, the part of
+// Package laneconfig is which configuration of lanes is in force: the operators' section compiled for queries, the part of
 // the agreed log that settles its revision, and what a co-ordinator goes by while two are in force together. It is pure:
 // no clock, goroutine or I/O. It sheds nothing itself.
-package laneset
+package laneconfig
 
 import (
 	"errors"
--- a/internal/fleet/laneset/text.go
+++ b/internal/fleet/laneconfig/text.go
@@ -1,4 +1,4 @@
-package laneset
+package laneconfig
 
 import (
 	"crypto/sha256"
--- a/internal/fleet/lanes.go
+++ b/internal/fleet/lanes.go
@@ -13,7 +13,7 @@
 
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/drainctl"
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
@@ -29,8 +29,8 @@
 	said  string        // in force, as the log has it
 
 	mu      sync.Mutex
-	own     *laneset.SetBody // of the file; nil: it can't be put in words, which was told
-	mix     *laneset.Mix
+	own     *laneconfig.SetBody // of the file; nil: it can't be put in words, which was told
+	mix     *laneconfig.Mix
 	routes  []string // that it was made for
 	way     bool     // a proposal is
 	refused bool     // the newest one was, for good
@@ -43,9 +43,9 @@
 	if l == nil {
 		return nil
 	}
-	_, err := laneset.Body(l, f.Fleet.Revision)
+	_, err := laneconfig.Body(l, f.Fleet.Revision)
 	if err == nil {
-		_, err = laneset.Of(l, f.Fleet.Revision, names, routeNames(f))
+		_, err = laneconfig.Of(l, f.Fleet.Revision, names, routeNames(f))
 	}
 	if err != nil {
 		return fmt.Errorf("$.fleet.lanes: %w", err)
@@ -71,7 +71,7 @@
 
 // reload takes a file that was read again.
 func (p *lanes) reload(f *operator.File) {
-	b, err := laneset.Body(f.Fleet.Lanes, f.Fleet.Revision)
+	b, err := laneconfig.Body(f.Fleet.Lanes, f.Fleet.Revision)
 	if err != nil {
 		p.n.log.WithError(err).Error("the section of lanes can't be agreed on")
 		return
@@ -79,7 +79,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if names := routeNames(f); p.mix == nil || !slices.Equal(names, p.routes) { // queries come with places in this list
-		p.mix, p.routes = laneset.NewMix(p.n.s.Config.Names, names), names
+		p.mix, p.routes = laneconfig.NewMix(p.n.s.Config.Names, names), names
 	}
 	if p.own == nil || p.own.Revision != b.Revision || p.own.Sum != b.Sum {
 		p.own, p.after = &b, 0
@@ -88,8 +88,8 @@
 
 // set is what this co-ordinator goes by now, whether that is another one than at the last call, and the revision that was
 // applied here, 0 for none. heard is the highest one that others say they have applied. Any goroutine may call it.
-func (p *lanes) set(now time.Duration, heard int) (set *laneset.Set, changed bool, applied int) {
-	look := laneset.Look{Now: now, Heard: heard}
+func (p *lanes) set(now time.Duration, heard int) (set *laneconfig.Set, changed bool, applied int) {
+	look := laneconfig.Look{Now: now, Heard: heard}
 	p.n.copy.look(func() {
 		look.Agreed = p.n.copy.ledger.Now()
 		look.Force, look.Before = p.n.copy.lanes.InForce(look.Agreed)
@@ -110,7 +110,7 @@
 
 // say logs what came in force.
 func (p *lanes) say() {
-	var force *laneset.Version
+	var force *laneconfig.Version
 	p.n.copy.look(func() { force, _ = p.n.copy.lanes.InForce(p.n.copy.ledger.Now()) })
 	if force == nil || force.Sum == p.said {
 		return
@@ -167,12 +167,12 @@
 	go p.propose(n.council, raw, own.Revision)
 }
 
-func laneCommand(id string, at time.Duration, b laneset.SetBody) ([]byte, error) {
+func laneCommand(id string, at time.Duration, b laneconfig.SetBody) ([]byte, error) {
 	body, err := json.Marshal(b)
 	if err != nil {
 		return nil, err
 	}
-	return ledger.Command{V: ledger.Version, ID: id, Part: laneset.Part, Kind: laneset.KindSet, At: at, Body: body}.Encode()
+	return ledger.Command{V: ledger.Version, ID: id, Part: laneconfig.Part, Kind: laneconfig.KindSet, At: at, Body: body}.Encode()
 }
 
 // propose puts a command to the council, beside the step. One of which nothing came is proposed anew: applied twice, the
--- a/internal/fleet/lanes/admit.go
+++ b/internal/fleet/lanes/admit.go
@@ -7,7 +7,7 @@
 	"math"
 	"time"
 
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 )
 
 // Reason is why a query was admitted or refused.
@@ -86,7 +86,7 @@
 	v.Lane, v.YieldBy = last, 1
 	key, guaranteed, overMost := q.Key, false, false
 	var a *account
-	var of *laneset.Account
+	var of *laneconfig.Account
 	rate := 0.0
 	if q.Account >= 0 && q.Account < len(g.accounts) {
 		a, of = &g.accounts[q.Account], &g.set.Accounts[q.Account]
@@ -144,7 +144,7 @@
 func (g *Gate) stale(now time.Duration) bool { return now-g.levelAt > StaleAfter }
 
 // mostRate is the own part of an account's most: as large as that of its guarantee.
-func (g *Gate) mostRate(a *account, of *laneset.Account) float64 {
+func (g *Gate) mostRate(a *account, of *laneconfig.Account) float64 {
 	if of.Guarantee > 0 {
 		return of.Most * g.bears * a.share / of.Guarantee
 	}
--- a/internal/fleet/lanes/gate.go
+++ b/internal/fleet/lanes/gate.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/pressure"
 )
 
@@ -83,7 +83,7 @@
 
 // Gate decides on each query of one co-ordinator by what the fleet sheds. Admit doesn't allocate.
 type Gate struct {
-	set      *laneset.Set
+	set      *laneconfig.Set
 	now      time.Duration // it never goes back
 	members  float64
 	level    float64
@@ -109,7 +109,7 @@
 }
 
 // New gives a gate for a set among so many members. It sheds nothing until Level.
-func New(now time.Duration, set *laneset.Set, members int) *Gate {
+func New(now time.Duration, set *laneconfig.Set, members int) *Gate {
 	g := &Gate{members: float64(max(1, members))}
 	g.Set(now, set)
 	return g
@@ -121,7 +121,7 @@
 }
 
 // Set goes by another set; the buckets of accounts, lanes and classes that it has by name or place as well go on.
-func (g *Gate) Set(now time.Duration, next *laneset.Set) {
+func (g *Gate) Set(now time.Duration, next *laneconfig.Set) {
 	now = g.turn(now)
 	type had struct {
 		account
--- a/internal/fleet/lanes/gate_test.go
+++ b/internal/fleet/lanes/gate_test.go
@@ -9,21 +9,21 @@
 
 	"pgregory.net/rapid"
 
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/pressure"
 )
 
 const sec = time.Second
 
 // three lanes; gold is guaranteed 0.2, silver 0.1, of copper nobody is guaranteed anything.
-func three(more int) *laneset.Set {
-	lane := func(name string) laneset.Lane { return laneset.Lane{Name: name, Floor: 0.02, Lend: true} }
-	account := func(name string, lane int, guarantee, most float64) laneset.Account {
-		return laneset.Account{Name: name, Lane: lane, Guarantee: guarantee, Most: most, Key: laneset.Key(name)}
-	}
-	s := &laneset.Set{Slot: 10 * sec, Lanes: []laneset.Lane{lane("premium"), lane("plus"), lane("standard")},
-		Classes:  []laneset.Class{{Floor: 0.02, ComeBack: true}, {Floor: 0.02}},
-		Accounts: []laneset.Account{account("gold", 0, 0.2, 0), account("silver", 1, 0.1, 0.15), account("copper", 1, 0, 0)}}
+func three(more int) *laneconfig.Set {
+	lane := func(name string) laneconfig.Lane { return laneconfig.Lane{Name: name, Floor: 0.02, Lend: true} }
+	account := func(name string, lane int, guarantee, most float64) laneconfig.Account {
+		return laneconfig.Account{Name: name, Lane: lane, Guarantee: guarantee, Most: most, Key: laneconfig.Key(name)}
+	}
+	s := &laneconfig.Set{Slot: 10 * sec, Lanes: []laneconfig.Lane{lane("premium"), lane("plus"), lane("standard")},
+		Classes:  []laneconfig.Class{{Floor: 0.02, ComeBack: true}, {Floor: 0.02}},
+		Accounts: []laneconfig.Account{account("gold", 0, 0.2, 0), account("silver", 1, 0.1, 0.15), account("copper", 1, 0, 0)}}
 	for i := range more {
 		name := fmt.Sprint("account", i)
 		s.Accounts = append(s.Accounts, account(name, i%3, 0.5/float64(more), 0))
@@ -171,7 +171,7 @@
 	}
 	share := func(g *Gate) (n float64) {
 		for k := range 10_000 {
-			if cut(g, -1, laneset.Key(fmt.Sprint(k))) {
+			if cut(g, -1, laneconfig.Key(fmt.Sprint(k))) {
 				n += 1e-4
 			}
 		}
@@ -288,7 +288,7 @@
 	g := New(sec, old, 10)
 	g.Level(sec, pressed(1))
 	play(g, sec, 10, 100, Ask{Account: 0, Cost: 1})
-	g.Set(11*sec, laneset.Stricter(old, next))
+	g.Set(11*sec, laneconfig.Stricter(old, next))
 	g.Level(11*sec, pressed(1))
 	if n := play(g, 11*sec, 10, 100, Ask{Account: 0, Class: -1, Cost: 1}); n[Guaranteed] < 18 || n[Guaranteed] > 26 {
 		t.Errorf("of 2/s: %v", n)
--- a/internal/fleet/lanes_test.go
+++ b/internal/fleet/lanes_test.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/config"
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
@@ -49,7 +49,7 @@
 	if set, changed, applied := n.lanes.set(1, 0); set == nil || !changed || applied != 0 || !strings.Contains(out.String(), "no lanes are agreed on yet") {
 		t.Errorf("%v %v %d: %s", set, changed, applied, out.String())
 	}
-	b, err := laneset.Body(f.Fleet.Lanes, 4)
+	b, err := laneconfig.Body(f.Fleet.Lanes, 4)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +67,7 @@
 	if n.lanes.tell(fields); fields["lanes_revision"] != 4 {
 		t.Error(fields)
 	}
-	f.Fleet.Lanes.Header = strings.Repeat("x", laneset.TextMost)
+	f.Fleet.Lanes.Header = strings.Repeat("x", laneconfig.TextMost)
 	if err := fitsLanes(f, names); err == nil || !strings.HasPrefix(err.Error(), "$.fleet.lanes: ") {
 		t.Error(err)
 	}
--- a/internal/fleet/loadshed/crowd.go
+++ b/internal/fleet/loadshed/crowd.go
@@ -2,7 +2,7 @@
 
 import (
 	"birchcart/internal/exchange"
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 )
 
 const (
@@ -25,20 +25,20 @@
 	all  float64
 }
 
-func (c *crowd) key(set *laneset.Set, q *exchange.Query, cost float64) uint64 {
+func (c *crowd) key(set *laneconfig.Set, q *exchange.Query, cost float64) uint64 {
 	key := uint64(0)
 	switch {
 	case uint(q.Tenant) < uint(len(set.Tenants)):
 		key = set.Tenants[q.Tenant]
 	case q.Client != "":
-		key = laneset.Key(q.Client)
+		key = laneconfig.Key(q.Client)
 	default:
-		return laneset.Key(q.ID)
+		return laneconfig.Key(q.ID)
 	}
 	at := key % crowdPlaces
 	c.cost[at] += cost
 	if c.all += cost; c.cost[at]*heavyPart > c.all {
-		key += (laneset.Key(q.ID)%pieces + 1) * 0x9e3779b97f4a7c15
+		key += (laneconfig.Key(q.ID)%pieces + 1) * 0x9e3779b97f4a7c15
 	}
 	return key
 }
--- a/internal/fleet/loadshed/say.go
+++ b/internal/fleet/loadshed/say.go
@@ -6,15 +6,15 @@
 
 	"github.com/sirupsen/logrus"
 
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/lanes"
-	"birchcart/internal/fleet/laneset"
 )
 
 // summary is what was told last.
 type summary struct {
 	at     time.Duration
 	counts lanes.Counts
-	set    *laneset.Set
+	set    *laneconfig.Set
 	level  bool // it was over 0, as told at turned
 	turned time.Duration
 	wrong  int // letters that could not be read since
--- a/internal/fleet/loadshed/shed.go
+++ b/internal/fleet/loadshed/shed.go
@@ -17,8 +17,8 @@
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/exchange"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/lanes"
-	"birchcart/internal/fleet/laneset"
 	"birchcart/internal/fleet/pressure"
 	"birchcart/internal/fleet/shares"
 	"birchcart/policy"
@@ -58,7 +58,7 @@
 	Log         *logrus.Entry
 	// Set is what to go by, whether that is another one than at the last call, and the revision that is applied here; heard is
 	// the highest one that others say they have applied.
-	Set func(now time.Duration, heard int) (set *laneset.Set, changed bool, applied int)
+	Set func(now time.Duration, heard int) (set *laneconfig.Set, changed bool, applied int)
 	// Crew is as of now.
 	Crew func() Crew
 	// Agreed is agreed time as it is known here, of whatever age.
@@ -76,7 +76,7 @@
 
 	mu    sync.Mutex // of what the exchange's turns use
 	gate  *lanes.Gate
-	set   *laneset.Set
+	set   *laneconfig.Set
 	meter pressure.Meter
 	cost  lanes.Cost
 	asked []float64 // cost by account since the last step
@@ -109,7 +109,7 @@
 	if o.Wall == nil {
 		o.Wall = func() time.Duration { return time.Duration(time.Now().UnixNano()) }
 	}
-	s := &Shed{o: o, now: now, control: lanes.NewControl(LevelMost), rng: rand.New(rand.NewPCG(o.Seed^laneset.Key(o.Name), o.Incarnation))}
+	s := &Shed{o: o, now: now, control: lanes.NewControl(LevelMost), rng: rand.New(rand.NewPCG(o.Seed^laneconfig.Key(o.Name), o.Incarnation))}
 	s.shares = shares.New(shares.Options{Name: o.Name, Incarnation: o.Incarnation, Fleet: o.Fleet, Seed: o.Seed})
 	for i := range o.Policy.Classes {
 		s.promises = append(s.promises, time.Duration(o.Policy.Classes[i].Promise*float64(time.Second)))
--- a/internal/fleet/loadshed/shed_test.go
+++ b/internal/fleet/loadshed/shed_test.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/exchange"
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/member"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
@@ -32,8 +32,8 @@
 	return l
 }
 
-func compile(t testing.TB, l *operator.Lanes, revision int) *laneset.Set {
-	s, err := laneset.Of(l, revision, names, nil)
+func compile(t testing.TB, l *operator.Lanes, revision int) *laneconfig.Set {
+	s, err := laneconfig.Of(l, revision, names, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,7 +44,7 @@
 type site struct {
 	testing.TB
 	now   time.Duration
-	set   *laneset.Set
+	set   *laneconfig.Set
 	sheds []*Shed
 	names []string
 	bytes []int               // sent, by place, with heads
@@ -63,7 +63,7 @@
 	raw      []byte
 }
 
-func newSite(t testing.TB, n int, name string, set *laneset.Set) *site {
+func newSite(t testing.TB, n int, name string, set *laneconfig.Set) *site {
 	s := &site{TB: t, set: set, rng: rand.New(rand.NewPCG(1, 2)), bytes: make([]int, n), now: time.Second}
 	s.late = func() time.Duration { return time.Duration(s.rng.Int64N(int64(50 * time.Millisecond))) }
 	log := logrus.New()
@@ -78,7 +78,7 @@
 		p := from(Options{
 			Name: s.names[i], Zone: name[:min(len(name), 2)], Incarnation: 1, Start: began, Fleet: n, Seed: 7, Log: logrus.NewEntry(log),
 			Policy: &policy.Config{Classes: []policy.Class{{Promise: 1}}},
-			Set: func(time.Duration, int) (*laneset.Set, bool, int) {
+			Set: func(time.Duration, int) (*laneconfig.Set, bool, int) {
 				changed := first || s.sheds[i].set != s.set
 				first = false
 				return s.set, changed, s.set.Revision
@@ -392,7 +392,7 @@
 	p := New(Options{
 		Name: "n0", Incarnation: 1, Start: time.Now(), Fleet: 2, Policy: &policy.Config{Classes: []policy.Class{{Promise: 1}}},
 		Log: logrus.NewEntry(logrus.New()), Agreed: func() time.Duration { return 0 },
-		Set: func(time.Duration, int) (*laneset.Set, bool, int) {
+		Set: func(time.Duration, int) (*laneconfig.Set, bool, int) {
 			changed := first
 			first = false
 			return set, changed, 1
--- a/internal/fleet/sizes_test.go
+++ b/internal/fleet/sizes_test.go
@@ -14,7 +14,7 @@
 	"birchcart/internal/fleet/compress"
 	"birchcart/internal/fleet/council"
 	"birchcart/internal/fleet/drainctl"
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/member"
 	"birchcart/internal/fleet/peerproto"
@@ -76,16 +76,16 @@
 
 	for revision := range 2 { // two sections of lanes in force, as large as may be
 		var text []byte
-		for range laneset.PackedMost * 29 / 30 {
+		for range laneconfig.PackedMost * 29 / 30 {
 			text = append(text, byte(rnd.Uint32()))
 		}
 		sum := sha256.Sum256(text)
 		z, err := compress.Pack(text)
-		if err != nil || len(z) < laneset.PackedMost*9/10 {
+		if err != nil || len(z) < laneconfig.PackedMost*9/10 {
 			t.Fatalf("%d bytes, %v", len(z), err)
 		}
 		index++
-		raw, err := laneCommand(fmt.Sprint("l-", index), now, laneset.SetBody{Revision: revision + 1, Sum: hex.EncodeToString(sum[:]), Z: z})
+		raw, err := laneCommand(fmt.Sprint("l-", index), now, laneconfig.SetBody{Revision: revision + 1, Sum: hex.EncodeToString(sum[:]), Z: z})
 		if err == nil {
 			err = c.ledger.Apply(index, raw)
 		}
--- a/internal/fleet/world/shedding/faults.go
+++ b/internal/fleet/world/shedding/faults.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/world/clockwork"
 )
 
@@ -87,8 +87,8 @@
 		if later[i] {
 			from += 5 * time.Second
 		}
-		for k, set := range []*laneset.Set{w.sets[2], w.sets[1]} {
-			w.q.At([]time.Duration{from, at + laneset.MixFor}[k], func() {
+		for k, set := range []*laneconfig.Set{w.sets[2], w.sets[1]} {
+			w.q.At([]time.Duration{from, at + laneconfig.MixFor}[k], func() {
 				if c.up && c.sheds != nil && w.plan.Way == Lanes {
 					c.sheds.use(set)
 				}
--- a/internal/fleet/world/shedding/shed.go
+++ b/internal/fleet/world/shedding/shed.go
@@ -5,8 +5,8 @@
 	"math"
 	"time"
 
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/lanes"
-	"birchcart/internal/fleet/laneset"
 	"birchcart/internal/fleet/pressure"
 	"birchcart/internal/fleet/shares"
 )
@@ -29,7 +29,7 @@
 	ctl   *lanes.Control
 	gate  *lanes.Gate
 	lent  *shares.Shares
-	set   *laneset.Set
+	set   *laneconfig.Set
 	seq   uint64
 	words []pressure.Word
 	in    []shares.Input
@@ -202,7 +202,7 @@
 }
 
 // use goes by another set of lanes.
-func (s *shed) use(set *laneset.Set) {
+func (s *shed) use(set *laneconfig.Set) {
 	s.set = set
 	s.gate.Set(s.now(), set)
 	clear(s.parts)
--- a/internal/fleet/world/shedding/sizes.go
+++ b/internal/fleet/world/shedding/sizes.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/operator"
 	"birchcart/internal/settings"
 	"birchcart/policy"
@@ -58,7 +58,7 @@
 			sum += 1 + float64(i%4)
 		}
 		for i := range n {
-			s := stream{account: -1, lane: lane, key: laneset.Key(fmt.Sprint("t", len(out))), share: (1 + float64(i%4)) / sum, ensured: ensured}
+			s := stream{account: -1, lane: lane, key: laneconfig.Key(fmt.Sprint("t", len(out))), share: (1 + float64(i%4)) / sum, ensured: ensured}
 			if lane == premium {
 				s.share = 1 / float64(n)
 			}
@@ -84,12 +84,12 @@
 	return l
 }
 
-func compile(l *operator.Lanes, revision int) (*laneset.Set, error) {
+func compile(l *operator.Lanes, revision int) (*laneconfig.Set, error) {
 	names := &settings.Names{Classes: []string{"search", "update"}}
 	for i := range streams() {
 		names.Tenants = append(names.Tenants, fmt.Sprint("t", i))
 	}
-	return laneset.Of(l, revision, names, nil)
+	return laneconfig.Of(l, revision, names, nil)
 }
 
 // moved is the section in which the first account is in the last lane, without a guarantee.
--- a/internal/fleet/world/shedding/world.go
+++ b/internal/fleet/world/shedding/world.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"birchcart/internal/fleet/laneset"
+	"birchcart/internal/fleet/laneconfig"
 	"birchcart/internal/fleet/world/clockwork"
 )
 
@@ -24,7 +24,7 @@
 	replicas []*replica
 	streams  []stream
 	weights  []float64 // of co-ordinators, summed up
-	sets     [3]*laneset.Set
+	sets     [3]*laneconfig.Set
 	movedAt  time.Duration
 	ids      uint64
 	bytes    uint64 // of words
@@ -55,7 +55,7 @@
 	if w.sets[1], err = compile(moved(), 2); err != nil {
 		return nil, err
 	}
-	w.sets[2] = laneset.Stricter(w.sets[0], w.sets[1])
+	w.sets[2] = laneconfig.Stricter(w.sets[0], w.sets[1])
 	for i := range plan.Replicas {
 		w.replicas = append(w.replicas, &replica{id: i, up: true})
 	}
