--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 # Fleets in virtual time, by 100,000 seeds: some half an hour of CPU; WORLDS=2000 is well under a minute.
 WORLDS ?= 100000
 worlds:
-	nice -n 10 go run ./internal/fleet/world/cmd/fleetworld run --count $(WORLDS)
+	nice -n 10 go run ./internal/fleet/fleetsim/cmd/fleetworld run --count $(WORLDS)
 
 # Real processes under seeded faults: one with SEED=7, several with SEED=1-48, 1000-1015 or 2000-2004 (the later kinds); SHRINK=1 leaves out steps of a failure.
 SEED ?= 1-48
@@ -129,12 +129,12 @@
 # Fleets that shed load, in virtual time, by lanes and by three ways that know less: SIZES=10,100,300 are some minutes of CPU.
 SIZES ?= 10,30
 shedding:
-	nice -n 10 go run ./internal/fleet/world/shedding/cmd/shedworld figures --sizes $(SIZES)
-	nice -n 10 go run ./internal/fleet/world/shedding/cmd/shedworld cases
-	nice -n 10 go run ./internal/fleet/world/shedding/cmd/shedworld sweep
+	nice -n 10 go run ./internal/fleet/fleetsim/shedding/cmd/shedworld figures --sizes $(SIZES)
+	nice -n 10 go run ./internal/fleet/fleetsim/shedding/cmd/shedworld cases
+	nice -n 10 go run ./internal/fleet/fleetsim/shedding/cmd/shedworld sweep
 
 shedding-plots:
-	nice -n 10 go run ./internal/fleet/world/shedding/cmd/shedworld plots
+	nice -n 10 go run ./internal/fleet/fleetsim/shedding/cmd/shedworld plots
 	@! go list -deps ./cmd/birchcart ./cmd/birchcart-fleet | grep -E 'gonum.org|shedworld' || { echo "a drawing library is linked into a program"; exit 1; }
 
 bench:
--- a/internal/fleet/world/actions.go
+++ b/internal/fleet/fleetsim/actions.go
@@ -1,14 +1,14 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
 	"maps"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/history"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/history"
 )
 
 // step lets a co-ordinator's view take news, on a copy of it, and carries out what it asks for.
--- a/internal/fleet/world/canon.go
+++ b/internal/fleet/fleetsim/canon.go
@@ -1,4 +1,4 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"birchcart/internal/fleet/world/clockwork"
+	"birchcart/internal/fleet/fleetsim/clockwork"
 )
 
 // Two states of the search are one if they differ only in when they are: each time counts by how far it is from now, each
--- a/internal/fleet/world/cmd/fleetworld/main.go
+++ b/internal/fleet/fleetsim/cmd/fleetworld/main.go
@@ -10,8 +10,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/alecthomas/kong"
 
-	"birchcart/internal/fleet/world"
-	"birchcart/internal/fleet/world/clockwork"
+	"birchcart/internal/fleet/fleetsim"
+	"birchcart/internal/fleet/fleetsim/clockwork"
 )
 
 type cli struct {
@@ -26,7 +26,7 @@
 
 func (c *runCmd) Run() error {
 	begin := time.Now()
-	sum := world.Load(c.Seeds, func(seed uint64, r world.Result) {
+	sum := fleetsim.Load(c.Seeds, func(seed uint64, r fleetsim.Result) {
 		if r.Err != nil {
 			fmt.Printf("seed %d: %v\n", seed, r.Err)
 		}
@@ -54,14 +54,14 @@
 	File string `type:"existingfile" help:"A printed schedule instead of a seed."`
 }
 
-func (w which) schedule() (*world.Schedule, error) {
+func (w which) schedule() (*fleetsim.Schedule, error) {
 	if w.File == "" {
 		if w.Size == 0 {
-			w.Size = world.Size(w.Seed)
+			w.Size = fleetsim.Size(w.Seed)
 		}
-		return world.Draw(w.Seed, w.Size), nil
+		return fleetsim.Draw(w.Seed, w.Size), nil
 	}
-	return clockwork.Read[world.Schedule](w.File)
+	return clockwork.Read[fleetsim.Schedule](w.File)
 }
 
 type replayCmd struct {
@@ -74,14 +74,14 @@
 	if err != nil {
 		return err
 	}
-	w := world.New(s)
+	w := fleetsim.New(s)
 	if c.Trace {
 		w.Trace = func(line string) { fmt.Println(line) }
 	}
 	return report(s, w.Run())
 }
 
-func report(s *world.Schedule, r world.Result) error {
+func report(s *fleetsim.Schedule, r fleetsim.Result) error {
 	fmt.Println(s)
 	fmt.Printf("digest %016x, %d lines, %d entries, %d leaders, %+v\n", r.Digest, r.Lines, r.Entries, r.Changes, r.Figures)
 	if r.Err != nil {
@@ -100,8 +100,8 @@
 	if err != nil {
 		return err
 	}
-	small := world.Shrink(s, c.Most)
-	return report(small, world.New(small).Run())
+	small := fleetsim.Shrink(s, c.Most)
+	return report(small, fleetsim.New(small).Run())
 }
 
 type searchCmd struct {
@@ -112,7 +112,7 @@
 
 func (c *searchCmd) Run() (err error) {
 	fmt.Println("| faults | states | to depth | whole | took | broken |\n| --- | --- | --- | --- | --- | --- |")
-	world.Splits(world.Plan(c.Plan), c.Pairs, c.Within, func(faults string, f world.Found) {
+	fleetsim.Splits(fleetsim.Plan(c.Plan), c.Pairs, c.Within, func(faults string, f fleetsim.Found) {
 		broken := "0"
 		if f.Err != nil {
 			err = f.Err
@@ -132,15 +132,15 @@
 }
 
 func (c *swapCmd) Run() error {
-	s := world.Swap(c.Seed, c.Coordinators, c.Zone, c.OutMost)
+	s := fleetsim.Swap(c.Seed, c.Coordinators, c.Zone, c.OutMost)
 	if c.Lose >= 0 {
-		world.LoseZone(s, c.Lose)
+		fleetsim.LoseZone(s, c.Lose)
 	}
-	plan, err := world.Planned(s)
+	plan, err := fleetsim.Planned(s)
 	if err != nil {
 		return err
 	}
-	r := world.New(s).Run()
+	r := fleetsim.New(s).Run()
 	told := hdrhistogram.New(1, 600_000, 3)
 	for _, d := range r.Figures.GrantToTold {
 		_ = told.RecordValue(d.Milliseconds()) // at most Until, which is within the range
--- a/internal/fleet/world/commits.go
+++ b/internal/fleet/fleetsim/commits.go
@@ -1,12 +1,12 @@
-package world
+package fleetsim
 
 import (
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/history"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/history"
 )
 
 // decode reads an agreed command once, for all the copies that are shared.
--- a/internal/fleet/world/digest.go
+++ b/internal/fleet/fleetsim/digest.go
@@ -1,11 +1,11 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
 	"reflect"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // canon digests a copy of the agreed state as it counts by its own time. Commands that it remembers are those in grants.
--- a/internal/fleet/world/disk.go
+++ b/internal/fleet/fleetsim/disk.go
@@ -1,10 +1,10 @@
-package world
+package fleetsim
 
 import (
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/history"
 	"birchcart/internal/fleet/view"
-	"birchcart/internal/fleet/world/history"
 )
 
 // keepEvery is between attempts to have a disk keep drains that it did not take, as of the program.
--- a/internal/fleet/world/faults.go
+++ b/internal/fleet/fleetsim/faults.go
@@ -1,11 +1,11 @@
-package world
+package fleetsim
 
 import (
 	"slices"
 	"time"
 
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/history"
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/history"
 )
 
 // play lets one fault begin, and lays its end.
--- a/internal/fleet/world/leader.go
+++ b/internal/fleet/fleetsim/leader.go
@@ -1,13 +1,13 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
 	"time"
 
 	"birchcart/internal/fleet/drainctl"
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // leadTurn is a turn of the pure leader's step: it begins once the own copy has all that was agreed before the term.
--- a/internal/fleet/world/links.go
+++ b/internal/fleet/fleetsim/links.go
@@ -1,10 +1,10 @@
-package world
+package fleetsim
 
 import (
 	"math/rand/v2"
 	"time"
 
-	"birchcart/internal/fleet/world/clockwork"
+	"birchcart/internal/fleet/fleetsim/clockwork"
 )
 
 // links are all directed ones. A cut is counted, since cuts may overlap.
--- a/internal/fleet/world/load.go
+++ b/internal/fleet/fleetsim/load.go
@@ -1,4 +1,4 @@
-package world
+package fleetsim
 
 import (
 	"runtime/debug"
@@ -7,7 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"birchcart/internal/fleet/world/clockwork"
+	"birchcart/internal/fleet/fleetsim/clockwork"
 )
 
 // Size gives the fleet's size of a seed: in a thousand 975 of 5 to 9 co-ordinators, more of few than of many, 23 of 15
--- a/internal/fleet/world/machines.go
+++ b/internal/fleet/fleetsim/machines.go
@@ -1,4 +1,4 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
@@ -6,10 +6,10 @@
 	"sort"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/history"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/history"
 )
 
 // Odd ways of a machine, beside going when it is told and coming back cold by a newer start.
--- a/internal/fleet/world/node.go
+++ b/internal/fleet/fleetsim/node.go
@@ -1,14 +1,14 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
 	"time"
 
 	"birchcart/internal/fleet/drainctl"
+	"birchcart/internal/fleet/fleetsim/history"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
-	"birchcart/internal/fleet/world/history"
 )
 
 const (
--- a/internal/fleet/world/pinned/canon.go
+++ b/internal/fleet/fleetsim/pinned/canon.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/sessionowner"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // Two states of the search are one if they differ only in when they are and in how they came to be: each time counts by how far it is from now,
--- a/internal/fleet/world/pinned/client.go
+++ b/internal/fleet/fleetsim/pinned/client.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"birchcart/internal/fleet/completed"
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/pinned/history"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/sessionowner"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/pinned/history"
 )
 
 // clientPatience is how long after its time a client waits for an answer that should have come.
--- a/internal/fleet/world/pinned/cmd/pinnedworld/main.go
+++ b/internal/fleet/fleetsim/pinned/cmd/pinnedworld/main.go
@@ -11,10 +11,10 @@
 
 	"github.com/alecthomas/kong"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/pinned"
 	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/migrate/baseline"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/pinned"
 )
 
 type cli struct {
--- a/internal/fleet/world/pinned/co.go
+++ b/internal/fleet/fleetsim/pinned/co.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/pinned/history"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/sessionowner"
 	"birchcart/internal/fleet/view"
-	"birchcart/internal/fleet/world/pinned/history"
 )
 
 // co is one co-ordinator: its process, and what is in its store.
--- a/internal/fleet/world/pinned/council.go
+++ b/internal/fleet/fleetsim/pinned/council.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/pinned/history"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/session"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/pinned/history"
 )
 
 // council is the agreed log, played from above: what is in log is agreed, and a copy of all of it is top.
--- a/internal/fleet/world/pinned/faults.go
+++ b/internal/fleet/fleetsim/pinned/faults.go
@@ -4,9 +4,9 @@
 	"maps"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/sessionowner"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // play lets one fault begin, and lays its end.
--- a/internal/fleet/world/pinned/leader.go
+++ b/internal/fleet/fleetsim/pinned/leader.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/view"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // lead is what a leader remembers in its term.
--- a/internal/fleet/world/pinned/load.go
+++ b/internal/fleet/fleetsim/pinned/load.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/pinned/history"
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/pinned/history"
 )
 
 // Sum of many worlds.
--- a/internal/fleet/world/pinned/moves.go
+++ b/internal/fleet/fleetsim/pinned/moves.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/pinned/history"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/sessionowner"
-	"birchcart/internal/fleet/world/pinned/history"
 )
 
 // move is one thing that may happen next in the small world.
--- a/internal/fleet/world/pinned/replica.go
+++ b/internal/fleet/fleetsim/pinned/replica.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/pinned/history"
 	"birchcart/internal/fleet/sessionowner"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/pinned/history"
 )
 
 // Times of queries and their parts.
--- a/internal/fleet/world/pinned/schedule.go
+++ b/internal/fleet/fleetsim/pinned/schedule.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/session"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // Schedule is all of a world: what its fleet is, what its clients send, and what breaks. Printed whole, it plays the same
--- a/internal/fleet/world/pinned/small.go
+++ b/internal/fleet/fleetsim/pinned/small.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/pinned/history"
 	"birchcart/internal/fleet/session"
 	"birchcart/internal/fleet/sessionowner"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/pinned/history"
 )
 
 // The small world that is searched through: co-ordinators a and b, who own a session each and hold a slot each of the two
--- a/internal/fleet/world/pinned/world.go
+++ b/internal/fleet/fleetsim/pinned/world.go
@@ -13,11 +13,11 @@
 	"math/rand/v2"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/pinned/history"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/session"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/pinned/history"
 )
 
 // World is one fleet with pinned sessions in virtual time, played by a schedule.
--- a/internal/fleet/world/pinned/world_test.go
+++ b/internal/fleet/fleetsim/pinned/world_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"birchcart/internal/fleet/world/clockwork"
+	"birchcart/internal/fleet/fleetsim/clockwork"
 )
 
 // Same seed, same bytes; and drawn worlds keep what is promised.
--- a/internal/fleet/world/schedule.go
+++ b/internal/fleet/fleetsim/schedule.go
@@ -1,12 +1,12 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // Schedule is all of a world: what its fleet is, what is asked for, and what breaks. Printed whole, it plays the same
--- a/internal/fleet/world/search.go
+++ b/internal/fleet/fleetsim/search.go
@@ -1,4 +1,4 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
--- a/internal/fleet/world/shedding/cases.go
+++ b/internal/fleet/fleetsim/shedding/cases.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"birchcart/internal/fleet/world/clockwork"
+	"birchcart/internal/fleet/fleetsim/clockwork"
 )
 
 // Case is one of the hard ones.
--- a/internal/fleet/world/shedding/cmd/shedworld/main.go
+++ b/internal/fleet/fleetsim/shedding/cmd/shedworld/main.go
@@ -8,8 +8,8 @@
 
 	"github.com/alecthomas/kong"
 
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/shedding"
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/shedding"
 )
 
 var cli struct {
--- a/internal/fleet/world/shedding/cmd/shedworld/plots.go
+++ b/internal/fleet/fleetsim/shedding/cmd/shedworld/plots.go
@@ -10,7 +10,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"birchcart/internal/fleet/world/shedding"
+	"birchcart/internal/fleet/fleetsim/shedding"
 )
 
 type plotsCmd struct {
--- a/internal/fleet/world/shedding/cmd/shedworld/tables.go
+++ b/internal/fleet/fleetsim/shedding/cmd/shedworld/tables.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/shedding"
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/shedding"
 )
 
 // all plays plans, some at once, and gives each world in their order.
--- a/internal/fleet/world/shedding/faults.go
+++ b/internal/fleet/fleetsim/shedding/faults.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/laneconfig"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // faults lays all steps of the plan.
--- a/internal/fleet/world/shedding/plan.go
+++ b/internal/fleet/fleetsim/shedding/plan.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"birchcart/internal/fleet/world/clockwork"
+	"birchcart/internal/fleet/fleetsim/clockwork"
 )
 
 // Way is how the fleet's co-ordinators refuse.
--- a/internal/fleet/world/shedding/world.go
+++ b/internal/fleet/fleetsim/shedding/world.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/laneconfig"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // World is one history.
--- a/internal/fleet/world/shedding/world_test.go
+++ b/internal/fleet/fleetsim/shedding/world_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/lanes"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // short is a storm that CI has the time for.
--- a/internal/fleet/world/shrink.go
+++ b/internal/fleet/fleetsim/shrink.go
@@ -1,9 +1,9 @@
-package world
+package fleetsim
 
 import (
 	"slices"
 
-	"birchcart/internal/fleet/world/clockwork"
+	"birchcart/internal/fleet/fleetsim/clockwork"
 )
 
 // Shrink looks for a smaller schedule that still breaks a promise: without steps, requests, readers of a file, odd ways,
--- a/internal/fleet/world/small.go
+++ b/internal/fleet/fleetsim/small.go
@@ -1,4 +1,4 @@
-package world
+package fleetsim
 
 import (
 	"encoding/json"
@@ -6,11 +6,11 @@
 	"maps"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/history"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/view"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/history"
 )
 
 // The small world that is searched through: 3 co-ordinators, all voters, with their true views and ledgers; 4 replicas on
--- a/internal/fleet/world/swap.go
+++ b/internal/fleet/fleetsim/swap.go
@@ -1,12 +1,12 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/waveplan"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // Swap is a quiet world in which the replicas of a zone, or all of them, are swapped: 200 on a ring of 50 cells in four
--- a/internal/fleet/world/world.go
+++ b/internal/fleet/fleetsim/world.go
@@ -1,4 +1,4 @@
-package world
+package fleetsim
 
 import (
 	"fmt"
@@ -8,11 +8,11 @@
 	"time"
 
 	"birchcart/internal/fleet/drainctl"
+	"birchcart/internal/fleet/fleetsim/clockwork"
+	"birchcart/internal/fleet/fleetsim/history"
 	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/takeout"
 	"birchcart/internal/fleet/waveplan"
-	"birchcart/internal/fleet/world/clockwork"
-	"birchcart/internal/fleet/world/history"
 )
 
 // World is one fleet in virtual time, played by a schedule.
--- a/internal/fleet/world/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -1,4 +1,4 @@
-package world
+package fleetsim
 
 import (
 	"os"
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
+	"birchcart/internal/fleet/fleetsim/clockwork"
 	"birchcart/internal/fleet/takeout"
-	"birchcart/internal/fleet/world/clockwork"
 )
 
 // TestWorlds plays seeded worlds: a thousand by itself, as far as they come, as many as BIRCHCART_WORLDS says by `make worlds`.
