--- a/cmd/birchcart-sim/main.go
+++ b/cmd/birchcart-sim/main.go
@@ -8,7 +8,7 @@
 	"io"
 	"os"
 
-	"birchcart/internal/host"
+	"birchcart/internal/instances"
 	"birchcart/internal/wire"
 	"birchcart/policy"
 )
@@ -21,7 +21,7 @@
 }
 
 func run(in io.Reader, out io.Writer) error {
-	dec, h := wire.NewDecoder(in), host.New()
+	dec, registry := wire.NewDecoder(in), instances.New()
 	var items []wire.Item
 	var reply []byte
 	for {
@@ -33,7 +33,7 @@
 			return err
 		}
 		items, reply = got, reply[:0]
-		err = h.Turn(now, items, func(instance int, a *policy.Action) {
+		err = registry.Turn(now, items, func(instance int, a *policy.Action) {
 			reply = wire.Append(reply, instance, a)
 		})
 		if err != nil {
--- a/internal/fleet/fleetsim/world_test.go
+++ b/internal/fleet/fleetsim/world_test.go
@@ -28,7 +28,7 @@
 	t.Logf("%d worlds of %v: %v of virtual time, %d entries, %d leaders, %d grants, %d told, %d went, %d failures, none broken",
 		sum.Worlds, sum.Sizes, sum.Virtual.Round(time.Minute), sum.Entries, sum.Changes, sum.Grants, sum.Told, sum.Went, sum.Failures)
 	for _, b := range sum.Broken {
-		t.Errorf("seed %d: %v\nreplay: go run ./internal/fleet/world/cmd/fleetworld replay --seed %d", b.Seed, b.Result.Err, b.Seed)
+		t.Errorf("seed %d: %v\nreplay: go run ./internal/fleet/fleetsim/cmd/fleetworld replay --seed %d", b.Seed, b.Result.Err, b.Seed)
 	}
 	if sum.Worlds >= 100 && (sum.Told == 0 || sum.Went == 0 || sum.Changes <= sum.Worlds || sum.CutOffSends == 0) {
 		t.Errorf("the worlds show too little: %+v", sum)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -4,7 +4,7 @@
 //	council ──changes, news────┼──> Node.run: one step ─┤                  polls to the leader, leave to go
 //	exchange ──list, load──────┤    after any news, or   └──> drainctl.Step ──> proposals to the council (only while it leads)
 //	SIGHUP ──operators' file───┘    ten times a second
-//	exchange ──queries──> shed <──letters── member: lanes, beside all this (shedding.go); what is in force they read of the copy
+//	exchange ──queries──> loadshed <──letters── member: lanes, beside all this (shedding.go); what is in force they read of the copy
 //
 // One goroutine (run) owns view, lead and what is known of polls; the agreed state is its copy's (copy.go). Nothing waits
 // here for disk or network: proposals, checks of the lead, the grants file and the hand-over have goroutines of their own.
--- a/internal/host/host.go
+++ b/internal/instances/instances.go
@@ -1,5 +1,5 @@
-// Package host keeps the instances of one process apart: by number, one policy each.
-package host
+// Package instances keeps the instances of one process apart: by number, one policy each.
+package instances
 
 import (
 	"fmt"
@@ -14,29 +14,29 @@
 	turn   uint64 // the last turn in which it had an event
 }
 
-// Host holds the live instances.
-type Host struct {
+// Registry holds the live instances.
+type Registry struct {
 	live  map[int]*instance
 	order []int
 	turn  uint64
 }
 
-// New returns an empty host.
-func New() *Host { return &Host{live: map[int]*instance{}} }
+// New returns an empty registry.
+func New() *Registry { return &Registry{live: map[int]*instance{}} }
 
 // Turn delivers one batch and calls act for each action, instances in the order of their first event.
-func (h *Host) Turn(now float64, items []wire.Item, act func(instance int, a *policy.Action)) error {
-	h.turn++
-	h.order = h.order[:0]
+func (r *Registry) Turn(now float64, items []wire.Item, act func(instance int, a *policy.Action)) error {
+	r.turn++
+	r.order = r.order[:0]
 	for i := range items {
 		it := &items[i]
-		in := h.live[it.Instance]
+		in := r.live[it.Instance]
 		switch it.Op {
 		case wire.Start:
 			in = &instance{decide: policy.New(it.Config)}
-			h.live[it.Instance] = in
+			r.live[it.Instance] = in
 		case wire.Killed:
-			delete(h.live, it.Instance)
+			delete(r.live, it.Instance)
 			continue
 		default:
 			if in == nil {
@@ -44,14 +44,14 @@
 			}
 			in.events = append(in.events, it.Event)
 		}
-		if in.turn != h.turn {
-			in.turn = h.turn
-			h.order = append(h.order, it.Instance)
+		if in.turn != r.turn {
+			in.turn = r.turn
+			r.order = append(r.order, it.Instance)
 		}
 	}
-	for _, n := range h.order {
-		in := h.live[n]
-		if in == nil || in.turn != h.turn {
+	for _, n := range r.order {
+		in := r.live[n]
+		if in == nil || in.turn != r.turn {
 			continue
 		}
 		in.turn = 0 // a number that came twice, by a restart, is served once
--- a/internal/host/host_test.go
+++ b/internal/instances/instances_test.go
@@ -1,4 +1,4 @@
-package host
+package instances
 
 import (
 	"testing"
@@ -29,7 +29,7 @@
 	}
 }
 
-func turn(t *testing.T, h *Host, now float64, items []wire.Item) map[int][]policy.Action {
+func turn(t *testing.T, h *Registry, now float64, items []wire.Item) map[int][]policy.Action {
 	t.Helper()
 	got := map[int][]policy.Action{}
 	if err := h.Turn(now, items, func(n int, a *policy.Action) { got[n] = append(got[n], *a) }); err != nil {
