Force the order of the drain over an open page, and test discovery and the store one after the other

TestDrainMidPage failed once at a load of 30 with 503: its readers answered after 0.25 s, its clients wait 0.8 s, and on a busy machine the time was over before. The readers now answer once the front listens no more, so the order is forced and no time is waited for; the clients' time is longer than a busy machine needs. That the drain has not ended by then is new in it.

TestIndentedLists and TestFullDiskAndFailedWrites failed at loads of 28 to 30: discovery measures real times of 0.1 to 3 s, the store the end of killed children. Both packages are among those that are tested one after the other now.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 # Tests that start processes or fleets and wait for what they do within times: one package after the other, since several of
 # them beside each other starve each other of cores.
-HEAVY = ./cmd/birchcart ./cmd/birchcart-fleet ./cmd/birchctl ./internal/fleet/council ./internal/fleet/harness ./internal/fleet/member ./internal/front ./internal/ogc ./internal/replica
+HEAVY = ./cmd/birchcart ./cmd/birchcart-fleet ./cmd/birchctl ./internal/discovery ./internal/fleet/council ./internal/fleet/harness ./internal/fleet/member ./internal/fleet/store ./internal/front ./internal/ogc ./internal/replica
 QUIET = $(shell go list ./... | grep -vxF "$$(printf 'birchcart/%s\n' $(HEAVY:./%=%))")
 
 # Properties draw the same cases each time, so that a landing has one verdict; `make properties` draws others.
--- a/internal/ogc/items_test.go
+++ b/internal/ogc/items_test.go
@@ -221,12 +221,18 @@
 
 // What was taken when the drain begins is answered; then the front is gone.
 func TestDrainMidPage(t *testing.T) {
-	r := newRig(t, shape, nil)
+	// The order is forced: readers answer once the front listens no more. Their client's time is not what this is about.
+	patient := shape
+	patient.Classes = slices.Clone(shape.Classes)
+	for i := range patient.Classes {
+		patient.Classes[i].Promise, patient.Classes[i].GiveUp = 30, 60
+	}
+	r := newRig(t, patient, func(_ *operator.File, c *config.Config) { c.Limits.EndTime = time.Minute })
+	draining := make(chan struct{})
 	for i := range r.fleet.Replicas {
 		r.fleet.SetScript(i, func(a standin.Asked) standin.Does {
-			d := r.counts.Does(a)
-			d.After = 250 * time.Millisecond
-			return d
+			<-draining
+			return r.counts.Does(a)
 		})
 	}
 	done := make(chan error, 1)
@@ -237,14 +243,29 @@
 		}
 		done <- err
 	}()
-	r.settled(func() bool { return r.now > 0 && r.chk.Query(1) == nil && r.asked() > 0 || r.asked() > 0 })
-	r.features.Drain(t.Context())
+	r.settled(func() bool { return r.asked() > 0 })
+	drained := make(chan struct{})
+	go func() { r.features.Drain(t.Context()); close(drained) }()
+	for end := time.Now().Add(time.Minute); ; time.Sleep(5 * time.Millisecond) {
+		nc, err := net.Dial("tcp", r.features.Addr().String())
+		if err != nil {
+			break
+		}
+		nc.Close()
+		if time.Now().After(end) {
+			t.Fatal("it still listens")
+		}
+	}
+	select {
+	case <-drained:
+		t.Fatal("drained over an open page")
+	default:
+	}
+	close(draining)
 	if err := <-done; err != nil {
 		t.Error(err)
 	}
-	if _, err := net.Dial("tcp", r.features.Addr().String()); err == nil {
-		t.Error("it still listens")
-	}
+	<-drained
 }
 
 // A reader of a large answer that takes nothing holds its own bytes only, for a bounded time, and delays no one.
