--- /dev/null
+++ b/internal/fleet/node_end.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"time"
+
+	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/drainctl"
+)
+
+// giveUp closes the seat; from then on the words of the leader are applied here.
+func (n *Node) giveUp() {
+	if n.givingUp {
+		return
+	}
+	n.givingUp = true
+	go func(seat *council.Council) {
+		if err := seat.Close(); err != nil {
+			n.log.WithError(err).Debug("the seat was closed")
+		}
+		n.closed <- struct{}{}
+	}(n.council)
+}
+
+func (n *Node) depose() {
+	if n.term != 0 {
+		n.log.WithField("term", n.term).Info("leads no more")
+	}
+	n.term = 0
+	n.waiting.none()
+	n.toLead = append(n.toLead, drainctl.Deposed{})
+}
+
+// Leave hands the lead over and says that this co-ordinator goes. What is laid stays laid until Stop.
+func (n *Node) Leave() {
+	if n.off || n.leaving.Swap(true) {
+		return
+	}
+	n.handOver()
+	if err := n.member.Leave(); err != nil {
+		n.log.WithError(err).Debug("the others are not told of the end")
+	}
+}
+
+func (n *Node) handOver() {
+	n.copy.mu.Lock()
+	seat := n.copy.seat
+	n.copy.mu.Unlock()
+	if seat == nil {
+		return
+	}
+	if err := seat.HandOver(); err != nil {
+		n.log.WithError(err).Warn("the lead could not be handed over")
+	}
+}
+
+// Stop ends the part, within StopTime.
+func (n *Node) Stop() {
+	if n.off || n.stop == nil {
+		return
+	}
+	n.stop()
+	end := make(chan struct{})
+	go func() {
+		defer close(end)
+		n.done.Wait()
+		n.close()
+	}()
+	select {
+	case <-end:
+	case <-time.After(StopTime):
+		n.log.Warn("the fleet's part has not ended in time")
+	}
+}
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -14,8 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/exchange"
-	"birchcart/internal/fleet/council"
-	"birchcart/internal/fleet/ledger"
 	"birchcart/internal/fleet/migrate"
 	"birchcart/internal/fleet/peerproto"
 	"birchcart/internal/fleet/session"
@@ -275,75 +271,6 @@
 	}
 }
 
-// limits are what the section says, with the fleet's revision, lease and grace.
-func (p *sessions) limits() session.Limits {
-	f, s := p.n.fleetFile(), p.section
-	return session.Limits{
-		Revision: f.Revision, InFlight: s.Flight, PerMinute: s.Minute, OfferFor: ms(s.Offer), IdleFor: time.Duration(s.Idle * float64(time.Second)),
-		Lease: ms(f.Lease), Grace: ms(f.Grace), SessionsMost: s.Most, StateMost: stateMost, Slots: s.Slots,
-	}
-}
-
-// propose puts a command for the sessions to the council, beside the step. What comes to nothing is wanted again by who
-// wants it. no is the steward's number; 0: another's.
-func (p *sessions) propose(at time.Duration, id, kind string, body any, no uint64) {
-	n := p.n
-	raw, err := json.Marshal(body)
-	if err == nil {
-		raw, err = ledger.Command{V: ledger.Version, ID: id, Part: sessionsPart, Kind: kind, At: at, Body: raw}.Encode()
-	}
-	if err != nil {
-		n.log.WithError(err).Error("a proposal for the sessions can't be written")
-		p.finished(no, true)
-		return
-	}
-	if n.council == nil || p.way.Load() >= ActsMost {
-		p.finished(no, true) // it enters no log
-		return
-	}
-	p.way.Add(1)
-	go func(seat *council.Council) {
-		defer p.way.Add(-1)
-		ctx, cancel := context.WithTimeout(context.Background(), ProposeTime)
-		defer cancel()
-		err := seat.Propose(ctx, raw)
-		p.finished(no, !errors.Is(err, council.ErrUnsure))
-		if err != nil {
-			level := logrus.DebugLevel // what came twice or late, mostly
-			if kind == session.KindLimits {
-				level = logrus.WarnLevel
-			}
-			n.log.WithError(err).WithFields(logrus.Fields{"kind": kind, "id": id}).Log(level, "a proposal for the sessions came to nothing")
-		}
-		n.nudge()
-	}(n.council)
-}
-
-// fits is how many acts go in one message, and so in one entry of the log; the others come again from who wants them.
-func fits(acts []session.Act) int {
-	bytes := 0
-	for i := range acts {
-		a := &acts[i]
-		if bytes += actBytes; a.Fence+a.Seq > 0 || a.Why != "" {
-			bytes += actBytes + len(a.Why) + len(a.State)*4/3
-		}
-		if i == session.ActsMost || bytes > peerproto.EntryMost && i > 0 {
-			return i
-		}
-	}
-	return len(acts)
-}
-
-// finished notes the end of a proposal of the steward's.
-func (p *sessions) finished(no uint64, known bool) {
-	if no == 0 {
-		return
-	}
-	p.mu.Lock()
-	p.done = append(p.done, sessionctl.Done{No: no, Known: known})
-	p.mu.Unlock()
-}
-
 // tell is this part of the summary.
 func (p *sessions) tell(f logrus.Fields) {
 	s := p.pins.Sums()
@@ -359,41 +286,6 @@
 	return owned
 }
 
-// lease is the own one as the keeper is told of it, sure until that own time; 0: none. A process acts only once what the one
-// before it had out is over at the replicas, by when that one would be released, were there none: it knows neither the order of
-// those queries nor their slots. What is agreed when the first whole answer comes tells whether there may be any, as each ran
-// with slots that were held; the first lease may come later, with slots of its own.
-func (p *sessions) lease(now, until time.Duration) time.Duration {
-	if (until > 0 || p.n.caught) && !p.looked {
-		p.looked = true
-		p.n.copy.look(func() {
-			b := p.n.copy.book
-			held := b.Owned(p.n.name) > 0
-			for _, r := range b.Pool().Replicas() {
-				held = held || b.Pool().Held(p.n.name, r) > 0
-			}
-			if l, _ := b.Limits(); held {
-				p.after = l.SilentFor()
-			}
-		})
-		if p.after > now {
-			p.n.log.WithField("after", p.after-now).Info("pinned queries wait here for what a process before this one may have out")
-		}
-	}
-	if now < p.after {
-		return 0
-	}
-	return until
-}
-
-// sureUntil is the own time until which this one's lease is sure; 0: it has none.
-func (n *Node) sureUntil(now time.Duration) time.Duration {
-	if n.view.CutOff(now) || n.halted {
-		return 0
-	}
-	return n.view.SureUntil()
-}
-
 // fleetFile is the section in force.
 func (n *Node) fleetFile() *operator.Fleet {
 	n.mu.Lock()
--- /dev/null
+++ b/internal/fleet/sessions_propose.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"birchcart/internal/fleet/council"
+	"birchcart/internal/fleet/ledger"
+	"birchcart/internal/fleet/peerproto"
+	"birchcart/internal/fleet/session"
+	"birchcart/internal/fleet/sessionctl"
+)
+
+// limits are what the section says, with the fleet's revision, lease and grace.
+func (p *sessions) limits() session.Limits {
+	f, s := p.n.fleetFile(), p.section
+	return session.Limits{
+		Revision: f.Revision, InFlight: s.Flight, PerMinute: s.Minute, OfferFor: ms(s.Offer), IdleFor: time.Duration(s.Idle * float64(time.Second)),
+		Lease: ms(f.Lease), Grace: ms(f.Grace), SessionsMost: s.Most, StateMost: stateMost, Slots: s.Slots,
+	}
+}
+
+// propose puts a command for the sessions to the council, beside the step. What comes to nothing is wanted again by who
+// wants it. no is the steward's number; 0: another's.
+func (p *sessions) propose(at time.Duration, id, kind string, body any, no uint64) {
+	n := p.n
+	raw, err := json.Marshal(body)
+	if err == nil {
+		raw, err = ledger.Command{V: ledger.Version, ID: id, Part: sessionsPart, Kind: kind, At: at, Body: raw}.Encode()
+	}
+	if err != nil {
+		n.log.WithError(err).Error("a proposal for the sessions can't be written")
+		p.finished(no, true)
+		return
+	}
+	if n.council == nil || p.way.Load() >= ActsMost {
+		p.finished(no, true) // it enters no log
+		return
+	}
+	p.way.Add(1)
+	go func(seat *council.Council) {
+		defer p.way.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), ProposeTime)
+		defer cancel()
+		err := seat.Propose(ctx, raw)
+		p.finished(no, !errors.Is(err, council.ErrUnsure))
+		if err != nil {
+			level := logrus.DebugLevel // what came twice or late, mostly
+			if kind == session.KindLimits {
+				level = logrus.WarnLevel
+			}
+			n.log.WithError(err).WithFields(logrus.Fields{"kind": kind, "id": id}).Log(level, "a proposal for the sessions came to nothing")
+		}
+		n.nudge()
+	}(n.council)
+}
+
+// fits is how many acts go in one message, and so in one entry of the log; the others come again from who wants them.
+func fits(acts []session.Act) int {
+	bytes := 0
+	for i := range acts {
+		a := &acts[i]
+		if bytes += actBytes; a.Fence+a.Seq > 0 || a.Why != "" {
+			bytes += actBytes + len(a.Why) + len(a.State)*4/3
+		}
+		if i == session.ActsMost || bytes > peerproto.EntryMost && i > 0 {
+			return i
+		}
+	}
+	return len(acts)
+}
+
+// finished notes the end of a proposal of the steward's.
+func (p *sessions) finished(no uint64, known bool) {
+	if no == 0 {
+		return
+	}
+	p.mu.Lock()
+	p.done = append(p.done, sessionctl.Done{No: no, Known: known})
+	p.mu.Unlock()
+}
