--- /dev/null
+++ b/internal/wire/event.go
@@ -0,0 +1,182 @@
+package wire
+
+import (
+	"fmt"
+
+	"birchcart/internal/settings"
+	"birchcart/policy"
+)
+
+var outcomes = []struct {
+	name string
+	code policy.Outcome
+}{
+	{"OK", policy.OK}, {"INTERNAL", policy.Failed}, {"RESOURCE_EXHAUSTED", policy.Rejected},
+	{"DEADLINE_EXCEEDED", policy.TimedOut}, {"UNAVAILABLE", policy.Unreachable}, {"ABORTED", policy.Broken},
+	{"CANCELLED", policy.Revoked}, {"TOO_LATE", policy.Moot},
+}
+
+func (f *fields) outcome() policy.Outcome {
+	for _, o := range outcomes {
+		if o.name == f.val {
+			return o.code
+		}
+	}
+	f.fail(fmt.Sprintf("is no outcome: %q", f.val))
+	return 0
+}
+
+// event decodes one line; ok is false for what the decisions have no use for.
+func (d *Decoder) event(name, rest string) (it Item, ok bool, err error) {
+	it = Item{Op: Deliver, Instance: -1}
+	ev := &it.Event
+	ev.Tenant = -1
+	f := fields{d: d, rest: rest}
+	var names *settings.Names
+	var pairs []string
+	// The instance's number decides how names are read, so it is looked for before the other fields.
+	for g := f; g.next(); {
+		if g.name == "co-ordinator" {
+			it.Instance = g.int()
+			if g.err != nil {
+				return it, false, g.err
+			}
+			break
+		}
+	}
+	if it.Instance < 0 {
+		return it, false, fmt.Errorf("line %d: %s lacks field %q", d.line, name, "co-ordinator")
+	}
+	if names = d.names[it.Instance]; names == nil {
+		names = &settings.Names{}
+	}
+	switch name {
+	case "HELLO":
+		for f.next() {
+			switch f.name {
+			case "co-ordinator":
+			case "seed":
+				it.Config.Seed = f.uint()
+			default:
+				pairs = append(pairs, f.name, f.val)
+			}
+		}
+		if f.err != nil {
+			return it, false, f.err
+		}
+		it.Op = Start
+		seed := it.Config.Seed
+		if it.Config, names, err = settings.Config(settings.FromPairs(pairs)); err != nil {
+			return it, false, fmt.Errorf("line %d: %w", d.line, err)
+		}
+		it.Config.Seed = seed
+		d.names[it.Instance] = names
+		return it, true, nil
+	case "KILLED":
+		it.Op = Killed
+		return it, true, nil
+	case "PEER_DATA", "ESTABLISHED":
+		return it, false, nil
+	case "REQ":
+		ev.Shard, ev.Kind = -1, policy.QueryArrived
+		amount := 0.0
+		id := uint64(0)
+		for f.next() {
+			switch f.name {
+			case "rid":
+				id = f.uint()
+			case "group_no":
+				ev.Group = f.uint()
+			case "share_or_count":
+				amount = f.float()
+			case "customer":
+				ev.Tenant = f.place(names.Tenants)
+			case "due_s":
+				ev.Due = f.float()
+			case "work_hint_s":
+				ev.Work = f.float()
+			case "is_retry":
+				ev.Retry = f.bool()
+			case "priority":
+				ev.Class = f.place(names.Classes)
+			case "segment_no":
+				ev.Shard = f.int()
+			}
+		}
+		if ev.Shard >= 0 {
+			ev.Kind, ev.Part, ev.Weight = policy.PartArrived, id, amount
+		} else {
+			ev.Query, ev.Count = id, int(amount+0.5)
+		}
+	case "CLOSED_ATTEMPT", "ECHO":
+		ev.Kind = policy.AttemptEnded
+		if name == "ECHO" {
+			ev.Kind = policy.ProbeEnded
+		}
+		for f.next() {
+			switch f.name {
+			case "rid":
+				ev.Part = f.uint()
+			case "wait_time_s":
+				ev.Took = f.float()
+			case "send_no":
+				ev.Attempt = f.int()
+			case "replica":
+				ev.Replica = f.uint()
+			case "reason":
+				ev.Outcome = f.outcome()
+			case "health_info":
+				ev.Report = f.floats()
+			}
+		}
+	case "LAPSED":
+		ev.Kind = policy.ClientLeft
+		for f.next() {
+			if f.name == "rid" {
+				ev.Query = f.uint()
+			}
+		}
+	case "ALARM":
+		ev.Kind = policy.TimerFired
+		for f.next() {
+			if f.name == "handle" {
+				ev.Handle = f.uint()
+			}
+		}
+	case "ENDPOINTS":
+		ev.Kind = policy.ListChanged
+		number := uint64(0)
+		for f.next() {
+			switch f.name {
+			case "buffer":
+				number = f.uint()
+			case "how":
+				switch f.val {
+				case "diff":
+				case "snapshot":
+					ev.Full = true
+				case "disk":
+					ev.Full, ev.Stale = true, true
+				case "error":
+					ev.Kind = policy.ListFailed
+				default:
+					f.fail(fmt.Sprintf("is unknown: %q", f.val))
+				}
+			}
+		}
+		if f.err == nil && ev.Kind == policy.ListChanged {
+			rows, known := d.pools[number]
+			if !known {
+				return it, false, fmt.Errorf("line %d: field %q names no list: %d", d.line, "buffer", number)
+			}
+			ev.List = make([]policy.Entry, len(rows))
+			for i, row := range rows {
+				ev.List[i] = row.entry
+				ev.List[i].Zone = settings.Place(names.Zones, row.zone)
+			}
+		}
+	default:
+		return it, false, fmt.Errorf("line %d: unknown message %q", d.line, name)
+	}
+	return it, f.err == nil, f.err
+}
