--- a/internal/wire/event.go
+++ b/internal/wire/event.go
@@ -33,7 +33,6 @@
 	ev.Tenant = -1
 	f := fields{d: d, rest: rest}
 	var names *settings.Names
-	var pairs []string
 	// The instance's number decides how names are read, so it is looked for before the other fields.
 	for g := f; g.next(); {
 		if g.name == "co-ordinator" {
@@ -52,131 +51,163 @@
 	}
 	switch name {
 	case "HELLO":
-		for f.next() {
-			switch f.name {
-			case "co-ordinator":
-			case "seed":
-				it.Config.Seed = f.uint()
-			default:
-				pairs = append(pairs, f.name, f.val)
-			}
-		}
-		if f.err != nil {
-			return it, false, f.err
-		}
-		it.Op = Start
-		seed := it.Config.Seed
-		if it.Config, names, err = settings.Config(settings.FromPairs(pairs)); err != nil {
-			return it, false, fmt.Errorf("line %d: %w", d.line, err)
-		}
-		it.Config.Seed = seed
-		d.names[it.Instance] = names
-		return it, true, nil
+		err := d.hello(&it, &f)
+		return it, err == nil, err
 	case "KILLED":
 		it.Op = Killed
 		return it, true, nil
 	case "PEER_DATA", "ESTABLISHED":
 		return it, false, nil
 	case "REQ":
-		ev.Shard, ev.Kind = -1, policy.QueryArrived
-		amount := 0.0
-		id := uint64(0)
-		for f.next() {
-			switch f.name {
-			case "rid":
-				id = f.uint()
-			case "group_no":
-				ev.Group = f.uint()
-			case "share_or_count":
-				amount = f.float()
-			case "customer":
-				ev.Tenant = f.place(names.Tenants)
-			case "due_s":
-				ev.Due = f.float()
-			case "work_hint_s":
-				ev.Work = f.float()
-			case "is_retry":
-				ev.Retry = f.bool()
-			case "priority":
-				ev.Class = f.place(names.Classes)
-			case "segment_no":
-				ev.Shard = f.int()
-			}
-		}
-		if ev.Shard >= 0 {
-			ev.Kind, ev.Part, ev.Weight = policy.PartArrived, id, amount
-		} else {
-			ev.Query, ev.Count = id, int(amount+0.5)
-		}
-	case "CLOSED_ATTEMPT", "ECHO":
+		f.request(ev, names)
+	case "CLOSED_ATTEMPT":
 		ev.Kind = policy.AttemptEnded
-		if name == "ECHO" {
-			ev.Kind = policy.ProbeEnded
-		}
-		for f.next() {
-			switch f.name {
-			case "rid":
-				ev.Part = f.uint()
-			case "wait_time_s":
-				ev.Took = f.float()
-			case "send_no":
-				ev.Attempt = f.int()
-			case "replica":
-				ev.Replica = f.uint()
-			case "reason":
-				ev.Outcome = f.outcome()
-			case "health_info":
-				ev.Report = f.floats()
-			}
-		}
+		f.attemptEnded(ev)
+	case "ECHO":
+		ev.Kind = policy.ProbeEnded
+		f.attemptEnded(ev)
 	case "LAPSED":
 		ev.Kind = policy.ClientLeft
-		for f.next() {
-			if f.name == "rid" {
-				ev.Query = f.uint()
-			}
-		}
+		f.number("rid", &ev.Query)
 	case "ALARM":
 		ev.Kind = policy.TimerFired
-		for f.next() {
-			if f.name == "handle" {
-				ev.Handle = f.uint()
-			}
-		}
+		f.number("handle", &ev.Handle)
 	case "ENDPOINTS":
-		ev.Kind = policy.ListChanged
-		number := uint64(0)
-		for f.next() {
-			switch f.name {
-			case "buffer":
-				number = f.uint()
-			case "how":
-				switch f.val {
-				case "diff":
-				case "snapshot":
-					ev.Full = true
-				case "disk":
-					ev.Full, ev.Stale = true, true
-				case "error":
-					ev.Kind = policy.ListFailed
-				default:
-					f.fail(fmt.Sprintf("is unknown: %q", f.val))
-				}
-			}
-		}
-		if f.err == nil && ev.Kind == policy.ListChanged {
-			rows, known := d.pools[number]
-			if !known {
-				return it, false, fmt.Errorf("line %d: field %q names no list: %d", d.line, "buffer", number)
-			}
-			ev.List = make([]policy.Entry, len(rows))
-			for i, row := range rows {
-				ev.List[i] = row.entry
-				ev.List[i].Zone = settings.Place(names.Zones, row.zone)
-			}
+		if err := d.endpoints(ev, &f, names); err != nil {
+			return it, false, err
 		}
 	default:
 		return it, false, fmt.Errorf("line %d: unknown message %q", d.line, name)
 	}
 	return it, f.err == nil, f.err
 }
+
+// hello reads an instance's settings.
+func (d *Decoder) hello(it *Item, f *fields) error {
+	var pairs []string
+	var seed uint64
+	for f.next() {
+		switch f.name {
+		case "co-ordinator":
+		case "seed":
+			seed = f.uint()
+		default:
+			pairs = append(pairs, f.name, f.val)
+		}
+	}
+	if f.err != nil {
+		return f.err
+	}
+	cfg, names, err := settings.Config(settings.FromPairs(pairs))
+	if err != nil {
+		return fmt.Errorf("line %d: %w", d.line, err)
+	}
+	cfg.Seed = seed
+	it.Op, it.Config, d.names[it.Instance] = Start, cfg, names
+	return nil
+}
+
+// request reads a query or one of its parts.
+func (f *fields) request(ev *policy.Event, names *settings.Names) {
+	ev.Shard = -1
+	amount := 0.0
+	id := uint64(0)
+	for f.next() {
+		switch f.name {
+		case "rid":
+			id = f.uint()
+		case "group_no":
+			ev.Group = f.uint()
+		case "share_or_count":
+			amount = f.float()
+		case "customer":
+			ev.Tenant = f.place(names.Tenants)
+		case "due_s":
+			ev.Due = f.float()
+		case "work_hint_s":
+			ev.Work = f.float()
+		case "is_retry":
+			ev.Retry = f.bool()
+		case "priority":
+			ev.Class = f.place(names.Classes)
+		case "segment_no":
+			ev.Shard = f.int()
+		}
+	}
+	if ev.Shard >= 0 {
+		ev.Kind, ev.Part, ev.Weight = policy.PartArrived, id, amount
+	} else {
+		ev.Kind, ev.Query, ev.Count = policy.QueryArrived, id, int(amount+0.5)
+	}
+}
+
+// attemptEnded reads the end of an attempt or of a probe.
+func (f *fields) attemptEnded(ev *policy.Event) {
+	for f.next() {
+		switch f.name {
+		case "rid":
+			ev.Part = f.uint()
+		case "wait_time_s":
+			ev.Took = f.float()
+		case "send_no":
+			ev.Attempt = f.int()
+		case "replica":
+			ev.Replica = f.uint()
+		case "reason":
+			ev.Outcome = f.outcome()
+		case "health_info":
+			ev.Report = f.floats()
+		}
+	}
+}
+
+// number reads the one field that an event needs.
+func (f *fields) number(name string, into *uint64) {
+	for f.next() {
+		if f.name == name {
+			*into = f.uint()
+		}
+	}
+}
+
+// endpoints reads news of the list of replicas, whose entries came before, numbered.
+func (d *Decoder) endpoints(ev *policy.Event, f *fields, names *settings.Names) error {
+	ev.Kind = policy.ListChanged
+	number := uint64(0)
+	for f.next() {
+		switch f.name {
+		case "buffer":
+			number = f.uint()
+		case "how":
+			f.how(ev)
+		}
+	}
+	if f.err != nil || ev.Kind != policy.ListChanged {
+		return nil // the field's error is told by the caller
+	}
+	rows, known := d.pools[number]
+	if !known {
+		return fmt.Errorf("line %d: field %q names no list: %d", d.line, "buffer", number)
+	}
+	ev.List = make([]policy.Entry, len(rows))
+	for i, row := range rows {
+		ev.List[i] = row.entry
+		ev.List[i].Zone = settings.Place(names.Zones, row.zone)
+	}
+	return nil
+}
+
+// how reads what kind of news of the list it is.
+func (f *fields) how(ev *policy.Event) {
+	switch f.val {
+	case "diff":
+	case "snapshot":
+		ev.Full = true
+	case "disk":
+		ev.Full, ev.Stale = true, true
+	case "error":
+		ev.Kind = policy.ListFailed
+	default:
+		f.fail(fmt.Sprintf("is unknown: %q", f.val))
+	}
+}
