--- /dev/null
+++ b/internal/front/input_test.go
@@ -0,0 +1,126 @@
+package front
+
+import (
+	"strings"
+	"testing"
+
+	"birchcart/internal/config"
+	"birchcart/internal/exchange"
+)
+
+// Whatever is not of the form gets a 4xx or a closed connection, and no part of it goes on.
+func TestBadInput(t *testing.T) {
+	st := newStand(t, nil)
+	good := query("a", "", goodBody)
+	for name, in := range map[string]struct {
+		text   string
+		status int
+	}{
+		"class":          {strings.Replace(good, "/search", "/other", 1), 404},
+		"root":           {strings.Replace(good, "/search/x", "/", 1), 404},
+		"method":         {"GET /search HTTP/1.1\r\nHost: h\r\n\r\n", 405},
+		"tenant":         {strings.Replace(good, "acme", "nobody", 1), 400},
+		"no tenant":      {strings.Replace(good, "X-Tenant-Id: acme\r\n", "", 1), 400},
+		"no id":          {strings.Replace(good, "X-Request-ID: a\r\n", "", 1), 400},
+		"id with space":  {query("a b", "", goodBody), 400},
+		"long id":        {query(strings.Repeat("x", 65), "", goodBody), 400},
+		"no time-out":    {strings.Replace(good, "X-Timeout-Ms: 480\r\n", "", 1), 400},
+		"past time-out":  {strings.Replace(good, "480", "-40", 1), 400},
+		"zero time-out":  {strings.Replace(good, "480", "000", 1), 400},
+		"odd time-out":   {strings.Replace(good, "480", "4.8", 1), 400},
+		"huge time-out":  {strings.Replace(good, "480", "99999999999999999999", 1), 400},
+		"no JSON":        {query("a", "", "nonsense"), 400},
+		"two JSONs":      {query("a", "", goodBody+goodBody), 400},
+		"array":          {query("a", "", "[]"), 400},
+		"no buckets":     {query("a", "", `{"body":"x"}`), 400},
+		"no text":        {query("a", "", `{"buckets":[{"bucket":1,"part":1}]}`), 400},
+		"not UTF-8":      {query("a", "", "{\"buckets\":[{\"bucket\":1,\"part\":1}],\"body\":\"\xff\"}"), 400},
+		"shard":          {query("a", "", `{"buckets":[{"bucket":10,"part":1}],"body":"x"}`), 400},
+		"negative shard": {query("a", "", `{"buckets":[{"bucket":-1,"part":1}],"body":"x"}`), 400},
+		"shard twice":    {query("a", "", `{"buckets":[{"bucket":1,"part":0.5},{"bucket":1,"part":0.5}],"body":"x"}`), 400},
+		"no share":       {query("a", "", `{"buckets":[{"bucket":1}],"body":"x"}`), 400},
+		"zero share":     {query("a", "", `{"buckets":[{"bucket":1,"part":0}],"body":"x"}`), 400},
+		"over a whole":   {query("a", "", `{"buckets":[{"bucket":1,"part":0.9},{"bucket":2,"part":0.9}],"body":"x"}`), 400},
+		"keyed":          {strings.Replace(query("a", "Idempotency-Key: k\r\n", goodBody), "/search", "/keyed", 1), 501},
+		"under a whole":  {query("a", "", `{"buckets":[{"bucket":1,"part":0.5}],"body":"x"}`), 400},
+		"share over 1":   {query("a", "", `{"buckets":[{"bucket":1,"part":1.5}],"body":"x"}`), 400},
+		"minus share":    {query("a", "", `{"buckets":[{"bucket":1,"part":1.5},{"bucket":2,"part":-0.5}],"body":"x"}`), 400},
+		"huge share":     {query("a", "", `{"buckets":[{"bucket":1,"part":1e999}],"body":"x"}`), 400},
+		"minus effort":   {query("a", "", `{"buckets":[{"bucket":1,"part":1,"effort":-1}],"body":"x"}`), 400},
+		"huge effort":    {query("a", "", `{"buckets":[{"bucket":1,"part":1,"effort":1e300}],"body":"x"}`), 400},
+		"odd seed":       {query("a", "", `{"buckets":[{"bucket":1,"part":1,"seed":"xyz"}],"body":"x"}`), 400},
+		"key twice":      {query("a", "", `{"buckets":[{"bucket":1,"part":1}],"body":"x","body":"y"}`), 400},
+		"key twice deep": {query("a", "", `{"buckets":[{"bucket":1,"part":1,"Bucket":2}],"body":"x"}`), 400},
+		"half a pair":    {query("a", "", `{"buckets":[{"bucket":1,"part":1}],"body":"\ud800"}`), 400},
+		"deep":           {query("a", "", strings.Repeat("[", 10000)), 400},
+		"signed time":    {strings.Replace(good, "480", "+480", 1), 400},
+		"endless time":   {strings.Replace(good, "480", "999999999", 1), 400},
+		"two time-outs":  {query("a", "X-Timeout-Ms: 9\r\n", goodBody), 400},
+		"two ids":        {query("a", "X-Request-ID: a\r\n", goodBody), 400},
+		"id of a part":   {query("a.3", "", goodBody), 400},
+		"two lengths":    {query("a", "Content-Length: 5\r\n", goodBody), 400},
+		"two framings":   {query("a", "Transfer-Encoding: chunked\r\n", goodBody), 400},
+		"empty lines":    {strings.Repeat("\r\n", 20), 400},
+		"over 64 KiB":    {query("a", "", strings.Repeat(" ", 64<<10+1)), 413},
+		"long head":      {query("a", "X: "+strings.Repeat("x", 3000)+"\r\n", goodBody), 431},
+		"request line":   {"NONSENSE\r\n\r\n", 400},
+		"binary":         {"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400},
+	} {
+		c := st.dial()
+		c.nc.Write([]byte(in.text))
+		if r, _ := c.read(); r.StatusCode != in.status {
+			t.Errorf("%s: %d, want %d", name, r.StatusCode, in.status)
+		}
+	}
+	st.none()
+	c := st.dial()
+	c.write(good) // others are served as before
+	st.next().Reply(exchange.Reply{})
+	c.status(200)
+}
+
+// Bad input of either kind ends the connection with its error, and nothing behind it is read: what hides in the body
+// of a request with two framings is not passed on, and its place goes to others.
+func TestBadInputEndsTheConnection(t *testing.T) {
+	st := newStand(t, nil)
+	for _, bad := range []string{
+		query("a", "", "nonsense"), "nonsense\r\n\r\n", query("a", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"),
+	} {
+		c := st.dial()
+		c.write(query("a", "", goodBody))
+		st.next().Reply(exchange.Reply{})
+		c.status(200)
+		c.write(bad + query("b", "", goodBody))
+		if r := c.status(400); !r.Close {
+			t.Errorf("%q: the connection is kept", bad)
+		}
+		c.ended()
+	}
+	st.none()
+}
+
+// Whatever a body holds, what is taken of it is of the form.
+func FuzzBody(f *testing.F) {
+	f.Add([]byte(goodBody))
+	f.Add([]byte(`{"buckets":[{"bucket":1,"part":0.9},{"bucket":1,"part":0.1}],"body":"x"}`))
+	f.Add([]byte(`{"buckets":[{"bucket":-0,"part":1e0,"effort":null}],"body":"\ud83d\ude00","Body":1}`))
+	f.Add([]byte(`[[[[{"a":[{}],"b":{"a":1}}]]]]`))
+	s := &Server{shards: 10, limits: config.Limits{MostWork: 3600}}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var q exchange.Query
+		if s.readBody(&q, raw) != nil {
+			return
+		}
+		sum, seen := 0.0, map[int]bool{}
+		for _, p := range q.Parts {
+			if p.Shard < 0 || p.Shard >= 10 || seen[p.Shard] || !(p.Weight > 0) || !(p.Work >= 0 && p.Work <= 3600) {
+				t.Errorf("%q: %+v", raw, p)
+			}
+			seen[p.Shard] = true
+			sum += p.Weight
+		}
+		if !(sum > 0.99 && sum < 1.01) {
+			t.Errorf("%q: shares of %v", raw, sum)
+		}
+	})
+}
--- /dev/null
+++ b/policy/admission_test.go
@@ -0,0 +1,87 @@
+package policy
+
+import (
+	"testing"
+)
+
+// Where every holder of a shard fails its class, a query is refused at arrival until one is due for a trial, and not
+// let in to take the work of its other parts with it; the class that they serve is let in.
+func TestQueryIsRefusedWhereEveryHolderFails(t *testing.T) {
+	cfg := settings(Safe)
+	cfg.Classes = append(cfg.Classes, cfg.Classes[0])
+	r := newRig(t, cfg)
+	for _, x := range r.p.list {
+		x.suspect, x.trialAt = true, r.now+1
+		x.classes[0] = record{suspect: true, failing: true, value: 1, since: r.now, at: r.now}
+		x.classes[1] = record{goodAt: r.now, at: r.now}
+	}
+	for _, c := range []struct {
+		class   int
+		wait    float64
+		refused int
+	}{{0, 0, 1}, {1, 0, 0}, {0, 1.1, 0}} {
+		r.now += c.wait
+		r.do()
+		r.next += 100
+		acts := r.do(
+			Event{Kind: QueryArrived, Query: r.next, Group: r.next, Class: c.class, Tenant: -1, Due: r.now + 3, Count: 1},
+			Event{Kind: PartArrived, Part: r.next + 1, Group: r.next, Weight: 1})
+		if n := len(of(Refuse, acts)); n != c.refused {
+			t.Errorf("class %d after %v s: %d refused, want %d", c.class, c.wait, n, c.refused)
+		}
+	}
+}
+
+// Guards against the collapse of a fleet of many co-ordinators with little traffic each: with nothing of its own out,
+// one still knows from its latest parts that the queues are long, refuses the queries that would wait in vain, and
+// goes and sees again after a while without news.
+func TestLongQueuesRefuseWithNothingOut(t *testing.T) {
+	crowd := map[string]func(r *rig){
+		"slow answers": func(r *rig) {
+			for range 4 {
+				_, parts, _ := r.ask(6, 4)
+				for _, id := range parts {
+					r.do(Event{Kind: AttemptEnded, Part: id, Outcome: OK, Took: 0.4})
+				}
+			}
+		},
+		"full queues": func(r *rig) {
+			for range 4 {
+				q, parts, _ := r.ask(6, 4)
+				for _, id := range parts {
+					r.end(id, 0, 1, Rejected)
+				}
+				r.do(Event{Kind: ClientLeft, Query: q})
+				for _, id := range parts {
+					r.end(id, 1, 2, Revoked)
+				}
+			}
+		},
+	}
+	for name, fill := range crowd {
+		cfg := settings(Safe)
+		cfg.Aggregators, cfg.Shards = 300, 60
+		steps := cfg.Classes[0]
+		steps.FollowUp = 5
+		cfg.Classes = append(cfg.Classes, steps)
+		r := newRig(t, cfg)
+		wide := func(id uint64) []Action {
+			events := []Event{{Kind: QueryArrived, Query: id, Group: id, Class: 1, Tenant: -1, Due: r.now + 4, Count: 60}}
+			for i := range 60 {
+				events = append(events, Event{Kind: PartArrived, Part: id + uint64(i) + 1, Group: id, Shard: i, Weight: 1.0 / 60})
+			}
+			return r.do(events...)
+		}
+		fill(r)
+		if r.p.inFlight > 0 {
+			t.Fatalf("%s: %d parts are out", name, r.p.inFlight)
+		}
+		if acts := wide(100000); len(of(Refuse, acts)) != 1 || len(of(Send, acts)) > 0 {
+			t.Errorf("%s: not refused at once: %d sent", name, len(of(Send, acts)))
+		}
+		r.run(3 * memory)
+		if acts := wide(200000); len(of(Send, acts)) == 0 {
+			t.Errorf("%s: still refused after %v promises without news", name, 3*memory)
+		}
+	}
+}
