Use the field's names for load reports, calls under the lock and previous accounts

loadReport, before: told; withLock and refreshPlan, before: look; previousAccount, before: had (fleet, lanes). No behaviour; fleet and lanes pass.

--- a/internal/fleet/answers_test.go
+++ b/internal/fleet/answers_test.go
@@ -12,7 +12,7 @@
 // something, lacks something or comes after a silence waits for VerifyEvery at the most, and what is agreed meanwhile ends
 // the wait of all.
 func TestPollsAtRestWaitForEachOther(t *testing.T) {
-	n := &Node{copy: newCopy(), term: 7, loads: map[string]told{}, waiting: waiting{by: map[string]polled{}}}
+	n := &Node{copy: newCopy(), term: 7, loads: map[string]loadReport{}, waiting: waiting{by: map[string]polled{}}}
 	now := time.Minute
 	poll := func(from string, p peerproto.Poll) bool {
 		t.Helper()
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -32,8 +32,8 @@
 	return &copied{order: s, book: b, lanes: l, ledger: ledger.New(map[string]ledger.Part{part: s, sessionsPart: b, laneconfig.Part: l})}
 }
 
-// look calls do while nothing is applied; it must not wait.
-func (c *copied) look(do func()) {
+// withLock calls do while no command is applied; it must not wait.
+func (c *copied) withLock(do func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.seat != nil {
@@ -52,7 +52,7 @@
 
 // era of the log that the copy is of.
 func (c *copied) era() (era uint64) {
-	c.look(func() { era = c.ledger.Era() })
+	c.withLock(func() { era = c.ledger.Era() })
 	return era
 }
 
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -32,7 +32,7 @@
 
 // coordinators is the members' news as the leader takes it. Incarnations are times of start. Loads are those that came
 // with polls: they are told more often than gossip tells them.
-func coordinators(list []member.Member, loads map[string]told, voters map[string]bool, now time.Duration) []drainctl.Member {
+func coordinators(list []member.Member, loads map[string]loadReport, voters map[string]bool, now time.Duration) []drainctl.Member {
 	out := make([]drainctl.Member, len(list))
 	for i, m := range list {
 		l, ok := loads[m.Name]
@@ -44,8 +44,8 @@
 	return out
 }
 
-// told is the load that one co-ordinator told of, in mean replicas that it keeps busy.
-type told struct {
+// loadReport is the load of one co-ordinator as it last reported it, in mean replicas that it keeps busy.
+type loadReport struct {
 	load  float64
 	known bool
 	at    time.Duration // own time
--- a/internal/fleet/laid.go
+++ b/internal/fleet/laid.go
@@ -84,7 +84,7 @@
 	n.laying += 2
 	n.s.Exchange.Narrow(n.all(names))
 	f := laidDrains{Version: LaidVersion, Drains: []laidLine{}}
-	n.copy.look(func() {
+	n.copy.withLock(func() {
 		for _, name := range names {
 			if it, ok := n.copy.order.Item(name); ok {
 				f.Drains = append(f.Drains, laidLine{name, it.Until, n.copy.ledger.Era(), it.Start, it.Fence})
@@ -151,7 +151,7 @@
 	wall := time.Duration(time.Now().UnixNano())
 	left := slices.DeleteFunc(slices.Clone(n.kept), func(l laidLine) bool {
 		back := false // one of an era before: the council of now can't say when its drain may go
-		n.copy.look(func() {
+		n.copy.withLock(func() {
 			m, ok := n.copy.order.Machine(l.Machine)
 			back = max(l.Era, 1) >= n.copy.ledger.Era() || ok && m.Status == takeout.Up && m.Started > l.Start
 		})
--- a/internal/fleet/lanes.go
+++ b/internal/fleet/lanes.go
@@ -90,7 +90,7 @@
 // applied here, 0 for none. heard is the highest one that others say they have applied. Any goroutine may call it.
 func (p *lanes) set(now time.Duration, heard int) (set *laneconfig.Set, changed bool, applied int) {
 	look := laneconfig.Look{Now: now, Heard: heard}
-	p.n.copy.look(func() {
+	p.n.copy.withLock(func() {
 		look.Agreed = p.n.copy.ledger.Now()
 		look.Force, look.Before = p.n.copy.lanes.InForce(look.Agreed)
 	})
@@ -111,7 +111,7 @@
 // say logs what came in force.
 func (p *lanes) say() {
 	var force *laneconfig.Version
-	p.n.copy.look(func() { force, _ = p.n.copy.lanes.InForce(p.n.copy.ledger.Now()) })
+	p.n.copy.withLock(func() { force, _ = p.n.copy.lanes.InForce(p.n.copy.ledger.Now()) })
 	if force == nil || force.Sum == p.said {
 		return
 	}
@@ -141,7 +141,7 @@
 		return
 	}
 	var takes, differs bool
-	n.copy.look(func() {
+	n.copy.withLock(func() {
 		takes = n.copy.lanes.Takes(own.Revision, at)
 		force, _ := n.copy.lanes.InForce(at)
 		differs = force != nil && force.Revision == own.Revision && force.Sum != own.Sum
@@ -198,7 +198,7 @@
 
 // tell is this part of the summary.
 func (p *lanes) tell(f logrus.Fields) {
-	p.n.copy.look(func() {
+	p.n.copy.withLock(func() {
 		force, before := p.n.copy.lanes.InForce(p.n.copy.ledger.Now())
 		if force != nil {
 			f["lanes_revision"] = force.Revision
--- a/internal/fleet/lanes/gate.go
+++ b/internal/fleet/lanes/gate.go
@@ -123,21 +123,21 @@
 // Set goes by another set; the buckets of accounts, lanes and classes that it has by name or place as well go on.
 func (g *Gate) Set(now time.Duration, next *laneconfig.Set) {
 	now = g.turn(now)
-	type had struct {
+	type previousAccount struct {
 		account
 		guarantee float64
 	}
-	was := map[string]had{}
+	previous := map[string]previousAccount{}
 	if g.set != nil {
 		for i := range g.accounts {
-			was[g.set.Accounts[i].Name] = had{g.accounts[i], g.set.Accounts[i].Guarantee}
+			previous[g.set.Accounts[i].Name] = previousAccount{g.accounts[i], g.set.Accounts[i].Guarantee}
 		}
 	}
 	accounts := make([]account, len(next.Accounts))
 	for i := range accounts {
 		n := &next.Accounts[i]
 		even := n.Guarantee / g.members
-		a, ok := was[n.Name]
+		a, ok := previous[n.Name]
 		a.sure.fill(now, a.share*g.bears, sureBurst(a.share*g.bears))
 		switch {
 		case !ok:
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -125,8 +125,8 @@
 	answerAt  uint64  // index that the copy must reach before the answer counts as whole
 	waiting   waiting // not yet answered
 	states    handed
-	loads     map[string]told
-	own       told
+	loads     map[string]loadReport
+	own       loadReport
 	proposing int
 	index     uint64        // as last stepped with
 	agreedNow time.Duration // with it
--- a/internal/fleet/polls.go
+++ b/internal/fleet/polls.go
@@ -71,7 +71,7 @@
 		}
 		n.toLead = append(n.toLead, drainctl.Polled{From: p.From, No: p.No, Index: p.Index, Laid: p.Laid, Wall: p.Wall})
 		before, heard := n.loads[p.From]
-		n.loads[p.From] = told{p.Load, p.LoadKnown, at, era}
+		n.loads[p.From] = loadReport{p.Load, p.LoadKnown, at, era}
 		if n.sessions != nil {
 			n.sessions.hear(p)
 		}
@@ -92,7 +92,7 @@
 
 // agreedIndex is that of the newest entry that the own copy has.
 func (n *Node) agreedIndex() (index uint64) {
-	n.copy.look(func() { index = n.copy.ledger.Index() })
+	n.copy.withLock(func() { index = n.copy.ledger.Index() })
 	return index
 }
 
@@ -117,7 +117,7 @@
 		return
 	}
 	listed := map[string]bool{}
-	n.copy.look(func() {
+	n.copy.withLock(func() {
 		for from := range v.polls {
 			listed[from] = drainctl.Counts(n.copy.order, from) && !(n.sessions != nil && n.sessions.steward.Releasing(from))
 		}
@@ -156,7 +156,7 @@
 		w.Entries = nil // one of them is of before there was a bound: the state has it too
 	}
 	at := uint64(0)
-	n.copy.look(func() { at = n.copy.ledger.Index() })
+	n.copy.withLock(func() { at = n.copy.ledger.Index() })
 	if s := &n.states; s.at == at && s.era == own {
 		return s.into(w, nil, at, own) // saved for another one: all that come back together want it
 	}
@@ -194,7 +194,7 @@
 
 // whole is what was agreed, and its index; nothing if it can't be saved.
 func (n *Node) whole() (raw []byte, at uint64) {
-	n.copy.look(func() {
+	n.copy.withLock(func() {
 		var err error
 		at = n.copy.ledger.Index()
 		if raw, err = n.copy.ledger.Save(); err != nil {
--- a/internal/fleet/sessions.go
+++ b/internal/fleet/sessions.go
@@ -84,7 +84,7 @@
 	p := &sessions{n: n, steward: sessionctl.New(), section: section, rooms: map[string]migrate.Room{}, idle: map[string][]session.ID{}, unsafe: map[string][]migrate.Unsafe{}, no: uint64(n.start.UnixNano())}
 	p.pins = sessiongate.New(sessiongate.Options{
 		Name: n.name, Start: n.start, Exchange: s.Exchange, Log: n.log, Names: s.Config.Names, Policy: &s.Config.Policy,
-		Book: n.copy.book, Look: n.copy.look,
+		Book: n.copy.book, Look: n.copy.withLock,
 		Propose: func(acts []session.Act) {
 			p.mu.Lock()
 			p.acts = append(p.acts, acts...)
@@ -199,8 +199,8 @@
 	p.done = nil
 	p.mu.Unlock()
 	var out []sessionctl.Propose
-	n.copy.look(func() {
-		p.look(now, at)
+	n.copy.withLock(func() {
+		p.refreshPlan(now, at)
 		out = p.steward.Step(sessionctl.Look{
 			Now: now, Agreed: at, Book: n.copy.book, Order: n.copy.order, Want: p.limits(), Slots: p.section.Pool, Silent: n.lead.Silent, Done: done,
 			Sites: p.sites, PerSlot: p.perSlot(), Paused: n.copy.order.Asks().Paused,
@@ -215,8 +215,8 @@
 	p.foretell(now)
 }
 
-// look makes the planner's co-ordinators anew if the agreed state has moved, or a wait in it may be over.
-func (p *sessions) look(now, at time.Duration) {
+// refreshPlan makes the planner's co-ordinators anew if the agreed state has moved, or a wait in it may be over.
+func (p *sessions) refreshPlan(now, at time.Duration) {
 	n := p.n
 	if p.sites == nil || n.index != p.sitesAt || now >= p.sitesBy {
 		p.sites, p.sitesAt, p.sitesBy = migrate.FromState(n.copy.order, at), n.index, now+time.Second
@@ -277,12 +277,12 @@
 	f["sessions"], f["waiting"], f["open"] = s.Held, s.Waiting, s.Open
 	f["pinned_ran"], f["pinned_refused"], f["pinned_recalled"], f["pinned_failed"] = s.Ran, s.Refused, s.Recalled, s.Failed
 	f["claimed"], f["adopted"], f["handed"], f["rolled_back"], f["ended"], f["lost"] = s.Claimed, s.Adopted, s.Handed, s.RolledBack, s.Ended, s.Lost
-	p.n.copy.look(func() { f["sessions_agreed"], f["sessions_moving"] = p.n.copy.book.Len(), p.n.copy.book.Moving() })
+	p.n.copy.withLock(func() { f["sessions_agreed"], f["sessions_moving"] = p.n.copy.book.Len(), p.n.copy.book.Moving() })
 }
 
 // owned says how many sessions are agreed to be here.
 func (p *sessions) owned() (owned int) {
-	p.n.copy.look(func() { owned = p.n.copy.book.Owned(p.n.name) })
+	p.n.copy.withLock(func() { owned = p.n.copy.book.Owned(p.n.name) })
 	return owned
 }
 
@@ -307,7 +307,7 @@
 	if p.leaves == 0 {
 		return 0, false
 	}
-	n.copy.look(func() {
+	n.copy.withLock(func() {
 		it, ok := n.copy.order.Item(n.name)
 		limits, _ := n.copy.order.Limits()
 		switch {
--- a/internal/fleet/sessions_lease.go
+++ b/internal/fleet/sessions_lease.go
@@ -11,7 +11,7 @@
 func (p *sessions) lease(now, until time.Duration) time.Duration {
 	if (until > 0 || p.n.caught) && !p.looked {
 		p.looked = true
-		p.n.copy.look(func() {
+		p.n.copy.withLock(func() {
 			b := p.n.copy.book
 			held := b.Owned(p.n.name) > 0
 			for _, r := range b.Pool().Replicas() {
--- a/internal/fleet/sessions_test.go
+++ b/internal/fleet/sessions_test.go
@@ -139,7 +139,7 @@
 		}
 		p.sites = []migrate.Coordinator{{Name: "a", Live: true, Leaving: true, Deadline: time.Minute}, {Name: "c", Live: true, Rank: migrate.Stays}}
 		p.sitesAt, p.sitesBy = n.index, time.Hour
-		p.look(0, 0)
+		p.refreshPlan(0, 0)
 		v := migrate.View{Book: n.copy.book, Coordinators: p.sites}
 		return migrate.Foresee(0, v, 0), len(migrate.New(migrate.Options{}).Step(0, v).Body.Offers)
 	}
--- a/internal/fleet/shedding.go
+++ b/internal/fleet/shedding.go
@@ -45,7 +45,7 @@
 }
 
 func (n *Node) agreedTime() (at time.Duration) {
-	n.copy.look(func() { at = n.copy.ledger.Now() })
+	n.copy.withLock(func() { at = n.copy.ledger.Now() })
 	return at
 }
 
@@ -69,7 +69,7 @@
 	}
 	c.at = now
 	var agreed []takeout.Machine
-	c.n.copy.look(func() { agreed = c.n.copy.order.Machines() })
+	c.n.copy.withLock(func() { agreed = c.n.copy.order.Machines() })
 	c.last = crewOf(c.n.name, agreed, c.n.member.Members())
 	return c.last
 }
--- a/internal/fleet/sizes_test.go
+++ b/internal/fleet/sizes_test.go
@@ -179,7 +179,7 @@
 // A poll or a word that names another sender than the gossip does is left out: nobody polls in another's name by mistake, and
 // one who does it knowingly has to forge the gossip's message too, for which he needs its key.
 func TestNobodySpeaksForAnother(t *testing.T) {
-	n := &Node{copy: newCopy(), term: 7, loads: map[string]told{}, waiting: waiting{by: map[string]polled{}}}
+	n := &Node{copy: newCopy(), term: 7, loads: map[string]loadReport{}, waiting: waiting{by: map[string]polled{}}}
 	n.sent.No = 1
 	for _, m := range []peerproto.Message{peerproto.Poll{From: "b", No: 1, Laid: []peerproto.Laid{{Machine: "r1", Fence: 1}}}, peerproto.Word{From: "b", No: 1, Leader: "b", Term: 9, Led: true}} {
 		raw, err := peerproto.Encode(m)
--- a/internal/fleet/start.go
+++ b/internal/fleet/start.go
@@ -27,7 +27,7 @@
 	n.known = make(chan struct{})
 	n.wake, n.laid = make(chan struct{}, 1), make(chan struct{}, 1) // one set is laid at a time
 	n.looks, n.saved = make(chan looked, 1), make(chan error, 1)
-	n.waiting.by, n.loads, n.voters = map[string]polled{}, map[string]told{}, map[string]bool{}
+	n.waiting.by, n.loads, n.voters = map[string]polled{}, map[string]loadReport{}, map[string]bool{}
 	f := s.Operator.Fleet
 	for name := range f.Voters {
 		n.voters[name] = true
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -35,7 +35,7 @@
 	var f grantsFile
 	var limits, asks int     // revisions agreed
 	var whole, unlisted bool // of an answer
-	n.copy.look(func() {
+	n.copy.withLock(func() {
 		l := n.copy.ledger
 		if err := l.Halted(); err != nil && !n.halted {
 			n.halted = true
@@ -137,7 +137,7 @@
 		n.mu.Lock()
 		bears := n.file.Fleet.Bears
 		n.mu.Unlock()
-		n.own = told{mean / bears, true, now, n.era}
+		n.own = loadReport{mean / bears, true, now, n.era}
 		n.member.SetRecord(member.Record{Load: n.own.load, Voter: n.council != nil, Version: n.version})
 	}
 }
@@ -150,7 +150,7 @@
 	}
 	n.fedAt = now
 	n.loads[n.name] = n.own
-	maps.DeleteFunc(n.loads, func(_ string, l told) bool { return now-l.at > LoadFor })
+	maps.DeleteFunc(n.loads, func(_ string, l loadReport) bool { return now-l.at > LoadFor })
 	n.toLead = append(n.toLead, drainctl.Members{List: coordinators(n.member.Members(), n.loads, n.voters, now)})
 	n.mu.Lock()
 	list, known := n.list, n.list != nil && !n.stale
--- a/internal/fleet/tell.go
+++ b/internal/fleet/tell.go
@@ -62,7 +62,7 @@
 		"votes": n.council != nil, "dropped": n.mail.dropped.Load() + n.member.Dropped(),
 	}
 	var wrong error
-	n.copy.look(func() {
+	n.copy.withLock(func() {
 		f["index"] = n.copy.ledger.Index()
 		for _, it := range n.copy.order.Items() {
 			if k := string(it.Phase); it.Phase != "" {
