Force the order of SIGTERM over an open query, with stand-ins that answer when they are told to

TestServeAndEnd waited 100 ms for its query to be with the replicas and 200 ms for the drain, and failed at loads of 60 and more. It waits for both now, and the replicas answer once the query of the drain has its answer (Does.Until, by which a stand-in's answer waits for a channel and not its whole connection). TestDrainMidPage uses it too.

--- a/cmd/birchcart/serve_test.go
+++ b/cmd/birchcart/serve_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -36,12 +35,16 @@
 	return cmd, log
 }
 
-// startReplica answers every part after a while, with its id as the value.
-func startReplica(t *testing.T, after time.Duration) *standin.Replica {
-	t.Helper()
-	r, err := standin.NewReplica("r", func(a standin.Asked) standin.Does {
+// answersAfter answers every part after a while, with its id as the value.
+func answersAfter(after time.Duration) standin.Script {
+	return func(a standin.Asked) standin.Does {
 		return standin.Does{After: after, Value: []byte("v-" + a.ID), Score: 5}
-	})
+	}
+}
+
+func startReplica(t *testing.T, does standin.Script) *standin.Replica {
+	t.Helper()
+	r, err := standin.NewReplica("r", does)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,12 +65,18 @@
 
 // deploy writes a configuration for two replicas that answer after a while.
 func deploy(t *testing.T, after time.Duration) (path, listen string) {
+	t.Helper()
+	return deployTo(t, answersAfter(after))
+}
+
+// deployTo writes a configuration for two replicas that do what a script says.
+func deployTo(t *testing.T, does standin.Script) (path, listen string) {
 	t.Helper()
 	raw, err := os.ReadFile("../../deploy/example.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, b, free := startReplica(t, after), startReplica(t, after), freeAddress(t)
+	a, b, free := startReplica(t, does), startReplica(t, does), freeAddress(t)
 	list := []standin.Endpoint{{Name: "r0", Address: a.Address(), Status: "Ready"}, {Name: "r1", Address: b.Address(), Group: 1, Status: "Ready"}}
 	text := strings.NewReplacer("127.0.0.1:9080", free, "127.0.0.1:9200", startDiscovery(t, list...).Address(),
 		"127.0.0.1:9101", a.Address(), "127.0.0.1:9102", b.Address()).Replace(string(raw))
@@ -107,14 +116,17 @@
 // The program as it is run: ready, a query through both sides, and SIGTERM with a query open and another that
 // comes after it; both are answered and the exit is clean.
 func TestServeAndEnd(t *testing.T) {
-	path, address := deploy(t, 300*time.Millisecond)
-	cmd := testproc.Command("serve", "--config", path)
-	var log bytes.Buffer
-	cmd.Stderr = &log
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
+	const want = `{"finished":true,"found":[{"bucket":0,"item":"v-%s.0"},{"bucket":3,"item":"v-%s.3"}]}`
+	asked, answer := make(chan string, 10), make(chan struct{})
+	path, address := deployTo(t, func(a standin.Asked) standin.Does {
+		d := answersAfter(0)(a)
+		if strings.HasPrefix(a.ID, "b.") { // the query that is open at SIGTERM
+			d.Until = answer
+			asked <- a.ID
+		}
+		return d
+	})
+	cmd, log := serving(t, "--config", path)
 	ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 	defer stop()
 	for {
@@ -130,7 +142,6 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	const want = `{"finished":true,"found":[{"bucket":0,"item":"v-%s.0"},{"bucket":3,"item":"v-%s.3"}]}`
 	check := func(id string) {
 		status, body, err := post(ctx, address, id)
 		if err != nil || status != 200 || body != fmt.Sprintf(want, id, id) {
@@ -140,15 +151,22 @@
 	check("a")
 	var wg sync.WaitGroup
 	wg.Go(func() { check("b") })
-	time.Sleep(100 * time.Millisecond) // it is with the replicas
+	for range 2 { // both parts are with the replicas
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			t.Fatal("the replicas were not asked")
+		}
+	}
 	cmd.Process.Signal(syscall.SIGTERM)
-	time.Sleep(200 * time.Millisecond)
+	log.Until(t, "draining")
 	check("c")
+	close(answer)
 	wg.Wait()
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("ended with %v\n%s", err, log.String())
 	}
-	if !strings.Contains(log.String(), "draining") || !strings.Contains(log.String(), "ended") {
+	if !strings.Contains(log.String(), "ended") {
 		t.Errorf("logged %s", log.String())
 	}
 }
--- a/internal/ogc/items_test.go
+++ b/internal/ogc/items_test.go
@@ -231,8 +231,9 @@
 	draining := make(chan struct{})
 	for i := range r.fleet.Replicas {
 		r.fleet.SetScript(i, func(a standin.Asked) standin.Does {
-			<-draining
-			return r.counts.Does(a)
+			d := r.counts.Does(a)
+			d.Until = draining
+			return d
 		})
 	}
 	done := make(chan error, 1)
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -39,6 +39,7 @@
 // Does is what a script wants done with a part.
 type Does struct {
 	After   time.Duration
+	Until   <-chan struct{} // answered once it is closed; nil: at once, or after a while
 	Trouble Trouble
 	Value   []byte
 	Score   int64
@@ -164,7 +165,9 @@
 				r.asked = append(r.asked, a)
 				r.mu.Unlock()
 				d := r.script(a)
-				if d.After > 0 {
+				if d.Until != nil {
+					go func() { <-d.Until; r.answer(out, a, d) }()
+				} else if d.After > 0 {
 					time.AfterFunc(d.After, func() { r.answer(out, a, d) })
 				} else {
 					r.answer(out, a, d)
