Name the renamed packages in what the emulators tell apart by type

The vet and tests run at the renaming did not run pinned: my fault.

Measured: all packages of fleetsim and laneconfig pass.

--- a/internal/fleet/fleetsim/canon.go
+++ b/internal/fleet/fleetsim/canon.go
@@ -48,7 +48,7 @@
 	"takeout.Machine.Started": start, "takeout.Item.Start": start, "takeout.Item.Why": none, "takeout.Item.AskedAt": none,
 	"history.Checker.items": none, "history.Checker.commands": none, "history.Checker.moved": none, "history.Checker.running": none,
 	"history.Checker.Figures": none, "history.Checker.names": none, "history.Item.Asked": none, "history.truth.warm": ahead,
-	"history.peer.lease": ahead, "history.truth.goes": none, "history.standing.told": none, "world.smallRoom.start": start,
+	"history.peer.lease": ahead, "history.truth.goes": none, "history.standing.told": none, "fleetsim.smallRoom.start": start,
 }
 
 // brief are the fields that do not count where the struct says so: those of what has gone by.
--- a/internal/fleet/fleetsim/pinned/canon.go
+++ b/internal/fleet/fleetsim/pinned/canon.go
@@ -38,13 +38,13 @@
 )
 
 var fields = map[string]counts{
-	"keeper.Keeper.o": none, "keeper.Keeper.now": none, "keeper.Keeper.out": none, "keeper.Keeper.limits": none, "keeper.Keeper.timers": none,
-	"keeper.Keeper.no": none, "keeper.Keeper.freeSessions": none, "keeper.Keeper.freeQueries": none, "keeper.Keeper.sums": none,
-	"keeper.Keeper.seen": none, "keeper.Keeper.index": rank, "keeper.Keeper.sites": name, "keeper.Keeper.phases": none,
-	"keeper.query.no": rank, "keeper.query.place": sign, "keeper.query.s": name, "keeper.query.prev": name, "keeper.query.next": name,
-	"keeper.query.began": none, "keeper.list.head": name, "keeper.list.tail": name, "keeper.ring.head": name, "keeper.ring.tail": name,
-	"keeper.sess.used": none, "keeper.sess.prev": name, "keeper.sess.next": name, "keeper.sess.at": name, "keeper.sess.prevSlot": name,
-	"keeper.sess.nextSlot": name, "keeper.slot.head": name, "keeper.slot.tail": name,
+	"sessionowner.Keeper.o": none, "sessionowner.Keeper.now": none, "sessionowner.Keeper.out": none, "sessionowner.Keeper.limits": none, "sessionowner.Keeper.timers": none,
+	"sessionowner.Keeper.no": none, "sessionowner.Keeper.freeSessions": none, "sessionowner.Keeper.freeQueries": none, "sessionowner.Keeper.sums": none,
+	"sessionowner.Keeper.seen": none, "sessionowner.Keeper.index": rank, "sessionowner.Keeper.sites": name, "sessionowner.Keeper.phases": none,
+	"sessionowner.query.no": rank, "sessionowner.query.place": sign, "sessionowner.query.s": name, "sessionowner.query.prev": name, "sessionowner.query.next": name,
+	"sessionowner.query.began": none, "sessionowner.list.head": name, "sessionowner.list.tail": name, "sessionowner.ring.head": name, "sessionowner.ring.tail": name,
+	"sessionowner.sess.used": none, "sessionowner.sess.prev": name, "sessionowner.sess.next": name, "sessionowner.sess.at": name, "sessionowner.sess.prevSlot": name,
+	"sessionowner.sess.nextSlot": name, "sessionowner.slot.head": name, "sessionowner.slot.tail": name,
 	"session.Book.limits": none, "session.Book.limitsAt": none, "session.Book.offers": none, "session.Book.next": none, "session.Book.refused": none,
 	"session.Book.refusal": none, "session.ended.why": none, "session.name.known": none, "session.Book.now": ahead,
 	"pool.Pool.next": none, "pool.Pool.now": ahead,
@@ -55,7 +55,7 @@
 }
 
 // groups are fields that are ranked among each other, in all of the state; the others each among its own in one keeper or checker.
-var groups = map[string]string{"keeper.Keeper.index": "index", "pinned.smallNode.applied": "index", "pinned.smallWord.index": "index",
+var groups = map[string]string{"sessionowner.Keeper.index": "index", "pinned.smallNode.applied": "index", "pinned.smallWord.index": "index",
 	"history.session.last": "order", "history.session.lastHard": "order", "history.request.order": "order"}
 
 // fieldPlan is how a field of a struct counts.
@@ -185,11 +185,11 @@
 	}
 	c.word(1)
 	switch v = v.Elem(); v.Type().String() {
-	case "keeper.query":
+	case "sessionowner.query":
 		c.word(v.FieldByName("token").Uint())
-	case "keeper.sess":
+	case "sessionowner.sess":
 		c.value(v.FieldByName("id"), whole, "")
-	case "keeper.slot":
+	case "sessionowner.slot":
 		c.text(v.FieldByName("name").String())
 	case "history.request":
 		c.word(v.FieldByName("Event").FieldByName("Request").Uint())
--- a/internal/fleet/laneconfig/agreed.go
+++ b/internal/fleet/laneconfig/agreed.go
@@ -51,20 +51,20 @@
 // Apply implements ledger.Part.
 func (a *Agreed) Apply(now time.Duration, _ func() uint64, kind string, body []byte) error {
 	if kind != KindSet {
-		return fmt.Errorf("laneset: kind %.40q: %w", kind, ledger.ErrUnknown)
+		return fmt.Errorf("laneconfig: kind %.40q: %w", kind, ledger.ErrUnknown)
 	}
 	var b SetBody
 	if err := ledger.Strict(body, &b); err != nil {
-		return fmt.Errorf("laneset: %w", err)
+		return fmt.Errorf("laneconfig: %w", err)
 	}
 	if b.Revision < 1 || b.Revision > RevisionMost {
-		return fmt.Errorf("laneset: revision %d", b.Revision)
+		return fmt.Errorf("laneconfig: revision %d", b.Revision)
 	}
 	if a.force != nil && b.Revision <= a.force.Revision {
-		return fmt.Errorf("laneset: revision %d, %d is in force", b.Revision, a.force.Revision)
+		return fmt.Errorf("laneconfig: revision %d, %d is in force", b.Revision, a.force.Revision)
 	}
 	if a.before != nil {
-		return fmt.Errorf("laneset: revisions %d and %d are in force together until %v", a.before.Revision, a.force.Revision, a.force.Since+MixFor)
+		return fmt.Errorf("laneconfig: revisions %d and %d are in force together until %v", a.before.Revision, a.force.Revision, a.force.Since+MixFor)
 	}
 	if _, err := b.text(); err != nil {
 		return err
--- a/internal/fleet/laneconfig/save.go
+++ b/internal/fleet/laneconfig/save.go
@@ -27,7 +27,7 @@
 func (a *Agreed) Save() ([]byte, error) {
 	raw, err := json.Marshal(saved{savedVersion, a.force, a.before})
 	if err != nil {
-		return nil, fmt.Errorf("laneset: save: %w", err)
+		return nil, fmt.Errorf("laneconfig: save: %w", err)
 	}
 	return raw, nil
 }
@@ -38,21 +38,21 @@
 		V int `json:"v"`
 	}
 	if err := json.Unmarshal(raw, &head); err != nil {
-		return fmt.Errorf("laneset: what was saved can not be read: %w", err)
+		return fmt.Errorf("laneconfig: what was saved can not be read: %w", err)
 	}
 	if head.V != savedVersion {
-		return fmt.Errorf("laneset: saved by version %d, this program reads %d: %w", head.V, savedVersion, ledger.ErrUnknown)
+		return fmt.Errorf("laneconfig: saved by version %d, this program reads %d: %w", head.V, savedVersion, ledger.ErrUnknown)
 	}
 	var v saved
 	if err := ledger.Strict(raw, &v); err != nil {
-		return fmt.Errorf("laneset: what was saved can not be read: %w", err)
+		return fmt.Errorf("laneconfig: what was saved can not be read: %w", err)
 	}
 	n := Agreed{force: v.Force, before: v.Before}
 	if n.force != nil {
 		n.now = n.force.Since
 	}
 	if err := n.Check(); err != nil {
-		return fmt.Errorf("laneset: saved: %w", err)
+		return fmt.Errorf("laneconfig: saved: %w", err)
 	}
 	*a = n
 	return nil
--- a/internal/fleet/laneconfig/set.go
+++ b/internal/fleet/laneconfig/set.go
@@ -63,7 +63,7 @@
 // don't have are passed over, since another co-ordinator's may: see Unknown. An error says what no section can mean.
 func Of(section *operator.Lanes, revision int, names *settings.Names, routes []string) (*Set, error) {
 	if err := valid(section); err != nil {
-		return nil, fmt.Errorf("laneset: revision %d: %w", revision, err)
+		return nil, fmt.Errorf("laneconfig: revision %d: %w", revision, err)
 	}
 	s := &Set{
 		Revision: revision, Slot: time.Duration(section.Slot * float64(time.Second)),
--- a/internal/fleet/laneconfig/text.go
+++ b/internal/fleet/laneconfig/text.go
@@ -30,17 +30,17 @@
 func Body(section *operator.Lanes, revision int) (SetBody, error) {
 	text, err := json.Marshal(section) // fields in their order, maps by key
 	if err != nil {
-		return SetBody{}, fmt.Errorf("laneset: %w", err)
+		return SetBody{}, fmt.Errorf("laneconfig: %w", err)
 	}
 	if len(text) > TextMost {
-		return SetBody{}, fmt.Errorf("laneset: the section has %d bytes, %d at most", len(text), TextMost)
+		return SetBody{}, fmt.Errorf("laneconfig: the section has %d bytes, %d at most", len(text), TextMost)
 	}
 	z, err := compress.Pack(text)
 	if err != nil {
-		return SetBody{}, fmt.Errorf("laneset: %w", err)
+		return SetBody{}, fmt.Errorf("laneconfig: %w", err)
 	}
 	if len(z) > PackedMost {
-		return SetBody{}, fmt.Errorf("laneset: the section has %d bytes packed, %d at most: fewer accounts, or shorter marks", len(z), PackedMost)
+		return SetBody{}, fmt.Errorf("laneconfig: the section has %d bytes packed, %d at most: fewer accounts, or shorter marks", len(z), PackedMost)
 	}
 	return SetBody{revision, sumOf(text), z}, nil
 }
@@ -53,21 +53,21 @@
 	}
 	var l operator.Lanes
 	if err := ledger.Strict(text, &l); err != nil {
-		return nil, fmt.Errorf("laneset: revision %d: %w", b.Revision, err)
+		return nil, fmt.Errorf("laneconfig: revision %d: %w", b.Revision, err)
 	}
 	return &l, nil
 }
 
 func (b SetBody) text() ([]byte, error) {
 	if len(b.Z) > PackedMost {
-		return nil, fmt.Errorf("laneset: revision %d has %d bytes packed, %d at most", b.Revision, len(b.Z), PackedMost)
+		return nil, fmt.Errorf("laneconfig: revision %d has %d bytes packed, %d at most", b.Revision, len(b.Z), PackedMost)
 	}
 	text, err := compress.Unpack(b.Z, TextMost)
 	if err != nil {
-		return nil, fmt.Errorf("laneset: revision %d: %w", b.Revision, err)
+		return nil, fmt.Errorf("laneconfig: revision %d: %w", b.Revision, err)
 	}
 	if sum := sumOf(text); sum != b.Sum {
-		return nil, fmt.Errorf("laneset: revision %d has the sum %.16s, and says %.16q", b.Revision, sum, b.Sum)
+		return nil, fmt.Errorf("laneconfig: revision %d has the sum %.16s, and says %.16q", b.Revision, sum, b.Sum)
 	}
 	return text, nil
 }
