Leave out the race detector's sleep at the exit of the commands that tests start

Seen: TestTermWithAReplicaThatNeverAnswers fails each time with -race (five of five): 'ended after=3.387s' in its log, and the process there still 3.7 s after SIGTERM. Cause: the detector's runtime sleeps 1 s at each exit (atexit_sleep_ms); the drain ends at 0.7 + 0.9 x 3 s, so no time of ours.

Change: testproc.Command sets GORACE=atexit_sleep_ms=0 for its process; the bound of 3.7 s stays.

--- a/internal/testproc/testproc.go
+++ b/internal/testproc/testproc.go
@@ -33,7 +33,8 @@
 			cmd.Env = append(cmd.Env, v)
 		}
 	}
-	cmd.Env = append(cmd.Env, variable+"=1")
+	// The race detector's runtime sleeps a second at each exit by default, which is not the command's time to end.
+	cmd.Env = append(cmd.Env, variable+"=1", "GORACE=atexit_sleep_ms=0")
 	return cmd
 }
 
