Log list versions, why the list is requested, each attempt, and why queries are refused

Change: Action.Reason and Reply.Reason, counted by reason in the summary; the list's version on its lines, on attempts and in the summary; a line for each request for the list with its reason; a line when a timer fires 0.1 s late; at debug a line for each attempt's begin, write and end, and each close.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -131,6 +131,20 @@
 	return c.active == f
 }
 
-func (c *Client) logFailure(f *feed, err error) {
+// logRequest logs what is requested next, and why.
+func (c *Client) logRequest(f *feed) {
+	c.log.WithFields(logrus.Fields{
+		"full": f.needsFullList(), "index": f.index, "address": f.address, "backoff": f.backoff,
+		"unconfirmed": time.Since(f.confirmedAt).Round(time.Millisecond), "reason": f.lastErr,
+	}).Info("the list is requested")
+}
+
+// logWatchEnd logs why a connection is of no more use.
+func (c *Client) logWatchEnd(f *feed, err error) {
 	c.limitedLog.Warn("the watch of the list ended", logrus.Fields{"error": err, "index": f.index, "address": f.address})
 }
+
+// logRequestFailure logs why a request has no answer.
+func (c *Client) logRequestFailure(f *feed, err error) {
+	c.limitedLog.Warn("a request for the list failed", logrus.Fields{"error": err, "index": f.index, "address": f.address})
+}
--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -18,7 +18,8 @@
 	backoff        time.Duration // before the next connection
 	cancel         context.CancelFunc
 
-	reopened bool // a watch of a shared discovery has fallen silent, and nothing was heard since
+	lastErr  error // why the connection before is of no more use, nil at the start
+	reopened bool  // a watch of a shared discovery has fallen silent, and nothing was heard since
 }
 
 // run keeps the list up to date until the context ends. Where the decisions poll, their first request begins it, and they are
@@ -42,7 +43,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		c.logFailure(f, err)
+		c.logWatchEnd(f, err)
+		f.lastErr = err
 		lasted, closed := time.Since(began), errors.Is(err, errClosedAfterList)
 		if f.backoff = c.retry.nextBackoff(f.backoff); lasted > c.retry.maxBackoff || closed {
 			f.backoff = c.retry.initialBackoff
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -45,7 +45,7 @@
 	if m.Index == nil {
 		return list, 0, nil, errors.New("discovery: no index")
 	}
-	list.Full = m.Snapshot
+	list.Full, list.Index = m.Snapshot, *m.Index
 	for i := range m.Endpoints {
 		ep := &m.Endpoints[i]
 		state, known := states[ep.Status]
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -43,6 +43,7 @@
 		}
 	}()
 	due := began.Add(c.retry.jitter(f.backoff))
+	c.logRequest(f)
 	for no := 0; ; {
 		var again <-chan time.Time
 		if len(open) < c.retry.maxConcurrent {
@@ -69,7 +70,7 @@
 				return a.stream, nil
 			}
 			cancel()
-			c.logFailure(f, a.err)
+			c.logRequestFailure(f, a.err)
 			f.backoff = c.retry.nextBackoff(f.backoff)
 			if c.onDemand && c.isActive(f) && time.Since(began) >= c.limits.WatchSilence {
 				return nil, errOnDemandTimeout
--- a/internal/exchange/action.go
+++ b/internal/exchange/action.go
@@ -22,9 +22,9 @@
 	case policy.Answer:
 		e.answer(a)
 	case policy.Refuse:
-		e.finish(a.Query, Reply{Status: Rejected, RetryAfter: duration(a.After)})
+		e.finish(a.Query, Reply{Status: Rejected, RetryAfter: duration(a.After), Reason: a.Reason})
 	case policy.Fail:
-		e.finish(a.Query, Reply{Status: Failed})
+		e.finish(a.Query, Reply{Status: Failed, Reason: a.Reason})
 	case policy.Probe:
 		if e.config.Probes {
 			e.replicas.CheckHealth(a.Replica)
@@ -62,6 +62,7 @@
 	e.counters.attempts++
 	e.load.change(e.turnAt, 1)
 	e.schedule(a.Due.Sub(e.turnAt).Seconds(), timer{attempt: a})
+	e.traceAttempt(a)
 	for i := range e.outgoing {
 		if c := &e.outgoing[i]; c.replica == a.replica && len(c.attempts) < e.limits.CallParts {
 			c.attempts = append(c.attempts, a)
@@ -173,10 +174,11 @@
 	e.recordEnd(q, r.ending(), len(r.Values))
 	q.count(r)
 	e.counters.replies[r.Status]++
-	if e.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+	e.counters.reasons[r.Reason]++
+	if e.debug() {
 		e.log.WithFields(logrus.Fields{
 			"query": q.ID, "class": e.names.Classes[q.Class], "status": r.Status, "whole": r.Complete,
-			"found": len(r.Values), "step": q.step, "took": e.turnAt.Sub(q.Received),
+			"found": len(r.Values), "step": q.step, "reason": r.Reason.String(), "took": e.turnAt.Sub(q.Received),
 		}).Debug("a query ended")
 	}
 	q.Reply(r)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/config"
+	"birchcart/internal/logs"
 	"birchcart/internal/record"
 	"birchcart/internal/settings"
 	"birchcart/policy"
@@ -19,14 +20,15 @@
 
 // Exchange owns the decisions and what is open.
 type Exchange struct {
-	policy   *policy.Policy
-	config   policy.Config
-	names    *settings.Names
-	limits   config.Limits
-	log      *logrus.Entry
-	replicas Replicas
-	watcher  Watcher
-	start    time.Time
+	policy     *policy.Policy
+	config     policy.Config
+	names      *settings.Names
+	limits     config.Limits
+	log        *logrus.Entry
+	limitedLog *logs.Limited
+	replicas   Replicas
+	watcher    Watcher
+	start      time.Time
 
 	mu    sync.Mutex
 	inbox []message
@@ -47,6 +49,7 @@
 	replicasByName map[string]*replicaEntry
 	replicasByID   map[uint64]*replicaEntry
 	timers         timers
+	listIndex      int64     // discovery's version of the list in force
 	turnAt         time.Time // the last turn
 	counters       counters
 	loggedAt       time.Time
@@ -112,7 +115,7 @@
 // New returns an exchange; Join connects it before Run.
 func New(cfg *config.Config, log *logrus.Entry) *Exchange {
 	return &Exchange{
-		policy: policy.New(cfg.Policy), config: cfg.Policy, names: cfg.Names, limits: cfg.Limits, log: log,
+		policy: policy.New(cfg.Policy), config: cfg.Policy, names: cfg.Names, limits: cfg.Limits, log: log, limitedLog: logs.Limit(log, cfg.Limits.LogEvery),
 		start: time.Now(), wake: make(chan struct{}, 1),
 		queries: map[uint64]*query{}, byRequestID: map[string]*query{}, parts: map[uint64]*part{},
 		replicasByName: map[string]*replicaEntry{}, replicasByID: map[uint64]*replicaEntry{},
@@ -206,6 +209,7 @@
 	e.batch, e.inbox = e.inbox, e.batch[:0]
 	e.mu.Unlock()
 	e.turnAt = time.Now()
+	e.logStandstill()
 	e.events = e.events[:0]
 	for _, m := range e.batch {
 		if _, ahead := m.(control); ahead {
@@ -240,6 +244,7 @@
 type counters struct {
 	queries, attempts, full int
 	replies                 [Conflict + 1]int
+	reasons                 [policy.BreaksReplica + 1]int // of refusals and failures by the decisions
 	left                    int
 	outcomes                [policy.Moot + 1]int
 }
@@ -253,7 +258,10 @@
 			"attempts": s.attempts, "ok": s.outcomes[policy.OK], "fault": s.outcomes[policy.Failed],
 			"overload": s.outcomes[policy.Rejected], "unreachable": s.outcomes[policy.Unreachable],
 			"broken": s.outcomes[policy.Broken], "timed_out": s.outcomes[policy.TimedOut],
-			"given_up": s.outcomes[policy.Revoked],
+			"given_up": s.outcomes[policy.Revoked], "not_admitted": s.reasons[policy.NotAdmitted],
+			"parts_lost": s.reasons[policy.PartsLost], "out_of_time": s.reasons[policy.OutOfTime],
+			"promise_missed": s.reasons[policy.PromiseMissed], "breaks_replica": s.reasons[policy.BreaksReplica],
+			"list": e.listIndex,
 		}).Info("summary")
 	}
 	e.logRoutes()
--- a/internal/exchange/list.go
+++ b/internal/exchange/list.go
@@ -15,6 +15,9 @@
 
 // applyReplicaList hands on the list as it is shown: the decisions and the replica side learn of it in the same turn.
 func (e *Exchange) applyReplicaList(l ReplicaList) {
+	if l.Index != 0 { // else drains changed, not the list
+		e.listIndex = l.Index
+	}
 	ev := policy.Event{Kind: policy.ListChanged, Full: l.Full, Stale: l.Stale, Tenant: -1}
 	var changed []Target
 	if l.Full {
@@ -35,7 +38,7 @@
 	}
 	if l.Full {
 		changed = append(changed, e.removeUnlisted()...)
-		e.log.WithFields(logrus.Fields{"replicas": len(l.Entries), "stale": l.Stale}).Info("a whole list")
+		e.log.WithFields(logrus.Fields{"replicas": len(l.Entries), "stale": l.Stale, "index": l.Index}).Info("a whole list")
 	}
 	e.forgetRemoved()
 	e.events = append(e.events, ev)
@@ -76,7 +79,7 @@
 }
 
 func (e *Exchange) logEndpoint(k *replicaEntry, endpoint Endpoint) {
-	f := logrus.Fields{"replica": k.Name, "id": k.Replica, "state": stateNames[k.State]}
+	f := logrus.Fields{"replica": k.Name, "id": k.Replica, "state": stateNames[k.State], "index": e.listIndex}
 	if !endpoint.Started.IsZero() {
 		f["age"] = e.turnAt.Sub(endpoint.Started).Round(time.Millisecond)
 	}
--- a/internal/exchange/outcome.go
+++ b/internal/exchange/outcome.go
@@ -23,6 +23,7 @@
 func (e *Exchange) reportEnd(a *Attempt, o policy.Outcome, at time.Time, report []float64) policy.Event {
 	a.ended, a.Text = true, nil // its timer lives on for a while
 	e.counters.outcomes[o]++
+	e.traceAttemptEnd(a, o)
 	a.part.query.attemptOver(o)
 	e.load.change(e.turnAt, -1)
 	if pt := a.part; !pt.out() && (pt.query.closed || pt.query.step == 2 && pt.previous == nil) {
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -52,6 +52,7 @@
 	Complete   bool
 	Values     []Value
 	RetryAfter time.Duration // Rejected: when to retry; 0 for no advice
+	Reason     policy.Reason // Rejected, Failed: why the decisions ended it, for the log
 	Owner      string        // Rejected: the co-ordinator that has its session; "" if none is named
 }
 
@@ -110,6 +111,7 @@
 // ReplicaList is a change of the endpoint list: a full one, or the endpoints that changed.
 type ReplicaList struct {
 	Entries     []Endpoint
+	Index       int64 // discovery's version of the list with this change
 	Full, Stale bool
 }
 
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -87,6 +87,7 @@
 		c.conn.CloseWrite()
 		c.conn.Drain(lim.Linger, lim.LingerBytes)
 	}
+	c.server.log.Debug("a client's connection ended", logrus.Fields{"peer": c.peer, "error": err, "last_request": last})
 	c.notifyGone()
 	c.server.remove(c)
 }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -28,6 +28,13 @@
 	return &Limited{log: log, every: every, kinds: map[string]*kind{}}
 }
 
+// Debug writes a line if the log is at the level debug, each one: whoever asks for that level wants all of them.
+func (l *Limited) Debug(text string, fields logrus.Fields) {
+	if l.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		l.log.WithFields(fields).Debug(text)
+	}
+}
+
 // Warn writes a line; its text, which must be a constant, is its kind.
 func (l *Limited) Warn(text string, fields logrus.Fields) {
 	now := time.Now()
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"birchcart/internal/frame"
 	"birchcart/policy"
 )
@@ -115,6 +117,7 @@
 	}
 	for _, en := range live {
 		en.written, en.frameEnd, en.writtenAt = true, c.queuedBytes+int64(len(buf)-start), now
+		c.pool.log.Debug("a part is written", logrus.Fields{"part": en.request.ID, "replica": c.target.Name, "address": c.address})
 	}
 	c.unstarted, c.unstartedBytes = live, int64(len(buf)-start)
 	return buf
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -251,10 +251,11 @@
 		}
 		p.healthCheckEnded(pr, o, nil)
 	}
+	fields := logrus.Fields{"replica": name, "address": c.address, "parts": len(out), "error": err}
 	if err != nil && !errors.Is(err, errIdle) || len(out) > 0 {
-		p.log.Warn("a connection to a replica ended", logrus.Fields{
-			"replica": name, "address": c.address, "parts": len(out), "error": err,
-		})
+		p.log.Warn("a connection to a replica ended", fields)
+	} else {
+		p.log.Debug("a connection to a replica was closed", fields)
 	}
 }
 
--- a/policy/answers.go
+++ b/policy/answers.go
@@ -22,7 +22,7 @@
 	case hope < need-weightSlip && p.shortWorth(q) > 0:
 		p.answer(q)
 	case hope < min(need, p.floor(q))-weightSlip:
-		p.giveUp(q)
+		p.giveUp(q, PartsLost)
 	}
 }
 
@@ -50,12 +50,12 @@
 }
 
 // giveUp ends a query at once: by what is in, else by a refusal where that is allowed, else by a failure.
-func (p *Policy) giveUp(q *query) {
+func (p *Policy) giveUp(q *query, why Reason) {
 	if p.floorMet(q) && q.inCount > 0 {
 		p.answer(q)
 		return
 	}
-	a := Action{Verb: Refuse, Query: q.id}
+	a := Action{Verb: Refuse, Query: q.id, Reason: why}
 	ran := func(pt *part) bool { return pt.firstRun() != nil }
 	if p.cfg.Classes[q.class].Effect != Safe && (q.step == 2 || slices.ContainsFunc(q.parts, ran)) {
 		a.Verb = Fail // rule 2; what the first step ran is forgotten by now, and its parts with it
--- a/policy/api.go
+++ b/policy/api.go
@@ -175,18 +175,37 @@
 const (
 	Send   Verb = iota // Part, Replica, TryFor
 	Cancel             // Part, Attempt
-	Answer             // Query, Full
-	Refuse             // Query, After
-	Fail               // Query
+	Answer             // Query, Full, Reason
+	Refuse             // Query, After, Reason
+	Fail               // Query, Reason
 	Probe              // Replica
 	Timer              // After, Handle
 	Watch              // subscribe to the list
 	Log                // Text
 )
 
+// Reason says why the decisions end a query without what it asked for.
+type Reason uint8
+
+// Reasons for a refusal, a failure, or an answer that is cut short.
+const (
+	NoReason      Reason = iota
+	NotAdmitted          // at its arrival: it would not be in time
+	PartsLost            // the parts that can still come are too few
+	OutOfTime            // its client's time, or that of its step, is over
+	PromiseMissed        // late, and worth no more waiting
+	BreaksReplica        // replicas that began it went down
+)
+
+var reasonNames = [...]string{"", "not admitted", "parts lost", "out of time", "promise missed", "breaks replicas"}
+
+// String names the reason for the log.
+func (r Reason) String() string { return reasonNames[r] }
+
 // Action is one thing to do; Verb says which fields hold.
 type Action struct {
 	Verb    Verb
+	Reason  Reason
 	Full    bool
 	Query   uint64
 	Part    uint64
--- a/policy/fuzz_test.go
+++ b/policy/fuzz_test.go
@@ -153,6 +153,7 @@
 }
 
 func (w *world) step() {
+	// Long: one tick in the order in which its parts depend on each other.
 	w.now += 0.005
 	var events []Event
 	for _, s := range w.steps {
@@ -274,6 +275,7 @@
 
 // The checker itself: each rule broken on purpose in what the module says must be found.
 func TestCheckerFindsBrokenRules(t *testing.T) {
+	// Long: a table with one entry for each rule.
 	broken := map[int]func(w *world) func(Action) Action{
 		1: func(w *world) func(Action) Action { // a final answer goes astray
 			n := 0
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -255,7 +255,7 @@
 		}
 		q.need = needOf(&p.cfg.Classes[q.class], q.need)
 		if p.turnedAway(q) {
-			p.giveUp(q)
+			p.giveUp(q, NotAdmitted)
 			return
 		}
 	}
--- a/policy/time.go
+++ b/policy/time.go
@@ -29,20 +29,27 @@
 // age is for how long an attempt has been out, as far as we were there to see its end.
 func (p *Policy) age(a *attempt) float64 { return p.now - max(a.sentAt, p.stalledAt) }
 
-func (p *Policy) lookAt(q *query) {
+// overdue is why a query ends by its time alone, NoReason while it need not.
+func (p *Policy) overdue(q *query) Reason {
 	c := &p.cfg.Classes[q.class]
 	if q.due-p.now <= dueMargin*p.tick || q.lim.Step > 0 && p.now-q.stepAt+p.tick >= q.lim.Step {
-		p.giveUp(q)
-		return
+		return OutOfTime
 	}
 	if age := p.now - q.arrived; age+p.tick >= c.Promise {
 		// After the promise a short answer may be worth more than waiting for the whole, and what earns
 		// nothing late, or any late one while the instance is full, only keeps others waiting.
 		if p.shortWorth(q) > c.LateWorth || age >= c.Promise && (c.LateWorth == 0 || p.full()) {
-			p.giveUp(q)
-			return
+			return PromiseMissed
 		}
 	}
+	return NoReason
+}
+
+func (p *Policy) lookAt(q *query) {
+	if why := p.overdue(q); why != NoReason {
+		p.giveUp(q, why)
+		return
+	}
 	base := p.late(q.class)
 	if q.scout && p.now-q.arrived > p.models[q.class].swift {
 		p.askAll(q)
