--- /dev/null
+++ b/internal/faultinject/agent.go
@@ -0,0 +1,408 @@
+// Package faultinject has the peers of a co-ordinator under test, with faults that are injected where they happen: a
+// discovery agent, replicas, clients, and signals by a seeded schedule. A judge holds what they recorded to the rules. Everything
+// runs in the test's process and listens on loopback; the co-ordinator is a real process.
+package faultinject
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"birchcart/internal/standin"
+)
+
+const (
+	// heartbeatEvery is from the protocol: an empty line in each watch while nothing changes.
+	heartbeatEvery = 2 * time.Second
+	// silenceCounts is from the operators' page: what a watch misses counts as notified so long after it fell silent.
+	silenceCounts = 6 * time.Second
+	pieceGap      = 3 * time.Millisecond // between the pieces of an object that comes in pieces
+)
+
+// WatchFault is what goes wrong with one watch of an agent.
+type WatchFault struct {
+	EndsInstead bool          // at the first change it ends, without having brought it
+	Late        time.Duration // its head comes at once, and everything else so much later
+	FullFirst   bool          // its first answer is the full list, which leaves out replicas that drain
+	Pieces      bool          // objects come in pieces
+}
+
+// Agent is a discovery agent on the co-ordinator's machine. What it has counts as notified at once, whether or not a watch is
+// open; but what an open watch misses after it has fallen silent counts silenceCounts after that.
+type Agent struct {
+	listener net.Listener
+
+	mu        sync.Mutex
+	endpoints []standin.Endpoint
+	index     int64
+	changes   []standin.List // one change each
+	down      bool
+	unlearnt  []standin.Endpoint // changes of an outage, had at its end
+	news      chan struct{}      // closed at each change of what watches go by
+	faults    []WatchFault       // of the next watches, the first first
+	watches   map[*agentWatch]struct{}
+	periods   []Drain
+	silent    time.Time // since when all open watches are silent, zero if they are not
+	calls     int
+}
+
+// agentWatch is one watch that is open.
+type agentWatch struct {
+	conn   net.Conn
+	fault  WatchFault
+	silent bool
+}
+
+// Drain is a time in which a replica wants nothing new.
+type Drain struct {
+	Replica string
+	Counts  time.Time // from when it counts as notified
+	Until   time.Time // ready again; zero for never
+}
+
+// NewAgent starts an agent with this list.
+func NewAgent(endpoints []standin.Endpoint) (*Agent, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		listener: listener, endpoints: append([]standin.Endpoint(nil), endpoints...), index: 40,
+		news: make(chan struct{}), watches: map[*agentWatch]struct{}{},
+	}
+	go a.accept()
+	return a, nil
+}
+
+// Address is where it listens.
+func (a *Agent) Address() string { return a.listener.Addr().String() }
+
+// Close ends it and all its connections.
+func (a *Agent) Close() {
+	a.listener.Close()
+	a.ResetWatches()
+}
+
+// SetStatus changes the status of a replica. While the agent is down it learns nothing.
+func (a *Agent) SetStatus(name, status string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, e := range a.endpoints {
+		if e.Name != name {
+			continue
+		}
+		e.Status = status
+		if a.down {
+			a.unlearnt = append(a.unlearnt, e)
+		} else {
+			a.learn(e)
+		}
+		return
+	}
+}
+
+// learn takes a change. The lock is held.
+func (a *Agent) learn(e standin.Endpoint) {
+	now := time.Now()
+	for i := range a.endpoints {
+		if a.endpoints[i].Name == e.Name {
+			a.endpoints[i] = e
+		}
+	}
+	a.index++
+	a.changes = append(a.changes, standin.List{Index: a.index, Endpoints: []standin.Endpoint{e}})
+	if e.Status == "Ready" {
+		a.endDrain(e.Name, now)
+	} else {
+		a.beginDrain(e.Name, now)
+	}
+	a.wake()
+}
+
+// beginDrain notes from when a drain counts. The lock is held.
+func (a *Agent) beginDrain(name string, now time.Time) {
+	counts := now
+	if !a.silent.IsZero() {
+		counts = maxTime(now, a.silent.Add(silenceCounts))
+	}
+	for i := range a.periods {
+		if a.periods[i].Replica == name && a.periods[i].Until.IsZero() {
+			return // draining and then gone: it counts from the first
+		}
+	}
+	a.periods = append(a.periods, Drain{Replica: name, Counts: counts})
+}
+
+func (a *Agent) endDrain(name string, now time.Time) {
+	for i := range a.periods {
+		if a.periods[i].Replica == name && a.periods[i].Until.IsZero() {
+			a.periods[i].Until = now
+		}
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Drains lists when replicas want nothing new.
+func (a *Agent) Drains() []Drain {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]Drain(nil), a.periods...)
+}
+
+// Calls is how many requests have come.
+func (a *Agent) Calls() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.calls
+}
+
+// FailWatches has the next watches go wrong, one after the other.
+func (a *Agent) FailWatches(faults ...WatchFault) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.faults = append(a.faults, faults...)
+}
+
+// Down begins an outage: the agent says nothing more, on any connection, and learns nothing.
+func (a *Agent) Down() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = true
+	a.wake()
+}
+
+// Up ends it. What was asked meanwhile is never answered; what discovery has is had at once.
+func (a *Agent) Up() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = false
+	a.closeWatches() // those of before say nothing more, like the calls that came meanwhile
+	for _, e := range a.unlearnt {
+		a.learn(e)
+	}
+	a.unlearnt = nil
+	a.wake()
+}
+
+// SilenceWatches has all watches that are open say nothing more. New ones are sound.
+func (a *Agent) SilenceWatches() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for w := range a.watches {
+		w.silent = true
+	}
+	if len(a.watches) > 0 && a.silent.IsZero() {
+		a.silent = time.Now()
+	}
+}
+
+// ResetWatches resets all watches that are open.
+func (a *Agent) ResetWatches() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closeWatches()
+}
+
+// closeWatches closes the watches that are open. The lock is held.
+func (a *Agent) closeWatches() {
+	for w := range a.watches {
+		w.conn.(*net.TCPConn).SetLinger(0)
+		w.conn.Close()
+		delete(a.watches, w)
+	}
+	a.silent = time.Time{}
+}
+
+// wake has all watches look again. The lock is held.
+func (a *Agent) wake() {
+	close(a.news)
+	a.news = make(chan struct{})
+}
+
+func (a *Agent) accept() {
+	for {
+		conn, err := a.listener.Accept()
+		if err != nil {
+			return
+		}
+		go a.serve(conn)
+	}
+}
+
+// serve answers the requests of one connection.
+func (a *Agent) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		target, err := readTarget(in)
+		if err != nil {
+			return
+		}
+		a.mu.Lock()
+		a.calls++
+		down := a.down
+		a.mu.Unlock()
+		if down { // never answered, also not at the end of the outage
+			io.Copy(io.Discard, in)
+			return
+		}
+		query := target.Query()
+		if query.Get("watch") != "" {
+			after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+			a.serveWatch(conn, after)
+			return
+		}
+		if a.writeList(conn) != nil {
+			return
+		}
+	}
+}
+
+// readTarget reads the head of a request that has no body.
+func readTarget(in *bufio.Reader) (*url.URL, error) {
+	line, err := in.ReadString('\n')
+	for head := line; err == nil && head != "\r\n"; {
+		head, err = in.ReadString('\n')
+	}
+	if err != nil {
+		return nil, err
+	}
+	fields := strings.Fields(line)
+	if len(fields) < 2 {
+		return nil, fmt.Errorf("a request line %q", line)
+	}
+	return url.Parse(fields[1])
+}
+
+// writeList answers the request for the full list.
+func (a *Agent) writeList(conn net.Conn) error {
+	a.mu.Lock()
+	body, err := json.Marshal(standin.List{Index: a.index, Snapshot: true, Endpoints: a.endpoints})
+	a.heard()
+	a.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err
+}
+
+// heard notes that a call is answered: what a silent watch missed counts from now at the latest. The lock is held.
+func (a *Agent) heard() {
+	a.silent = time.Time{}
+	now := time.Now()
+	for i := range a.periods {
+		if a.periods[i].Counts.After(now) {
+			a.periods[i].Counts = now
+		}
+	}
+}
+
+// serveWatch plays one watch to its end.
+func (a *Agent) serveWatch(conn net.Conn, after int64) {
+	w := &agentWatch{conn: conn}
+	a.mu.Lock()
+	if len(a.faults) > 0 {
+		w.fault, a.faults = a.faults[0], a.faults[1:]
+	}
+	a.watches[w] = struct{}{}
+	a.heard()
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.watches, w)
+		a.mu.Unlock()
+	}()
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+		return
+	}
+	time.Sleep(w.fault.Late)
+	full := w.fault.FullFirst
+	heartbeat := time.NewTicker(heartbeatEvery)
+	defer heartbeat.Stop()
+	for beat := false; ; {
+		a.mu.Lock()
+		due, quiet, news := a.dueChanges(after, full), w.silent || a.down, a.news
+		a.mu.Unlock()
+		switch {
+		case quiet:
+		case len(due) > 0 && w.fault.EndsInstead:
+			return
+		case len(due) > 0:
+			for _, object := range due {
+				if w.writeObject(object) != nil {
+					return
+				}
+				after = object.Index
+			}
+			full = false
+		case beat:
+			if writeChunk(conn, "\n") != nil {
+				return
+			}
+		}
+		beat = false
+		select {
+		case <-news:
+		case <-heartbeat.C:
+			beat = true
+		}
+	}
+}
+
+// dueChanges is what a watch has to bring after a version: changes, or the full list. The lock is held.
+func (a *Agent) dueChanges(after int64, full bool) (due []standin.List) {
+	if full {
+		list := standin.List{Index: a.index, Snapshot: true, Endpoints: []standin.Endpoint{}}
+		for _, e := range a.endpoints {
+			if e.Status == "Ready" {
+				list.Endpoints = append(list.Endpoints, e)
+			}
+		}
+		return []standin.List{list}
+	}
+	for _, c := range a.changes {
+		if c.Index > after {
+			due = append(due, c)
+		}
+	}
+	return due
+}
+
+// writeObject writes one object of a watch, in pieces if that is its fault.
+func (w *agentWatch) writeObject(list standin.List) error {
+	raw, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	text := string(raw) + "\n"
+	if w.fault.Pieces {
+		third := len(text) / 3
+		for _, piece := range []string{text[:third], text[third : 2*third]} {
+			if err := writeChunk(w.conn, piece); err != nil {
+				return err
+			}
+			time.Sleep(pieceGap)
+		}
+		text = text[2*third:]
+	}
+	return writeChunk(w.conn, text)
+}
+
+func writeChunk(conn net.Conn, text string) error {
+	_, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+	return err
+}
--- /dev/null
+++ b/internal/replica/held_test.go
@@ -0,0 +1,119 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"birchcart/internal/duplexconn"
+	"birchcart/internal/exchange"
+	"birchcart/policy"
+)
+
+// pulled is a call that the connection's goroutine has built and not yet handed to the kernel: there the machine may hold it up.
+type pulled struct {
+	*stand
+	attempt *exchange.Attempt
+	write   func() // goes on where the goroutine was held up
+	peer    net.Conn
+}
+
+// newPulled has a pool whose only connection has just built the frame of a call.
+func newPulled(t *testing.T) *pulled {
+	t.Helper()
+	s := newStand(t, testLimits())
+	s.pool.dial = func(ctx context.Context, _ string) (*net.TCPConn, error) { // the test plays the goroutine itself
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	p := &pulled{stand: s, attempt: attempt("q.1")}
+	s.pool.Send(1, []*exchange.Attempt{p.attempt})
+	own, err := net.Dial("tcp", s.ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { own.Close() })
+	if p.peer, err = s.ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.peer.Close() })
+	s.pool.mu.Lock()
+	link := s.pool.targets[1].conns[0]
+	w := writer{own.(*net.TCPConn), link}
+	link.conn = duplexconn.New(w, link, time.Second).ReadFirst()
+	s.pool.mu.Unlock()
+	out, _, err := link.Pull(nil)
+	if err != nil || len(out) == 0 {
+		t.Fatalf("%q, %v", out, err)
+	}
+	p.write = func() {
+		if _, err := w.Write(out); err != nil {
+			t.Error(err)
+		}
+	}
+	return p
+}
+
+// quiet holds that nothing has come at the replica.
+func (p *pulled) quiet(t *testing.T) {
+	t.Helper()
+	p.peer.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	var b [100]byte
+	if n, err := p.peer.Read(b[:]); n > 0 || !timedOut(err) {
+		t.Errorf("%q came, %v", b[:n], err)
+	}
+}
+
+func timedOut(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// A frame is built, and the goroutine is held up before it hands it to the kernel. What takes the part back meanwhile holds:
+// nothing of it goes out, and the part is known never to have run. An operators' run had a part of a refused query arrive 0.29 s
+// after the refusal, at a replica that drained.
+func TestNothingTakenBackIsWrittenAfterAStop(t *testing.T) {
+	for name, takeBack := range map[string]func(t *testing.T, p *pulled){
+		"the replica drains":  func(_ *testing.T, p *pulled) { p.set(policy.Draining) },
+		"the replica is gone": func(_ *testing.T, p *pulled) { p.set(policy.Removed) },
+		"its query has ended": func(_ *testing.T, p *pulled) { p.pool.CancelUnsent(p.attempt) },
+		"the attempt is given up": func(t *testing.T, p *pulled) {
+			if found, sent := p.pool.Cancel(p.attempt); !found || sent {
+				t.Errorf("found %v, sent %v: it has not gone", found, sent)
+			}
+		},
+		"its client's time is over": func(_ *testing.T, p *pulled) { time.Sleep(time.Until(p.attempt.Due)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPulled(t)
+			if name == "its client's time is over" {
+				p.attempt.Due = time.Now().Add(50 * time.Millisecond)
+			}
+			takeBack(t, p)
+			p.write()
+			p.quiet(t)
+			if strings.HasPrefix(name, "the replica") { // the others' ends are told by whoever takes them back
+				if r := p.sink.next(t); r.Attempt != p.attempt || r.Outcome != policy.Moot {
+					t.Errorf("%+v", r)
+				}
+			}
+			p.sink.none(t)
+		})
+	}
+}
+
+// What nobody has taken back goes out, late or not.
+func TestAPartIsWrittenAfterAStop(t *testing.T) {
+	p := newPulled(t)
+	time.Sleep(30 * time.Millisecond)
+	p.write()
+	p.peer.SetReadDeadline(time.Now().Add(patience))
+	var b [4]byte
+	if _, err := p.peer.Read(b[:]); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -122,10 +122,15 @@
 
 // Config is a co-ordinator's configuration for this fleet, as the platform writes it.
 func (f *Fleet) Config(listen string) []byte {
+	return f.shape.Config(listen, f.Discovery.Address(), f.Discovery.List())
+}
+
+// Config is a co-ordinator's configuration for a fleet of this shape, with this address of discovery and this known list.
+func (s FleetShape) Config(listen, discovery string, known List) []byte {
 	var classes []object
 	var need, floor []float64
 	var follow []int
-	for _, c := range f.shape.Classes {
+	for _, c := range s.Classes {
 		classes = append(classes, object{
 			"name": c.Name, "promise_s": c.Promise, "give_up_s": c.GiveUp, "late_worth": 0.1, "points": 1, "semantics": c.Semantics,
 		})
@@ -133,15 +138,15 @@
 	}
 	settings := object{}
 	var tenants []object
-	for _, name := range f.shape.Tenants {
-		tenants = append(tenants, object{"name": name, "quota_rps": 1000, "share": 1 / float64(len(f.shape.Tenants))})
+	for _, name := range s.Tenants {
+		tenants = append(tenants, object{"name": name, "quota_rps": 1000, "share": 1 / float64(len(s.Tenants))})
 	}
 	if len(tenants) > 0 {
 		settings["tenants"] = tenants
 	}
 	raw, err := json.MarshalIndent(object{
-		"name": "n0", "listen": listen, "discovery": f.Discovery.Address(), "seed": "5eed5eed5eed5eed",
-		"limits": object{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": f.Discovery.List(),
+		"name": "n0", "listen": listen, "discovery": discovery, "seed": "5eed5eed5eed5eed",
+		"limits": object{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": known,
 		"settings": merged(settings, object{
 			"resolution_s": 0.005, "fleet_size": 1, "ordinal": 0, "zone": DataCentres[0], "failure_domains": DataCentres,
 			"membership_mode": "automatic",
@@ -151,7 +156,7 @@
 			},
 			"classes": classes,
 			"family_info": object{
-				"cells": f.shape.Cells, "reach": f.shape.Reach, "shards": f.shape.Shards, "per_call": 1, "need_by_class": need,
+				"cells": s.Cells, "reach": s.Reach, "shards": s.Shards, "per_call": 1, "need_by_class": need,
 				"floor_by_class": floor, "follow_up": follow,
 			},
 			"invariants": object{
