Look again right before a part is written whether it may still go

Cause: Pull marked parts as written when it built their frame; a connection's goroutine that was held up before the write let them go although the replica drained, the query had ended, the attempt was given up or the time was over. At fault: appendCall in call.go marked en.written, writer.Write in write.go wrote what it was given. Change: a part counts as written from begin, which looks again under the pool's lock right before the write; a frame built over 10 ms before, or with a part that was taken back, is put back and built anew. Cancels and drains take back what has not begun, so it is told as never sent.

--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -112,15 +112,40 @@
 		return buf
 	}
 	buf = frame.AppendCall(buf, parts)
-	if !c.anyWritten() {
+	for _, en := range live {
+		en.frameEnd = c.queuedBytes + int64(len(buf)-start)
+	}
+	c.unstarted, c.unstartedBytes, c.builtAt = live, int64(len(buf)-start), now
+	return buf
+}
+
+// maxFrameAge is for how long a frame may wait between being built and being written. It tells the replica the time that was
+// left when it was built, which may be 0.15 s too long at the most; the machine may hold the process up for as long once more
+// after this was looked at. Half as long has busy machines build frames twice; it is some hundred times what a quiet one takes.
+const maxFrameAge = 10 * time.Millisecond
+
+// begin says whether the call that was pulled last may be handed to the kernel, and notes its parts as written if so. The goroutine
+// may have been held up since it built the frame: a part that was taken back meanwhile must not go, nor a time that is over.
+func (c *replicaConn) begin() bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	now := time.Now()
+	if len(c.unstarted) > 0 && now.Sub(c.builtAt) > maxFrameAge {
+		return false
+	}
+	for _, en := range c.unstarted {
+		if c.pool.entries[en.request] != en || !en.request.Due.After(now) {
+			return false
+		}
+	}
+	if len(c.unstarted) > 0 && !c.anyWritten() {
 		c.lastReadAt = now // until now it had nothing to say
 	}
-	for _, en := range live {
-		en.written, en.frameEnd, en.writtenAt = true, c.queuedBytes+int64(len(buf)-start), now
+	for _, en := range c.unstarted {
+		en.written, en.writtenAt = true, now
 		c.pool.log.Debug("a part is written", logrus.Fields{"part": en.request.ID, "replica": c.target.Name, "address": c.address})
 	}
-	c.unstarted, c.unstartedBytes = live, int64(len(buf)-start)
-	return buf
+	return true
 }
 
 func (c *replicaConn) anyWritten() bool {
--- a/internal/replica/held_test.go
+++ b/internal/replica/held_test.go
@@ -53,6 +53,9 @@
 		if _, err := w.Write(out); err != nil {
 			t.Error(err)
 		}
+		if _, err := link.conn.Flush(); err != nil { // as the goroutine does when it is woken
+			t.Error(err)
+		}
 	}
 	return p
 }
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -49,7 +49,7 @@
 	request   *exchange.Attempt
 	conn      *replicaConn
 	requeued  bool             // waited on another connection before, which ended
-	written   bool             // handed to the connection's writer
+	written   bool             // handed to the kernel, in part or whole
 	cancelled bool             // its query is over; the rest of its frame need not go out
 	frameEnd  int64            // then: where its frame ends among the bytes of the connection
 	writtenAt time.Time        // and when
--- a/internal/replica/write.go
+++ b/internal/replica/write.go
@@ -37,11 +37,16 @@
 			}
 			w.l.wake() // to be asked again: what else it said then is lost
 		}
+		if len(pulled) > 0 && !w.l.begin() {
+			w.l.putBack()
+			w.l.wake() // what is still to go is built anew
+			pulled = nil
+		}
 		if len(pulled) == 0 {
 			return true
 		}
 		wrote, failed = write(fd, pulled)
-		return failed != syscall.EAGAIN || !w.l.putBack()
+		return failed != syscall.EAGAIN || !w.l.putBackBlocked()
 	})
 	switch {
 	case err != nil:
@@ -66,6 +71,17 @@
 	}
 }
 
+// putBackBlocked puts the call that was pulled last back since the peer takes nothing for now. It tells whether there was one.
+func (c *replicaConn) putBackBlocked() bool {
+	if !c.putBack() {
+		return false
+	}
+	c.pool.mu.Lock()
+	c.blocked = true
+	c.pool.mu.Unlock()
+	return true
+}
+
 // putBack returns the call that was pulled last to the head of the queue, as one that is not written. It tells
 // whether there was one. Where the replica drains, moved or restarted since the pull, its parts are taken back.
 func (c *replicaConn) putBack() bool {
@@ -79,7 +95,7 @@
 	}
 	c.queue = slices.Insert(c.queue, 0, c.unstarted)
 	c.queuedBytes -= c.unstartedBytes
-	c.unstarted, c.unstartedBytes, c.blocked = nil, 0, true
+	c.unstarted, c.unstartedBytes = nil, 0
 	var back []exchange.Result
 	if c.retired {
 		back = c.unqueue(policy.Moot)
