--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -130,9 +130,11 @@
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	now := time.Now()
-	if len(c.unstarted) > 0 && now.Sub(c.builtAt) > maxFrameAge {
+	if len(c.unstarted) > 0 && now.Sub(c.builtAt) > maxFrameAge && !c.rebuilt {
+		c.rebuilt = true // once: a machine that takes as long again would never come to write it
 		return false
 	}
+	c.rebuilt = false
 	for _, en := range c.unstarted {
 		if c.pool.entries[en.request] != en || !en.request.Due.After(now) {
 			return false
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -39,6 +39,7 @@
 	unstarted      []*pendingAttempt // the call that was pulled last, none if that was no call; it goes back where no byte of it can go out
 	unstartedBytes int64
 	builtAt        time.Time // when it was pulled
+	rebuilt        bool      // it is built anew since the one before was too old
 
 	lastReadAt       time.Time         // last read, or when parts went out after a pause
 	idleSince        time.Time         // when the last part ended
