Ask an agent for the full list on every connection, and twice as often in an outage

Cause: what an agent has counts as notified at once, but a connection that ended was followed by another watch, and the full list came only once the last confirmation was 1 s old, or the watch had been silent for 3 s. At fault: needsFullList in feed.go with maxConfirmationAge 1 s in retry.go. Class: news that counts at once had by waits that are sized for news that counts after 6 s. Related paths read with it: the next call in an outage came 0.2 s after the last, which with 0.15 s held up is over the grace of 0.3 s, now 0.1 s (a call with no byte of its answer is left after 0.5 s, so that no more of them are open); where lists are asked for, a request that was left so that the decisions hear of it began anew with a whole backoff on top of its last call (TestABrokenWatchIsAskedForAgain), it goes on where it was now. A list that closes its connection is followed by a watch, once.

--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -18,8 +18,10 @@
 	backoff        time.Duration // before the next connection
 	cancel         context.CancelFunc
 
-	lastErr  error // why the connection before is of no more use, nil at the start
-	reopened bool  // a watch of a shared discovery has fallen silent, and nothing was heard since
+	watchNext bool      // the full list has just come, on a connection that closed behind it
+	lastErr   error     // why the connection before is of no more use, nil at the start
+	resumeAt  time.Time // when the next attempt of a request that was left is due, zero for none
+	reopened  bool      // a watch of a shared discovery has fallen silent, and nothing was heard since
 }
 
 // run keeps the list up to date until the context ends. Where the decisions poll, their first request begins it, and they are
@@ -44,7 +46,7 @@
 			return
 		}
 		c.logWatchEnd(f, err)
-		f.lastErr = err
+		f.lastErr, f.watchNext = err, errors.Is(err, errClosedAfterList)
 		lasted, closed := time.Since(began), errors.Is(err, errClosedAfterList)
 		if f.backoff = c.retry.nextBackoff(f.backoff); lasted > c.retry.maxBackoff || closed {
 			f.backoff = c.retry.initialBackoff
@@ -73,8 +75,12 @@
 
 // needsFullList says whether to request the full list and not a watch. A new watch may be silent for WatchSilence and be of no
 // use then: with a confirmation that is old by now, the full list would come close to the time at which what was missed counts as
-// notified. So it is with watches that are refused, or end before they have brought anything.
+// notified. So it is with watches that are refused, or end before they have brought anything. Only where the full list has just
+// come, on a connection that closed with it, does a watch follow on a new one.
 func (f *feed) needsFullList() bool {
+	if f.watchNext {
+		return false
+	}
 	return f.fullListNeeded || time.Since(f.confirmedAt) > f.client.retry.maxConfirmationAge
 }
 
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -42,7 +42,7 @@
 			cancel()
 		}
 	}()
-	due := began.Add(c.retry.jitter(f.backoff))
+	due := f.firstRequestAt(began)
 	c.logRequest(f)
 	for no := 0; ; {
 		var again <-chan time.Time
@@ -72,14 +72,26 @@
 			cancel()
 			c.logRequestFailure(f, a.err)
 			f.backoff = c.retry.nextBackoff(f.backoff)
+			f.watchNext = false // what that connection was for has failed
+			due = f.nextRequestAt(a, due)
 			if c.onDemand && c.isActive(f) && time.Since(began) >= c.limits.WatchSilence {
+				f.resumeAt = due
 				return nil, errOnDemandTimeout
 			}
-			due = f.nextRequestAt(a, due)
 		}
 	}
 }
 
+// firstRequestAt is when the first attempt of a request is due. One that was left so that the decisions are notified goes on where
+// it was: with a whole backoff on top, what discovery has at its return would come after the time at which it counts as notified.
+func (f *feed) firstRequestAt(now time.Time) time.Time {
+	if at := f.resumeAt; !at.IsZero() {
+		f.resumeAt = time.Time{}
+		return at
+	}
+	return now.Add(f.client.retry.jitter(f.backoff))
+}
+
 // nextRequestAt is when the next attempt is due once one has failed; due is when it would have been.
 func (f *feed) nextRequestAt(a requestResult, due time.Time) time.Time {
 	if f.client.retry.shared { // from its beginning: one that got no answer in its time has waited already
@@ -94,14 +106,14 @@
 // attempt is one attempt. Its connection is closed when the context ends.
 func (f *feed) attempt(ctx context.Context, whole bool, index int64) (*stream, error) {
 	lim := &f.client.limits
-	d := net.Dialer{Timeout: f.client.retry.answerTime}
+	d := net.Dialer{Timeout: f.client.retry.firstByteTime}
 	began := time.Now()
 	nc, err := d.DialContext(ctx, "tcp", f.address)
 	if err != nil {
 		return nil, err
 	}
 	context.AfterFunc(ctx, func() { nc.Close() })
-	s := &stream{conn: nc, fullList: whole, startedAt: began, deadline: began.Add(f.client.retry.answerTime), objects: objectScanner{maxSize: lim.ListBytes}}
+	s := &stream{conn: nc, fullList: whole, startedAt: began, deadline: began.Add(f.client.retry.firstByteTime), answerBy: began.Add(f.client.retry.answerTime), objects: objectScanner{maxSize: lim.ListBytes}}
 	s.splitter.Limits = h1.Limits{Head: lim.HeadBytes}
 	s.scanner = bufio.NewScanner(s)
 	s.scanner.Buffer(nil, lim.HeadBytes+lim.BodyBytes)
--- a/internal/discovery/retry.go
+++ b/internal/discovery/retry.go
@@ -14,6 +14,7 @@
 type retryPolicy struct {
 	maxConcurrent              int           // requests that may wait for an answer at the same time
 	answerTime                 time.Duration // for a connection and the complete answer on it
+	firstByteTime              time.Duration // for the first byte of it
 	initialBackoff, maxBackoff time.Duration // between attempts after a failure, doubled from the first to the second
 	maxConfirmationAge         time.Duration // once the last confirmation is older, the full list is requested instead of a watch
 	shared                     bool          // discovery is shared: backoffs have jitter, and the end of an attempt is waited for
@@ -21,13 +22,15 @@
 
 func newRetryPolicy(onDemand bool, limits *config.Limits) retryPolicy {
 	if !onDemand {
+		// What an agent has counts as notified at once, whether or not a watch is open, and a watch may end instead of bringing it:
+		// no confirmation is young enough for another watch, which may be silent.
 		return retryPolicy{
-			maxConcurrent: maxConcurrentRequests, answerTime: limits.AgentTime, initialBackoff: limits.RedialFirst, maxBackoff: limits.RedialMost,
-			maxConfirmationAge: limits.AgentTime,
+			maxConcurrent: maxConcurrentRequests, answerTime: limits.AgentTime, firstByteTime: limits.AgentTime / 2,
+			initialBackoff: limits.RedialFirst, maxBackoff: limits.RedialMost, maxConfirmationAge: 0,
 		}
 	}
 	return retryPolicy{
-		maxConcurrent: 1, answerTime: limits.CallTime, initialBackoff: limits.CallFirst, maxBackoff: limits.CallMost,
+		maxConcurrent: 1, answerTime: limits.CallTime, firstByteTime: limits.CallTime, initialBackoff: limits.CallFirst, maxBackoff: limits.CallMost,
 		maxConfirmationAge: limits.WatchSilence, shared: true,
 	}
 }
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -21,6 +21,7 @@
 	splitter  h1.ResponseSplitter
 	objects   objectScanner
 	deadline  time.Time // when what is waited for has to be complete, however many bytes of it come: an answer, an object or a heartbeat
+	answerBy  time.Time // once its first byte has come: when the answer has to be complete; zero once that is in force
 	lateBytes int       // bytes read after that
 	cancel    context.CancelFunc
 	watching  bool // the watch was answered
@@ -29,7 +30,7 @@
 func (s *stream) close() { s.cancel() }
 
 // setDeadline sets the time for what is waited for now.
-func (s *stream) setDeadline(by time.Time) { s.deadline, s.lateBytes = by, 0 }
+func (s *stream) setDeadline(by time.Time) { s.deadline, s.answerBy, s.lateBytes = by, time.Time{}, 0 }
 
 // Read reads until the deadline. What has arrived by then and was not read, since this process had no processor, counts as in
 // time, up to the maximum size of an object: our own standstill is not the agent's silence.
@@ -44,6 +45,9 @@
 	if timedOut(err) {
 		err = errSilent
 	}
+	if n > 0 && !s.answerBy.IsZero() { // it has begun to answer
+		s.deadline, s.answerBy = s.answerBy, time.Time{}
+	}
 	return n, err
 }
 
