Hold new parts while a change of the list is there to be read

Cause: a process that gets a processor late finds the list's change and queries to be read at once, and nothing puts the list first: what was read from clients was sent while the change, which counts as notified, lay in the watch's socket or on its way to the replica side. At fault: writer.Write in internal/replica and exchange in featureserver, which knew the list in force and not what was pending. Class: acting on state while newer state that counts already is at hand unread. Related paths: parts towards feature servers have the same hold. Change: discovery says whether anything of its connections is unread or not yet passed on (the kernel is asked first, then the reader's mark, which is set before it takes anything), the exchange whether a change is not yet in force; a part begins only when neither is so, looked at right before its write. A call is held 200 looks at the most, 1 ms apart, so that a list that never ends stops nothing.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -32,6 +32,7 @@
 	hasList        atomic.Bool
 	confirmedAt    atomic.Pointer[time.Time] // last confirmation by a watch, or a full list, from the active address
 	feeds          sync.WaitGroup
+	conns          listConns
 
 	mu      sync.Mutex
 	ctx     context.Context // of Run, nil before
@@ -63,6 +64,10 @@
 	}
 }
 
+// ListPending says whether discovery has written something that has not been passed on to the sink. It counts as notified already. It
+// does not block and may be called from any goroutine.
+func (c *Client) ListPending() bool { return c.conns.pending() }
+
 // HasList says whether discovery has sent a list.
 func (c *Client) HasList() bool { return c.hasList.Load() }
 
--- a/internal/discovery/clock_test.go
+++ b/internal/discovery/clock_test.go
@@ -384,7 +384,11 @@
 	defer here.Close()
 	io.WriteString(there, "abc")
 	time.Sleep(20 * time.Millisecond)
-	s := &stream{conn: here, objects: objectScanner{maxSize: 100}, deadline: time.Now().Add(-time.Second)}
+	conn, err := newListConn(here)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &stream{conn: conn, objects: objectScanner{maxSize: 100}, deadline: time.Now().Add(-time.Second)}
 	b := make([]byte, 10)
 	if n, err := s.Read(b); n != 3 || err != nil {
 		t.Errorf("%d %v", n, err)
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -112,8 +112,17 @@
 	if err != nil {
 		return nil, err
 	}
-	context.AfterFunc(ctx, func() { nc.Close() })
-	s := &stream{conn: nc, fullList: whole, startedAt: began, deadline: began.Add(f.client.retry.firstByteTime), answerBy: began.Add(f.client.retry.answerTime), objects: objectScanner{maxSize: lim.ListBytes}}
+	conn, err := newListConn(nc)
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	f.client.conns.add(conn)
+	context.AfterFunc(ctx, func() {
+		conn.Close()
+		f.client.conns.remove(conn)
+	})
+	s := &stream{conn: conn, fullList: whole, startedAt: began, deadline: began.Add(f.client.retry.firstByteTime), answerBy: began.Add(f.client.retry.answerTime), objects: objectScanner{maxSize: lim.ListBytes}}
 	s.splitter.Limits = h1.Limits{Head: lim.HeadBytes}
 	s.scanner = bufio.NewScanner(s)
 	s.scanner.Buffer(nil, lim.HeadBytes+lim.BodyBytes)
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -14,7 +14,7 @@
 
 // stream reads responses from one connection.
 type stream struct {
-	conn      net.Conn
+	conn      *listConn
 	fullList  bool      // its first answer is the full list
 	startedAt time.Time // before it was dialled
 	scanner   *bufio.Scanner
@@ -37,7 +37,7 @@
 func (s *stream) Read(p []byte) (int, error) {
 	s.conn.SetReadDeadline(s.deadline)
 	n, err := s.conn.Read(p)
-	if timedOut(err) && s.lateBytes < s.objects.maxSize && duplexconn.Waits(s.conn) {
+	if timedOut(err) && s.lateBytes < s.objects.maxSize && duplexconn.Waits(s.conn.Conn) {
 		s.conn.SetReadDeadline(time.Time{}) // there is something: it does not wait
 		n, err = s.conn.Read(p)
 		s.lateBytes += n
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,6 +31,8 @@
 	watcher    Watcher
 	start      time.Time
 
+	listsQueued atomic.Int32 // changes of the list that are not yet in force
+
 	mu    sync.Mutex
 	inbox []message
 	wake  chan struct{}
@@ -155,7 +158,13 @@
 func (e *Exchange) HealthChecked(p HealthCheck) { e.enqueue(p) }
 
 // UpdateReplicas takes a change of the endpoint list.
-func (e *Exchange) UpdateReplicas(l ReplicaList) { e.enqueue(l) }
+func (e *Exchange) UpdateReplicas(l ReplicaList) {
+	e.listsQueued.Add(1)
+	e.enqueue(l)
+}
+
+// ListPending says whether a change of the list was taken that the replica side does not know yet.
+func (e *Exchange) ListPending() bool { return e.listsQueued.Load() > 0 }
 
 // WatchFailed says that a watch could not be opened or has ended.
 func (e *Exchange) WatchFailed() { e.enqueue(watchFailed{}) }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -18,9 +18,12 @@
 // watchFailed is the message that a watch failed or has ended.
 type watchFailed struct{}
 
-func (l ReplicaList) handle(e *Exchange) { e.handleReplicaList(l) }
-func (r *routes) handle(e *Exchange)     { e.handleRoutes(r) }
-func (d setDrains) handle(e *Exchange)   { e.handleDrains(d) }
+func (l ReplicaList) handle(e *Exchange) {
+	e.handleReplicaList(l)
+	e.listsQueued.Add(-1)
+}
+func (r *routes) handle(e *Exchange)   { e.handleRoutes(r) }
+func (d setDrains) handle(e *Exchange) { e.handleDrains(d) }
 func (watchFailed) handle(e *Exchange) {
 	e.events = append(e.events, policy.Event{Kind: policy.ListFailed})
 }
--- a/internal/replica/featureserver/featureserver.go
+++ b/internal/replica/featureserver/featureserver.go
@@ -48,6 +48,8 @@
 	sink   Sink
 	log    *logs.Limited
 
+	listPending func() bool
+
 	mu      sync.Mutex
 	targets map[uint64]*target
 	entries map[*exchange.Attempt]*entry
@@ -81,7 +83,26 @@
 func New(limits config.Limits, sink Sink, log *logrus.Entry) *Pool {
 	return &Pool{
 		limits: limits, sink: sink, log: logs.Limit(log, limits.LogEvery), targets: map[uint64]*target{},
-		entries: map[*exchange.Attempt]*entry{},
+		entries: map[*exchange.Attempt]*entry{}, listPending: func() bool { return false },
+	}
+}
+
+// HoldForList has no new part begin while a change of the list is pending: it counts as notified already, and may tell that the
+// server drains. It must be called before the first part is sent.
+func (p *Pool) HoldForList(pending func() bool) { p.listPending = pending }
+
+const (
+	holdStep = time.Millisecond // from one look for a pending list to the next, as towards replicas that speak frames
+	maxHolds = 200              // such looks at the most, as there
+)
+
+// awaitList waits while a change of the list is pending.
+func (p *Pool) awaitList() {
+	for range maxHolds {
+		if !p.listPending() {
+			return
+		}
+		time.Sleep(holdStep)
 	}
 }
 
@@ -318,14 +339,15 @@
 		return policy.Moot, nil, true, err // not a feature query: a feature server has no form for it
 	}
 	text := Request(req, en.a.Shard, en.address)
+	p.awaitList()
+	l.SetWriteDeadline(time.Now().Add(p.limits.WriteTime))
 	p.mu.Lock()
-	if p.entries[en.a] != en {
+	if p.entries[en.a] != en || !en.a.Due.After(time.Now()) {
 		p.mu.Unlock()
 		return policy.Moot, nil, true, nil
 	}
 	en.written, en.l = true, l
 	p.mu.Unlock()
-	l.SetWriteDeadline(time.Now().Add(p.limits.WriteTime))
 	if n, err := io.WriteString(l, text); n < len(text) {
 		return policy.Unreachable, nil, false, err
 	}
--- a/internal/replica/featureserver/featureserver_test.go
+++ b/internal/replica/featureserver/featureserver_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -208,3 +209,28 @@
 		t.Errorf("%+v", p)
 	}
 }
+
+// A part waits while a change of the list is pending; one that tells of the server's drain takes it back.
+func TestAPartWaitsForAPendingList(t *testing.T) {
+	for name, drains := range map[string]bool{"of others": false, "of its drain": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, nil)
+			looks, pending := make(chan struct{}, 1000), atomic.Bool{}
+			pending.Store(true)
+			s.pool.HoldForList(func() bool { looks <- struct{}{}; return pending.Load() })
+			a := s.send(5 * time.Second)
+			for range 10 {
+				<-looks
+			}
+			want := policy.OK
+			if drains {
+				s.set(s.server.Address(), policy.Draining)
+				want = policy.Moot
+			}
+			pending.Store(false)
+			if r := s.next(); r.Attempt != a || r.Outcome != want {
+				t.Errorf("%+v", r)
+			}
+		})
+	}
+}
--- a/internal/replica/held_test.go
+++ b/internal/replica/held_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,3 +121,49 @@
 		t.Error(err)
 	}
 }
+
+// A part waits while a change of the list is pending, goes when none is, and goes in the end where that never ceases.
+func TestAPartWaitsForAPendingList(t *testing.T) {
+	for name, ceases := range map[string]bool{"that is taken in": true, "that never ends": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStand(t, testLimits())
+			var pending atomic.Bool
+			pending.Store(true)
+			looks := make(chan struct{}, 10*maxHolds)
+			s.pool.HoldForList(func() bool { looks <- struct{}{}; return pending.Load() })
+			s.pool.Send(1, []*exchange.Attempt{attempt("q.1")})
+			p := s.accept()
+			for range maxHolds / 2 {
+				<-looks
+			}
+			if duplexconn.Waits(p.nc) {
+				t.Error("the part did not wait")
+			}
+			if pending.Store(!ceases); !ceases {
+				for range maxHolds / 2 {
+					<-looks
+				}
+			}
+			if f := p.frame(); !strings.HasPrefix(f, "Aq.1 ") {
+				t.Errorf("%q", f)
+			}
+		})
+	}
+}
+
+// A pending list that tells of the replica's drain takes the part back.
+func TestAPartHeldForItsReplicasDrainNeverRan(t *testing.T) {
+	s := newStand(t, testLimits())
+	held := make(chan struct{}, 10*maxHolds)
+	s.pool.HoldForList(func() bool { held <- struct{}{}; return true })
+	a := attempt("q.1")
+	s.pool.Send(1, []*exchange.Attempt{a})
+	p := s.accept()
+	<-held
+	s.set(policy.Draining)
+	if r := s.sink.next(t); r.Attempt != a || r.Outcome != policy.Moot {
+		t.Errorf("%+v", r)
+	}
+	p.ended()
+}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -31,6 +31,7 @@
 	sink                 Sink
 	log                  *logs.Limited
 	dial                 func(ctx context.Context, address string) (*net.TCPConn, error)
+	listPending          func() bool
 
 	mu        sync.Mutex
 	targets   map[uint64]*target
@@ -62,10 +63,14 @@
 		limits: cfg.Limits, reportNames: cfg.Policy.ReportNames, reportsByHealthCheck: cfg.Report == "on_probe", sink: sink,
 		log: logs.Limit(log, cfg.Limits.LogEvery), targets: map[uint64]*target{},
 		entries: map[*exchange.Attempt]*pendingAttempt{},
-		dial:    dialer(cfg.Limits.ConnectTime),
+		dial:    dialer(cfg.Limits.ConnectTime), listPending: func() bool { return false },
 	}
 }
 
+// HoldForList has no new part begin while a change of the list is pending: it counts as notified already, and may tell that the
+// replica drains. It must be called before the first part is sent.
+func (p *Pool) HoldForList(pending func() bool) { p.listPending = pending }
+
 func dialer(within time.Duration) func(ctx context.Context, address string) (*net.TCPConn, error) {
 	d := net.Dialer{Timeout: within}
 	return func(ctx context.Context, address string) (*net.TCPConn, error) {
--- a/internal/replica/write.go
+++ b/internal/replica/write.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"syscall"
+	"time"
 
 	"birchcart/internal/duplexconn"
 	"birchcart/internal/exchange"
@@ -37,7 +38,13 @@
 			}
 			w.l.wake() // to be asked again: what else it said then is lost
 		}
-		if len(pulled) > 0 && !w.l.begin() {
+		switch {
+		case len(pulled) == 0:
+		case w.l.holdForList():
+			w.l.putBack()
+			time.AfterFunc(holdStep, w.l.wake)
+			pulled = nil
+		case !w.l.begin():
 			w.l.putBack()
 			w.l.wake() // what is still to go is built anew
 			pulled = nil
@@ -61,6 +68,30 @@
 	return wrote + rest, err
 }
 
+const (
+	// holdStep is from one look for a pending list to the next: the list is taken in within a millisecond where there is a
+	// processor. Half as long looks twice as often for nothing; twice as long adds as much to what waits.
+	holdStep = time.Millisecond
+	// maxHolds bounds how often in a row a call is held for the list, 0.2 s at the least. Looks are counted and not time: after
+	// each the reader of the list has had its turn, also where the machine has stopped the process meanwhile. Only a list that
+	// never ends comes to it, which is left after the silence limit of the watch.
+	maxHolds = 200
+)
+
+// holdForList says whether the call that was pulled last has to wait, since a change of the list is pending that counts as notified
+// already. A process that gets a processor late finds queries and the list to be read at once, in any order.
+func (c *replicaConn) holdForList() bool {
+	if len(c.unstarted) == 0 {
+		return false
+	}
+	if !c.pool.listPending() || c.holds >= maxHolds {
+		c.holds = 0
+		return false
+	}
+	c.holds++
+	return true
+}
+
 // write asks the kernel once to take bytes.
 func write(fd uintptr, b []byte) (int, error) {
 	for {
--- a/internal/serve/coordinator.go
+++ b/internal/serve/coordinator.go
@@ -39,6 +39,7 @@
 	listKnown bool // the list of before the start names a replica that is up
 	exchange  *exchange.Exchange
 	frames    *replica.Pool
+	forward   *featureserver.Pool // nil if no query is forwarded to feature servers
 	discovery *discovery.Client
 	front     *front.Server
 	features  *ogc.Server // nil if feature queries are off
@@ -79,6 +80,10 @@
 	index := c.applyKnownList()
 	c.discovery = discovery.New(c.config, index, c.exchange, c.log)
 	c.exchange.Join(replicas, c.discovery)
+	c.frames.HoldForList(c.listPending)
+	if c.forward != nil {
+		c.forward.HoldForList(c.listPending)
+	}
 	c.buildFronts()
 	if err := c.applyRoutes(); err != nil {
 		return err
@@ -107,9 +112,16 @@
 	c.frames = replica.New(&divided, c.exchange, c.log)
 	forward := featureserver.New(servers, c.exchange, c.log)
 	c.onClose(forward.Close)
+	c.forward = forward
 	return replica.NewMux(c.frames, forward)
 }
 
+// listPending says whether discovery has written a change that the replica side does not know yet. Discovery is asked first: it
+// passes a change on to the exchange before it is done with it.
+func (c *coordinator) listPending() bool {
+	return c.discovery.ListPending() || c.exchange.ListPending()
+}
+
 // applyKnownList passes the list of before the start on to the exchange, and returns its index: NoIndex if there is none.
 func (c *coordinator) applyKnownList() int64 {
 	if len(c.config.Known) == 0 {
