Have the list count as pending from the end of an agent's watch until the full list

Change: the end of a watch that had lasted holds new parts for 50 ms or until the full list is in force, and the full list is requested at once.

--- a/cmd/birchcart/soak_test.go
+++ b/cmd/birchcart/soak_test.go
@@ -20,7 +20,7 @@
 
 const (
 	soakSeeds      = "1-8" // in CI, some 40 s; BIRCHCART_SOAK=1-50 plays others (make soak)
-	soakBeside     = 3     // runs at the same time
+	soakBeside     = 3     // runs at the same time; BIRCHCART_SOAK_BESIDE for others
 	soakDeadline   = time.Second
 	soakSockets    = 256
 	earliestKill   = soakDeadline + 700*time.Millisecond // after SIGTERM, from the deployment's longest deadline
@@ -217,14 +217,12 @@
 	}
 }
 
-// stop holds the process up.
+// stop holds the process up, while the schedule goes on.
 func (s *soak) stop(span time.Duration) {
-	stopped := faultinject.Span{From: time.Now()}
-	s.process.Process.Signal(syscall.SIGSTOP)
-	time.Sleep(span)
-	s.process.Process.Signal(syscall.SIGCONT)
-	stopped.To = time.Now()
-	s.run.Stops = append(s.run.Stops, stopped)
+	from, process := time.Now(), s.process.Process
+	process.Signal(syscall.SIGSTOP)
+	time.AfterFunc(span, func() { process.Signal(syscall.SIGCONT) })
+	s.run.Stops = append(s.run.Stops, faultinject.Span{From: from, To: from.Add(span)})
 }
 
 // hangup sends hangups in a row. All but the last find a file that is half written; the last moves discovery.
@@ -324,7 +322,11 @@
 		text = soakSeeds
 	}
 	stood := testproc.WatchStandstills()
-	places := make(chan struct{}, soakBeside)
+	beside := soakBeside
+	if n, err := strconv.Atoi(os.Getenv("BIRCHCART_SOAK_BESIDE")); err == nil {
+		beside = n
+	}
+	places := make(chan struct{}, beside)
 	var sums struct {
 		sync.Mutex
 		requests, answered, refused, left, crossed, parts, drains int
@@ -344,7 +346,7 @@
 					t.Errorf("seed %d: %v", seed, v)
 				}
 				if len(found) > 0 {
-					t.Logf("%d violations\n%v\n%s", len(found), s.schedule, lastLines(s.log.String()))
+					t.Logf("%d violations\n%v\n%s", len(found), s.schedule, s.log.String())
 				}
 				sums.Lock()
 				defer sums.Unlock()
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -33,6 +33,7 @@
 	confirmedAt    atomic.Pointer[time.Time] // last confirmation by a watch, or a full list, from the active address
 	feeds          sync.WaitGroup
 	conns          listConns
+	unconfirmed    atomic.Bool // a watch has ended, and what it did not bring may count already
 
 	mu      sync.Mutex
 	ctx     context.Context // of Run, nil before
@@ -64,9 +65,9 @@
 	}
 }
 
-// ListPending says whether discovery has written something that has not been passed on to the sink. It counts as notified already. It
-// does not block and may be called from any goroutine.
-func (c *Client) ListPending() bool { return c.conns.pending() }
+// ListPending says whether discovery has written something that has not been passed on to the sink, or may have meant to: a watch has
+// ended and the full list has not come, for a moment. It counts as notified already. It does not block and may be called from any goroutine.
+func (c *Client) ListPending() bool { return c.unconfirmed.Load() || c.conns.pending() }
 
 // HasList says whether discovery has sent a list.
 func (c *Client) HasList() bool { return c.hasList.Load() }
--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -40,6 +40,7 @@
 		began := time.Now()
 		if err == nil {
 			err = f.consume(s)
+			f.holdAfter(err, time.Since(began))
 			s.close()
 		}
 		if ctx.Err() != nil {
@@ -49,7 +50,7 @@
 		f.lastErr, f.watchNext = err, errors.Is(err, errClosedAfterList)
 		lasted, closed := time.Since(began), errors.Is(err, errClosedAfterList)
 		if f.backoff = c.retry.nextBackoff(f.backoff); lasted > c.retry.maxBackoff || closed {
-			f.backoff = c.retry.initialBackoff
+			f.backoff = c.retry.reconnectBackoff
 		}
 		if c.onDemand && lasted < c.limits.AgentTime && !closed && c.isActive(f) {
 			c.sink.WatchFailed()
@@ -60,6 +61,22 @@
 	}
 }
 
+// endHold is for how long after a watch's end the list counts as pending: a watch of an agent may end instead of bringing a change,
+// which counts already. The agent is on this machine and gives the full list within milliseconds, or is down; half as long is short
+// for a busy machine, and as long again has every end of a watch cost as much time.
+const endHold = 50 * time.Millisecond
+
+// holdAfter has the list count as pending for a moment, where an agent's watch has ended that had lasted: the full list is requested
+// at once then. One that ends soon is followed by a wait.
+func (f *feed) holdAfter(err error, lasted time.Duration) {
+	c := f.client
+	if c.retry.shared || lasted <= c.retry.maxBackoff || !c.isActive(f) || errors.Is(err, errSilent) || errors.Is(err, errClosedAfterList) {
+		return
+	}
+	c.unconfirmed.Store(true)
+	time.AfterFunc(endHold, func() { c.unconfirmed.Store(false) })
+}
+
 // afterSilence decides what is requested once discovery has been silent. A new watch of an agent may be silent for longer than
 // there is time left for what was missed, while the full list has all of it at once. Of a shared discovery that would be two
 // calls where one has the same: the answer to a watch begins with what was missed. Only when that brings nothing either is the
@@ -184,6 +201,7 @@
 	}
 	if c.active == f {
 		c.sink.UpdateReplicas(list)
+		c.unconfirmed.Store(false)
 		c.hasList.Store(true)
 	}
 	return true, nil
--- a/internal/discovery/retry.go
+++ b/internal/discovery/retry.go
@@ -16,6 +16,7 @@
 	answerTime                 time.Duration // for a connection and the complete answer on it
 	firstByteTime              time.Duration // for the first byte of it
 	initialBackoff, maxBackoff time.Duration // between attempts after a failure, doubled from the first to the second
+	reconnectBackoff           time.Duration // after a connection that had lasted longer than maxBackoff
 	maxConfirmationAge         time.Duration // once the last confirmation is older, the full list is requested instead of a watch
 	shared                     bool          // discovery is shared: backoffs have jitter, and the end of an attempt is waited for
 }
@@ -26,12 +27,12 @@
 		// no confirmation is young enough for another watch, which may be silent.
 		return retryPolicy{
 			maxConcurrent: maxConcurrentRequests, answerTime: limits.AgentTime, firstByteTime: limits.AgentTime / 2,
-			initialBackoff: limits.RedialFirst, maxBackoff: limits.RedialMost, maxConfirmationAge: 0,
+			initialBackoff: limits.RedialFirst, maxBackoff: limits.RedialMost, reconnectBackoff: 0, maxConfirmationAge: 0,
 		}
 	}
 	return retryPolicy{
 		maxConcurrent: 1, answerTime: limits.CallTime, firstByteTime: limits.CallTime, initialBackoff: limits.CallFirst, maxBackoff: limits.CallMost,
-		maxConfirmationAge: limits.WatchSilence, shared: true,
+		reconnectBackoff: limits.CallFirst, maxConfirmationAge: limits.WatchSilence, shared: true,
 	}
 }
 
--- a/internal/faultinject/agent.go
+++ b/internal/faultinject/agent.go
@@ -49,15 +49,14 @@
 	faults    []WatchFault       // of the next watches, the first first
 	watches   map[*agentWatch]struct{}
 	periods   []Drain
-	silent    time.Time // since when all open watches are silent, zero if they are not
 	calls     int
 }
 
 // agentWatch is one watch that is open.
 type agentWatch struct {
-	conn   net.Conn
-	fault  WatchFault
-	silent bool
+	conn  net.Conn
+	fault WatchFault
+	quiet time.Time // since when it says nothing, zero while it is sound
 }
 
 // Drain is a time in which a replica wants nothing new.
@@ -128,16 +127,12 @@
 
 // beginDrain notes from when a drain counts. The lock is held.
 func (a *Agent) beginDrain(name string, now time.Time) {
-	counts := now
-	if !a.silent.IsZero() {
-		counts = maxTime(now, a.silent.Add(silenceCounts))
-	}
 	for i := range a.periods {
 		if a.periods[i].Replica == name && a.periods[i].Until.IsZero() {
 			return // draining and then gone: it counts from the first
 		}
 	}
-	a.periods = append(a.periods, Drain{Replica: name, Counts: counts})
+	a.periods = append(a.periods, Drain{Replica: name, Counts: a.countsFrom(now)})
 }
 
 func (a *Agent) endDrain(name string, now time.Time) {
@@ -148,11 +143,22 @@
 	}
 }
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// countsFrom is when a change that is had now counts as notified: at once, but where all watches that are open are silent, so long
+// after they fell silent. The lock is held.
+func (a *Agent) countsFrom(now time.Time) time.Time {
+	var quiet time.Time
+	for w := range a.watches {
+		if w.quiet.IsZero() {
+			return now
+		}
+		if quiet.IsZero() || w.quiet.Before(quiet) {
+			quiet = w.quiet
+		}
+	}
+	if counts := quiet.Add(silenceCounts); len(a.watches) > 0 && counts.After(now) {
+		return counts
 	}
-	return b
+	return now
 }
 
 // Drains lists when replicas want nothing new.
@@ -201,11 +207,12 @@
 func (a *Agent) SilenceWatches() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := time.Now()
 	for w := range a.watches {
-		w.silent = true
-	}
-	if len(a.watches) > 0 && a.silent.IsZero() {
-		a.silent = time.Now()
+		if w.quiet.IsZero() {
+			w.quiet = now
+		}
+		w.fault.Late = forever
 	}
 }
 
@@ -223,7 +230,6 @@
 		w.conn.Close()
 		delete(a.watches, w)
 	}
-	a.silent = time.Time{}
 }
 
 // wake has all watches look again. The lock is held.
@@ -300,9 +306,8 @@
 	return err
 }
 
-// heard notes that a call is answered: what a silent watch missed counts from now at the latest. The lock is held.
+// heard notes that the list, or a change of it, is written: what a silent watch missed counts from now at the latest. The lock is held.
 func (a *Agent) heard() {
-	a.silent = time.Time{}
 	now := time.Now()
 	for i := range a.periods {
 		if a.periods[i].Counts.After(now) {
@@ -313,29 +318,30 @@
 
 // serveWatch plays one watch to its end.
 func (a *Agent) serveWatch(conn net.Conn, after int64) {
-	w := &agentWatch{conn: conn}
-	a.mu.Lock()
-	if len(a.faults) > 0 {
-		w.fault, a.faults = a.faults[0], a.faults[1:]
-	}
-	a.watches[w] = struct{}{}
-	a.heard()
-	a.mu.Unlock()
-	defer func() {
-		a.mu.Lock()
-		delete(a.watches, w)
-		a.mu.Unlock()
+	w := a.openWatch(conn)
+	defer a.forget(w)
+	go func() { // the other side's close is seen at once
+		io.Copy(io.Discard, conn)
+		a.forget(w)
+		conn.Close()
 	}()
 	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return
 	}
-	time.Sleep(w.fault.Late)
+	a.awaitLate(w)
 	full := w.fault.FullFirst
 	heartbeat := time.NewTicker(heartbeatEvery)
 	defer heartbeat.Stop()
 	for beat := false; ; {
 		a.mu.Lock()
-		due, quiet, news := a.dueChanges(after, full), w.silent || a.down, a.news
+		due, quiet, news := a.dueChanges(after, full), !w.quiet.IsZero() || a.down, a.news
+		if _, open := a.watches[w]; !open {
+			a.mu.Unlock()
+			return
+		}
+		if !quiet && len(due) > 0 && !w.fault.EndsInstead {
+			a.heard()
+		}
 		a.mu.Unlock()
 		switch {
 		case quiet:
@@ -363,6 +369,40 @@
 	}
 }
 
+// openWatch takes a new watch, with the fault that is drawn for it.
+func (a *Agent) openWatch(conn net.Conn) *agentWatch {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w := &agentWatch{conn: conn}
+	if len(a.faults) > 0 {
+		w.fault, a.faults = a.faults[0], a.faults[1:]
+	}
+	if w.fault.Late > 0 {
+		w.quiet = time.Now()
+	}
+	a.watches[w] = struct{}{}
+	return w
+}
+
+func (a *Agent) forget(w *agentWatch) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.watches, w)
+}
+
+// forever is for how long a watch that has fallen silent stays so.
+const forever = time.Hour
+
+// awaitLate waits until a watch that is late at its begin is sound.
+func (a *Agent) awaitLate(w *agentWatch) {
+	time.Sleep(w.fault.Late)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w.fault.Late < forever { // else it was silenced meanwhile
+		w.quiet = time.Time{}
+	}
+}
+
 // dueChanges is what a watch has to bring after a version: changes, or the full list. The lock is held.
 func (a *Agent) dueChanges(after int64, full bool) (due []standin.List) {
 	if full {
--- a/internal/faultinject/schedule.go
+++ b/internal/faultinject/schedule.go
@@ -67,65 +67,106 @@
 	heldUp     = 150 * time.Millisecond
 )
 
-// NewSchedule draws a schedule. Every run has an outage of discovery or watches that fail, drains around them, stops, hangups in a row
-// and an end of the process.
-func NewSchedule(seed uint64, replicas int) Schedule {
-	rng := rand.New(rand.NewPCG(seed, 0x50a4))
-	s := Schedule{Seed: seed, Length: soakLength}
-	add := func(step Step) { s.Steps = append(s.Steps, step) }
-	between := func(from, to time.Duration) time.Duration { return from + time.Duration(rng.Int64N(int64(to-from))) }
-	if rng.IntN(2) == 0 { // an outage past the watch's silence limit, and drains right after its end
-		down := between(300*time.Millisecond, time.Second)
-		span := between(3500*time.Millisecond, 5*time.Second)
-		add(Step{At: down, Kind: DiscoveryDown, Span: span})
-		add(Step{At: down + span - time.Millisecond, Kind: FailNextWatches, Watches: drawWatches(rng)})
-		for range 1 + rng.IntN(2) {
-			add(Step{At: down + span + between(0, 600*time.Millisecond), Kind: DrainReplica, Replica: rng.IntN(replicas), Span: between(time.Second, 2*time.Second)})
-		}
-	} else {
-		for range 2 + rng.IntN(3) {
-			at := between(300*time.Millisecond, 7*time.Second)
-			add(Step{At: at, Kind: FailNextWatches, Watches: drawWatches(rng)})
-			add(Step{At: at + time.Millisecond, Kind: []Kind{ResetWatches, SilenceWatches}[rng.IntN(2)]})
-			add(Step{At: at + between(10*time.Millisecond, 300*time.Millisecond), Kind: []Kind{DrainReplica, RemoveReplica}[rng.IntN(2)],
-				Replica: rng.IntN(replicas), Span: between(time.Second, 2*time.Second)})
+// drawer draws the steps of a schedule.
+type drawer struct {
+	rng      *rand.Rand
+	replicas int
+	steps    []Step
+}
+
+func (d *drawer) add(step Step) { d.steps = append(d.steps, step) }
+
+func (d *drawer) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(d.rng.Int64N(int64(to-from)))
+}
+
+// drain adds the drain of a replica, or its removal.
+func (d *drawer) drain(at time.Duration) {
+	kind := []Kind{DrainReplica, DrainReplica, RemoveReplica}[d.rng.IntN(3)]
+	d.add(Step{At: at, Kind: kind, Replica: d.rng.IntN(d.replicas), Span: d.between(700*time.Millisecond, 1500*time.Millisecond)})
+}
+
+// scenes are the ways in which a drain meets trouble. Each begins at a moment and is over within two seconds or so.
+var scenes = []func(d *drawer, at time.Duration){
+	func(d *drawer, at time.Duration) { // the watch ends instead of bringing the drain, and the next ones are late or worse
+		d.add(Step{At: at, Kind: FailNextWatches, Watches: append([]WatchFault{{EndsInstead: true}, {Late: d.between(500*time.Millisecond, 2*time.Second)}}, d.watches()...)})
+		d.add(Step{At: at + time.Millisecond, Kind: ResetWatches})
+		d.drain(at + d.between(150*time.Millisecond, 400*time.Millisecond))
+	},
+	func(d *drawer, at time.Duration) { // the process stands still, and the drain comes meanwhile
+		d.add(Step{At: at, Kind: StopProcess, Span: d.between(300*time.Millisecond, 500*time.Millisecond)})
+		d.drain(at + d.between(0, 30*time.Millisecond))
+	},
+	func(d *drawer, at time.Duration) { // short stops in series around the drain
+		for i := range 2 + d.rng.IntN(4) {
+			d.add(Step{At: at + time.Duration(i)*(heldUp+30*time.Millisecond), Kind: StopProcess, Span: d.between(20*time.Millisecond, heldUp)})
 		}
+		d.drain(at + d.between(0, 300*time.Millisecond))
+	},
+	func(d *drawer, at time.Duration) { // watches fall silent or are reset right before the drain
+		d.add(Step{At: at, Kind: FailNextWatches, Watches: d.watches()})
+		d.add(Step{At: at + time.Millisecond, Kind: []Kind{ResetWatches, SilenceWatches}[d.rng.IntN(2)]})
+		d.drain(at + d.between(5*time.Millisecond, 300*time.Millisecond))
+	},
+}
+
+const (
+	sceneEvery = 1800 * time.Millisecond
+	lastScene  = 8 * time.Second
+)
+
+// outage adds one past the watch's silence limit, with drains that come with its end and right after it, and says when it is over.
+func (d *drawer) outage() time.Duration {
+	down, span := d.between(300*time.Millisecond, time.Second), d.between(3500*time.Millisecond, 4500*time.Millisecond)
+	d.add(Step{At: down, Kind: DiscoveryDown, Span: span})
+	d.add(Step{At: down + span - time.Millisecond, Kind: FailNextWatches, Watches: append([]WatchFault{{EndsInstead: true}}, d.watches()...)})
+	d.drain(down + span - d.between(0, 500*time.Millisecond))
+	d.drain(down + span + d.between(150*time.Millisecond, 600*time.Millisecond))
+	return down + span + time.Second
+}
+
+// others adds what happens beside the drains.
+func (d *drawer) others(seed uint64) {
+	d.add(Step{At: d.between(time.Second, 7*time.Second), Kind: HangReplica, Replica: d.rng.IntN(d.replicas), Span: d.between(200*time.Millisecond, 2*time.Second)})
+	d.add(Step{At: d.between(time.Second, 7*time.Second), Kind: CrashReplica, Replica: d.rng.IntN(d.replicas), Span: d.between(200*time.Millisecond, time.Second)})
+	d.add(Step{At: d.between(0, 5*time.Second), Kind: ReplicaTrouble, Share: 0.05 * d.rng.Float64(), Span: d.between(time.Second, 4*time.Second)})
+	if d.rng.IntN(3) == 0 {
+		d.add(Step{At: d.between(time.Second, 8*time.Second), Kind: Hangup, Count: 1 + d.rng.IntN(4)})
 	}
-	for range 2 + rng.IntN(4) { // stops in series, some around a drain
-		at := between(300*time.Millisecond, 8*time.Second)
-		if rng.IntN(2) == 0 {
-			add(Step{At: at + between(0, 60*time.Millisecond), Kind: DrainReplica, Replica: rng.IntN(replicas), Span: between(500*time.Millisecond, time.Second)})
-		}
-		for i := range 1 + rng.IntN(3) {
-			add(Step{At: at + time.Duration(i)*(heldUp+50*time.Millisecond), Kind: StopProcess, Span: between(20*time.Millisecond, heldUp)})
-		}
+	if d.rng.IntN(4) == 0 {
+		d.add(Step{At: d.between(2*time.Second, 6*time.Second), Kind: KillProcess})
 	}
-	add(Step{At: between(time.Second, 7*time.Second), Kind: HangReplica, Replica: rng.IntN(replicas), Span: between(200*time.Millisecond, 2*time.Second)})
-	add(Step{At: between(time.Second, 7*time.Second), Kind: CrashReplica, Replica: rng.IntN(replicas), Span: between(200*time.Millisecond, time.Second)})
-	add(Step{At: between(0, 5*time.Second), Kind: ReplicaTrouble, Share: 0.05 * rng.Float64(), Span: between(time.Second, 4*time.Second)})
-	if rng.IntN(2) == 0 {
-		add(Step{At: between(time.Second, 8*time.Second), Kind: Hangup, Count: 1 + rng.IntN(4)})
+	if seed%crowdEvery == 0 {
+		d.add(Step{At: d.between(0, 2*time.Second), Kind: Crowd, Count: 150, Span: soakLength})
 	}
-	if rng.IntN(4) == 0 {
-		add(Step{At: between(2*time.Second, 6*time.Second), Kind: KillProcess})
+	d.add(Step{At: endAt + d.between(0, 300*time.Millisecond), Kind: EndProcess, Count: 1 + d.rng.IntN(3)})
+	if d.rng.IntN(2) == 0 { // a replica hangs through the whole of the shutdown
+		d.add(Step{At: endAt - 200*time.Millisecond, Kind: HangReplica, Replica: d.rng.IntN(d.replicas), Span: soakLength - endAt})
 	}
-	if seed%crowdEvery == 0 {
-		add(Step{At: between(0, 2*time.Second), Kind: Crowd, Count: 150, Span: soakLength})
+}
+
+// NewSchedule draws a schedule: drains in trouble from the first second on, after an outage of discovery in half of the runs, and
+// hangups in a row, kills, crowds and an end of the process beside them.
+func NewSchedule(seed uint64, replicas int) Schedule {
+	d := &drawer{rng: rand.New(rand.NewPCG(seed, 0x50a4)), replicas: replicas}
+	at := d.between(300*time.Millisecond, 600*time.Millisecond)
+	if d.rng.IntN(2) == 0 {
+		at = d.outage()
 	}
-	add(Step{At: endAt + between(0, 300*time.Millisecond), Kind: EndProcess, Count: 1 + rng.IntN(3)})
-	if rng.IntN(2) == 0 { // a replica hangs through the whole of the shutdown
-		add(Step{At: endAt - 200*time.Millisecond, Kind: HangReplica, Replica: rng.IntN(replicas), Span: soakLength - endAt})
+	for ; at < lastScene; at += sceneEvery + d.between(0, 200*time.Millisecond) {
+		scenes[d.rng.IntN(len(scenes))](d, at)
 	}
-	slices.SortStableFunc(s.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
-	return s
+	d.others(seed)
+	slices.SortStableFunc(d.steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return Schedule{Seed: seed, Length: soakLength, Steps: d.steps}
 }
 
-// drawWatches draws what goes wrong with the next few watches.
-func drawWatches(rng *rand.Rand) (faults []WatchFault) {
-	for range 1 + rng.IntN(3) {
+// watches draws what goes wrong with the next few watches.
+func (d *drawer) watches() (faults []WatchFault) {
+	for range 1 + d.rng.IntN(3) {
 		faults = append(faults, []WatchFault{
-			{EndsInstead: true}, {Late: time.Duration(rng.Int64N(int64(2 * time.Second)))}, {FullFirst: true}, {Pieces: true}, {},
-		}[rng.IntN(5)])
+			{EndsInstead: true}, {Late: d.between(0, 2*time.Second)}, {FullFirst: true}, {Pieces: true}, {},
+		}[d.rng.IntN(5)])
 	}
 	return faults
 }
