--- a/internal/discovery/pending_test.go
+++ b/internal/discovery/pending_test.go
@@ -56,3 +56,34 @@
 	gate.take <- struct{}{}
 	until(false)
 }
+
+// The end of an agent's watch that had lasted leaves the list pending until the full list is passed on, which is requested at once, or
+// for a moment if that does not come.
+func TestTheListIsPendingAfterAWatchThatEnds(t *testing.T) {
+	for name, answered := range map[string]bool{"answered": true, "unanswered": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, s, c := startWith(t, false, calm)
+			nc := watching(t, a, s, entry("a", "Ready"))
+			time.Sleep(calm.RedialMost + 50*time.Millisecond) // it has lasted
+			nc.Close()
+			nc, target := a.asked()
+			asked := time.Now()
+			if target != listTarget {
+				t.Errorf("asked for %s", target)
+			}
+			if !c.ListPending() && time.Since(asked) < endHold/2 {
+				t.Error("nothing is pending after the end")
+			}
+			if answered {
+				io.WriteString(nc, whole(list(42, true, entry("a", "Terminating"))))
+				s.next(t)
+			}
+			for end := time.Now().Add(patience); c.ListPending(); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("pending for ever")
+				}
+			}
+		})
+	}
+}
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -23,7 +23,11 @@
 		c.finished = true
 		return buf, now, errUnknownPart
 	}
-	if buf = c.appendNextCall(buf, now); len(buf) == start {
+	held := now.Before(c.heldUntil)
+	if !held {
+		buf = c.appendNextCall(buf, now)
+	}
+	if len(buf) == start {
 		buf = c.appendAsides(buf)
 	} else if len(c.queue) > 0 || len(c.cancels) > 0 || len(c.healthChecks) > 0 && !c.healthChecks[len(c.healthChecks)-1].written {
 		c.wake() // for the rest
--- a/internal/replica/dial.go
+++ b/internal/replica/dial.go
@@ -41,6 +41,7 @@
 	builtAt        time.Time // when it was pulled
 	rebuilt        bool      // it is built anew since the one before was too old
 	holds          int       // in a row, for the list
+	heldUntil      time.Time // no call is pulled before
 
 	lastReadAt       time.Time         // last read, or when parts went out after a pause
 	idleSince        time.Time         // when the last part ended
--- a/internal/replica/held_test.go
+++ b/internal/replica/held_test.go
@@ -152,6 +152,24 @@
 	}
 }
 
+// While calls are held, looks are a step apart, however many calls wait on the connection: looks without end would take the processor
+// from the reader of the list, and come to their bound at once.
+func TestLooksForAPendingListAreAStepApart(t *testing.T) {
+	s := newStand(t, testLimits())
+	var looks atomic.Int64
+	s.pool.HoldForList(func() bool { looks.Add(1); return true })
+	began := time.Now()
+	for _, id := range []string{"q.1", "q.2", "q.3", "q.4"} {
+		s.pool.Send(1, []*exchange.Attempt{attempt(id)})
+	}
+	s.accept()
+	time.Sleep(50 * time.Millisecond)
+	n := looks.Load()
+	if most := int64(s.links())*int64(time.Since(began)/holdStep) + 4; n > most || n == 0 {
+		t.Errorf("%d looks within %v, %d allowed", n, time.Since(began), most)
+	}
+}
+
 // A pending list that tells of the replica's drain takes the part back.
 func TestAPartHeldForItsReplicasDrainNeverRan(t *testing.T) {
 	s := newStand(t, testLimits())
--- a/internal/replica/write.go
+++ b/internal/replica/write.go
@@ -89,6 +89,7 @@
 		return false
 	}
 	c.holds++
+	c.heldUntil = time.Now().Add(holdStep) // whatever wakes the goroutine before: it would look on without end
 	return true
 }
 
