--- a/cmd/birchcart/draining_test.go
+++ b/cmd/birchcart/draining_test.go
@@ -20,8 +20,15 @@
 // change written to their sockets and sent 0.31 and 0.38 s after it, one of them a part of a query that it had refused before.
 //
 // How it came about: these tests play both on a real process. In the first the watch that is open ends instead of bringing the
-// change, and the next one brings nothing for a while. In the others the process is stopped; meanwhile clients send queries and
+// change, and the next one brings nothing for a while. In the second the process is stopped; meanwhile clients send queries and
 // the agent writes the change, and the process goes on.
+//
+// What caused it: a connection to the agent that ended was followed by a watch, and the full list was asked for 1 s later; and
+// nothing put a change that was there to be read before the sends, nor looked at a frame again between its building and its write
+// (TestNothingTakenBackIsWrittenAfterAStop in internal/replica).
+//
+// What proved it: at the code before the repairs 568 parts came to draining replicas in the first test, from 0.308 s on, and 8 in the
+// second, at 0.401 s; none since.
 
 // coordinatorUnderTest is a real process with its peers, under load.
 type coordinatorUnderTest struct {
--- a/cmd/birchcart/soak_test.go
+++ b/cmd/birchcart/soak_test.go
@@ -256,23 +256,28 @@
 		s.process.Process.Signal(syscall.SIGTERM)
 		time.Sleep(signalsApart)
 	}
-	select {
-	case err := <-s.exited:
-		if err != nil {
-			s.fail(faultinject.BadEnd, "ended with %v\n%s", err, lastLines(s.log.String()))
-		}
-	case <-time.After(time.Until(from.Add(earliestKill))):
-		if stood := s.run.Stood.Between(from, time.Now()); stood < heldUpByMachine {
-			s.fail(faultinject.BadEnd, "runs still %v after SIGTERM\n%s", earliestKill, lastLines(s.log.String()))
-		}
+	if err, ended := s.awaitExit(from.Add(earliestKill)); !ended {
+		s.fail(faultinject.BadEnd, "runs still %v after SIGTERM\n%s", earliestKill, lastLines(s.log.String()))
 		s.process.Process.Kill()
 		<-s.exited
+	} else if err != nil {
+		s.fail(faultinject.BadEnd, "ended with %v\n%s", err, lastLines(s.log.String()))
 	}
 	s.run.Ends = append(s.run.Ends, faultinject.Span{From: from, To: time.Now()})
 }
 
-// heldUpByMachine is for how long the machine may have stood still for an end that is late not to count.
-const heldUpByMachine = 100 * time.Millisecond
+// awaitExit waits for the process's exit until a time, put off by the time for which the machine had this process stand still.
+func (s *soak) awaitExit(by time.Time) (err error, ended bool) {
+	from := time.Now()
+	for wait := time.Until(by); wait > 0; wait = time.Until(by.Add(s.run.Stood.Between(from, time.Now()))) {
+		select {
+		case err := <-s.exited:
+			return err, true
+		case <-time.After(wait):
+		}
+	}
+	return nil, false
+}
 
 // bringCrowd opens idle connections, one in three with half a request.
 func (s *soak) bringCrowd(count int, span time.Duration) {
