--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,7 @@
 # The linters are tools of go.mod; staticcheck runs with all its default checks on every package.
 # Packages that the readers' sitting (issue 43) has finished: no file that is not a test over 400 lines, no function over
 # 60 lines without a reason on its first line. A package joins when it is finished; docs/ROADMAP.md lists the others.
-SIZED = ./internal/discovery ./internal/fleet $(addprefix ./internal/fleet/,agreedstate atomicfile drainctl drainstore fleetfile grantsfile inventory lanepart mailbox maintenance member peerproto pollqueue raftgroup sessiongate sessionowner sessionpart statemachine store view voters) ./internal/lint/sizecheck ./internal/serve ./policy
+SIZED = ./internal/discovery ./internal/faultinject ./internal/fleet $(addprefix ./internal/fleet/,agreedstate atomicfile drainctl drainstore fleetfile grantsfile inventory lanepart mailbox maintenance member peerproto pollqueue raftgroup sessiongate sessionowner sessionpart statemachine store view voters) ./internal/lint/sizecheck ./internal/serve ./policy
 lint:
 	test -z "$$(gofmt -l .)"
 	go run ./internal/lint/sizecheck $(SIZED)
--- a/policy/api.go
+++ b/policy/api.go
@@ -197,7 +197,9 @@
 	BreaksReplica        // replicas that began it went down
 )
 
-var reasonNames = [...]string{"", "not admitted", "parts lost", "out of time", "promise missed", "breaks replicas"}
+var reasonNames = [...]string{
+	"", "not admitted", "parts lost", "out of time", "promise missed", "breaks replicas",
+}
 
 // String names the reason for the log.
 func (r Reason) String() string { return reasonNames[r] }
--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -84,7 +84,8 @@
 		}
 	}
 	if len(q.broke) > 1 || q.wary {
-		p.final(q, Action{Verb: Fail, Query: q.id, Reason: BreaksReplica}) // no refusal: to come again would do harm
+		// No refusal: to come again would do harm.
+		p.final(q, Action{Verb: Fail, Query: q.id, Reason: BreaksReplica})
 	}
 	return q.over
 }
