--- a/internal/faultinject/watch.go
+++ b/internal/faultinject/watch.go
@@ -104,7 +104,10 @@
 
 // awaitLate waits until a watch that is late at its begin is sound.
 func (a *Agent) awaitLate(w *agentWatch) {
-	time.Sleep(w.fault.Late)
+	a.mu.Lock()
+	late := w.fault.Late
+	a.mu.Unlock()
+	time.Sleep(late)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if w.fault.Late < forever { // else it was silenced meanwhile
