Tell in the log by which of four checks a query was refused at its arrival

Cause: of the refusals by the decisions the summary had one figure, not_admitted. It could not tell apart what holds a co-ordinator shut in TestLanesShort: too few holders with room, the latency of the latest parts, own parts out, or the lanes' estimate, which refuses before.

Change: policy.Reason names the four checks of the admission; the summary has holders_busy, recent_latency, own_backlog and nearly_full beside not_admitted, their sum. No decision changes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -258,6 +258,16 @@
 	outcomes                [policy.Moot + 1]int
 }
 
+// notAdmitted counts the queries that the decisions refused at their arrival, for whatever reason.
+func (c *counters) notAdmitted() (sum int) {
+	for reason, n := range c.reasons {
+		if policy.Reason(reason).NotAdmitted() {
+			sum += n
+		}
+	}
+	return sum
+}
+
 // logSummary logs what an on-call reader wants to see at a glance.
 func (e *Exchange) logSummary() {
 	if s := &e.counters; s.queries > 0 || len(e.queries) > 0 {
@@ -267,7 +277,9 @@
 			"attempts": s.attempts, "ok": s.outcomes[policy.OK], "fault": s.outcomes[policy.Failed],
 			"overload": s.outcomes[policy.Rejected], "unreachable": s.outcomes[policy.Unreachable],
 			"broken": s.outcomes[policy.Broken], "timed_out": s.outcomes[policy.TimedOut],
-			"given_up": s.outcomes[policy.Revoked], "not_admitted": s.reasons[policy.NotAdmitted],
+			"given_up": s.outcomes[policy.Revoked], "not_admitted": s.notAdmitted(),
+			"holders_busy": s.reasons[policy.HoldersBusy], "recent_latency": s.reasons[policy.RecentLatency],
+			"own_backlog": s.reasons[policy.OwnBacklog], "nearly_full": s.reasons[policy.NearlyFull],
 			"parts_lost": s.reasons[policy.PartsLost], "out_of_time": s.reasons[policy.OutOfTime],
 			"promise_missed": s.reasons[policy.PromiseMissed], "breaks_replica": s.reasons[policy.BreaksReplica],
 			"list": e.listIndex,
--- a/policy/api.go
+++ b/policy/api.go
@@ -190,7 +190,10 @@
 // Reasons for a refusal, a failure, or an answer that is cut short.
 const (
 	NoReason      Reason = iota
-	NotAdmitted          // at its arrival: it would not be in time
+	HoldersBusy          // at its arrival: too few of its shards have a holder with room
+	RecentLatency        // at its arrival: the latest parts took too long for it to be in time
+	OwnBacklog           // at its arrival: more parts are out than come back in time
+	NearlyFull           // at its arrival: this instance has little room left, and others go first
 	PartsLost            // the parts that can still come are too few
 	OutOfTime            // its client's time, or that of its step, is over
 	PromiseMissed        // late, and worth no more waiting
@@ -198,9 +201,13 @@
 )
 
 var reasonNames = [...]string{
-	"", "not admitted", "parts lost", "out of time", "promise missed", "breaks replicas",
+	"", "holders busy", "recent latency", "own backlog", "nearly full",
+	"parts lost", "out of time", "promise missed", "breaks replicas",
 }
 
+// NotAdmitted tells whether the query was refused at its arrival.
+func (r Reason) NotAdmitted() bool { return r >= HoldersBusy && r <= NearlyFull }
+
 // String names the reason for the log.
 func (r Reason) String() string { return reasonNames[r] }
 
--- a/policy/guards.go
+++ b/policy/guards.go
@@ -49,11 +49,11 @@
 	return cold && r.credit < 1
 }
 
-// turnedAway decides on a query at its arrival. By Little's law the parts out, over the rate at which parts
+// notAdmitted decides on a query at its arrival. By Little's law the parts out, over the rate at which parts
 // come back, are the time that a new part will take. Where that leaves too little of the promise the query is
 // refused, earlier if its tenant is over its share. It is asked of all replicas together and of each shard's
 // holders. Guards against queues that make every answer late, and work for queries that cannot be whole.
-func (p *Policy) turnedAway(q *query) bool {
+func (p *Policy) notAdmitted(q *query) Reason {
 	c := &p.cfg.Classes[q.class]
 	time := min(c.Promise, q.due-p.now) // clients that leave early set the pace
 	wait := waitShare * time
@@ -75,7 +75,7 @@
 		}
 	}
 	if hope < q.need {
-		return true
+		return HoldersBusy
 	}
 	// A rate seen in a lull says little, so latencies must show the queues as well.
 	slow := p.stress.value*c.Promise > slowShare*waitShare*time/over
@@ -88,9 +88,15 @@
 		bound *= slowShare
 	}
 	if p.stress.value*math.Exp((p.stressAt-p.now)/(memory*p.promise))*c.Promise > bound {
-		return true
+		return RecentLatency
 	}
-	return p.full() && (over > 1 || q.lim.Yield) || slow && float64(p.inFlight-p.stuck) > room
+	switch {
+	case p.full() && (over > 1 || q.lim.Yield):
+		return NearlyFull
+	case slow && float64(p.inFlight-p.stuck) > room:
+		return OwnBacklog
+	}
+	return NoReason
 }
 
 // full tells that queries will soon be turned away before they reach this instance.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -254,8 +254,8 @@
 			pt.weight /= max(sum, weightSlip)
 		}
 		q.need = needOf(&p.cfg.Classes[q.class], q.need)
-		if p.turnedAway(q) {
-			p.giveUp(q, NotAdmitted)
+		if why := p.notAdmitted(q); why != NoReason {
+			p.giveUp(q, why)
 			return
 		}
 	}
