Let a part's latency count more the longer the one before it is ago

What callers saw: in TestLanesShort, ten seconds after a storm of eleven, at 0.4 of what idle replicas bear, 58 of 139 queries were refused; two co-ordinators of five refused all that came (250 of 250, 351 of 351).

Cause: the admission refuses while the mean of the latest parts' times is over half of the promise, and lets a query in once that mean, faded by its age over 8 promises, is under it. The part that goes then took 5 in 100 of the mean and made it new again: what had faded came back whole, so one that is shut sees a part each 4 promises and needs some 25 of them. Lines at fault: policy/outcomes.go, stress.add and stressAt. Excluded: the lanes' estimate (those queries were let in by the lanes), holders without room and own parts out (0 refusals by either).

Change: a sample's weight is 1 - 0.95 e^(-age of the one before / 8 promises), the fading that the admission itself reads by.

Test: TestRefusalsForOldLatenciesEndOnceAnswersAreSwift; without the change 32 of 38 queries are refused from 8 to 16 promises after the first swift answer, with it none.

--- a/policy/admission_test.go
+++ b/policy/admission_test.go
@@ -85,3 +85,49 @@
 		}
 	}
 }
+
+// Guards against an admission that stays shut: one that refuses for what its latest parts took is open again once the parts
+// that it lets in come back swiftly, however few these are.
+func TestRefusalsForOldLatenciesEndOnceAnswersAreSwift(t *testing.T) {
+	const (
+		slow, swift = 0.9, 0.08 // s, of a promise of 1 s
+		every       = 0.2       // s between queries
+	)
+	r := newRig(t, settings(Safe))
+	for _, took := range []float64{swift, slow} {
+		var out []uint64
+		for range 10 { // all before the first answer
+			_, parts, _ := r.ask(6, 4)
+			out = append(out, parts...)
+		}
+		for _, id := range out {
+			r.do(Event{Kind: AttemptEnded, Part: id, Outcome: OK, Took: took})
+		}
+	}
+	letIn := func(span float64) (refused, sent int) {
+		for end := r.now + span; r.now < end; {
+			_, parts, acts := r.ask(1, 4)
+			if len(of(Refuse, acts)) > 0 {
+				refused++
+			} else {
+				sent++
+				r.run(swift)
+				r.do(Event{Kind: AttemptEnded, Part: parts[0], Outcome: OK, Took: swift})
+			}
+			r.run(every)
+		}
+		return refused, sent
+	}
+	if refused, _ := letIn(every); refused == 0 {
+		t.Fatal("nothing is refused while parts take most of the promise")
+	}
+	for r.now < 100+3*memory { // until the first goes and sees
+		if _, sent := letIn(every); sent > 0 {
+			break
+		}
+	}
+	letIn(memory)
+	if refused, sent := letIn(memory); refused > 0 {
+		t.Errorf("%d refused, %d let in, %v promises after the first swift answer", refused, sent, memory)
+	}
+}
--- a/policy/guards.go
+++ b/policy/guards.go
@@ -87,7 +87,7 @@
 	if p.up < p.cfg.Aggregators { // not one replica's worth each: queues grow for all before one has seen it
 		bound *= slowShare
 	}
-	if p.stress.value*math.Exp((p.stressAt-p.now)/(memory*p.promise))*c.Promise > bound {
+	if p.stress.value*p.latencyAge()*c.Promise > bound {
 		return RecentLatency
 	}
 	switch {
--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -2,6 +2,8 @@
 
 // Outcomes.
 
+import "math"
+
 func (p *Policy) attemptEnded(ev *Event) {
 	pt := p.parts[ev.Part]
 	if pt == nil || ev.Attempt < 0 || ev.Attempt >= len(pt.attempts) || pt.attempts[ev.Attempt].ended {
@@ -22,16 +24,14 @@
 		a.r.done.add(p.now)
 	}
 	if ev.Outcome == Rejected { // a full queue's wait: no promise would hold
-		p.stress.add(1, freshShare)
-		p.stressAt = p.now
+		p.sawLatency(1)
 	}
 	if ev.Outcome == OK && a.sentAt >= p.stalledAt {
-		p.stressAt = p.now
 		p.models[q.class].seen.add(p.now, ev.Took)
 		pace := ev.Took / p.models[q.class].mean
 		p.drag.add(pace, freshShare)
 		a.r.pace, a.r.paceAt = p.pace(a.r)+paceShare*(pace/pt.heavy-p.pace(a.r)), p.now
-		p.stress.add(ev.Took/p.cfg.Classes[q.class].Promise, freshShare)
+		p.sawLatency(ev.Took / p.cfg.Classes[q.class].Promise)
 	}
 	switch {
 	case pt.gone: // its query or step has ended, and this answer counts no more
@@ -52,6 +52,15 @@
 	}
 }
 
+// sawLatency takes in what a part took, in promises. What is known of before counts less the older it is.
+func (p *Policy) sawLatency(took float64) {
+	p.stress.add(took, 1-(1-freshShare)*p.latencyAge())
+	p.stressAt = p.now
+}
+
+// latencyAge is how much the recent latency still says: 1 when its newest sample has just come, fading to 0.
+func (p *Policy) latencyAge() float64 { return math.Exp((p.stressAt - p.now) / (memory * p.promise)) }
+
 // again goes on after an attempt that failed.
 func (p *Policy) again(pt *part) {
 	q := pt.q
