Log at debug what each step of the lanes finds the level by

Cause: the log told of the lanes each 10 s, by rounded results. Whether the estimate of what the fleet bears falls by itself, or by what the modules refuse, or is held down by what the gate lets in, could not be seen.

Change: a debug line a step with the estimate, what comes back, its peak and knee, and the own figures; the harness logs at debug with DEBUG=1.

--- a/Makefile
+++ b/Makefile
@@ -114,10 +114,10 @@
 	BIRCHCART_PINNED_SMALL=$(SMALL) BIRCHCART_PINNED=$(if $(filter command line,$(origin SEED)),$(SEED),$(PINNED)) go test -timeout 120m -v -count=1 -run 'TestPinned$$' ./internal/fleet/harness
 
 # Ten co-ordinators at twice what their replicas bear, with accounts in lanes, under the faults of each seed: 50 s each; BESIDE=3
-# plays three at a time, OFF=1 without the section, which has to fail.
+# plays three at a time, OFF=1 without the section, which has to fail, DEBUG=1 logs each step of the estimate.
 LANES ?= 1-36
 lanes:
-	BIRCHCART_LANES_OFF=$(OFF) BIRCHCART_LANES_BESIDE=$(BESIDE) BIRCHCART_LANES=$(if $(filter command line,$(origin SEED)),$(SEED),$(LANES)) go test -timeout 120m -v -count=1 -run 'TestLanes$$' ./internal/fleet/harness
+	BIRCHCART_LANES_OFF=$(OFF) BIRCHCART_LANES_DEBUG=$(DEBUG) BIRCHCART_LANES_BESIDE=$(BESIDE) BIRCHCART_LANES=$(if $(filter command line,$(origin SEED)),$(SEED),$(LANES)) go test -timeout 120m -v -count=1 -run 'TestLanes$$' ./internal/fleet/harness
 
 # Half a minute of that, on five of them.
 lanes-short:
--- a/internal/fleet/harness/cluster.go
+++ b/internal/fleet/harness/cluster.go
@@ -41,10 +41,20 @@
 	Replicas bool   // swap the replicas
 	Also     bool   // and the co-ordinators
 	Laneless bool   // storms without the section of lanes
+	Debug    bool   // the processes log at debug
 	Limit    time.Duration
 	Terms    Terms // set by Play from the schedule
 }
 
+// args start a process by the files in its folder.
+func (o Options) args(dir string) []string {
+	args := []string{"serve", "--config", filepath.Join(dir, "config.json"), "--operator", filepath.Join(dir, "operator.json")}
+	if o.Debug {
+		args = append(args, "--log-level", "debug")
+	}
+	return args
+}
+
 // Cluster is a fleet of processes with its stand-ins.
 type Cluster struct {
 	opt    Options
@@ -140,7 +150,7 @@
 		}
 		c.procs = append(c.procs, &Process{
 			Name: name, Path: opt.Program, Dir: filepath.Join(dir, "disk"), Log: filepath.Join(dir, "log"), Runs: c.net.Runs,
-			Args: []string{"serve", "--config", filepath.Join(dir, "config.json"), "--operator", filepath.Join(dir, "operator.json")},
+			Args: opt.args(dir),
 		})
 		paths = append(paths, c.grants(i))
 		serving = append(serving, site.Bind(i, ServePort).String())
--- a/internal/fleet/harness/storm_test.go
+++ b/internal/fleet/harness/storm_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	opt.Program = path
+	opt.Program, opt.Debug = path, os.Getenv("BIRCHCART_LANES_DEBUG") != ""
 	if opt.Dir, err = os.MkdirTemp("", "storm-run"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/lanes/control.go
+++ b/internal/fleet/lanes/control.go
@@ -139,6 +139,21 @@
 // Bears is the cost a second that the fleet is thought to bear; without a storm what it is asked.
 func (c *Control) Bears() float64 { return min(c.bears, c.asked) }
 
+// Estimate is what Control goes by, in cost a second, for the log.
+type Estimate struct {
+	Bears     float64 // what the fleet is thought to bear, however much is asked for
+	Asked     float64 // smoothed
+	ComesBack float64 // smoothed
+	PeakBack  float64 // the most that came back of late
+	Knee      float64 // what came back when queues last grew
+	Storm     bool
+}
+
+// Estimate is that of the last step.
+func (c *Control) Estimate() Estimate {
+	return Estimate{Bears: c.bears, Asked: c.asked, ComesBack: c.comes, PeakBack: c.came, Knee: c.knee, Storm: c.storm}
+}
+
 // Step gives the level of now, from the fleet's figures or, without fresh ones, from the own.
 func (c *Control) Step(now time.Duration, fl pressure.Fleet, own pressure.Own) float64 {
 	if !c.begun {
--- a/internal/fleet/loadshed/say.go
+++ b/internal/fleet/loadshed/say.go
@@ -77,6 +77,19 @@
 	}
 }
 
+// sayStep logs at debug what the level of this step was found by.
+func (s *Shed) sayStep(level float64) {
+	if s.set == nil || !s.o.Log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	estimate := s.control.Estimate()
+	s.o.Log.WithFields(s.figures(level)).WithFields(logrus.Fields{
+		"own_asked": figure(s.own.Asked), "own_in_time": figure(s.own.InTime), "own_done": figure(s.own.Done),
+		"estimate": figure(estimate.Bears), "asked": figure(estimate.Asked), "comes_back": figure(estimate.ComesBack),
+		"peak_back": figure(estimate.PeakBack), "knee": figure(estimate.Knee), "storm": estimate.Storm,
+	}).Debug("a step of the lanes")
+}
+
 // keys of the summary, by reason.
 var keys = [lanes.Reasons]string{"free", "guaranteed", "floor", "class_floor", "borrowed", "refused_cut", "refused_over_most"}
 
--- a/internal/fleet/loadshed/shed.go
+++ b/internal/fleet/loadshed/shed.go
@@ -216,6 +216,7 @@
 	}
 	s.tell(now, crew, word, out)
 	s.say(now, level)
+	s.sayStep(level)
 	if now >= s.checked+CheckEvery {
 		s.checked = now
 		s.check()
