Let a query go and see where nothing is out and none is let in

What callers saw: at a storm's begin all co-ordinators of a fleet refused all but guaranteed queries for 4 to 5 s, while replicas were idle.

Cause: one that refuses by recent latency and has nothing out gets no news; the mean of the latest parts' times only fades, over 8 promises. From 0.9 of a promise to the bound that is 5 to 7 promises, where the queues that it stands for were gone after one. Lines at fault: policy/guards.go, the last bound of notAdmitted.

Change: such a one lets a query in to see. All co-ordinators together use a tenth of what the replicas work on for it at the most (parts times the work of one, over our share of the replicas), so many co-ordinators with few replicas wait as before. Its parts count half of the mean together.

Tests: TestOneWithNothingOutGoesAndSees fails without it (none is let in within the promise); TestManyThatGoAndSeeUseAShareOfTheReplicas guards the share.

--- a/policy/admission_test.go
+++ b/policy/admission_test.go
@@ -86,14 +86,9 @@
 	}
 }
 
-// Guards against an admission that stays shut: one that refuses for what its latest parts took is open again once the parts
-// that it lets in come back swiftly, however few these are.
-func TestRefusalsForOldLatenciesEndOnceAnswersAreSwift(t *testing.T) {
-	const (
-		slow, swift = 0.9, 0.08 // s, of a promise of 1 s
-		every       = 0.2       // s between queries
-	)
-	r := newRig(t, settings(Safe))
+// shutByLatency brings an instance to refuse for what its latest parts took, and leaves nothing of its own out.
+func (r *rig) shutByLatency(swift, slow float64) {
+	r.t.Helper()
 	for _, took := range []float64{swift, slow} {
 		var out []uint64
 		for range 10 { // all before the first answer
@@ -104,30 +99,67 @@
 			r.do(Event{Kind: AttemptEnded, Part: id, Outcome: OK, Took: took})
 		}
 	}
-	letIn := func(span float64) (refused, sent int) {
-		for end := r.now + span; r.now < end; {
-			_, parts, acts := r.ask(1, 4)
-			if len(of(Refuse, acts)) > 0 {
-				refused++
-			} else {
-				sent++
-				r.run(swift)
-				r.do(Event{Kind: AttemptEnded, Part: parts[0], Outcome: OK, Took: swift})
-			}
-			r.run(every)
-		}
-		return refused, sent
+	if _, _, acts := r.ask(1, 4); len(of(Refuse, acts)) != 1 || acts[0].Reason != RecentLatency {
+		r.t.Fatalf("not refused while parts take %v of the promise: %+v", slow, acts)
 	}
-	if refused, _ := letIn(every); refused == 0 {
-		t.Fatal("nothing is refused while parts take most of the promise")
+}
+
+// trickle asks for queries of one part for a while, each answered after so long, and counts what came of them.
+func (r *rig) trickle(span, every, took float64) (refused, sent int) {
+	for end := r.now + span; r.now < end; {
+		_, parts, acts := r.ask(1, 4)
+		if len(of(Refuse, acts)) > 0 {
+			refused++
+		} else {
+			sent++
+			r.run(took)
+			r.do(Event{Kind: AttemptEnded, Part: parts[0], Outcome: OK, Took: took})
+		}
+		r.run(every)
 	}
+	return refused, sent
+}
+
+// Guards against an admission that stays shut: one that refuses for what its latest parts took is open again once the parts
+// that it lets in come back swiftly, however few these are.
+func TestRefusalsForOldLatenciesEndOnceAnswersAreSwift(t *testing.T) {
+	const swift, slow, every = 0.08, 0.9, 0.2 // s, of a promise of 1 s
+	r := newRig(t, settings(Safe))
+	r.shutByLatency(swift, slow)
 	for r.now < 100+3*memory { // until the first goes and sees
-		if _, sent := letIn(every); sent > 0 {
+		if _, sent := r.trickle(every, every, swift); sent > 0 {
 			break
 		}
 	}
-	letIn(memory)
-	if refused, sent := letIn(memory); refused > 0 {
+	r.trickle(memory, every, swift)
+	if refused, sent := r.trickle(memory, every, swift); refused > 0 {
 		t.Errorf("%d refused, %d let in, %v promises after the first swift answer", refused, sent, memory)
 	}
 }
+
+// Guards against seconds in which nothing is served though the queues have gone: one that refuses for latencies and has
+// nothing out goes and sees within the promise, and by two promises refuses no more.
+func TestOneWithNothingOutGoesAndSees(t *testing.T) {
+	const swift, slow, every = 0.08, 0.9, 0.1 // s, of a promise of 1 s
+	r := newRig(t, settings(Safe))
+	r.shutByLatency(swift, slow)
+	if _, sent := r.trickle(1, every, swift); sent == 0 {
+		t.Error("none is let in within the promise")
+	}
+	r.trickle(1, every, swift)
+	if refused, sent := r.trickle(2, every, swift); refused > 0 {
+		t.Errorf("%d refused, %d let in, two promises after the last slow answer", refused, sent)
+	}
+}
+
+// Guards against many co-ordinators with few replicas that fill these by going to see: all together use no more than their share.
+func TestManyThatGoAndSeeUseAShareOfTheReplicas(t *testing.T) {
+	const swift, slow, span = 0.08, 0.9, 4.0
+	cfg := settings(Safe)
+	cfg.Aggregators = 100 // of four replicas
+	r := newRig(t, cfg)
+	r.shutByLatency(swift, slow)
+	if _, sent := r.trickle(span, 0.1, slow); float64(sent)*swift*float64(cfg.Aggregators) > probeShare*4*span {
+		t.Errorf("%d let in within %v s", sent, span)
+	}
+}
--- a/policy/guards.go
+++ b/policy/guards.go
@@ -87,7 +87,7 @@
 	if p.up < p.cfg.Aggregators { // not one replica's worth each: queues grow for all before one has seen it
 		bound *= slowShare
 	}
-	if p.stress.value*p.latencyAge()*c.Promise > bound {
+	if p.stress.value*p.latencyAge()*c.Promise > bound && !p.probes(q) {
 		return RecentLatency
 	}
 	switch {
@@ -99,6 +99,22 @@
 	return NoReason
 }
 
+// probes tells whether a query is let in to see whether the queues have gone. Guards against an instance that
+// has nothing out, so that no news comes, and refuses all by what it knows of before. All co-ordinators
+// together use probeShare of the replicas at the most, so many of them with few replicas wait for long.
+func (p *Policy) probes(q *query) bool {
+	if p.inFlight > p.stuck {
+		return false
+	}
+	work := float64(len(q.parts)+p.cfg.Classes[q.class].FollowUp) * p.models[q.class].swift
+	replicas := float64(p.up) / float64(p.cfg.Aggregators)
+	if p.now-max(p.stressAt, p.probedAt) < work/(probeShare*replicas) {
+		return false
+	}
+	p.probedAt, q.probe = p.now, true
+	return true
+}
+
 // full tells that queries will soon be turned away before they reach this instance.
 func (p *Policy) full() bool {
 	return p.cfg.MaxOpen > 0 && float64(len(p.queries)+len(p.parts)) > fullOpen*float64(p.cfg.MaxOpen)
--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -24,14 +24,14 @@
 		a.r.done.add(p.now)
 	}
 	if ev.Outcome == Rejected { // a full queue's wait: no promise would hold
-		p.sawLatency(1)
+		p.sawLatency(q, 1)
 	}
 	if ev.Outcome == OK && a.sentAt >= p.stalledAt {
 		p.models[q.class].seen.add(p.now, ev.Took)
 		pace := ev.Took / p.models[q.class].mean
 		p.drag.add(pace, freshShare)
 		a.r.pace, a.r.paceAt = p.pace(a.r)+paceShare*(pace/pt.heavy-p.pace(a.r)), p.now
-		p.sawLatency(ev.Took / p.cfg.Classes[q.class].Promise)
+		p.sawLatency(q, ev.Took/p.cfg.Classes[q.class].Promise)
 	}
 	switch {
 	case pt.gone: // its query or step has ended, and this answer counts no more
@@ -52,9 +52,13 @@
 	}
 }
 
-// sawLatency takes in what a part took, in promises. What is known of before counts less the older it is.
-func (p *Policy) sawLatency(took float64) {
-	p.stress.add(took, 1-(1-freshShare)*p.latencyAge())
+// sawLatency takes in what a part of q took, in promises. What is known of before counts less the older it is.
+func (p *Policy) sawLatency(q *query, took float64) {
+	weight := freshShare
+	if q.probe {
+		weight = 1 - math.Pow(1-probeNews, 1/float64(len(q.parts)))
+	}
+	p.stress.add(took, 1-(1-weight)*p.latencyAge())
 	p.stressAt = p.now
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,6 +64,8 @@
 	leastRoom  = 2.0 // L: parts out that are always allowed; a start or a lull tells no rate
 	leastOut   = 8.0 // parts out at one replica, of all co-ordinators if alike, that are always allowed
 	rateSpan   = 2.0 // promises: window of one replica's rate
+	probeShare = 0.1 // of what our share of the replicas can work on: what queries that go and see may use
+	probeNews  = 0.5 // weight of the parts of such a query together
 
 	// Answers.
 	weightSlip = 1e-6 // of a whole: a sum of weights may miss by so much in adding them up
@@ -99,6 +101,7 @@
 	trials             float64  // that may go now
 	stress             ewma     // latency over promise, 1 for a part turned away
 	stressAt           float64  // its newest sample
+	probedAt           float64  // when the latest query was let in to see whether the queues have gone
 	drag               ewma     // latest latencies over the estimates
 	promise, tick      float64  // the least promise; the period of a look
 	watchAt, refreshAt float64
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,6 +23,7 @@
 	broke         []*replica // went down with a part of it
 	retry, scout  bool
 	wary          bool // it may be one that breaks replicas
+	probe         bool // let in to see whether the queues have gone
 	over          bool
 }
 
