--- a/internal/fleet/laneconfig/agreed.go
+++ b/internal/fleet/laneconfig/agreed.go
@@ -15,10 +15,8 @@
 	KindSet = "set"
 	// RevisionMost is far over what files number.
 	RevisionMost = 1 << 40
-	// MixFor is how long, in agreed time, a section and the one before it are in force together. It is longer than a lease
-	// of the usual 10 s, within which who hears of no new one counts as cut off. Twice as long: who moves up has it so much
-	// later, and a mistake in a file is mended so much later; half: a co-ordinator whose polls were lost goes by the old one
-	// alone while others do by the new one alone.
+	// MixFor is how long, in agreed time, a section and the one before it are in force together. It is longer than a lease of the
+	// usual 10 s, within which who hears of no new one counts as cut off.
 	MixFor = 15 * time.Second
 )
 
--- a/internal/fleet/laneconfig/text.go
+++ b/internal/fleet/laneconfig/text.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	// PackedMost bytes of a section, packed: 10,000 accounts with a mark of 32 random digits each have some 210 KB. Twice as
-	// much: a snapshot may be 700 KB larger while two are in force; half: fleets of 5,000 accounts with such marks are refused.
+	// PackedMost bytes of a section, packed: 10,000 accounts with a mark of 32 random digits each have some 210 KB.
 	PackedMost = 256 << 10
 	// TextMost bytes of a section as it is, which is what an operators' file may render to.
 	TextMost = 4 << 20
--- a/internal/fleet/lanepart/roster.go
+++ b/internal/fleet/lanepart/roster.go
@@ -9,8 +9,7 @@
 	"birchcart/internal/fleet/member"
 )
 
-// RosterInterval is between looks at who there is. Twice as long: messages go to who is dead so much longer; half: at 300
-// co-ordinators twice the sorting.
+// RosterInterval is between looks at who there is.
 const RosterInterval = time.Second
 
 // roster is who there is, for the load shedding's steps alone.
--- a/internal/fleet/lanes/control.go
+++ b/internal/fleet/lanes/control.go
@@ -10,90 +10,72 @@
 
 // Parameters of the level controller.
 const (
-	// Onset is the fleet's pressure at which a calm one begins to shed, if its own queries show it too. Twice: at 1.2 x load the
-	// module's own refusals last; half: bursts of a second begin a storm that is none.
+	// Onset is the fleet's pressure at which a calm one begins to shed, if its own queries show it too.
 	Onset = 0.06
 	// JoinFor is how long most others must shed before one joins whose own queries show nothing: longer than any word counts, so
-	// that false ones have to be most by chance twice. Twice: one that starts in a storm sheds three seconds later; half: at 300
-	// co-ordinators a tenth of liars makes one shed in calm now and then.
+	// that false ones have to be most by chance twice.
 	JoinFor = 3 * time.Second
-	// Aim is the pressure at which the level rests: the module still turns this part away. Twice: that much less in time; half:
-	// a fourth of the co-ordinators see nothing in a second, and the level is not held.
+	// Aim is the pressure at which the level rests: the module still turns this part away.
 	Aim = 0.04
-	// Gain is by what part a second what the fleet is thought to bear moves for each 1 of pressure off Aim. News are 1.5 s old,
-	// so that 1 would swing. Twice: near that; half: ten seconds for a third off.
+	// Gain is by what part a second what the fleet is thought to bear moves for each 1 of pressure off Aim. News are 1.5 s old, so
+	// that 1 would swing.
 	Gain = 0.1
-	// Damp is by what part what is let in is less than what is borne, for each 1 of pressure over Aim. Twice: with news 1.5 s
-	// old it swings of itself; half: queues that have grown swing the level for a minute.
+	// Damp is by what part what is let in is less than what is borne, for each 1 of pressure over Aim.
 	Damp = 0.4
-	// PeakFor is how long the most that came back counts, fading: at the start of a storm the module turns nearly all away for
-	// a moment. Twice: half of the replicas lost show a second later; half: the first level is far too strict.
+	// PeakFor is how long the most that came back counts, fading: at the start of a storm the module turns nearly all away for a
+	// moment.
 	PeakFor = 10 * time.Second
-	// RiseMost is the most by which it rises a second, reached after RiseAfter without pressure. Twice: it shoots over
-	// what is borne, half: after a false alarm a third of the work is shed ten seconds longer.
+	// RiseMost is the most by which it rises a second, reached after RiseAfter without pressure.
 	RiseMost  = 0.15
 	RiseAfter = 3 * time.Second
-	// Headroom is how far over what comes back in time it may rise: the level falls no faster than work comes back. Twice: a
-	// cold replica is sent a third too much; half: noise in what comes in time holds it down.
+	// Headroom is how far over what comes back in time it may rise: the level falls no faster than work comes back.
 	Headroom = 0.15
-	// KneeNear is how near to what came back under pressure the estimate rises slowly, and KneeAfter after how long without
-	// pressure as fast as anywhere. Twice: more capacity is found later; half: the level goes up and down about the knee.
+	// KneeNear is how near to what came back under pressure the estimate rises slowly, and KneeAfter after how long without pressure
+	// as fast as anywhere.
 	KneeNear  = 0.12
 	KneeUnder = 0.12
 	KneeAfter = 40 * time.Second
-	// KneeCalm without pressure, and what comes back when it grows anew is what is borne. Twice: a swing's own echo is no
-	// calm; half: the end of a storm's first refusals is taken for the start of others.
+	// KneeCalm without pressure, and what comes back when it grows anew is what is borne.
 	KneeCalm = 2 * time.Second
-	// RiseUnsure is how fast the estimate rises a second until then: at its start a storm says less than is borne. Twice: it
-	// shoots over; half: a tenth of what is borne is shed ten seconds longer.
+	// RiseUnsure is how fast the estimate rises a second until then: at its start a storm says less than is borne.
 	RiseUnsure = 0.05
-	// KneeFall is by which part the knee falls a second when less comes back. Twice: one bad second is taken for lost replicas,
-	// and the level stays too strict for half a minute; half: after a true loss it goes up and down for as long.
+	// KneeFall is by which part the knee falls a second when less comes back.
 	KneeFall = 0.05
-	// KneeIn is in what time the estimate goes down to what comes back when queues show. Twice: they grow to refusals first; half:
-	// chance in the figures cuts each time.
+	// KneeIn is in what time the estimate goes down to what comes back when queues show.
 	KneeIn = 2 * time.Second
-	// High is the pressure from which what comes back says at once what is borne, less Margin. Twice: 1.5 x load is neared over
-	// seconds; half: chance cuts too deep.
+	// High is the pressure from which what comes back says at once what is borne, less Margin.
 	High   = 0.12
 	Margin = 0.01
-	// CutFor is until the effect of a cut shows in the news: pressure until then is of before, and what came back was held
-	// down by the module. Until then the estimate goes no lower than CutMost of what came back when it began. CutFor twice:
-	// lost replicas show by a tenth in six seconds; half: a storm begins with half of what is borne. CutMost half: the same.
+	// CutFor is until the effect of a cut shows in the news: pressure until then is of before, and what came back was held down by
+	// the module. Until then the estimate goes no lower than CutMost of what came back when it began.
 	CutFor  = 3 * time.Second
 	CutMost = 0.9
-	// FallMost is by which part it may fall in a step of Every. Twice: one bad second of news cuts all; half: 4 x load needs
-	// four steps more.
+	// FallMost is by which part it may fall in a step of Every.
 	FallMost = 0.35
-	// Draw is which part of what one is off from the others it makes good in a second. Twice: with news 1.5 s old it swings;
-	// half: two co-ordinators differ for five seconds.
+	// Draw is which part of what one is off from the others it makes good in a second.
 	Draw = 0.8
-	// Blind is the pressure from which nearly all is turned away, so that what comes back says nothing of what is borne: the
-	// peak then stays. Twice: never; half: lost replicas show no more.
+	// Blind is the pressure from which nearly all is turned away, so that what comes back says nothing of what is borne: the peak
+	// then stays.
 	Blind = 0.6
-	// AskedSpan is over what the fleet's asked rate is smoothed. Twice: a step of load shows half a second later; half: the
-	// chance of which words came shows in the level.
-	// where it is AskedOff or more off; what is nearer is chance and goes by AskedSlow.
+	// AskedSpan is over what the fleet's asked rate is smoothed where it is AskedOff or more off; what is nearer is chance and goes
+	// by AskedSlow.
 	AskedSpan = 300 * time.Millisecond
 	AskedOff  = 0.3
 	AskedSlow = 4 * time.Second
-	// ComesSpan is over what the rate that comes back is smoothed. Twice: lost replicas show half a second later; half: chance
-	// shows in what is thought to be borne.
+	// ComesSpan is over what the rate that comes back is smoothed.
 	ComesSpan = 700 * time.Millisecond
-	// PushSpan is over what pressure is smoothed for Damp. Twice: it comes too late to damp; half: refusals echo.
+	// PushSpan is over what pressure is smoothed for Damp.
 	PushSpan = 500 * time.Millisecond
-	// LevelLeast is the lowest level: what is less is 0. Twice or half: little, the module turns away more than that.
+	// LevelLeast is the lowest level: what is less is 0.
 	LevelLeast = 0.01
-	// StepUp and StepDown are the most that the level moves a second. Twice: one false alarm sheds half at once; half: 2 x load
-	// takes a second longer, and its end.
+	// StepUp and StepDown are the most that the level moves a second.
 	StepUp   = 1.6
 	StepDown = 0.8
-	// CalmAfter without pressure and with all let in it is no storm any more. Twice or half: little, the level is 0 already.
+	// CalmAfter without pressure and with all let in it is no storm any more.
 	CalmAfter = 5 * time.Second
-	// FadeFor is in what time a level goes without fresh news, down to what the own pressure asks. Twice: one that is cut off
-	// sheds for ten seconds for nothing; half: a gap in the news drops the level.
+	// FadeFor is in what time a level goes without fresh news, down to what the own pressure asks.
 	FadeFor = 5 * time.Second
-	// Every is the step that the constants are for. Twice or half: they are by time, the draw and the onset lag a little more.
+	// Every is the step that the constants are for.
 	Every = 250 * time.Millisecond
 
 	remembered = 16 // own levels, for as long back as news may be old
@@ -306,6 +288,6 @@
 	return nil
 }
 
-// CauseFor is how long after the last pressure over Aim a level over 0 has a cause: what is borne has to rise from a hundredth
-// to all, by RiseMost a second. Twice: a level that hangs shows late; half: a true return is taken for one.
+// CauseFor is how long after the last pressure over Aim a level over 0 has a cause: what is borne has to rise from a hundredth to
+// all, by RiseMost a second.
 const CauseFor = 40 * time.Second
--- a/internal/fleet/lanes/cost.go
+++ b/internal/fleet/lanes/cost.go
@@ -3,9 +3,9 @@
 import "math"
 
 const (
-	// hintsMost is over how many hints the mean goes. Twice: another mix of work shows later; half: large ones pull it.
+	// hintsMost is over how many hints the mean goes.
 	hintsMost = 10_000
-	// PartMost is what a part may cost. Twice or half: a false hint uses up so much of a guarantee.
+	// PartMost is what a part may cost.
 	PartMost = 100
 )
 
--- a/internal/fleet/lanes/gate.go
+++ b/internal/fleet/lanes/gate.go
@@ -9,34 +9,28 @@
 )
 
 const (
-	// BurstFor is how many seconds of its rate a bucket holds, one part at least. Twice: who was idle gets four seconds' worth
-	// at once; half: premium traffic that comes in bursts is beyond its guarantee half of the time.
+	// BurstFor is how many seconds of its rate a bucket holds, one part at least.
 	BurstFor = 2
-	// borrowFor is the same of what is idle. Twice: what is no longer idle is lent for so long; half: short idleness is lost.
+	// borrowFor is the same of what is idle.
 	borrowFor = 0.5
-	// idleFrom is how full such a bucket is. Twice: never; half: what is only not used just now is lent.
+	// idleFrom is how full such a bucket is.
 	idleFrom = 0.95
 	// quiet is a cost a second that every member is taken to have of every lane and class, so that a quiet one has a part of the
-	// floor before its first query comes. Twice: busy ones have less of it; half: its second query waits twice as long.
+	// floor before its first query comes.
 	quiet = 0.1
-	// YieldMost is how many times shorter the promise of the last lane counts for the module's queues while lanes shed. More: what
-	// lanes let in is refused by queues that are no burden, and that counts as pressure (emulated with the real module, ten
-	// co-ordinators at 2 x: 0.74 of capacity in time with 2, 0.91 with 1.3, 0.95 with 1); 1: premium goes down with the rest.
+	// YieldMost is how many times shorter the promise of the last lane counts for the module's queues while lanes shed. What lanes
+	// let in and queues refuse counts as pressure, so it is little.
 	YieldMost = 1.2
 	// SureLeast is what an account's guarantee holds at least, in mean parts: some four queries; but no more than SureFor seconds of
 	// it. With one part's worth an account that is well within its guarantee is refused at each second query of a few parts where a
-	// co-ordinator has a part a second of it or less. Twice: who was idle gets eight at once; half: two queries in a row are
-	// beyond it.
+	// co-ordinator has a part a second of it or less.
 	SureLeast = 12
-	// SureFor bounds SureLeast, in seconds of the account's guarantee. Twice: ten thousand accounts that were idle, with a
-	// thousandth of a part a second here each, spend twice as much at once over what the fleet bears; half: of a part in five
-	// seconds an account keeps one query's worth.
+	// SureFor bounds SureLeast, in seconds of the account's guarantee.
 	SureFor = 30
 )
 
-// StaleAfter a Level without the next one a co-ordinator has stood still, and what it borrowed may be its lender's again: until it has
-// stepped its even part is all that counts. Twice: as much longer is used twice; half: a step that is late by a busy machine
-// refuses premium.
+// StaleAfter a Level without the next one a co-ordinator has stood still, and what it borrowed may be its lender's again: until it
+// has stepped its even part is all that counts.
 const StaleAfter = time.Second
 
 type bucket struct {
--- a/internal/fleet/loadshed/letters.go
+++ b/internal/fleet/loadshed/letters.go
@@ -18,24 +18,20 @@
 	letterVersion = 1
 	// LetterMost bytes of one: it goes in one packet.
 	LetterMost = member.MaxPacketMessage - 2 - member.MaxNameLength
-	// LettersMost wait for the next step; further ones are dropped. Twice as many: older news after a stall; half: a stall of
-	// two seconds at 300 co-ordinators loses some, which come again.
+	// LettersMost wait for the next step; further ones are dropped.
 	LettersMost = 256
-	// WordsMost of one letter are read. Twice or half: nothing, more don't fit.
+	// WordsMost of one letter are read.
 	WordsMost = LetterMost / 20
 
-	// fanout members get a word of each step. Twice: twice the bytes; half: too few words are fresh at 300 co-ordinators.
+	// fanout members get a word of each step.
 	fanout = 3
-	// passMost words of others go in one letter. Twice or half: there is seldom room for more; fewer words are fresh.
+	// passMost words of others go in one letter.
 	passMost = 3
 	// ownPart of the bytes at most is for own words and heads: with long names fewer members get one, with more words of others.
-	// Twice as much: half as many words are heard with long names; half: one letter a step, and a lost one is missed.
 	ownPart = 0.75
-	// BytesMost a second are sent on the mean, with heads. Twice: more than lanes are worth at rest; half: at 300
-	// co-ordinators with long names too few words are fresh.
+	// BytesMost a second are sent on the mean, with heads.
 	BytesMost = 1900
-	// sharesPart of them, at most one part of so many, is for what shares ask and answer beside a word. Twice as much: fewer
-	// words are passed on while accounts are short; half: loans come later.
+	// sharesPart of them, at most one part of so many, is for what shares ask and answer beside a word.
 	sharesPart = 4
 	// headsOf a letter beside the sender's name: IP and UDP 28, encryption 29, the engine's and the member's own 8.
 	headsOf = 65
--- a/internal/fleet/loadshed/say.go
+++ b/internal/fleet/loadshed/say.go
@@ -21,8 +21,7 @@
 	why    string
 }
 
-// TurnEvery is between lines that say that shedding begins or ends. Twice as long: its begin shows later; half: at a load that
-// is just borne twice the lines.
+// TurnEvery is between lines that say that shedding begins or ends.
 const TurnEvery = 2 * time.Second
 
 // say logs when the fleet begins to shed and when it ends, and a summary each TellEvery while queries come.
--- a/internal/fleet/loadshed/share.go
+++ b/internal/fleet/loadshed/share.go
@@ -15,7 +15,7 @@
 	list  []int32 // accounts whose rate counts, in the order of coming
 }
 
-// wantLeast is the rate below which an account counts as idle. Twice or half: little, a part each few minutes.
+// wantLeast is the rate below which an account counts as idle.
 const wantLeast = 0.01
 
 func (w *wants) reset(accounts int) {
@@ -62,7 +62,7 @@
 	return s.shares.Step(now, append(news, in...))
 }
 
-// partsAtOnce are told to the gate under one lock. Twice as many: a query waits for up to 50 us more; half: twice the locks.
+// partsAtOnce are told to the gate under one lock.
 const partsAtOnce = 256
 
 // part is what may be used of one account.
--- a/internal/fleet/loadshed/slots.go
+++ b/internal/fleet/loadshed/slots.go
@@ -3,10 +3,9 @@
 import "time"
 
 const (
-	// BlindFor is how long agreed time may stand still before slots go by the wall's. Twice as long: one that is cut off keeps
-	// to slots that drift from the others'; half: a poll that is late changes who is cut.
+	// BlindFor is how long agreed time may stand still before slots go by the wall's.
 	BlindFor = 10 * time.Second
-	// slotSpan is for how long a reading of agreed time counts. Twice or half: drift of so long a time is what slots are off.
+	// slotSpan is for how long a reading of agreed time counts.
 	slotSpan = 30 * time.Second
 )
 
--- a/internal/fleet/pressure/fleet.go
+++ b/internal/fleet/pressure/fleet.go
@@ -7,21 +7,18 @@
 )
 
 const (
-	// FreshLeast is of which share of the members there must be fresh words, freshWords how many at least (of a small fleet:
-	// all but one). Twice: 300 co-ordinators that hear 20 words a second are near not knowing; half: five words decide.
+	// FreshLeast is of which share of the members there must be fresh words, freshWords how many at least (of a small fleet: all but
+	// one).
 	FreshLeast = 0.04
 	freshWords = 3
-	// Trim is the share of weight at either end whose figures count as the first that is within. Twice: only the middle counts,
-	// and a zone in need shows late; half: chance puts more than a tenth of liars among forty words beyond it.
+	// Trim is the share of weight at either end whose figures count as the first that is within.
 	Trim = 0.3
-	// capAt is the share of members, by traffic, that weigh the same, the busiest; rates above are counted as theirs. It is
-	// what bounds a word: a share x of liars that claim any traffic holds at most x/(1-capAt) of all weight, so that up to
-	// Trim*(1-capAt) of the words, three in twenty, may be false. Twice (all the same): a quiet one's chances count fully;
-	// half: liars weigh more.
+	// capAt is the share of members, by traffic, that weigh the same, the busiest; rates above are counted as theirs. It is what
+	// bounds a word: a share x of liars that claim any traffic holds at most x/(1-capAt) of all weight, so that up to Trim*(1-capAt)
+	// of the words, three in twenty, may be false.
 	capAt = 0.5
 	// sumTrim is the share of words, the busiest, whose rates are cut down in sums to that of the next one, and sumMost how many
-	// times the median's rate that may be. Twice: uneven traffic makes sums short by a fifth; half: a tenth of liars among
-	// thirty words is beyond it by chance.
+	// times the median's rate that may be.
 	sumTrim = 0.25
 	sumMost = 3
 	// ZonesMost is how many zones are told apart.
--- a/internal/fleet/pressure/news.go
+++ b/internal/fleet/pressure/news.go
@@ -9,13 +9,11 @@
 const (
 	// MembersMost is of how many co-ordinators words are kept.
 	MembersMost = 1024
-	// FreshFor is for how long a word counts. Twice: a step of load shows a second later; half: at 300 co-ordinators some ten
-	// words are left, and a fourth of them false by chance.
+	// FreshFor is for how long a word counts.
 	FreshFor = 2 * time.Second
-	// youngFor is for how long one counts for Fleet.Young. Twice: that is no sooner than the rest; half: no word is so young.
+	// youngFor is for how long one counts for Fleet.Young.
 	youngFor = time.Second
-	// passFor is until what age a word is passed on, passMost how often. Twice: old words take the room of new ones; half: words
-	// of who is cut from some don't come round.
+	// passFor is until what age a word is passed on, passMost how often.
 	passFor  = time.Second
 	passMost = 2
 )
--- a/internal/fleet/pressure/pressure.go
+++ b/internal/fleet/pressure/pressure.go
@@ -25,33 +25,24 @@
 )
 
 const (
-	// bucketFor is how finely a Meter counts, the step of its caller. Twice: news is an eighth of a second older; half: nothing
-	// gained, words go out no faster.
+	// bucketFor is how finely a Meter counts, the step of its caller.
 	bucketFor = 250 * time.Millisecond
-	// rateBuckets is over how many buckets rates go, a second. Twice: a step of load is seen half a second later; half: at ten
-	// queries a second rates are off by two fifths.
+	// rateBuckets is over how many buckets rates go, a second.
 	rateBuckets = 4
-	// bucketsMost is how far back outcomes are looked for where few queries end. Twice: pressure outlives its cause by
-	// seconds; half: a quiet co-ordinator knows nothing more often.
+	// bucketsMost is how far back outcomes are looked for where few queries end.
 	bucketsMost = 8
-	// EndsEnough queries that ended make a figure of pressure; with more, older ones are left out. Twice: quiet co-ordinators
-	// are slower; half: each single refusal counts a tenth.
+	// EndsEnough queries that ended make a figure of pressure; with more, older ones are left out.
 	EndsEnough = 8
-	// EndsLeast is with how few the own pressure counts as unknown. Twice: more co-ordinators have no word; half: chance speaks.
+	// EndsLeast is with how few the own pressure counts as unknown.
 	EndsLeast = 4
-	// QueueWeight is the pressure of queues that bring the median query to its promise, from where it is in calm. Twice: fleets
-	// rest with idle replicas; half: queues show no sooner than refusals, and the level swings.
+	// QueueWeight is the pressure of queues that bring the median query to its promise, from where it is in calm.
 	QueueWeight = 0.3
-	// calmLeast and calmMost bound what counts as calm, as part of the promise; calmFirst holds until it is known. Twice: queues
-	// never show; half: a class that is slow in calm counts as pressed for ever.
+	// calmLeast and calmMost bound what counts as calm, as part of the promise; calmFirst holds until it is known.
 	calmLeast, calmFirst, calmMost = 0.15, 0.5, 0.65
-	// tailMost is the most that may be late or fail in calm and count as none, tailFor in what time it is learned. Most twice: a
-	// fleet that slowly becomes late is calm; half: a class that often is late is shed for ever, as shedding mends nothing.
-	// Time twice: after a change of traffic it is pressed for ten minutes; half: a slow growth of queues is taken for calm.
+	// tailMost is the most that may be late or fail in calm and count as none, tailFor in what time it is learned.
 	tailMost = 0.2
 	tailFor  = 5 * time.Minute
 	// calmFall and calmRise are in what time the calm median goes down and up to what is seen while nothing is turned away.
-	// Twice or half: it is known that much later, or takes a lull or a slow growth of queues for calm.
 	calmFall, calmRise = 2 * time.Second, 10 * time.Minute
 
 	times = 16 // kinds of time over promise that a bucket tells apart: by eighths, up to two
--- a/internal/fleet/pressure/word.go
+++ b/internal/fleet/pressure/word.go
@@ -23,10 +23,10 @@
 	// NameMost is bytes of a name and of a zone, as the members' records have it. With both of them in 20 bytes a word of three
 	// lanes takes 80 at most.
 	NameMost = 64
-	// RateMost is a cost a second: what is more is said as this. Twice or half: nothing, no fleet comes near it.
+	// RateMost is a cost a second: what is more is said as this.
 	RateMost = 1e9
 	rateUnit = 1e-3 // the least rate that is said
-	// AgeMost is the age of the oldest word that is taken. Twice: nothing, it would not be fresh; half: nothing either, FreshFor is far less.
+	// AgeMost is the age of the oldest word that is taken.
 	AgeMost = time.Minute
 	// RevisionMost is the highest revision that a word may name.
 	RevisionMost = math.MaxInt32
--- a/internal/fleet/shares/shares.go
+++ b/internal/fleet/shares/shares.go
@@ -22,27 +22,22 @@
 
 // Times and bounds.
 const (
-	// LoanFor is how long a loan lasts for its borrower. Twice as long: what a lender needs itself, or what a dead borrower
-	// has, is back so much later; half: twice the messages for the same loans.
+	// LoanFor is how long a loan lasts for its borrower.
 	LoanFor = 10 * time.Second
 	// Drift is by how much two clocks may run apart: one part of so many.
 	Drift = 100
-	// AskEvery is between asks for one account. Twice as long: a burst at one co-ordinator gets its share so much later; half:
-	// twice the messages, most of which find nothing new.
+	// AskEvery is between asks for one account.
 	AskEvery = 250 * time.Millisecond
-	// AskPeers are asked each time. Twice as many: twice the messages, and a lender is met by more borrowers at once; half: of few that
-	// have something idle one is found so much later.
+	// AskPeers are asked each time.
 	AskPeers = 2
 	// LendPart: of its home part each lends at most one part of so many, in all. More would leave a new process, which may not use it
 	// while old loans last, too little; less moves less to where traffic lands.
 	LendPart = 2
-	// StepPart: one loan is at most one part of so many of the home part. Twice as much: the lender's use jumps by more at
-	// once; half: twice the asks for the same.
+	// StepPart: one loan is at most one part of so many of the home part.
 	StepPart = 4
 	// Spare is left to a lender above its own use of late: one part of so many of it.
 	Spare = 4
-	// RaiseAfter is how long fewer co-ordinators are agreed before home parts grow. Twice as long: after losses guarantees are short for
-	// so much longer; half: one that comes back at once meets parts that have grown.
+	// RaiseAfter is how long fewer co-ordinators are agreed before home parts grow.
 	RaiseAfter = LoanFor
 	// ShortMost accounts are asked for in one message, the shortest first.
 	ShortMost = 64
--- a/internal/fleet/shares/types.go
+++ b/internal/fleet/shares/types.go
@@ -79,8 +79,7 @@
 // Evenly as the part of one account: that of all that are not named.
 const Evenly = -1
 
-// askAgain is how long an ask waits for its answer before the same peer is asked again. Twice as long: after a lost word that much
-// less is borrowed; half: a slow link is asked twice for the same.
+// askAgain is how long an ask waits for its answer before the same peer is asked again.
 const askAgain = 4 * AskEvery
 
 // lenderFor is how long a lender counts a loan: its borrower counted from before, by a clock that may be slower.
