Keep the lanes' estimate from falling under what comes back

Cause: the rates that co-ordinators tell go over a second. Where load begins at once the first steps of a storm see a fifth of it, pressure over High cuts the estimate to what came back by then, and while the pressure lasts it may only fall. Lines at fault: lanes/control.go, estimate, the branch p > High. Evidence, debug lines of a run: 20 to 102 a second come back while the estimate goes from 23 to 50; then the pressure is 0 and it rises by 0.05 a second. Excluded for this test: the module's admission; recent_latency is 7 to 35 in all of a run's summaries, in good and bad ones alike, and bears at the end (58 to 105) goes with what was served.

Change: with news the estimate is not under what comes back, smoothed: that much is borne. Without news what came back is another's figure.

Test: TestTheEstimateIsNotUnderWhatComesBack fails without it in each step from the fourth (35 to 106 come back, 18 are thought to be borne).

--- a/internal/fleet/lanes/control.go
+++ b/internal/fleet/lanes/control.go
@@ -264,6 +264,9 @@
 	} else if bears > c.bears {
 		bears = max(c.bears, min(bears, (1+Headroom)*c.asked*fl.InTime/max(fl.Asked, 1e-9)))
 	}
+	if fresh { // without news what came back is another's
+		bears = max(bears, c.comes) // what comes back is borne, whatever the pressure
+	}
 	if back := int(fl.Age / Every); fresh && back < min(c.steps, remembered) && (c.level > 0 || fl.Level > LevelLeast) {
 		bears -= Draw * s * (fl.Level - c.past[(c.steps-1-back)%remembered]) * c.asked
 	}
--- a/internal/fleet/lanes/control_test.go
+++ b/internal/fleet/lanes/control_test.go
@@ -284,3 +284,21 @@
 		}
 	}
 }
+
+// Guards against an estimate that is cut at a storm's first moment, while rates still fill, and stays there: what comes back is borne.
+func TestTheEstimateIsNotUnderWhatComesBack(t *testing.T) {
+	c := NewControl(0.95)
+	own := pressure.Own{Known: true, Pressure: 0.5}
+	for i, step := range []struct{ asked, done, pressure float64 }{ // a second's rates of 250 a second that begin at once, of which 120 are borne
+		{32, 11, 0}, {48, 20, 0.23}, {109, 46, 0.5}, {169, 75, 0.5}, {229, 103, 0.57}, {249, 125, 0.4},
+		{245, 125, 0.43}, {245, 120, 0.36}, {245, 115, 0.2}, {243, 110, 0}, {245, 110, 0}, {245, 110, 0},
+	} {
+		own.Asked = step.asked / 3
+		c.Step(time.Duration(i)*Every, pressure.Fleet{
+			Known: true, Pressure: step.pressure, Young: step.pressure, Asked: step.asked, InTime: step.done, Done: step.done, Fresh: 3, Members: 3, Level: c.Level(),
+		}, own)
+		if e := c.Estimate(); e.Storm && e.Bears < 0.9*e.ComesBack {
+			t.Errorf("step %d: %.0f a second come back, %.0f are thought to be borne", i, e.ComesBack, e.Bears)
+		}
+	}
+}
