Take back that a part's latency counts more for the age of the one before

Change: each sample's weight is as it was, but for those of a query that goes and sees, which count half of the mean together. That suffices for both tests: TestRefusalsForOldLatenciesEndOnceAnswersAreSwift and TestOneWithNothingOutGoesAndSees pass unchanged.

--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -52,13 +52,13 @@
 	}
 }
 
-// sawLatency takes in what a part of q took, in promises. What is known of before counts less the older it is.
+// sawLatency takes in what a part of q took, in promises.
 func (p *Policy) sawLatency(q *query, took float64) {
 	weight := freshShare
 	if q.probe {
 		weight = 1 - math.Pow(1-probeNews, 1/float64(len(q.parts)))
 	}
-	p.stress.add(took, 1-(1-weight)*p.latencyAge())
+	p.stress.add(took, weight)
 	p.stressAt = p.now
 }
 
