--- /dev/null
+++ b/review/peers/http.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// send sends a request on a connection of its own and reads its whole answer.
+func send(req *http.Request, within time.Duration) (outcome string, took time.Duration) {
+	client := http.Client{Timeout: within, Transport: &http.Transport{DisableKeepAlives: true}}
+	began := time.Now()
+	resp, err := client.Do(req)
+	if err == nil {
+		defer resp.Body.Close()
+		var body bytes.Buffer
+		if _, err = io.Copy(&body, resp.Body); err == nil {
+			return fmt.Sprintf("status %d, %d bytes", resp.StatusCode, body.Len()), time.Since(began)
+		}
+	}
+	return fmt.Sprintf("no answer: %v", err), time.Since(began)
+}
