--- a/review/peers/http.go
+++ b/review/peers/http.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 )
 
@@ -20,5 +22,14 @@
 			return fmt.Sprintf("status %d, %d bytes", resp.StatusCode, body.Len()), time.Since(began)
 		}
 	}
-	return fmt.Sprintf("no answer: %v", err), time.Since(began)
+	return fmt.Sprintf("no answer: %v", reason(err)), time.Since(began)
+}
+
+// reason is an error without the address that was asked.
+func reason(err error) error {
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err
+	}
+	return err
 }
--- a/review/peers/restart.go
+++ b/review/peers/restart.go
@@ -162,7 +162,7 @@
 	r.note("%s: %s after %v", name, outcome, took.Round(time.Millisecond))
 	switch {
 	case strings.HasPrefix(outcome, "no answer"):
-		r.breaks("%s was taken and got no answer: its connection ended after %v (%s)", name, took.Round(time.Millisecond), outcome)
+		r.breaks("%s was taken and has no answer after %v (%s)", name, took.Round(time.Millisecond), outcome)
 	case took > wait+lostAfter:
 		r.breaks("%s was answered %v after it was sent, its time is %v", name, took.Round(time.Millisecond), wait)
 	}
