--- a/review/peers/restart.go
+++ b/review/peers/restart.go
@@ -26,7 +26,7 @@
 	lostAfter = 550 * time.Millisecond
 )
 
-// rabat is a deployment of the shape of rabat-counts: 12 readers in 3 data centres, 24 sections, each on 2 readers.
+// rabat is a co-ordinator in a deployment of the shape of rabat-counts: 12 readers in 3 data centres, 24 sections, each on 2 readers.
 type rabat struct {
 	fleet            *standin.Fleet
 	places           []standin.Place
@@ -34,15 +34,14 @@
 	process          *process
 }
 
-func (r *caseRun) startRabat(script func(reader int, a standin.Asked) standin.Does) (*rabat, error) {
+func (r *caseRun) startRabat(class standin.FleetClass, script func(reader int, a standin.Asked) standin.Does) (*rabat, error) {
 	d := &rabat{}
 	for i := range 24 {
 		d.places = append(d.places, standin.PlaceOf(i))
 	}
 	var err error
 	d.fleet, err = standin.NewFleet(standin.FleetShape{
-		Replicas: 12, Cells: 12, Reach: 2, Shards: 24,
-		Classes: []standin.FleetClass{{Name: "species-search", Promise: 2.5, GiveUp: rabatGiveUp.Seconds(), Semantics: "repeatable", Need: 0.75, Floor: 0.75}},
+		Replicas: 12, Cells: 12, Reach: 2, Shards: 24, Classes: []standin.FleetClass{class},
 	}, nil)
 	if err != nil {
 		return nil, err
@@ -79,7 +78,8 @@
 	var mu sync.Mutex
 	hung := false
 	var counts standin.Counts
-	d, err := r.startRabat(func(i int, a standin.Asked) standin.Does {
+	class := standin.FleetClass{Name: "species-search", Promise: 2.5, GiveUp: rabatGiveUp.Seconds(), Semantics: "repeatable", Need: 0.75, Floor: 0.75}
+	d, err := r.startRabat(class, func(i int, a standin.Asked) standin.Does {
 		mu.Lock()
 		silent := hung && i >= hungSection && i < hungSection+hungReaders
 		mu.Unlock()
