--- a/review/peers/fleet.go
+++ b/review/peers/fleet.go
@@ -5,7 +5,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -49,7 +48,7 @@
 	var gossip, council []string
 	for range fleetSize {
 		serve, err1 := freeAddress()
-		g, err2 := freeGossip()
+		g, err2 := freeAddress()
 		c, err3 := freeAddress()
 		if err1 != nil || err2 != nil || err3 != nil {
 			return nil, fmt.Errorf("no free address: %v %v %v", err1, err2, err3)
@@ -116,22 +115,6 @@
 	}
 }
 
-// freeGossip is a loopback address whose port is free for UDP and TCP.
-func freeGossip() (string, error) {
-	for range 50 {
-		address, err := freeAddress()
-		if err != nil {
-			return "", err
-		}
-		c, err := net.ListenPacket("udp", address)
-		if err == nil {
-			c.Close()
-			return address, nil
-		}
-	}
-	return "", fmt.Errorf("no port is free for UDP and TCP")
-}
-
 // sessionQuery is a query of a session about one section.
 func (s *fleetSite) sessionQuery(to int, class, session, id string, section int, wait time.Duration, body string) *http.Request {
 	req, err := http.NewRequest(http.MethodPost, "http://"+s.serve[to]+"/"+class,
--- a/review/peers/main.go
+++ b/review/peers/main.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -91,15 +92,32 @@
 
 func (r *caseRun) atEnd(f func()) { r.ends = append(r.ends, f) }
 
-// freeAddress is a loopback address that nobody listens on. It is of a stretch from which no client connects, so that no connection
-// takes its port meanwhile.
+// taken are the addresses that freeAddress has given.
+var taken = map[string]bool{}
+
+// freeAddress is a loopback address whose port is free for TCP and UDP. Its port is below those that the kernel gives to connections,
+// so that none takes it meanwhile.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.77.59.1:0")
-	if err != nil {
-		return "", err
+	const first, ports = 20000, 10000
+	for range 200 {
+		address := fmt.Sprintf("127.77.59.1:%d", first+rand.IntN(ports))
+		if taken[address] {
+			continue
+		}
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		ln.Close()
+		c, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		c.Close()
+		taken[address] = true
+		return address, nil
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free address in 200 tries")
 }
 
 // process is a program that runs; ended is closed at its end.
