Review cases: stay inside both limits of a replacement, end all when told to

Need: a last look at the cases. A script that was told to end left its processes to the kernel.

The stand-ins run their end also on SIGTERM and exit with 2.

--- a/review/peers/main.go
+++ b/review/peers/main.go
@@ -15,7 +15,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,10 +60,16 @@
 	defer os.RemoveAll(dir)
 	r := &caseRun{trouble: os.Getenv("TROUBLE") != "0", dir: dir, began: time.Now(), record: io.MultiWriter(record, os.Stdout)}
 	r.note("trouble: %v", r.trouble)
-	err = play(r)
-	for i := len(r.ends) - 1; i >= 0; i-- {
-		r.ends[i]()
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, os.Interrupt)
+	played := make(chan error, 1)
+	go func() { played <- play(r) }()
+	select {
+	case err = <-played:
+	case sig := <-told:
+		err = fmt.Errorf("told to end: %v", sig)
 	}
+	r.end()
 	switch {
 	case err != nil:
 		r.note("the case could not run: %v", err)
@@ -90,7 +98,22 @@
 	r.broken = append(r.broken, text)
 }
 
-func (r *caseRun) atEnd(f func()) { r.ends = append(r.ends, f) }
+// atEnd adds what is run at the end of the case, however it ends; the last added goes first.
+func (r *caseRun) atEnd(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ends = append(r.ends, f)
+}
+
+func (r *caseRun) end() {
+	r.mu.Lock()
+	ends := r.ends
+	r.ends = nil
+	r.mu.Unlock()
+	for _, f := range slices.Backward(ends) {
+		f()
+	}
+}
 
 // taken are the addresses that freeAddress has given.
 var taken = map[string]bool{}
--- a/review/peers/rolling.go
+++ b/review/peers/rolling.go
@@ -19,7 +19,7 @@
 // Figures of the case.
 const (
 	rollingReaders = 12
-	rollingSteps   = 6                      // the page: half of the replicas are replaced in steps
+	rollingSteps   = 3                      // the pages: half of the replicas are replaced, a quarter drains and stays up
 	stepEvery      = 2 * time.Second        // from one step to the next
 	backAfter      = 100 * time.Millisecond // from Terminating to Ready at the new address: the new process was started before
 	rollingRate    = 12                     // feature queries a second
@@ -107,8 +107,8 @@
 	json.NewEncoder(w).Encode(map[string]any{"type": "FeatureCollection", "features": features, "numberMatched": len(features)})
 }
 
-// rollingFeatureServers: feature queries while half of the readers, which are feature servers, are replaced one after the other. Each
-// comes back under its name with a newer start at a new address; the old process drains and stays up.
+// rollingFeatureServers: feature queries while a quarter of the readers, which are feature servers, is replaced one after the other.
+// Each comes back under its name with a newer start at a new address; the old process drains and stays up.
 func rollingFeatureServers(r *caseRun) error {
 	fleet, err := standin.NewFleet(standin.FleetShape{
 		Replicas: rollingReaders, Cells: rollingReaders, Reach: 2, Shards: 24,
