Review case: a granted machine that restarts by itself lets its neighbour out beside it

Three co-ordinators, work asked for at two readers that hold the same sections; the first one granted dies a second later and is back after 6 s, while the tools prepare the work on it.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 RUN=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$RUN" ] && [ -x bin/birchcart ] && [ -x review/bin/peers ] || { echo "build by the deploy file and review/build.sh first"; exit 2; }
 export RUN
-exec timeout -k 5 110 review/bin/peers rolling-feature-servers review/2/record.txt
+exec timeout -k 5 110 review/bin/peers planned-restart review/2/record.txt
--- a/review/peers/fleet.go
+++ b/review/peers/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -22,13 +23,14 @@
 	relays []*relay // before each reader
 	args   []string
 	logs   []string
+	grants []string // the grants file of each co-ordinator
 }
 
 const fleetSize = 3
 
-// startFleet starts the fleet and waits until it is ready and has a leader. sessions is the section fleet.sessions of the operators'
-// file; the other values are those of deploy/fleet.jsonnet.
-func (r *caseRun) startFleet(classes []standin.FleetClass, sessions map[string]any, script func(reader int, a standin.Asked) standin.Does) (*fleetSite, error) {
+// startFleet starts the fleet and waits until it is ready and has a leader. more has keys of the section `fleet` of the operators'
+// file; its other values are those of deploy/fleet.jsonnet.
+func (r *caseRun) startFleet(classes []standin.FleetClass, more map[string]any, script func(reader int, a standin.Asked) standin.Does) (*fleetSite, error) {
 	s := &fleetSite{}
 	var err error
 	if s.fleet, err = standin.NewFleet(standin.FleetShape{Replicas: 12, Cells: 12, Reach: 2, Shards: 24, Classes: classes}, nil); err != nil {
@@ -75,8 +77,10 @@
 			"revision": 1, "voters": voters, "council": map[string]any{"found": true},
 			"gossip": map[string]any{"bind": gossip[i], "join": gossip}, "keys_file": keys, "dir": filepath.Join(r.dir, fmt.Sprint("disk", i)),
 			"lease_ms": 10000, "grace_ms": 1000, "settle_ms": 30000, "calm_ms": 60000, "out_by_zone": 1, "out_most": 2, "headroom": 0.25,
-			"parts_per_replica": 40, "sessions": sessions,
+			"parts_per_replica": 40, "grants_file": filepath.Join(r.dir, fmt.Sprint("grants", i)),
 		}
+		maps.Copy(section, more)
+		s.grants = append(s.grants, section["grants_file"].(string))
 		paths := []string{filepath.Join(r.dir, fmt.Sprint("config", i)), filepath.Join(r.dir, fmt.Sprint("operator", i))}
 		for j, form := range []any{config, map[string]any{"version": 1, "placement": map[string]any{"holders_least": 1}, "fleet": section}} {
 			raw, err := json.Marshal(form)
--- a/review/peers/main.go
+++ b/review/peers/main.go
@@ -35,7 +35,7 @@
 	ends   []func()
 }
 
-var cases = map[string]func(*caseRun) error{"rolling-feature-servers": rollingFeatureServers, "planned-restart": plannedRestart, "session-order": sessionOrder}
+var cases = map[string]func(*caseRun) error{"planned-restart": plannedRestart, "session-order": sessionOrder, "stale-grant": staleGrant}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/peers/order.go
+++ b/review/peers/order.go
@@ -66,7 +66,9 @@
 	s, err := r.startFleet([]standin.FleetClass{
 		{Name: "species-search", Promise: 2.5, GiveUp: 6, Semantics: "repeatable", Need: 0.75, Floor: 0.75},
 		{Name: "tally-submit", Promise: 1.5, GiveUp: 5, Semantics: "once", Need: 1, Floor: 1},
-	}, map[string]any{"header": "X-Session", "owner_header": "X-Session-At", "classes": []string{"tally-submit"}, "slots_per_replica": 60}, script)
+	}, map[string]any{"sessions": map[string]any{
+		"header": "X-Session", "owner_header": "X-Session-At", "classes": []string{"tally-submit"}, "slots_per_replica": 60,
+	}}, script)
 	if err != nil {
 		return err
 	}
