Close feature clients that do not take answers without a body

Callers saw: a client that sends requests with If-None-Match and takes none of the 304 answers kept its connection for ever. Cause: only answers with a body had a write deadline; refusals for want of room, and the HTTP library's own 400 and 431, had none either.

Every answer has WriteTime now: the library's by the server's WriteTimeout, ours from the moment in which the answer is written.

--- a/internal/ogc/accept.go
+++ b/internal/ogc/accept.go
@@ -59,7 +59,7 @@
 	s.now.Store(newSnapshot(f, cfg, s.key))
 	s.http = &http.Server{
 		Handler: s.handler(), MaxHeaderBytes: headBytes, ReadHeaderTimeout: s.limits.FirstTime, ReadTimeout: s.limits.RequestTime,
-		IdleTimeout: s.limits.ClientIdle, ErrorLog: log.New(io.Discard, "", 0),
+		WriteTimeout: s.limits.WriteTime, IdleTimeout: s.limits.ClientIdle, ErrorLog: log.New(io.Discard, "", 0),
 	}
 	return s
 }
--- a/internal/ogc/documents.go
+++ b/internal/ogc/documents.go
@@ -462,6 +462,8 @@
 // write sends a whole body. A client must take each piece of it in a write's time, and all that clients have not
 // taken yet is bounded: what does not fit is refused.
 func (c *call) write(code int, kind string, body []byte) {
+	out := http.NewResponseController(c.w)
+	out.SetWriteDeadline(time.Now().Add(c.s.limits.WriteTime)) // the server's began when the request was read
 	h := c.w.Header()
 	h.Set("Content-Type", kind)
 	if code == http.StatusOK {
@@ -497,8 +499,6 @@
 	}
 	defer c.s.holding.Add(-size)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	out := http.NewResponseController(c.w)
-	out.SetWriteDeadline(time.Now().Add(c.s.limits.WriteTime))
 	c.w.WriteHeader(code)
 	if c.r.Method == http.MethodHead {
 		return
--- a/internal/ogc/items_test.go
+++ b/internal/ogc/items_test.go
@@ -222,53 +222,48 @@
 // What was taken when the drain begins is answered; then the front is gone.
 func TestDrainMidPage(t *testing.T) {
 	// The order is forced: readers answer once the front listens no more. Their client's time is not what this is about.
-	patient := shape
-	patient.Classes = slices.Clone(shape.Classes)
-	for i := range patient.Classes {
-		patient.Classes[i].Promise, patient.Classes[i].GiveUp = 30, 60
-	}
-	r := newRig(t, patient, func(_ *operator.File, c *config.Config) { c.Limits.EndTime = time.Minute })
-	draining := make(chan struct{})
-	for i := range r.fleet.Replicas {
-		r.fleet.SetScript(i, func(a standin.Asked) standin.Does {
-			d := r.counts.Does(a)
-			d.Until = draining
-			return d
-		})
-	}
-	done := make(chan error, 1)
-	go func() {
-		resp, it, err := r.get(context.Background(), r.base()+"/collections/all/items?limit=5")
-		if err == nil && (resp.StatusCode != 200 || !it.Complete) {
-			err = fmt.Errorf("%d, complete %v", resp.StatusCode, it.Complete)
-		}
-		done <- err
-	}()
-	r.settled(func() bool { return r.asked() > 0 })
-	drained := make(chan struct{})
-	go func() { r.features.Drain(t.Context()); close(drained) }()
-	for end := time.Now().Add(time.Minute); ; time.Sleep(5 * time.Millisecond) {
-		nc, err := net.Dial("tcp", r.features.Addr().String())
-		if err != nil {
-			break
-		}
-		nc.Close()
-		if time.Now().After(end) {
-			t.Fatal("it still listens")
-		}
-	}
+	r := newPatientRig(t, func(l *config.Limits) { l.EndTime = time.Minute })
+	page, release := r.openPage()
+	drained := r.drainUntilUnreachable()
 	select {
 	case <-drained:
 		t.Fatal("drained over an open page")
 	default:
 	}
-	close(draining)
-	if err := <-done; err != nil {
+	release()
+	if err := <-page; err != nil {
 		t.Error(err)
 	}
 	<-drained
 }
 
+// Guards against answers without a body that clients do not take: their connections would hold all places, and a drain, for ever.
+func TestUnreadEmptyAnswersEndConnection(t *testing.T) {
+	const places = 4
+	r := newRig(t, shape, func(_ *operator.File, c *config.Config) {
+		c.Limits.WriteTime = 100 * time.Millisecond
+		c.Limits.Clients = 4 * places // a quarter of them is for feature queries
+	})
+	requests := strings.Repeat("GET /conformance HTTP/1.1\r\nHost: x\r\nIf-None-Match: *\r\n\r\n", 1000)
+	for range places {
+		nc, err := net.Dial("tcp", r.features.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		go func() {
+			for err == nil { // until neither side takes anything, or the server closes the connection
+				_, err = io.WriteString(nc, requests)
+			}
+		}()
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 20*time.Second)
+	defer stop()
+	if resp, _, err := r.get(ctx, r.base()+"/collections/all/items?limit=5"); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("no place is free for another client: %v", err)
+	}
+}
+
 // A reader of a large answer that takes nothing holds its own bytes only, for a bounded time, and delays no one.
 func TestSlowClientDelaysNoOne(t *testing.T) {
 	r := newRig(t, shape, func(_ *operator.File, c *config.Config) { c.Limits.WriteTime = 300 * time.Millisecond })
--- a/internal/ogc/rig_test.go
+++ b/internal/ogc/rig_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -305,3 +306,54 @@
 	}
 	return o, err
 }
+
+// newPatientRig returns a rig whose clients wait for a minute, with changed limits.
+func newPatientRig(t testing.TB, change func(*config.Limits)) *rig {
+	t.Helper()
+	patient := shape
+	patient.Classes = slices.Clone(shape.Classes)
+	for i := range patient.Classes {
+		patient.Classes[i].Promise, patient.Classes[i].GiveUp = 30, 60
+	}
+	return newRig(t, patient, func(_ *operator.File, c *config.Config) { change(&c.Limits) })
+}
+
+// openPage asks for a page whose readers answer once release is called. The channel receives what was wrong with its answer.
+func (r *rig) openPage() (page <-chan error, release func()) {
+	gate := make(chan struct{})
+	for i := range r.fleet.Replicas {
+		r.fleet.SetScript(i, func(a standin.Asked) standin.Does {
+			d := r.counts.Does(a)
+			d.Until = gate
+			return d
+		})
+	}
+	done := make(chan error, 1)
+	go func() {
+		resp, it, err := r.get(context.Background(), r.base()+"/collections/all/items?limit=5")
+		if err == nil && (resp.StatusCode != http.StatusOK || !it.Complete) {
+			err = fmt.Errorf("%d, complete %v", resp.StatusCode, it.Complete)
+		}
+		done <- err
+	}()
+	r.settled(func() bool { return r.asked() > 0 })
+	return done, func() { close(gate) }
+}
+
+// drainUntilUnreachable begins to drain the front for feature queries and returns once it listens no more. The channel is closed
+// when the drain ends.
+func (r *rig) drainUntilUnreachable() <-chan struct{} {
+	r.Helper()
+	drained := make(chan struct{})
+	go func() { r.features.Drain(r.Context()); close(drained) }()
+	for end := time.Now().Add(time.Minute); ; time.Sleep(5 * time.Millisecond) {
+		nc, err := net.Dial("tcp", r.features.Addr().String())
+		if err != nil {
+			return drained
+		}
+		nc.Close()
+		if time.Now().After(end) {
+			r.Fatal("it still listens")
+		}
+	}
+}
