Let the drain of feature queries wait for all that was taken before SIGTERM

Cause: Server.Drain gave the HTTP library's Shutdown a context that ended at EndTime and WriteTime (0.7 + 2.7 + 1 s), and closed all connections then. EndTime bounds what is read while draining, which is cut to it; a query from before keeps its client's time, so the two can be far apart. Evidence: in the case's record parts of the closed queries go out until 6.6 s, so the exchange still held them; all four are closed in the same moment, 4.401 s after SIGTERM, whatever their age.

Fix: no limit of its own. Each connection ends by a bound of its own: a query's time, FirstTime and RequestTime of what is half read, WriteTime of what is written.

--- a/internal/ogc/accept.go
+++ b/internal/ogc/accept.go
@@ -95,7 +95,7 @@
 func (s *Server) Close() { s.http.Close() }
 
 // Drain ends the front as the users' is ended: for a while it goes on, then it takes no more, and what it took is
-// answered. It returns when the last connection is closed, by EndTime at the latest.
+// answered, however late its time is over: only SIGKILL may end that. It returns when the last connection is closed.
 func (s *Server) Drain(ctx context.Context) {
 	end := time.Now().Add(s.limits.EndTime)
 	s.lastBy.Store(&end)
@@ -104,9 +104,7 @@
 	case <-ctx.Done():
 	case <-time.After(s.limits.DrainTime):
 	}
-	last, stop := context.WithDeadline(ctx, end.Add(s.limits.WriteTime))
-	defer stop()
-	if s.http.Shutdown(last) != nil {
+	if s.http.Shutdown(ctx) != nil {
 		s.http.Close()
 	}
 }
--- a/internal/ogc/items_test.go
+++ b/internal/ogc/items_test.go
@@ -237,6 +237,25 @@
 	<-drained
 }
 
+// Guards against a drain that closes connections while queries that it took before are still within their client's time.
+func TestDrainWaitsForEarlierPageBeyondEndTime(t *testing.T) {
+	r := newPatientRig(t, func(l *config.Limits) { l.EndTime, l.WriteTime = 50*time.Millisecond, 50*time.Millisecond })
+	page, release := r.openPage()
+	drained := r.drainUntilUnreachable() // DrainTime is longer than EndTime and WriteTime together
+	select {
+	case err := <-page:
+		t.Fatalf("the query ended before its readers answered: %v", err)
+	case <-drained:
+		t.Fatal("drained over an open page")
+	case <-time.After(200 * time.Millisecond):
+	}
+	release()
+	if err := <-page; err != nil {
+		t.Error(err)
+	}
+	<-drained
+}
+
 // Guards against answers without a body that clients do not take: their connections would hold all places, and a drain, for ever.
 func TestUnreadEmptyAnswersEndConnection(t *testing.T) {
 	const places = 4
