Drain the front for feature queries on its own connections, not by Shutdown

Callers saw, played one by one on the code before: a request that was half read when the listener closed was dropped with its connection, on a new connection and on a kept one; a pipelined request that had been read was dropped behind the answer before it; connections that waited for a place in the listen queue were reset; and with a longest deadline of 2 s the drain ended 0.10 to 0.14 s after the earliest SIGKILL.

Fix: the front drains as the users' front does. Its connections count the requests that were read and answered; a connection closes by its own goroutine, when none is owed an answer and none waits unread.

--- a/internal/ogc/accept.go
+++ b/internal/ogc/accept.go
@@ -7,11 +7,11 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 
 	"birchcart/internal/config"
 	"birchcart/internal/exchange"
@@ -42,24 +42,28 @@
 	ids    string // beginning of our queries' ids
 	lastID atomic.Uint64
 
-	now     atomic.Pointer[snapshot]
-	ln      net.Listener
-	http    *http.Server
-	ending  atomic.Bool
-	lastBy  atomic.Pointer[time.Time] // once told to end: when the last answer goes
-	holding atomic.Int64              // bytes of answers that clients have not taken yet
+	now         atomic.Pointer[snapshot]
+	listener    *limitListener
+	http        *http.Server
+	mu          sync.Mutex
+	conns       map[*clientConn]struct{}
+	accepting   atomic.Bool               // Listen has been called, and Serve has not returned
+	draining    atomic.Bool               // Drain has been called: each answer closes its connection
+	lastReplyBy atomic.Pointer[time.Time] // deadline for the last answer, set by Drain
+	holding     atomic.Int64              // bytes of answers that clients have not taken yet
 }
 
 // New returns a front for a file that has the section and was checked against the deployment.
 func New(cfg *config.Config, f *operator.File, sink Sink, ready func() bool, entry *logrus.Entry) *Server {
 	s := &Server{
 		cfg: cfg, limits: cfg.Limits, sink: sink, ready: ready, log: logs.Limit(entry, cfg.Limits.LogEvery), key: randomKey(),
-		ids: newIDs(),
+		ids: newIDs(), conns: map[*clientConn]struct{}{},
 	}
 	s.now.Store(newSnapshot(f, cfg, s.key))
 	s.http = &http.Server{
 		Handler: s.handler(), MaxHeaderBytes: headBytes, ReadHeaderTimeout: s.limits.FirstTime, ReadTimeout: s.limits.RequestTime,
 		WriteTimeout: s.limits.WriteTime, IdleTimeout: s.limits.ClientIdle, ErrorLog: log.New(io.Discard, "", 0),
+		ConnState: s.onState, ConnContext: withConn,
 	}
 	return s
 }
@@ -75,36 +79,53 @@
 func (s *Server) Listen(address string) error {
 	ln, err := net.Listen("tcp", address)
 	if err == nil {
-		s.ln = netutil.LimitListener(ln, max(leastSlots, s.limits.FeatureClients))
+		s.listener = newLimitListener(ln, s, max(leastSlots, s.limits.FeatureClients))
+		s.accepting.Store(true)
 	}
 	return err
 }
 
 // Addr is where the front listens.
-func (s *Server) Addr() net.Addr { return s.ln.Addr() }
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
-// Serve answers until Drain.
+// Serve accepts connections until Drain has accepted the last, or Close.
 func (s *Server) Serve() error {
-	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+	defer s.accepting.Store(false)
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
 }
 
-// Close ends the front at once.
-func (s *Server) Close() { s.http.Close() }
+// add registers an accepted connection.
+func (s *Server) add(nc net.Conn) *clientConn {
+	c := &clientConn{Conn: nc, server: s, acceptedAt: time.Now()}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	return c
+}
 
-// Drain ends the front as the users' is ended: for a while it goes on, then it takes no more, and what it took is
-// answered, however late its time is over: only SIGKILL may end that. It returns when the last connection is closed.
-func (s *Server) Drain(ctx context.Context) {
-	end := time.Now().Add(s.limits.EndTime)
-	s.lastBy.Store(&end)
-	s.ending.Store(true)
-	select {
-	case <-ctx.Done():
-	case <-time.After(s.limits.DrainTime):
-	}
-	if s.http.Shutdown(ctx) != nil {
-		s.http.Close()
-	}
+// remove deletes a connection and frees its place.
+func (s *Server) remove(c *clientConn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	<-s.listener.places
 }
+
+// connKey is the key of a request's connection in the request's context.
+type connKey struct{}
+
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// isLastReply reports whether the answer to a request is the last on its connection.
+func isLastReply(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*clientConn)
+	return ok && c.isLastReply()
+}
+
+// Close ends the front at once.
+func (s *Server) Close() { s.http.Close() }
--- /dev/null
+++ b/internal/ogc/conn.go
@@ -0,0 +1,157 @@
+package ogc
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"birchcart/internal/duplexconn"
+)
+
+// clientConn is one connection from a client. It keeps track of the requests that have been read from it, so that a drain
+// closes it only when none has been read in whole or in part, and none waits to be read.
+type clientConn struct {
+	net.Conn
+	server     *Server
+	acceptedAt time.Time
+	closed     sync.Once
+
+	mu             sync.Mutex
+	requests       requestScanner
+	answered       int       // requests whose answers have been written
+	readDeadline   time.Time // as last set by the HTTP server
+	closeRequested bool      // the current read has been interrupted, to check whether the connection can close
+}
+
+// interrupted is a read deadline that has always passed.
+var interrupted = time.Unix(1, 0)
+
+// Read reads from the client. A read that requestClose has interrupted continues unless the connection can close.
+func (c *clientConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.mu.Lock()
+			c.requests.scan(p[:n])
+			c.mu.Unlock()
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.resume() {
+			return n, err
+		}
+	}
+}
+
+// resume restores the read deadline after an interruption and reports whether the read continues. If input waits, the client
+// assumes that its request was received, so the connection stays open until the input has been read and answered.
+func (c *clientConn) resume() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closeRequested {
+		return false
+	}
+	c.closeRequested = false
+	if c.mayClose() && (c.requests.partial || !duplexconn.Waits(c.Conn)) {
+		return false
+	}
+	return c.Conn.SetReadDeadline(c.readDeadline) == nil
+}
+
+// SetReadDeadline sets the deadline of reads that are not interrupted.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// requestClose interrupts the current read if the connection may close. The connection's goroutine checks again before it
+// closes, since a request may have arrived.
+func (c *clientConn) requestClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mayClose() {
+		c.closeRequested = true
+		c.Conn.SetReadDeadline(interrupted)
+	}
+}
+
+// mayClose reports whether no request is owed an answer. A client that has sent nothing yet gets SlowRequest for its first
+// byte, and an incomplete request is waited for until the deadline for the last answer.
+func (c *clientConn) mayClose() bool {
+	switch {
+	case c.requests.complete > c.answered:
+		return false
+	case c.requests.partial:
+		return !c.server.mayRespond()
+	case c.requests.complete == 0:
+		return time.Since(c.acceptedAt) > c.server.limits.SlowRequest
+	}
+	return true
+}
+
+// isLastReply reports whether the answer that is being written is the connection's last. It is not if a further request has
+// begun, since a client that is told of the close expects no further answer.
+func (c *clientConn) isLastReply() bool {
+	if !c.server.draining.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	further := c.requests.complete > c.answered+1 || c.requests.partial
+	return !further || !c.server.mayRespond()
+}
+
+// onState counts the answers of a connection. The HTTP server calls it.
+func (*Server) onState(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*clientConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive: // the HTTP server ends malformed headers in ways of its own
+		c.requests.complete = max(c.requests.complete, c.answered+1)
+	case http.StateIdle:
+		c.answered++
+	}
+}
+
+// Close closes the connection and frees its place.
+func (c *clientConn) Close() error {
+	err := net.ErrClosed
+	c.closed.Do(func() {
+		err = c.Conn.Close()
+		c.server.remove(c)
+	})
+	return err
+}
+
+// requestScanner counts the requests in a client's stream by the empty lines that end their headers. Requests have no body: one
+// that has is the connection's last.
+type requestScanner struct {
+	complete int  // requests whose headers were read completely
+	partial  bool // part of a further request was read
+	inLine   bool // the current line is not empty
+}
+
+func (s *requestScanner) scan(p []byte) {
+	for _, b := range p {
+		switch {
+		case b == '\r':
+		case b != '\n':
+			s.inLine = true
+		case s.inLine:
+			s.inLine = false
+		default:
+			s.complete++
+			s.partial = false
+			continue
+		}
+		s.partial = true
+	}
+}
--- a/internal/ogc/documents.go
+++ b/internal/ogc/documents.go
@@ -158,9 +158,6 @@
 		c.w.Header().Set("Connection", "close") // what follows is not read
 		return &status{http.StatusBadRequest, "a request here has no body"}
 	}
-	if c.s.ending.Load() {
-		c.w.Header().Set("Connection", "close")
-	}
 	f := c.r.URL.Query().Get("f")
 	var err error
 	c.html, err = wantsHTML(c.r.Header.Get("Accept"), f)
@@ -466,6 +463,9 @@
 	out.SetWriteDeadline(time.Now().Add(c.s.limits.WriteTime)) // the server's began when the request was read
 	h := c.w.Header()
 	h.Set("Content-Type", kind)
+	if isLastReply(c.r) {
+		h.Set("Connection", "close")
+	}
 	if code == http.StatusOK {
 		sum := sha256.Sum256(body)
 		tag := hex.EncodeToString(sum[:12])
--- a/internal/ogc/items.go
+++ b/internal/ogc/items.go
@@ -79,7 +79,7 @@
 		ID: s.ids + strconv.FormatUint(s.lastID.Add(1), 10), Class: pg.c.class, Tenant: tenant,
 		Retry: r.Header.Get("X-Retried") == "1", Front: route.Features, Header: r.Header.Get, Client: clientOf(r), Received: now, Due: now.Add(waits(r, pg.c.wait)), Text: pg.req.Encode(),
 	}
-	if end := s.lastBy.Load(); end != nil && q.Due.After(*end) {
+	if end := s.lastReplyBy.Load(); end != nil && q.Due.After(*end) {
 		q.Due = *end
 	}
 	for _, shard := range pg.shards {
--- a/internal/ogc/rig_test.go
+++ b/internal/ogc/rig_test.go
@@ -307,20 +307,25 @@
 	return o, err
 }
 
+// withTimes is the usual shape with another promise and another time after which clients give up, in seconds.
+func withTimes(promise, giveUp float64) standin.FleetShape {
+	changed := shape
+	changed.Classes = slices.Clone(shape.Classes)
+	for i := range changed.Classes {
+		changed.Classes[i].Promise, changed.Classes[i].GiveUp = promise, giveUp
+	}
+	return changed
+}
+
 // newPatientRig returns a rig whose clients wait for a minute, with changed limits.
 func newPatientRig(t testing.TB, change func(*config.Limits)) *rig {
 	t.Helper()
-	patient := shape
-	patient.Classes = slices.Clone(shape.Classes)
-	for i := range patient.Classes {
-		patient.Classes[i].Promise, patient.Classes[i].GiveUp = 30, 60
-	}
-	return newRig(t, patient, func(_ *operator.File, c *config.Config) { change(&c.Limits) })
+	return newRig(t, withTimes(30, 60), func(_ *operator.File, c *config.Config) { change(&c.Limits) })
 }
 
-// openPage asks for a page whose readers answer once release is called. The channel receives what was wrong with its answer.
-func (r *rig) openPage() (page <-chan error, release func()) {
-	gate := make(chan struct{})
+// holdReaders lets readers answer once the gate is closed.
+func (r *rig) holdReaders() (gate chan struct{}) {
+	gate = make(chan struct{})
 	for i := range r.fleet.Replicas {
 		r.fleet.SetScript(i, func(a standin.Asked) standin.Does {
 			d := r.counts.Does(a)
@@ -328,6 +333,12 @@
 			return d
 		})
 	}
+	return gate
+}
+
+// openPage asks for a page whose readers answer once release is called. The channel receives what was wrong with its answer.
+func (r *rig) openPage() (page <-chan error, release func()) {
+	gate := r.holdReaders()
 	done := make(chan error, 1)
 	go func() {
 		resp, it, err := r.get(context.Background(), r.base()+"/collections/all/items?limit=5")
