Go on accepting feature clients after a system call that failed for a moment

Callers saw: an accept that fails with ENOBUFS, ENOMEM, ENETUNREACH, EHOSTUNREACH or EPROTO ended the front for feature queries. Serve returned the error, and with it the process ended without a drain: all open queries of both fronts were lost.

Cause: the HTTP library's Serve returns each error that is not marked temporary, which on Linux only EINTR, EMFILE, ENFILE and time-outs are.

Fix: the listener tries again after 10 ms, until it is closed or the drain is over.

--- a/internal/ogc/listener.go
+++ b/internal/ogc/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -14,6 +16,7 @@
 	acceptIdleTimeout = 5 * time.Millisecond
 	// finalAcceptTimeout limits for how long a drain accepts connections while places are free.
 	finalAcceptTimeout = 100 * time.Millisecond
+	acceptRetryDelay   = 10 * time.Millisecond
 )
 
 // limitListener accepts connections while places are free; further ones wait in the kernel's listen queue. In a drain it first
@@ -64,6 +67,7 @@
 	return true
 }
 
+// accept accepts a connection. An error is likely a temporary lack of descriptors or memory, so it tries again.
 func (l *limitListener) accept() (net.Conn, error) {
 	for {
 		by := l.acceptBy.Load()
@@ -75,8 +79,11 @@
 		}
 		nc, err := l.Listener.Accept()
 		switch {
-		case !errors.Is(err, os.ErrDeadlineExceeded):
+		case err == nil || errors.Is(err, net.ErrClosed):
 			return nc, err
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			l.server.log.Warn("accept failed", logrus.Fields{"error": err})
+			time.Sleep(acceptRetryDelay)
 		case by != nil:
 			return nil, net.ErrClosed
 		}
