--- a/internal/ogc/ogc.go
+++ b/internal/ogc/ogc.go
@@ -4,8 +4,8 @@
 // The front decides nothing: what is refused, sent again or left out stays with the decisions, and every query goes
 // through the same Submit and Leave as those of the users' protocol. It stands on net/http, within config.Limits.
 //
-// Files follow the stages: accept (server, limits, drain), params and cursor (what is asked), items (the query and
-// its answer), documents, openapi and html (what is shown).
+// Files follow the stages: accept, listener and conn (server, limits, connections), params and cursor (what is asked), items
+// (the query and its answer), documents, openapi and html (what is shown), drain (the shutdown).
 package ogc
 
 import (
