--- a/internal/front/room_test.go
+++ b/internal/front/room_test.go
@@ -26,10 +26,27 @@
 	return n
 }
 
+// announcingListener announces that it is about to accept.
+type announcingListener struct {
+	net.Listener
+	accepting chan struct{}
+}
+
+func (l announcingListener) Accept() (net.Conn, error) {
+	select {
+	case l.accepting <- struct{}{}:
+	default:
+	}
+	return l.Listener.Accept()
+}
+
 // While all slots are in use, the close of only as many connections is requested as slots are needed, however late their
 // goroutines run. Once these have closed, new connections are served.
 func TestNoMoreEvictionsThanNeeded(t *testing.T) {
-	st := newTestServer(t, func(l *config.Limits) { l.Clients, l.ClientsOver, l.SlowRequest = 4, 1, time.Millisecond })
+	accepting := make(chan struct{}, 1)
+	st := newTestServerWithListener(t, func(l *config.Limits) { l.Clients, l.ClientsOver, l.SlowRequest = 4, 1, time.Millisecond },
+		func(ln net.Listener) net.Listener { return announcingListener{ln, accepting} })
+	<-accepting // otherwise Serve would find all slots taken and wait for one before it accepts the sixth connection
 	var idle []*clientConn
 	for range 5 { // their goroutines have not been scheduled yet
 		c, _ := st.newUnstartedConn()
