Log by which call the list came, and parts written before a drain was known

Change: at info, each list and each changed replica names the call that brought it and its age; a replica that leaves service is logged with the newest parts written to it, their time and list version; a watch that ends says for how long it was open and unconfirmed; a part that is let go past the bound of the hold is logged.

Measured: tests of exchange, replica, discovery and serve pass.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -152,8 +152,12 @@
 }
 
 // logWatchEnd logs why a connection ended, or why a request was interrupted.
-func (c *Client) logWatchEnd(f *feed, err error) {
-	c.limitedLog.Warn("the watch for changes of the list ended", logrus.Fields{"error": err, "index": f.index, "address": f.address})
+func (c *Client) logWatchEnd(f *feed, s *stream, err error) {
+	fields := logrus.Fields{"error": err, "index": f.index, "address": f.address, "unconfirmed": time.Since(f.confirmedAt).Round(time.Millisecond)}
+	if s != nil {
+		fields["call_age"], fields["watching"] = time.Since(s.startedAt).Round(time.Millisecond), s.watching
+	}
+	c.limitedLog.Warn("the watch for changes of the list ended", fields)
 }
 
 // logRequestFailure logs why an attempt failed.
--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -46,7 +46,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		c.logWatchEnd(f, err)
+		c.logWatchEnd(f, s, err)
 		f.lastErr, f.watchNext = err, errors.Is(err, errClosedAfterList)
 		lifetime, closed := time.Since(startedAt), errors.Is(err, errClosedAfterList)
 		if f.backoff = c.retry.nextBackoff(f.backoff); lifetime > c.retry.maxBackoff || closed {
@@ -111,7 +111,7 @@
 func (f *feed) consume(s *stream) error {
 	c, requestedAt := f.client, s.startedAt
 	if s.fullList {
-		if _, err := f.applyObject(s.objects.object, true, true); err != nil {
+		if _, err := f.applyObject(s, true, true); err != nil {
 			return err
 		}
 		f.fullListNeeded, f.reopenedAfterSilence, f.confirmedAt = false, false, s.startedAt
@@ -153,7 +153,7 @@
 		piece = piece[n:]
 		confirms := found == foundHeartbeat
 		if found == foundObject {
-			if confirms, err = f.applyObject(s.objects.object, false, first); err != nil {
+			if confirms, err = f.applyObject(s, false, first); err != nil {
 				return first, err
 			}
 			first = false
@@ -166,7 +166,7 @@
 	return first, nil
 }
 
-// applyObject decodes one object and passes it on to the sink; changed is false for a change that is already known. An invalid
+// applyObject decodes the object that a stream has read and passes it on to the sink; changed is false for a change that is already known. An invalid
 // object leaves the list as it is. fullList means that the object was requested as the full list, first that it is the first object
 // of its response. The first full list from a new address completes the move: from then on the old address is not read.
 //
@@ -174,8 +174,8 @@
 // whatever its index, since discovery may have restarted. Later in a watch, an index below the current one has two possible
 // causes: the object is old, and then a full list would undo newer changes; or discovery has restarted, and then all later objects
 // would be ignored as old. Only a newly requested list can tell, so the watch is ended with errStaleIndex.
-func (f *feed) applyObject(raw []byte, fullList, first bool) (changed bool, err error) {
-	c := f.client
+func (f *feed) applyObject(s *stream, fullList, first bool) (changed bool, err error) {
+	c, raw := f.client, s.objects.object
 	list, index, problems, err := Parse(raw)
 	if err != nil {
 		c.limitedLog.Warn("an object from discovery is invalid and was skipped", logrus.Fields{"error": err, "bytes": len(raw)})
@@ -184,7 +184,7 @@
 	if len(problems) > 0 {
 		c.limitedLog.Warn("the list has invalid entries", logrus.Fields{"entries": problems, "index": index})
 	}
-	list.Full = list.Full || fullList
+	list.Full, list.Source, list.Age = list.Full || fullList, s.source(), time.Since(s.startedAt)
 	if !(list.Full && first) && index < f.index {
 		return false, errStaleIndex
 	}
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -27,6 +27,14 @@
 	watching       bool // the response head of a watch has arrived
 }
 
+// source names the call that the stream is reading the response of, for the log.
+func (s *stream) source() string {
+	if s.watching {
+		return "watch"
+	}
+	return "full list"
+}
+
 // close closes the connection by cancelling its context.
 func (s *stream) close() { s.cancel() }
 
--- a/internal/exchange/list.go
+++ b/internal/exchange/list.go
@@ -26,25 +26,34 @@
 		}
 	}
 	for _, endpoint := range l.Entries {
+		before := e.replicasByName[endpoint.Name].state()
 		r := e.applyEndpoint(endpoint)
 		if r == nil {
 			continue
 		}
 		changed = append(changed, r.Target)
 		ev.List = append(ev.List, e.policyEntry(r, endpoint))
-		if !l.Full {
-			e.logEndpoint(r, endpoint)
+		if !l.Full || before != r.State {
+			e.logEndpoint(r, endpoint, &l)
 		}
 	}
 	if l.Full {
 		changed = append(changed, e.removeUnlisted()...)
-		e.log.WithFields(logrus.Fields{"replicas": len(l.Entries), "stale": l.Stale, "index": l.Index}).Info("a whole list")
+		e.log.WithFields(logrus.Fields{"replicas": len(l.Entries), "stale": l.Stale, "index": l.Index, "source": l.Source, "call_age": l.Age.Round(time.Millisecond)}).Info("a whole list")
 	}
 	e.forgetRemoved()
 	e.events = append(e.events, ev)
 	e.replicas.Update(changed)
 }
 
+// state returns the state of a replica; one that is not known counts as up, so that a first list is not logged one by one.
+func (r *replicaEntry) state() policy.Readiness {
+	if r == nil {
+		return policy.Up
+	}
+	return r.State
+}
+
 // applyEndpoint updates or adds the replica of an endpoint. It returns nil for a removed endpoint that was never listed.
 func (e *Exchange) applyEndpoint(endpoint Endpoint) *replicaEntry {
 	r := e.replicasByName[endpoint.Name]
@@ -78,8 +87,11 @@
 	}
 }
 
-func (e *Exchange) logEndpoint(r *replicaEntry, endpoint Endpoint) {
-	f := logrus.Fields{"replica": r.Name, "id": r.Replica, "state": stateNames[r.State], "index": e.listIndex}
+func (e *Exchange) logEndpoint(r *replicaEntry, endpoint Endpoint, l *ReplicaList) {
+	f := logrus.Fields{
+		"replica": r.Name, "id": r.Replica, "state": stateNames[r.State], "index": e.listIndex, "source": l.Source,
+		"call_age": l.Age.Round(time.Millisecond),
+	}
 	if !endpoint.Started.IsZero() {
 		f["age"] = e.turnAt.Sub(endpoint.Started).Round(time.Millisecond)
 	}
@@ -92,6 +104,7 @@
 		if !r.listed && r.State != policy.Removed {
 			r.State, r.removedAt = policy.Removed, e.turnAt
 			changed = append(changed, r.Target)
+			e.log.WithFields(logrus.Fields{"replica": r.Name, "id": r.Replica, "index": e.listIndex}).Info("replica is not on the whole list")
 		}
 	}
 	return changed
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -74,6 +74,8 @@
 	Previous []int // second step: the shards that answered the first; else nil
 	Complete bool
 
+	ListIndex int64 // version of the replica list by which the replica was chosen
+
 	part    *part
 	replica uint64
 	number  int
@@ -116,6 +118,8 @@
 	Entries     []Endpoint
 	Index       int64 // discovery's version of the list after this change
 	Full, Stale bool
+	Source      string        // the call that brought it, for the log
+	Age         time.Duration // since that call was made, for the log
 }
 
 // Target is a replica and the address at which it is reached.
--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -152,6 +152,7 @@
 	}
 	for _, pa := range c.unstarted {
 		pa.written, pa.writtenAt = true, now
+		c.target.recent.add(pa.attempt, now)
 		c.pool.log.Debug("part written", logrus.Fields{"part": pa.attempt.ID, "replica": c.target.Name, "address": c.address})
 	}
 	return true
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -29,7 +29,8 @@
 	reportNames          []string // names of the values in a load report
 	reportsByHealthCheck bool     // replicas report their load only in answer to health checks
 	sink                 Sink
-	log                  *logs.Limited
+	logger               *logrus.Entry
+	log                  *logs.Limited // for lines that a peer can cause
 	dial                 func(ctx context.Context, address string) (*net.TCPConn, error)
 	listPending          func() bool // reports whether a change of the replica list is pending
 
@@ -42,7 +43,8 @@
 // target is a replica and the connections to it.
 type target struct {
 	exchange.Target
-	conns []*replicaConn
+	conns  []*replicaConn
+	recent recentParts
 }
 
 // pendingAttempt is an attempt that has not ended.
@@ -61,7 +63,7 @@
 func New(cfg *config.Config, sink Sink, log *logrus.Entry) *Pool {
 	return &Pool{
 		limits: cfg.Limits, reportNames: cfg.Policy.ReportNames, reportsByHealthCheck: cfg.Report == "on_probe", sink: sink,
-		log: logs.Limit(log, cfg.Limits.LogEvery), targets: map[uint64]*target{},
+		logger: log, log: logs.Limit(log, cfg.Limits.LogEvery), targets: map[uint64]*target{},
 		pending: map[*exchange.Attempt]*pendingAttempt{},
 		dial:    dialer(cfg.Limits.ConnectTime), listPending: func() bool { return false },
 	}
@@ -91,12 +93,17 @@
 	p.mu.Lock()
 	var withdrawn []exchange.Result
 	var unsent []*healthCheck
+	sentBefore := map[*target][]string{}
+	now := time.Now()
 	for _, update := range changed {
 		t := p.targets[update.Replica]
 		if t == nil {
 			t = &target{}
 			p.targets[update.Replica] = t
 		}
+		if parts := t.recent.describe(now); t.State == policy.Up && update.State != policy.Up && len(parts) > 0 {
+			sentBefore[t] = parts
+		}
 		moved := t.Address != "" && (t.Address != update.Address || !t.Started.Equal(update.Started))
 		t.Target = update
 		if update.State == policy.Up && !moved {
@@ -112,6 +119,9 @@
 		}
 	}
 	p.mu.Unlock()
+	for t, parts := range sentBefore {
+		p.logSentBeforeDrain(t, parts)
+	}
 	p.reportResults(withdrawn)
 	for _, hc := range unsent {
 		p.healthCheckEnded(hc, policy.NotSent, nil)
--- a/internal/replica/write.go
+++ b/internal/replica/write.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"birchcart/internal/duplexconn"
 	"birchcart/internal/exchange"
 	"birchcart/policy"
@@ -86,8 +88,13 @@
 	if len(c.unstarted) == 0 {
 		return false
 	}
-	if !c.pool.listPending() || c.holdCount >= maxConsecutiveHolds {
+	if !c.pool.listPending() {
+		c.holdCount = 0
+		return false
+	}
+	if c.holdCount >= maxConsecutiveHolds {
 		c.holdCount = 0
+		c.pool.log.Warn("a part is sent although a change of the list is pending", logrus.Fields{"part": c.unstarted[0].attempt.ID, "replica": c.target.Name})
 		return false
 	}
 	c.holdCount++
--- a/internal/serve/coordinator.go
+++ b/internal/serve/coordinator.go
@@ -132,7 +132,7 @@
 		c.log.WithError(err).Warn("the known list is passed over")
 		return discovery.NoIndex
 	}
-	list.Full, list.Stale = true, true
+	list.Full, list.Stale, list.Source = true, true, "configuration"
 	c.listKnown = slices.ContainsFunc(list.Entries, func(e exchange.Endpoint) bool { return e.State == policy.Up })
 	c.exchange.UpdateReplicas(list)
 	if len(list.Entries) == 0 { // an empty one is no ground for asking for changes alone
