--- a/cmd/birchcart/draining_test.go
+++ b/cmd/birchcart/draining_test.go
@@ -135,3 +135,51 @@
 	}
 	c.check(t, standstills)
 }
+
+// silentWatchCase is an outage of discovery after which the open watch brings nothing, not even a heartbeat.
+type silentWatchCase struct {
+	name     string
+	outage   time.Duration
+	survives bool                   // the watch from before the outage stays open
+	fault    faultinject.WatchFault // of the watches opened after it
+	after    time.Duration          // from the end of the outage to the drain
+}
+
+// Guards against parts sent to a draining replica because a watch that is open but silent after an outage is taken for sound.
+func TestDrainAfterOutageAppliedWhenWatchIsSilent(t *testing.T) {
+	const longOutage = 4500 * time.Millisecond // the watch from before it is given up meanwhile
+	silent := faultinject.WatchFault{Silent: true}
+	for _, c := range []silentWatchCase{
+		{name: "drain at the end", outage: longOutage, fault: silent, after: 5 * time.Millisecond},
+		{name: "drain soon after", outage: longOutage, fault: silent, after: 180 * time.Millisecond},
+		{name: "drain 1 s after", outage: longOutage, fault: silent, after: time.Second},
+		{name: "drain 1.9 s after", outage: longOutage, fault: silent, after: 1900 * time.Millisecond},
+		{name: "list first and then silent", outage: longOutage, fault: faultinject.WatchFault{Silent: true, FullFirst: true}, after: 600 * time.Millisecond},
+		{name: "watch survives the outage", outage: 2200 * time.Millisecond, survives: true, after: 180 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			c.run(t)
+		})
+	}
+}
+
+func (c *silentWatchCase) run(t *testing.T) {
+	standstills := testproc.WatchStandstills()
+	p := startCoordinatorUnderTest(t, 3)
+	p.traffic.Start()
+	time.Sleep(300 * time.Millisecond)
+	p.agent.Down()
+	time.Sleep(c.outage)
+	p.agent.FailWatches(c.fault, c.fault, c.fault)
+	if c.survives {
+		p.agent.UpWithSilentWatches()
+	} else {
+		p.agent.Up()
+	}
+	time.Sleep(c.after)
+	p.agent.SetStatus("s-0", "Terminating")
+	p.agent.SetStatus("s-1", "Gone")
+	time.Sleep(1500 * time.Millisecond)
+	p.check(t, standstills)
+}
--- a/internal/faultinject/agent.go
+++ b/internal/faultinject/agent.go
@@ -27,7 +27,8 @@
 )
 
 // Agent is a discovery agent on the co-ordinator's machine. What it has counts as notified at once, whether or not a watch is
-// open; but what an open watch misses after it has fallen silent counts silenceCounts after that.
+// open and whatever that watch says. Only what a sound watch misses after it has fallen silent while the agent was reachable
+// counts silenceCounts after that; a watch that was silent from its opening, or since an outage, delays nothing.
 type Agent struct {
 	listener net.Listener
 
@@ -42,6 +43,7 @@
 	watches   map[*agentWatch]struct{}
 	periods   []Drain
 	calls     int
+	onList    func() // called before the next full list is written
 }
 
 // Drain is a time in which a replica wants nothing new.
@@ -128,19 +130,19 @@
 	}
 }
 
-// countsFrom is when a change that is had now counts as notified: at once, but where all watches that are open are silent, so long
-// after they fell silent. The lock is held.
+// countsFrom is when a change that is had now counts as notified: at once, but where all watches that are open were sound and fell
+// silent, so long after they did. The lock is held.
 func (a *Agent) countsFrom(now time.Time) time.Time {
-	var quiet time.Time
+	var silencedAt time.Time
 	for w := range a.watches {
-		if w.quiet.IsZero() {
+		if w.silencedAt.IsZero() {
 			return now
 		}
-		if quiet.IsZero() || w.quiet.Before(quiet) {
-			quiet = w.quiet
+		if silencedAt.IsZero() || w.silencedAt.Before(silencedAt) {
+			silencedAt = w.silencedAt
 		}
 	}
-	if counts := quiet.Add(silenceCounts); len(a.watches) > 0 && counts.After(now) {
+	if counts := silencedAt.Add(silenceCounts); len(a.watches) > 0 && counts.After(now) {
 		return counts
 	}
 	return now
@@ -175,12 +177,27 @@
 	a.wake()
 }
 
-// Up ends it. What was asked meanwhile is never answered; what discovery has is had at once.
+// Up ends it, and all watches with it. What was asked meanwhile is never answered; what discovery has is had at once.
 func (a *Agent) Up() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.closeWatches()
+	a.endOutage()
+}
+
+// UpWithSilentWatches ends it like Up, but the watches that are open stay open and silent.
+func (a *Agent) UpWithSilentWatches() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for w := range a.watches {
+		w.silent, w.silencedAt = true, time.Time{}
+	}
+	a.endOutage()
+}
+
+// endOutage learns what discovery has. The lock is held.
+func (a *Agent) endOutage() {
 	a.down = false
-	a.closeWatches() // those of before say nothing more, like the calls that came meanwhile
 	for _, e := range a.unlearnt {
 		a.learn(e)
 	}
@@ -188,16 +205,26 @@
 	a.wake()
 }
 
+// BeforeNextList has do called once, when the next full list is about to be written; the list is as it was before that.
+func (a *Agent) BeforeNextList(do func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.onList = do
+}
+
 // SilenceWatches has all watches that are open say nothing more. New ones are sound.
 func (a *Agent) SilenceWatches() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	for w := range a.watches {
-		if w.quiet.IsZero() {
-			w.quiet = now
+		if w.silent {
+			w.fault.Late = forever
+			continue
+		}
+		if w.silencedAt.IsZero() {
+			w.silencedAt = now
 		}
-		w.fault.Late = forever
 	}
 }
 
@@ -283,10 +310,15 @@
 	a.mu.Lock()
 	body, err := json.Marshal(standin.List{Index: a.index, Snapshot: true, Endpoints: a.endpoints})
 	a.heard()
+	onList := a.onList
+	a.onList = nil
 	a.mu.Unlock()
 	if err != nil {
 		return err
 	}
+	if onList != nil {
+		onList()
+	}
 	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	return err
 }
--- a/internal/faultinject/watch.go
+++ b/internal/faultinject/watch.go
@@ -15,14 +15,16 @@
 	EndsInstead bool          // at the first change it ends, without having brought it
 	Late        time.Duration // its head comes at once, and everything else so much later
 	FullFirst   bool          // its first answer is the full list, which leaves out replicas that drain
+	Silent      bool          // it brings nothing but its head and, with FullFirst, that first answer
 	Pieces      bool          // objects come in pieces
 }
 
 // agentWatch is one watch that is open.
 type agentWatch struct {
-	conn  net.Conn
-	fault WatchFault
-	quiet time.Time // since when it says nothing, zero while it is sound
+	conn       net.Conn
+	fault      WatchFault
+	silent     bool      // it says nothing, from its opening or since an outage
+	silencedAt time.Time // when it fell silent while the agent was reachable, zero if it did not
 }
 
 // serveWatch plays one watch to its end.
@@ -43,7 +45,7 @@
 	defer heartbeat.Stop()
 	for beat := false; ; {
 		a.mu.Lock()
-		due, quiet, news := a.dueChanges(after, full), !w.quiet.IsZero() || a.down, a.news
+		due, quiet, news := a.dueChanges(after, full), w.silent || !w.silencedAt.IsZero() || a.down, a.news
 		if _, open := a.watches[w]; !open {
 			a.mu.Unlock()
 			return
@@ -64,6 +66,7 @@
 				after = object.Index
 			}
 			full = false
+			a.silenceAfterFirst(w)
 		case beat:
 			if writeChunk(conn, "\n") != nil {
 				return
@@ -86,9 +89,7 @@
 	if len(a.faults) > 0 {
 		w.fault, a.faults = a.faults[0], a.faults[1:]
 	}
-	if w.fault.Late > 0 {
-		w.quiet = time.Now()
-	}
+	w.silent = w.fault.Late > 0 || w.fault.Silent && !w.fault.FullFirst
 	a.watches[w] = struct{}{}
 	return w
 }
@@ -99,6 +100,13 @@
 	delete(a.watches, w)
 }
 
+// silenceAfterFirst has a watch fall silent after its first answer if that is its fault.
+func (a *Agent) silenceAfterFirst(w *agentWatch) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w.silent = w.silent || w.fault.Silent
+}
+
 // forever is for how long a watch that has fallen silent stays so.
 const forever = time.Hour
 
@@ -110,8 +118,8 @@
 	time.Sleep(late)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if w.fault.Late < forever { // else it was silenced meanwhile
-		w.quiet = time.Time{}
+	if late > 0 && w.fault.Late < forever && !w.fault.Silent { // else it was silenced meanwhile
+		w.silent = false
 	}
 }
 
