Check an agent's list while the watch has not proved that it reports changes

Cause: a watch counted as sound from its opening until 3 s without a heartbeat. A watch can be open and bring nothing, above all after an outage, while the agent has a change, which counts as delivered at once.

Change: until a watch's first heartbeat, or the first change after its first object, and while a heartbeat is overdue, the list is requested beside it each 80 ms (lists over 64 KiB by a second watch, which costs no bytes of the list). If the agent has a newer version, that stream takes the watch's place. 80 ms and an answer are under 0.1 s, which the grace of 0.25 s leaves beside a hold-up of 0.15 s. A first object alone proves nothing: it is the list of before. Shared discovery is called as before.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -59,6 +59,7 @@
 	AgentTime    time.Duration // for a connection and the whole answer on it: the agent is on this machine
 	RedialFirst  time.Duration // wait before a new connection, doubled up to the most
 	RedialMost   time.Duration // also from one ask to the next while none is answered
+	ListCheck    time.Duration // from one check to the next of a watch that may not report changes; 0 for none
 
 	CallTime  time.Duration // for the whole answer to a call, where the list is asked for: discovery serves calls in turn
 	CallFirst time.Duration // wait from a failed call to the next, doubled up to the most
@@ -122,6 +123,7 @@
 	// redialMost: what an agent has counts as notified at once, the rules' least grace is 0.3 s, and the machine may hold the
 	// process up for 0.15 s of it. Twice as long leaves no time for the answer; half as long asks a silent agent twice as often.
 	redialMost = 100 * time.Millisecond
+	listCheck  = 80 * time.Millisecond // with the answer, under the 0.1 s that the grace leaves beside a hold-up of 0.15 s
 	// callTime: discovery turns away a call whose answer it would have in over 2 s, so what it takes is answered within
 	// that. With the silence of a watch before it, 3 s, that is under the 6 s after which what was missed counts as told;
 	// half as long leaves calls whose answer is on its way.
@@ -175,7 +177,7 @@
 		ListBytes: int(min(8<<20, memory/listPart)), WatchSilence: 3 * time.Second, AgentTime: time.Second, Forget: 30 * time.Second,
 		CallTime: callTime, CallFirst: callFirst, CallMost: callMost,
 		ReadyBy: readyBy, ReloadWait: reloadWait, ReloadTries: reloadTries,
-		RedialFirst: 50 * time.Millisecond, RedialMost: redialMost,
+		RedialFirst: 50 * time.Millisecond, RedialMost: redialMost, ListCheck: listCheck,
 
 		WriteTime: time.Second, AnswerBy: 40 * time.Millisecond,
 		DrainTime: drainTime, EndTime: drainTime + time.Duration(endShare*float64(min(longest, longestKept))), LogEvery: time.Second, TellEvery: 10 * time.Second,
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -160,6 +160,18 @@
 	c.limitedLog.Warn("the watch for changes of the list ended", fields)
 }
 
+// logMissedChange logs that a check has found a change which the watch has not reported.
+func (c *Client) logMissedChange(w *watchCheck, index int64) {
+	fields := logrus.Fields{
+		"index": w.feed.heldIndex.Load(), "found": index, "address": w.feed.address,
+		"call_age": time.Since(w.watch.startedAt).Round(time.Millisecond),
+	}
+	if heard := w.watch.heardAt.Load(); heard != nil {
+		fields["heartbeat_age"] = time.Since(*heard).Round(time.Millisecond)
+	}
+	c.log.WithFields(fields).Warn("the watch has not reported a change that discovery has")
+}
+
 // logRequestFailure logs why an attempt failed.
 func (c *Client) logRequestFailure(f *feed, err error) {
 	c.limitedLog.Warn("a request for the list failed", logrus.Fields{"error": err, "index": f.index, "address": f.address})
--- a/internal/discovery/errors.go
+++ b/internal/discovery/errors.go
@@ -9,6 +9,7 @@
 	errNoList          = errors.New("the response holds no list")
 	errMultipleLists   = errors.New("the response holds more than one list")
 	errClosedAfterList = errors.New("the connection is closed after the full list")
+	errMissedChange    = errors.New("the watch has not reported a change that discovery has")
 	errStaleIndex      = errors.New("the index is below the index of the current list")
 	errNotObject       = errors.New("discovery: the body holds data outside a JSON object")
 )
--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,9 +18,12 @@
 	confirmedAt    time.Time     // time of the last heartbeat or change, or start of the request for the full list
 	backoff        time.Duration // wait before the next connection
 	cancel         context.CancelFunc
+	heldIndex      atomic.Int64 // index, for the watchCheck
 
 	watchNext            bool      // the full list was just read on a connection that closed after it, so a watch follows on a new one
 	lastErr              error     // why the previous connection ended, nil at the start
+	checks               bool      // makes the requests of a watchCheck, which are not logged one by one
+	listBytes            int       // size of the last full list
 	resumeAt             time.Time // when the next attempt of an interrupted request is due, zero for none
 	reopenedAfterSilence bool      // a watch of a shared discovery timed out, and nothing was received since
 }
@@ -35,11 +39,16 @@
 		case <-c.watchRequested:
 		}
 	}
+	var next *stream // has read its first object already
 	for ctx.Err() == nil {
-		s, err := f.request(ctx)
+		s, err := next, error(nil)
+		if s == nil {
+			s, err = f.request(ctx)
+		}
+		next = nil
 		startedAt := time.Now()
 		if err == nil {
-			err = f.consume(s)
+			next, err = f.consume(ctx, s)
 			f.markUnconfirmed(err, time.Since(startedAt))
 			s.close()
 		}
@@ -70,7 +79,7 @@
 // full list is then requested at once. After a shorter watch the next request waits for the backoff, so nothing is marked.
 func (f *feed) markUnconfirmed(err error, lifetime time.Duration) {
 	c := f.client
-	if c.retry.shared || lifetime <= c.retry.maxBackoff || !c.isActive(f) || errors.Is(err, errTimeout) || errors.Is(err, errClosedAfterList) {
+	if c.retry.shared || lifetime <= c.retry.maxBackoff || !c.isActive(f) || errors.Is(err, errTimeout) || errors.Is(err, errClosedAfterList) || errors.Is(err, errMissedChange) {
 		return
 	}
 	c.unconfirmed.Store(true)
@@ -107,8 +116,26 @@
 	f.client.confirm(f)
 }
 
-// consume applies the full list, if that was requested, and then reads its changes until the connection ends or fails.
-func (f *feed) consume(s *stream) error {
+// consume applies the full list, if that was requested, and then reads its changes until the connection ends or fails. If the watch
+// has not reported a change that the agent has, it returns the stream that has read the change.
+func (f *feed) consume(ctx context.Context, s *stream) (next *stream, err error) {
+	if err := f.openWatch(s); err != nil {
+		return nil, err
+	}
+	check := f.startCheck(ctx, s)
+	err = f.readWatch(s)
+	if next = check.stop(); next == nil {
+		return nil, err
+	}
+	if check.lastIndex <= f.index { // the watch has reported the change in the meantime
+		next.close()
+		next = nil
+	}
+	return next, errMissedChange
+}
+
+// openWatch applies the full list, if that was requested, and opens a watch for its changes on the same connection.
+func (f *feed) openWatch(s *stream) error {
 	c, requestedAt := f.client, s.startedAt
 	if s.fullList {
 		if _, err := f.applyObject(s, true, true); err != nil {
@@ -129,17 +156,31 @@
 	}
 	s.watching = true
 	s.setDeadline(requestedAt.Add(c.limits.WatchSilence))
-	for first := true; !s.splitter.Done; {
-		piece, err := s.nextPiece()
-		if err != nil {
+	return nil
+}
+
+// readWatch reads changes until the connection ends or fails.
+func (f *feed) readWatch(s *stream) error {
+	first := true
+	if s.firstRead {
+		if _, err := f.applyObject(s, false, first); err != nil {
 			return err
 		}
+		first = false
+	}
+	piece, err := s.rest, error(nil)
+	for {
 		if first, err = f.handlePiece(s, piece, first); err != nil {
 			f.fullListNeeded = true // the change in the invalid object is lost; the full list holds it
 			return err
 		}
+		if s.splitter.Done {
+			return errors.New("the response of the watch ended")
+		}
+		if piece, err = s.nextPiece(); err != nil {
+			return err
+		}
 	}
-	return errors.New("the response of the watch ended")
 }
 
 // handlePiece applies the objects and heartbeats in a piece of a watch. first means that the watch has sent no object yet; the
@@ -151,13 +192,17 @@
 			return first, err
 		}
 		piece = piece[n:]
-		confirms := found == foundHeartbeat
+		confirms, reports := found == foundHeartbeat, found == foundHeartbeat || !first
 		if found == foundObject {
 			if confirms, err = f.applyObject(s, false, first); err != nil {
 				return first, err
 			}
 			first = false
 		}
+		if confirms && reports { // the first object only brings what the watch was opened for
+			now := time.Now()
+			s.heardAt.Store(&now)
+		}
 		if confirms { // a change that is already known does not confirm the list; a heartbeat does
 			s.setDeadline(time.Now().Add(f.client.limits.WatchSilence))
 			f.confirm()
@@ -192,6 +237,10 @@
 		return false, nil
 	}
 	f.index = index
+	f.heldIndex.Store(index)
+	if list.Full {
+		f.listBytes = len(raw)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pending == f {
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -48,7 +48,9 @@
 		}
 	}()
 	due := f.firstRequestAt(requestedAt)
-	c.logRequest(f)
+	if !f.checks {
+		c.logRequest(f)
+	}
 	for attempts := 0; ; {
 		var retryTimer <-chan time.Time
 		if len(inFlight) < c.retry.maxConcurrent {
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"birchcart/internal/duplexconn"
@@ -24,7 +25,10 @@
 	answerDeadline time.Time // replaces deadline once the first byte of the response has arrived; zero after that
 	lateBytes      int       // bytes read after the deadline
 	cancel         context.CancelFunc
-	watching       bool // the response head of a watch has arrived
+	firstRead      bool                      // readFirstObject has read an object
+	rest           []byte                    // what it has read beyond that object
+	watching       bool                      // the response head of a watch has arrived
+	heardAt        atomic.Pointer[time.Time] // when the watch last reported a heartbeat, or a change after its first object; nil before that
 }
 
 // source names the call that the stream is reading the response of, for the log.
@@ -103,6 +107,27 @@
 	return s.scanner.Bytes(), nil
 }
 
+// readFirstObject reads a watch up to the end of its first object, until a deadline.
+func (s *stream) readFirstObject(deadline time.Time) error {
+	s.setDeadline(deadline)
+	for {
+		piece, err := s.nextPiece()
+		if err != nil {
+			return err
+		}
+		for len(piece) > 0 {
+			n, found, err := s.objects.scan(piece)
+			if err != nil {
+				return err
+			}
+			if piece = piece[n:]; found == foundObject {
+				s.firstRead, s.rest = true, piece
+				return nil
+			}
+		}
+	}
+}
+
 // readList reads a response that must hold exactly one object. If the connection closes with the response, the end of the object
 // ends the response: whether the connection is then closed, reset or left open does not matter.
 func (s *stream) readList() error {
