--- a/cmd/birchcart/draining_test.go
+++ b/cmd/birchcart/draining_test.go
@@ -183,3 +183,34 @@
 	time.Sleep(1500 * time.Millisecond)
 	p.check(t, standstills)
 }
+
+// Guards against parts sent to a draining replica because the answer to an earlier request, read after a stop of the process, is
+// taken for the list of now.
+func TestListAnsweredBeforeStopIsNotTakenForCurrent(t *testing.T) {
+	const slowAnswer = 25 * time.Millisecond // of an agent on a busy machine
+	standstills := testproc.WatchStandstills()
+	c := startCoordinatorUnderTest(t, 4)
+	c.traffic.Start()
+	time.Sleep(300 * time.Millisecond)
+	for round := range 4 {
+		name := []string{"s-0", "s-1", "s-2", "s-3"}[round]
+		stopped := make(chan struct{})
+		c.agent.FailWatches(faultinject.WatchFault{Late: 300 * time.Millisecond})
+		c.agent.BeforeNextList(func() {
+			c.process.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(20 * time.Millisecond) // messages in flight have arrived
+			close(stopped)
+		})
+		c.agent.ResetWatches() // the process requests the list
+		<-stopped
+		time.Sleep(20 * time.Millisecond) // the answer is written
+		c.agent.SetStatus(name, "Terminating")
+		time.Sleep(400 * time.Millisecond)
+		c.agent.BeforeNextList(func() { time.Sleep(slowAnswer) })
+		c.process.Process.Signal(syscall.SIGCONT)
+		time.Sleep(150 * time.Millisecond)
+		c.agent.SetStatus(name, "Ready")
+		time.Sleep(400 * time.Millisecond)
+	}
+	c.check(t, standstills)
+}
