Date an agent's list by its request, and hold parts while that is old

Cause: applyObject ended the hold of parts whatever the age of the answer, and the 50 ms for which the list counts as pending after the end of a watch ran on while the process was stopped, so that they were over when it went on.

Change: a list counts as of its request. With no watch that has proved itself, and the last request that was answered over 0.1 s old, parts wait until the next answer, or until the agent has been silent for 50 ms in which the process ran. This replaces the timer after the end of a watch, and covers the start, the end of a watch, a watch in doubt and an outage alike.

--- a/internal/discovery/check.go
+++ b/internal/discovery/check.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watchCheck{
 		feed: f, watch: watch, bySecondWatch: f.listBytes > maxCheckedListBytes, startedAt: watch.startedAt, lastIndex: NoIndex, done: make(chan struct{}), cancel: cancel,
-		requester: &feed{client: c, address: f.address, index: NoIndex, fullListNeeded: true, checks: true},
+		requester: &feed{client: c, address: f.address, index: NoIndex, fullListNeeded: true, checked: f},
 	}
 	c.feeds.Go(func() {
 		defer close(w.done)
@@ -108,7 +108,16 @@
 
 // compare reads the list of a check and reports whether the check has ended because the watch has missed a change.
 func (w *watchCheck) compare(s *stream) bool {
+	if !s.fullList { // its head shows that the agent is there; what is new follows at once
+		w.feed.verify(s.startedAt)
+	}
 	index, err := w.readIndex(s)
+	switch {
+	case err != nil:
+		w.feed.verify(time.Now()) // the agent has nothing better to say
+	case index <= w.feed.heldIndex.Load():
+		w.feed.verify(s.startedAt)
+	}
 	if err != nil || w.feed.heldIndex.Load() >= index {
 		s.close()
 		return false
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -35,7 +35,7 @@
 	confirmedAt    atomic.Pointer[time.Time] // last time at which a watch of the active address confirmed the list
 	feeds          sync.WaitGroup
 	conns          listConns
-	unconfirmed    atomic.Bool // an agent's watch has ended, and a change that it did not report may count as delivered
+	current        atomic.Pointer[feed] // active, for ListPending
 
 	mu      sync.Mutex
 	ctx     context.Context // the context of Run, nil before Run
@@ -56,6 +56,7 @@
 		retry: newRetryPolicy(cfg.Policy.MustSubscribe, &cfg.Limits),
 	}
 	c.active = &feed{client: c, address: cfg.Discovery, index: index, fullListNeeded: !c.retry.shared || index == NoIndex, confirmedAt: time.Now()}
+	c.current.Store(c.active)
 	return c
 }
 
@@ -68,10 +69,11 @@
 	}
 }
 
-// ListPending reports whether discovery may have sent a change that was not passed on to the sink yet: either a connection has
-// unprocessed data, or an agent's watch has ended within unconfirmedTime and the full list was not read since. Such a change
-// counts as delivered already. ListPending does not block on the network and may be called from any goroutine.
-func (c *Client) ListPending() bool { return c.unconfirmed.Load() || c.conns.pending() }
+// ListPending reports whether discovery may have a change that was not passed on to the sink yet: either a connection has
+// unprocessed data, or an agent was not heard for too long to rely on the list. Such a change counts as delivered already. ListPending does not block on the network and may be called from any goroutine.
+func (c *Client) ListPending() bool {
+	return !c.current.Load().isCurrent(time.Now()) || c.conns.pending()
+}
 
 // HasList reports whether discovery has sent a list.
 func (c *Client) HasList() bool { return c.hasList.Load() }
--- a/internal/discovery/feed.go
+++ b/internal/discovery/feed.go
@@ -18,11 +18,13 @@
 	confirmedAt    time.Time     // time of the last heartbeat or change, or start of the request for the full list
 	backoff        time.Duration // wait before the next connection
 	cancel         context.CancelFunc
-	heldIndex      atomic.Int64 // index, for the watchCheck
+	heldIndex      atomic.Int64              // index, for the watchCheck
+	verifiedAt     atomic.Pointer[time.Time] // see verify; nil before the first time
+	watch          atomic.Pointer[stream]    // the watch that is open, nil if there is none
 
 	watchNext            bool      // the full list was just read on a connection that closed after it, so a watch follows on a new one
 	lastErr              error     // why the previous connection ended, nil at the start
-	checks               bool      // makes the requests of a watchCheck, which are not logged one by one
+	checked              *feed     // makes the requests of a watchCheck of this feed, which are not logged one by one; otherwise nil
 	listBytes            int       // size of the last full list
 	resumeAt             time.Time // when the next attempt of an interrupted request is due, zero for none
 	reopenedAfterSilence bool      // a watch of a shared discovery timed out, and nothing was received since
@@ -49,7 +51,6 @@
 		startedAt := time.Now()
 		if err == nil {
 			next, err = f.consume(ctx, s)
-			f.markUnconfirmed(err, time.Since(startedAt))
 			s.close()
 		}
 		if ctx.Err() != nil {
@@ -70,22 +71,6 @@
 	}
 }
 
-// unconfirmedTime is how long the list counts as pending after the end of an agent's watch, which may have ended instead of
-// reporting a change that counts as delivered already. The agent is on this machine and sends the full list within milliseconds,
-// or is down. Half the time is too short on a busy machine; twice the time would double the delay that each end of a watch costs.
-const unconfirmedTime = 50 * time.Millisecond
-
-// markUnconfirmed makes the list count as pending for unconfirmedTime if an agent's watch ended after more than maxBackoff: the
-// full list is then requested at once. After a shorter watch the next request waits for the backoff, so nothing is marked.
-func (f *feed) markUnconfirmed(err error, lifetime time.Duration) {
-	c := f.client
-	if c.retry.shared || lifetime <= c.retry.maxBackoff || !c.isActive(f) || errors.Is(err, errTimeout) || errors.Is(err, errClosedAfterList) || errors.Is(err, errMissedChange) {
-		return
-	}
-	c.unconfirmed.Store(true)
-	time.AfterFunc(unconfirmedTime, func() { c.unconfirmed.Store(false) })
-}
-
 // handleSilence decides what to request after a timeout. A new watch of an agent may stay silent until after the changes that were
 // missed count as delivered, while the full list holds them all at once. For a shared discovery, the full list and a watch would
 // be two calls where a watch alone is enough, since its response begins with the missed changes. The full list is requested only
@@ -119,11 +104,17 @@
 // consume applies the full list, if that was requested, and then reads its changes until the connection ends or fails. If the watch
 // has not reported a change that the agent has, it returns the stream that has read the change.
 func (f *feed) consume(ctx context.Context, s *stream) (next *stream, err error) {
-	if err := f.openWatch(s); err != nil {
-		return nil, err
+	if s.fullList {
+		if err := f.applyFullList(s); err != nil {
+			return nil, err
+		}
 	}
 	check := f.startCheck(ctx, s)
-	err = f.readWatch(s)
+	if err = f.openWatch(s); err == nil {
+		f.watch.Store(s)
+		err = f.readWatch(s)
+		f.watch.Store(nil)
+	}
 	if next = check.stop(); next == nil {
 		return nil, err
 	}
@@ -134,17 +125,23 @@
 	return next, errMissedChange
 }
 
-// openWatch applies the full list, if that was requested, and opens a watch for its changes on the same connection.
+// applyFullList applies the full list that a stream has read.
+func (f *feed) applyFullList(s *stream) error {
+	if _, err := f.applyObject(s, true, true); err != nil {
+		f.verify(time.Now()) // the agent has nothing better to say
+		return err
+	}
+	f.fullListNeeded, f.reopenedAfterSilence, f.confirmedAt = false, false, s.startedAt
+	if s.splitter.Close {
+		return errClosedAfterList
+	}
+	return nil
+}
+
+// openWatch opens a watch for the changes of the full list on the same connection, unless the stream has one already.
 func (f *feed) openWatch(s *stream) error {
 	c, requestedAt := f.client, s.startedAt
 	if s.fullList {
-		if _, err := f.applyObject(s, true, true); err != nil {
-			return err
-		}
-		f.fullListNeeded, f.reopenedAfterSilence, f.confirmedAt = false, false, s.startedAt
-		if s.splitter.Close {
-			return errClosedAfterList
-		}
 		requestedAt = time.Now()
 		s.setDeadline(requestedAt.Add(c.retry.answerTime))
 		if err := s.sendGet(watchTarget(f.index), f.address); err != nil {
@@ -236,7 +233,9 @@
 	if !list.Full && index == f.index { // the change is already applied
 		return false, nil
 	}
-	f.index = index
+	if f.index = index; list.Full && first {
+		f.verify(s.startedAt)
+	}
 	f.heldIndex.Store(index)
 	if list.Full {
 		f.listBytes = len(raw)
@@ -249,10 +248,10 @@
 			c.active.cancel()
 		}
 		c.active, c.pending = f, nil
+		c.current.Store(f)
 	}
 	if c.active == f {
 		c.sink.UpdateReplicas(list)
-		c.unconfirmed.Store(false)
 		c.hasList.Store(true)
 	}
 	return true, nil
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -48,9 +48,11 @@
 		}
 	}()
 	due := f.firstRequestAt(requestedAt)
-	if !f.checks {
+	if f.checked == nil {
 		c.logRequest(f)
 	}
+	silence := newSilenceTimer()
+	defer silence.timer.Stop()
 	for attempts := 0; ; {
 		var retryTimer <-chan time.Time
 		if len(inFlight) < c.retry.maxConcurrent {
@@ -60,6 +62,7 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-retryTimer:
+			silence.start()
 			attempts++
 			attempt, fullList, index := attempts, f.needsFullList(), f.index
 			attemptCtx, cancel := context.WithCancel(ctx)
@@ -70,6 +73,11 @@
 				answers <- requestResult{attempt, startedAt, s, err}
 			})
 			due = time.Now().Add(c.limits.RedialMost)
+		case <-silence.timer.C:
+			if now := time.Now(); silence.onTime(now) {
+				f.verify(now)
+			}
+			silence.restart()
 		case result := <-answers:
 			cancel := inFlight[result.attempt]
 			if delete(inFlight, result.attempt); result.err == nil {
--- /dev/null
+++ b/internal/discovery/verify_test.go
@@ -0,0 +1,51 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a list that is relied on although no sound watch keeps it up to date and its last request is old.
+func TestListIsCurrentOnlyWhileVerified(t *testing.T) {
+	now := time.Now()
+	ago := func(d time.Duration) *time.Time { at := now.Add(-d); return &at }
+	for name, c := range map[string]struct {
+		verified, heard *time.Time
+		open, shared    bool
+		want            bool
+	}{
+		"nothing known":                   {},
+		"verified just now":               {verified: ago(50 * time.Millisecond), want: true},
+		"verified before a stop":          {verified: ago(400 * time.Millisecond)},
+		"watch without a sign of life":    {verified: ago(400 * time.Millisecond), open: true},
+		"watch that is checked":           {verified: ago(90 * time.Millisecond), open: true, want: true},
+		"sound watch":                     {verified: ago(time.Minute), open: true, heard: ago(1900 * time.Millisecond), want: true},
+		"watch with an overdue heartbeat": {verified: ago(time.Minute), open: true, heard: ago(2300 * time.Millisecond)},
+		"shared discovery":                {shared: true, want: true},
+	} {
+		f := &feed{client: &Client{limits: checkLimits, retry: retryPolicy{shared: c.shared}}}
+		if c.verified != nil {
+			f.verify(*c.verified)
+		}
+		if c.open {
+			s := &stream{}
+			s.heardAt.Store(c.heard)
+			f.watch.Store(s)
+		}
+		if got := f.isCurrent(now); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against an agent that counts as silent because this process was stopped while the agent answered.
+func TestLateTickDoesNotCountAsSilence(t *testing.T) {
+	s := newSilenceTimer()
+	s.start()
+	if late := s.startAt.Add(400 * time.Millisecond); s.onTime(late) {
+		t.Error("a tick 0.4 s after the start counts")
+	}
+	if inTime := s.startAt.Add(unconfirmedTime + time.Millisecond); !s.onTime(inTime) {
+		t.Error("a tick at its time does not count")
+	}
+}
