Play outages that end in silence, and stops over their end, in the soak

Seeds below 101 keep their schedules.

ListPending asks the connections first, so that a watch that ends between its two checks is not missed.

--- a/Makefile
+++ b/Makefile
@@ -102,8 +102,9 @@
 	BIRCHCART_FLEET=$(SEED) BIRCHCART_FLEET_SHRINK=$(SHRINK) go test -timeout 90m -v -count=1 -run 'TestFleet$$' ./internal/fleet/harness
 
 # A real co-ordinator under load and seeded faults at discovery, replicas, clients and the process itself, 15 s a seed, three beside
-# each other; .ci/run plays the first eight.
-SOAK ?= 1-50
+# each other; .ci/run plays twelve. From 101 on
+# outages of discovery end in silence.
+SOAK ?= 1-50,101-150
 soak:
 	BIRCHCART_SOAK=$(if $(filter command line,$(origin SEED)),$(SEED),$(SOAK)) go test -timeout 30m -v -count=1 -run 'TestSoak$$' ./cmd/birchcart
 
--- a/cmd/birchcart/soak_test.go
+++ b/cmd/birchcart/soak_test.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	soakSeeds            = "1-8" // run in CI, about 40 s; BIRCHCART_SOAK=1-50 selects others (make soak)
-	soakParallelRuns     = 3     // concurrent runs, unless BIRCHCART_SOAK_BESIDE is set
+	soakSeeds            = "1-8,101-104" // run in CI, about 60 s; BIRCHCART_SOAK=1-50,101-150 selects others (make soak)
+	soakParallelRuns     = 3             // concurrent runs, unless BIRCHCART_SOAK_BESIDE is set
 	soakDeadline         = time.Second
 	soakSockets          = 256
 	soakKillDeadline     = soakDeadline + 700*time.Millisecond // after SIGTERM, derived from the deployment's longest deadline
@@ -198,6 +198,9 @@
 	case faultinject.DiscoveryDown:
 		s.forEachAgent((*faultinject.Agent).Down)
 		time.AfterFunc(step.Span, func() { s.forEachAgent((*faultinject.Agent).Up) })
+	case faultinject.DiscoverySilent:
+		s.forEachAgent((*faultinject.Agent).Down)
+		time.AfterFunc(step.Span, func() { s.forEachAgent((*faultinject.Agent).UpWithSilentWatches) })
 	case faultinject.SilenceWatches:
 		s.forEachAgent((*faultinject.Agent).SilenceWatches)
 	case faultinject.ResetWatches:
@@ -306,6 +309,15 @@
 	}
 }
 
+// seedRanges parses seeds and ranges of them, such as "7" or "1-50,101".
+func seedRanges(t *testing.T, text string) (seeds []uint64) {
+	t.Helper()
+	for _, part := range strings.Split(text, ",") {
+		seeds = append(seeds, seedRange(t, part)...)
+	}
+	return seeds
+}
+
 // seedRange parses a seed such as "7" or a range such as "1-50".
 func seedRange(t *testing.T, text string) (seeds []uint64) {
 	t.Helper()
@@ -346,7 +358,7 @@
 	}
 	totals.steps, totals.broken = map[faultinject.Kind]int{}, map[faultinject.Rule]int{}
 	t.Run("seeds", func(t *testing.T) {
-		for _, seed := range seedRange(t, seedRangeText) {
+		for _, seed := range seedRanges(t, seedRangeText) {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				slots <- struct{}{}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -70,9 +70,11 @@
 }
 
 // ListPending reports whether discovery may have a change that was not passed on to the sink yet: either a connection has
-// unprocessed data, or an agent was not heard for too long to rely on the list. Such a change counts as delivered already. ListPending does not block on the network and may be called from any goroutine.
+// unprocessed data, or an agent was not heard for too long to rely on the list. Such a change counts as delivered already.
+// ListPending does not block on the network and may be called from any goroutine.
 func (c *Client) ListPending() bool {
-	return !c.current.Load().isCurrent(time.Now()) || c.conns.pending()
+	// The connections come first: if a watch ends between the two checks, the second one finds no sound watch.
+	return c.conns.pending() || !c.current.Load().isCurrent(time.Now())
 }
 
 // HasList reports whether discovery has sent a list.
--- a/internal/faultinject/schedule.go
+++ b/internal/faultinject/schedule.go
@@ -14,20 +14,21 @@
 
 // Kinds of steps; the comment of each names the fields that it uses.
 const (
-	DrainReplica    Kind = "drain"           // Replica; ready again after Span
-	RemoveReplica   Kind = "remove"          // Replica; ready again after Span
-	HangReplica     Kind = "hang"            // Replica, Span
-	CrashReplica    Kind = "crash"           // Replica; started again after Span
-	ReplicaTrouble  Kind = "replica trouble" // Share of all parts for Span
-	DiscoveryDown   Kind = "discovery down"  // Span
-	SilenceWatches  Kind = "silence watches" //
-	ResetWatches    Kind = "reset watches"   //
-	FailNextWatches Kind = "fail watches"    // Watches
-	StopProcess     Kind = "stop process"    // Span
-	Hangup          Kind = "hangup"          // Count in a row; the last moves discovery
-	KillProcess     Kind = "kill"            // started again at once
-	EndProcess      Kind = "end"             // SIGTERM, Count in a row; started again at its end
-	Crowd           Kind = "crowd"           // Count idle connections for Span
+	DrainReplica    Kind = "drain"            // Replica; ready again after Span
+	RemoveReplica   Kind = "remove"           // Replica; ready again after Span
+	HangReplica     Kind = "hang"             // Replica, Span
+	CrashReplica    Kind = "crash"            // Replica; started again after Span
+	ReplicaTrouble  Kind = "replica trouble"  // Share of all parts for Span
+	DiscoveryDown   Kind = "discovery down"   // Span
+	DiscoverySilent Kind = "discovery silent" // Span; the watches survive the outage and stay silent
+	SilenceWatches  Kind = "silence watches"  //
+	ResetWatches    Kind = "reset watches"    //
+	FailNextWatches Kind = "fail watches"     // Watches
+	StopProcess     Kind = "stop process"     // Span
+	Hangup          Kind = "hangup"           // Count in a row; the last moves discovery
+	KillProcess     Kind = "kill"             // started again at once
+	EndProcess      Kind = "end"              // SIGTERM, Count in a row; started again at its end
+	Crowd           Kind = "crowd"            // Count idle connections for Span
 )
 
 // Step is one fault of a schedule.
@@ -110,6 +111,50 @@
 	},
 }
 
+// firstSilenceSeed is the first seed whose schedule is about watches that are open and silent after an outage of discovery.
+const firstSilenceSeed = 101
+
+// silences are the ways in which an outage ends in silence, or over a stop of the process. Each returns when it is over.
+var silences = []func(d *drawer, at time.Duration) time.Duration{
+	func(d *drawer, at time.Duration) time.Duration { // the watches opened after the outage are silent
+		up := at + d.between(2100*time.Millisecond, 4*time.Second)
+		d.add(Step{At: at, Kind: DiscoveryDown, Span: up - at})
+		d.add(Step{At: up - time.Millisecond, Kind: FailNextWatches, Watches: []WatchFault{d.silentWatch(), d.silentWatch()}})
+		return d.drainAfter(up)
+	},
+	func(d *drawer, at time.Duration) time.Duration { // the watches survive the outage, silent; their heartbeat is overdue at its end
+		up := at + d.between(2100*time.Millisecond, 2700*time.Millisecond)
+		d.add(Step{At: at, Kind: DiscoverySilent, Span: up - at})
+		return d.drainAfter(up)
+	},
+	func(d *drawer, at time.Duration) time.Duration { // the process stands still while the outage ends
+		up := at + d.between(500*time.Millisecond, 4*time.Second)
+		d.add(Step{At: at, Kind: DiscoveryDown, Span: up - at})
+		d.add(Step{At: up - d.between(0, 200*time.Millisecond), Kind: StopProcess, Span: d.between(300*time.Millisecond, 500*time.Millisecond)})
+		d.drain(up + d.between(0, 50*time.Millisecond))
+		return d.drainAfter(up + 500*time.Millisecond)
+	},
+	func(d *drawer, at time.Duration) time.Duration { // the process stands still right after its request for the list
+		d.add(Step{At: at, Kind: FailNextWatches, Watches: []WatchFault{d.silentWatch()}})
+		d.add(Step{At: at + time.Millisecond, Kind: ResetWatches})
+		d.add(Step{At: at + d.between(time.Millisecond, 4*time.Millisecond), Kind: StopProcess, Span: d.between(300*time.Millisecond, 500*time.Millisecond)})
+		d.drain(at + d.between(5*time.Millisecond, 30*time.Millisecond))
+		return d.drainAfter(at + 600*time.Millisecond)
+	},
+}
+
+// silentWatch draws a watch that is silent from its opening, or after the full list.
+func (d *drawer) silentWatch() WatchFault {
+	return WatchFault{Silent: true, FullFirst: d.rng.IntN(2) == 0}
+}
+
+// drainAfter adds one drain right after a moment and one up to 2 s later, and returns when the scene is over.
+func (d *drawer) drainAfter(at time.Duration) time.Duration {
+	d.drain(at + d.between(0, 200*time.Millisecond))
+	d.drain(at + d.between(200*time.Millisecond, 2*time.Second))
+	return at + 2500*time.Millisecond
+}
+
 const (
 	sceneEvery = 1800 * time.Millisecond
 	lastScene  = 8 * time.Second
@@ -145,12 +190,18 @@
 	}
 }
 
-// NewSchedule draws a schedule: drains in trouble from the first second on, after an outage of discovery in half of the runs, and
+// NewSchedule draws a schedule: drains in trouble from the first second on, after an outage of discovery in half of the runs (from
+// firstSilenceSeed on: in most, ending in silence or over a stop of the process), and
 // hangups in a row, kills, crowds and an end of the process beside them.
 func NewSchedule(seed uint64, replicas int) Schedule {
 	d := &drawer{rng: rand.New(rand.NewPCG(seed, 0x50a4)), replicas: replicas}
 	at := d.between(300*time.Millisecond, 600*time.Millisecond)
-	if d.rng.IntN(2) == 0 {
+	switch {
+	case seed >= firstSilenceSeed:
+		for range 2 {
+			at = silences[d.rng.IntN(len(silences))](d, at)
+		}
+	case d.rng.IntN(2) == 0:
 		at = d.outage()
 	}
 	for ; at < lastScene; at += sceneEvery + d.between(0, 200*time.Millisecond) {
