Bound the list bytes of checks, and list the short outage that a watch survives

And one order of the fault that the checks do not cover.

Change: checks request at most 96 KiB of full lists a second, the rest by a second watch. TestDrainAfterShortOutageAppliedWhenWatchSurvives: a watch that had a heartbeat survives an outage of 0.6 s silently; it is in doubt only when its next heartbeat is overdue. Nothing but asking all the time would show it sooner.

--- a/cmd/birchcart/draining_test.go
+++ b/cmd/birchcart/draining_test.go
@@ -139,6 +139,7 @@
 // silentWatchCase is an outage of discovery after which the open watch brings nothing, not even a heartbeat.
 type silentWatchCase struct {
 	name     string
+	before   time.Duration // from the start of the traffic to the outage
 	outage   time.Duration
 	survives bool                   // the watch from before the outage stays open
 	fault    faultinject.WatchFault // of the watches opened after it
@@ -168,7 +169,7 @@
 	standstills := testproc.WatchStandstills()
 	p := startCoordinatorUnderTest(t, 3)
 	p.traffic.Start()
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(max(c.before, 300*time.Millisecond))
 	p.agent.Down()
 	time.Sleep(c.outage)
 	p.agent.FailWatches(c.fault, c.fault, c.fault)
@@ -214,3 +215,10 @@
 	}
 	c.check(t, standstills)
 }
+
+// Guards against parts sent to a draining replica after an outage shorter than the time between two heartbeats, which a watch that
+// had proved itself survives silently.
+func TestDrainAfterShortOutageAppliedWhenWatchSurvives(t *testing.T) {
+	c := silentWatchCase{before: 2300 * time.Millisecond, outage: 600 * time.Millisecond, survives: true, after: 180 * time.Millisecond}
+	c.run(t)
+}
--- a/internal/discovery/check.go
+++ b/internal/discovery/check.go
@@ -12,9 +12,11 @@
 const (
 	// heartbeatInterval is the time between two heartbeats of a watch that has nothing to report.
 	heartbeatInterval = 2 * time.Second
-	// maxCheckedListBytes is the size of the list up to which a check requests the full list. The check of a longer one requests a
-	// second watch, whose response holds nothing if nothing is new.
+	// maxCheckedListBytes is the size of the list up to which checks request the full list.
 	maxCheckedListBytes = 64 << 10
+	// checkBytesPerSecond bounds the bytes of the full lists that checks request. The other checks request a second watch, whose
+	// response holds nothing if nothing is new.
+	checkBytesPerSecond = 96 << 10
 	// checkReadTime is how long a check waits for the first object of a second watch.
 	checkReadTime = 50 * time.Millisecond
 )
@@ -24,14 +26,15 @@
 // and a watch can stay open without reporting anything, above all after an outage of discovery. If the agent has a change that the
 // watch has not reported, the watch is closed, and the stream that has read the change takes its place.
 type watchCheck struct {
-	feed          *feed
-	watch         *stream
-	requester     *feed     // makes the requests, with a backoff of its own
-	bySecondWatch bool      // the list is too long to be read again
-	startedAt     time.Time // of the last check
-	lastList      []byte    // the full list that was read last, which need not be decoded again
-	lastIndex     int64
-	done          chan struct{}
+	feed           *feed
+	watch          *stream
+	requester      *feed     // makes the requests, with a backoff of its own
+	listBytes      int       // size of the full list
+	requestedBytes int       // of full lists, by all checks of the watch
+	startedAt      time.Time // of the last check
+	lastList       []byte    // the full list that was read last, which need not be decoded again
+	lastIndex      int64
+	done           chan struct{}
 
 	mu          sync.Mutex
 	cancel      context.CancelFunc // cancels the request that is in flight
@@ -48,7 +51,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watchCheck{
-		feed: f, watch: watch, bySecondWatch: f.listBytes > maxCheckedListBytes, startedAt: watch.startedAt, lastIndex: NoIndex, done: make(chan struct{}), cancel: cancel,
+		feed: f, watch: watch, listBytes: f.listBytes, startedAt: watch.startedAt, lastIndex: NoIndex, done: make(chan struct{}), cancel: cancel,
 		requester: &feed{client: c, address: f.address, index: NoIndex, fullListNeeded: true, checked: f},
 	}
 	c.feeds.Go(func() {
@@ -84,7 +87,7 @@
 			}
 		}
 		w.startedAt = time.Now()
-		w.requester.watchNext, w.requester.index = w.bySecondWatch, w.feed.heldIndex.Load()
+		w.requester.watchNext, w.requester.index = !w.takeFullList(), w.feed.heldIndex.Load()
 		s, err := w.requester.request(ctx)
 		if err != nil {
 			return
@@ -95,6 +98,16 @@
 	}
 }
 
+// takeFullList reports whether the next check requests the full list, and counts its bytes if so.
+func (w *watchCheck) takeFullList() bool {
+	allowed := time.Since(w.watch.startedAt).Seconds() * checkBytesPerSecond
+	if w.listBytes > maxCheckedListBytes || float64(w.requestedBytes+w.listBytes) > allowed {
+		return false
+	}
+	w.requestedBytes += w.listBytes
+	return true
+}
+
 // nextAt returns when the next check is due.
 func (w *watchCheck) nextAt() time.Time {
 	at := w.startedAt.Add(w.feed.client.limits.ListCheck)
--- a/internal/discovery/check_test.go
+++ b/internal/discovery/check_test.go
@@ -85,7 +85,7 @@
 
 // Guards against a change that is known only once a watch which is silent from its opening has timed out.
 func TestChangeThatSilentWatchMissesIsFoundInTime(t *testing.T) {
-	const shortList, longList = 8, 700 // the long one is over maxCheckedListBytes
+	const shortList, mediumList, longList = 8, 200, 700 // the medium one is over checkBytesPerSecond, the long one over maxCheckedListBytes
 	for name, c := range map[string]struct {
 		replicas int
 		fault    faultinject.WatchFault
@@ -98,6 +98,7 @@
 		"full list first":     {shortList, faultinject.WatchFault{Silent: true, FullFirst: true}, 300 * time.Millisecond},
 		"late and in pieces":  {shortList, faultinject.WatchFault{Late: 1500 * time.Millisecond, Pieces: true}, 300 * time.Millisecond},
 		"ends instead":        {shortList, faultinject.WatchFault{EndsInstead: true}, 300 * time.Millisecond},
+		"medium list":         {mediumList, faultinject.WatchFault{Silent: true, FullFirst: true}, 700 * time.Millisecond},
 		"long list":           {longList, faultinject.WatchFault{Silent: true}, 300 * time.Millisecond},
 		"long list, and late": {longList, faultinject.WatchFault{Late: 1500 * time.Millisecond}, time.Second},
 	} {
