End the context of a check with the stream that takes the watch's place

Cause: a check that had found a change left its context open until the feed ended, one for each watch that was replaced.

--- a/internal/discovery/check.go
+++ b/internal/discovery/check.go
@@ -73,6 +73,13 @@
 	}
 	w.mu.Unlock()
 	<-w.done
+	if w.replacement != nil { // its context belongs to the check's
+		cancelAttempt := w.replacement.cancel
+		w.replacement.cancel = func() {
+			cancelAttempt()
+			w.cancel()
+		}
+	}
 	return w.replacement
 }
 
