Review case 9: a refused operators' file keeps a new discovery address out

After SIGHUP, what discovery has to tell counts as told 4 s later, whatever stands in another file. Change: review/9, and review/stand2 plays it.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -114,7 +114,9 @@
 
 var cases = map[string]func(*stage) error{
 	"feature-client-leaves":     featureClientLeaves,
-	"feature-page-lacks":        featurePageLacks,
+	"drain-after-short-outage":  drainAfterShortOutage,
+	"restart-in-outage":         restartInOutage,
+	"reload-moves-discovery":    reloadMovesDiscovery,
 	"feature-refused-after-run": featureRefusedAfterRun,
 }
 
--- a/review/stand2/refusals.go
+++ b/review/stand2/refusals.go
@@ -67,7 +67,7 @@
 	}
 	const wide = "/collections/species-search/items?limit=10000"
 	began := time.Now()
-	if status, p, err := getPage("http://" + address + wide); err != nil || p == nil {
+	if status, err := s.ask("http://" + address + wide); err != nil || status != http.StatusOK {
 		return fmt.Errorf("the wide page: status %d, %v", status, err)
 	}
 	s.note("one wide page, alone: %v", time.Since(began))
