--- a/review/stand2/outages.go
+++ b/review/stand2/outages.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"birchcart/internal/faultinject"
@@ -121,37 +120,3 @@
 	time.Sleep(3 * time.Second)
 	return s.judgeDrains(p)
 }
-
-// restartInOutage: a replica goes, and the co-ordinator is told. Later discovery is down, and the co-ordinator is killed and started
-// again meanwhile, with the list that its configuration has.
-func restartInOutage(s *stage) error {
-	p, err := s.newPlatform()
-	if err != nil {
-		return err
-	}
-	p.traffic.Start()
-	time.Sleep(time.Second)
-	p.agent.SetStatus("s-4", "Gone")
-	s.note("the agent has: s-4 is gone")
-	time.Sleep(2 * time.Second)
-	if s.trouble {
-		p.agent.Down()
-		s.note("discovery is down")
-	}
-	time.Sleep(500 * time.Millisecond)
-	p.process.cmd.Process.Signal(syscall.SIGKILL)
-	<-p.process.ended
-	s.note("the co-ordinator is killed")
-	time.Sleep(300 * time.Millisecond)
-	if err := s.startCoordinator(p, "co-ordinator-again"); err != nil {
-		return err
-	}
-	s.note("the co-ordinator is ready again")
-	time.Sleep(3 * time.Second)
-	if s.trouble {
-		p.agent.Up()
-		s.note("discovery is back")
-	}
-	time.Sleep(time.Second)
-	return s.judgeDrains(p)
-}
