--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -115,7 +115,7 @@
 var cases = map[string]func(*stage) error{
 	"feature-client-leaves":     featureClientLeaves,
 	"drain-after-short-outage":  drainAfterShortOutage,
-	"replaced-feature-servers":  replacedFeatureServers,
+	"feature-burst":             featureBurst,
 	"reload-moves-discovery":    reloadMovesDiscovery,
 	"feature-refused-after-run": featureRefusedAfterRun,
 }
