Notice feature clients that disconnect behind a further request

Callers: a feature client sends a request, another 30 ms later, and closes. A client that ends its stream behind 300 requests had them asked. Cause: net/http reads one byte beyond a request for the client's end; a byte of a further request ends that, and requests in its buffer are served without a look at the connection. Nothing else reads until the handler returns. Change: while a query is pending the connection reads ahead, bounded; its end ends the query, none is submitted while input waits, and a client that has gone gets no empty 200.

--- a/internal/ogc/accept.go
+++ b/internal/ogc/accept.go
@@ -51,6 +51,7 @@
 	draining    atomic.Bool               // Drain has been called: each answer closes its connection
 	lastReplyBy atomic.Pointer[time.Time] // deadline for the last answer, set by Drain
 	holding     atomic.Int64              // bytes of answers that clients have not taken yet
+	aheadBytes  atomic.Int64              // bytes that have been read ahead on all connections
 }
 
 // New returns a front for a file that has the section and was checked against the deployment.
@@ -121,11 +122,8 @@
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
-// isLastReply reports whether the answer to a request is the last on its connection.
-func isLastReply(r *http.Request) bool {
-	c, ok := r.Context().Value(connKey{}).(*clientConn)
-	return ok && c.isLastReply()
-}
+// connOf returns a request's connection.
+func connOf(r *http.Request) *clientConn { return r.Context().Value(connKey{}).(*clientConn) }
 
 // Close ends the front at once.
 func (s *Server) Close() { s.http.Close() }
--- a/internal/ogc/conn.go
+++ b/internal/ogc/conn.go
@@ -21,16 +21,25 @@
 
 	mu             sync.Mutex
 	requests       requestScanner
-	answered       int       // requests whose answers have been written
-	readDeadline   time.Time // as last set by the HTTP server
-	closeRequested bool      // the current read has been interrupted, to check whether the connection can close
+	answered       int         // requests whose answers have been written
+	readDeadline   time.Time   // as last set by the HTTP server
+	closeRequested bool        // the current read has been interrupted, to check whether the connection can close
+	serverReading  bool        // the HTTP server is in Read
+	onDisconnect   func(error) // called when the client of the pending query disconnects, nil if no query is pending
+	ahead          readAhead
 }
 
 // interrupted is a read deadline that has always passed.
 var interrupted = time.Unix(1, 0)
 
-// Read reads from the client. A read that requestClose has interrupted continues unless the connection can close.
+// Read returns what has been read ahead, then reads from the client. A read that requestClose has interrupted continues unless
+// the connection can close.
 func (c *clientConn) Read(p []byte) (int, error) {
+	c.beginServerRead()
+	defer c.endServerRead()
+	if n, err := c.takeAhead(p); n > 0 || err != nil {
+		return n, err
+	}
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
@@ -45,6 +54,18 @@
 	}
 }
 
+// Write writes to the client. If the client does not take the bytes in time, the connection is reset when it closes; otherwise
+// the kernel would keep the rest of the answer for as long as the client takes a little of it now and then.
+func (c *clientConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+	}
+	return n, err
+}
+
 // resume restores the read deadline after an interruption and reports whether the read continues. If input waits, the client
 // assumes that its request was received, so the connection stays open until the input has been read and answered.
 func (c *clientConn) resume() bool {
@@ -65,6 +86,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
+	if c.ahead.ended != nil { // it is set once the reading ahead has ended
+		return nil
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -126,6 +150,7 @@
 	err := net.ErrClosed
 	c.closed.Do(func() {
 		err = c.Conn.Close()
+		c.discardAhead()
 		c.server.remove(c)
 	})
 	return err
--- a/internal/ogc/documents.go
+++ b/internal/ogc/documents.go
@@ -412,8 +412,11 @@
 	var plain *status
 	var failed *failure
 	switch {
-	case errors.Is(err, context.Canceled): // the client has left: nobody reads this
-		return
+	case errors.Is(err, errDisconnected) || errors.Is(err, context.Canceled): // nobody reads an answer
+		panic(http.ErrAbortHandler) // closes the connection, so that no request behind this one is served
+	case errors.Is(err, errTooMuchAhead):
+		c.w.Header().Set("Connection", "close")
+		p.Status, p.Detail = http.StatusBadRequest, err.Error()
 	case errors.As(err, &wrong):
 		p.Status, p.Parameter, p.Detail = http.StatusBadRequest, wrong.name, wrong.why
 	case errors.As(err, &plain):
@@ -463,7 +466,7 @@
 	out.SetWriteDeadline(time.Now().Add(c.s.limits.WriteTime)) // the server's began when the request was read
 	h := c.w.Header()
 	h.Set("Content-Type", kind)
-	if isLastReply(c.r) {
+	if connOf(c.r).isLastReply() {
 		h.Set("Connection", "close")
 	}
 	if code == http.StatusOK {
--- a/internal/ogc/drain_test.go
+++ b/internal/ogc/drain_test.go
@@ -35,6 +35,9 @@
 	return &rawClient{r.TB, nc, bufio.NewReader(nc)}
 }
 
+// CloseWrite ends the client's stream, and leaves it able to read.
+func (c *rawClient) CloseWrite() { c.Conn.(*net.TCPConn).CloseWrite() }
+
 func (c *rawClient) send(text string) {
 	c.Helper()
 	if _, err := c.Write([]byte(text)); err != nil {
--- a/internal/ogc/items.go
+++ b/internal/ogc/items.go
@@ -1,6 +1,7 @@
 package ogc
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -85,15 +86,32 @@
 	for _, shard := range pg.shards {
 		q.Parts = append(q.Parts, exchange.Part{Shard: shard, Weight: 1 / float64(len(pg.shards))})
 	}
+	reply, err := s.submit(r, q)
+	if err != nil {
+		return nil, err
+	}
+	return s.answer(pg, reply)
+}
+
+// submit passes a query to the exchange and waits for its reply. It returns an error if the client disconnects first.
+func (s *Server) submit(r *http.Request, q *exchange.Query) (exchange.Reply, error) {
 	replies := make(chan exchange.Reply, 1) // the one answer finds room, whoever still waits for it
 	q.Reply = func(r exchange.Reply) { replies <- r }
+	ctx, disconnect := context.WithCancelCause(r.Context())
+	defer disconnect(nil)
+	conn := connOf(r)
+	conn.watchClient(disconnect)
+	defer conn.unwatchClient()
+	if conn.awaitInput(ctx); ctx.Err() != nil {
+		return exchange.Reply{}, context.Cause(ctx)
+	}
 	s.sink.Submit(q)
 	select {
 	case reply := <-replies:
-		return s.answer(pg, reply)
-	case <-r.Context().Done():
+		return reply, nil
+	case <-ctx.Done():
 		s.sink.ClientGone(q)
-		return nil, r.Context().Err()
+		return exchange.Reply{}, context.Cause(ctx)
 	}
 }
 
--- a/internal/ogc/rig_test.go
+++ b/internal/ogc/rig_test.go
@@ -41,6 +41,7 @@
 
 	mu      sync.Mutex
 	chk     *checker.Checker
+	events  map[policy.Kind]int            // that the decisions have had
 	special map[int]map[int]standin.Script // by replica and shard
 	now     float64
 }
@@ -55,7 +56,7 @@
 
 func newRig(t testing.TB, shape standin.FleetShape, change func(*operator.File, *config.Config)) *rig {
 	t.Helper()
-	r := &rig{TB: t}
+	r := &rig{TB: t, events: map[policy.Kind]int{}}
 	places := make([]standin.Place, shape.Shards)
 	for s := range places {
 		places[s] = standin.PlaceOf(s)
@@ -91,6 +92,7 @@
 		defer r.mu.Unlock()
 		r.now = now
 		for i := range events {
+			r.events[events[i].Kind]++
 			r.chk.Event(now, events[i])
 		}
 		for i := range actions {
