Release the values of queries that have ended, not at their deadline

Cause: timers of queries and attempts stay in the exchange's heap until they are due, 6 s there, and lead to parts and values. Change: an end releases values, parts and headers; ended attempts and unsent queries leave the heap. Ids stay in use as before.

--- a/internal/exchange/action.go
+++ b/internal/exchange/action.go
@@ -49,7 +49,7 @@
 	}
 	a := &Attempt{
 		ID: pt.frameID, Shard: pt.shard, Text: pt.query.Text, Due: pt.query.Due, Previous: pt.previous, Complete: pt.complete,
-		ListIndex: e.listIndex, part: pt, replica: act.Replica, number: len(pt.attempts), sentAt: e.policyTime(e.turnAt),
+		ListIndex: e.listIndex, part: pt, replica: act.Replica, number: len(pt.attempts), sentAt: e.policyTime(e.turnAt), timerIndex: noTimer,
 	}
 	if act.AttemptTimeout > 0 {
 		if due := e.turnAt.Add(duration(act.AttemptTimeout)); due.Before(a.Due) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -86,6 +86,8 @@
 	openAttempts                              int    // attempts that have not ended
 	sessionReply                              *Reply // the reply of the session gate that rejected it while it was open; nil: none
 
+	timerIndex int // of its timer in the heap, noTimer if there is none
+
 	laneVerdict LaneVerdict // inLane: admitted with this verdict, and the lane gate has not been notified of its end
 	inLane      bool
 }
@@ -308,16 +310,47 @@
 
 func (t timers) Len() int           { return len(t) }
 func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].setIndex(i)
+	t[j].setIndex(j)
+}
+
+func (t *timers) Push(x any) {
+	added := x.(timer)
+	added.setIndex(len(*t))
+	*t = append(*t, added)
+}
+
 func (t *timers) Pop() any {
 	old := *t
 	x := old[len(old)-1]
+	x.setIndex(noTimer)
 	old[len(old)-1] = timer{}
 	*t = old[:len(old)-1]
 	return x
 }
 
+// noTimer is the index of a timer that is not in the heap.
+const noTimer = -1
+
+// setIndex records where a timer is in the heap.
+func (t *timer) setIndex(i int) {
+	switch {
+	case t.attempt != nil:
+		t.attempt.timerIndex = i
+	case t.query != nil:
+		t.query.timerIndex = i
+	}
+}
+
+// remove removes the timer at an index, if there is one. A timer that stayed until it is due would keep what it refers to in memory.
+func (t *timers) remove(index int) {
+	if index != noTimer {
+		heap.Remove(t, index)
+	}
+}
+
 // fireTimers handles all timers that are due in this turn.
 func (e *Exchange) fireTimers() {
 	for len(e.timers) > 0 && !e.timers[0].at.After(e.turnAt) {
--- a/internal/exchange/outcome.go
+++ b/internal/exchange/outcome.go
@@ -21,7 +21,8 @@
 
 // reportEnd marks an attempt as ended and returns the event for the policy.
 func (e *Exchange) reportEnd(a *Attempt, o policy.Outcome, at time.Time, report []float64) policy.Event {
-	a.ended, a.Text = true, nil // its timer keeps the attempt reachable until it is due, so release the text
+	a.ended, a.Text = true, nil // the replica side may hold the attempt for longer
+	e.timers.remove(a.timerIndex)
 	e.counters.outcomes[o]++
 	e.traceAttemptEnd(a, o)
 	a.part.query.recordAttemptEnd(o)
--- a/internal/exchange/query.go
+++ b/internal/exchange/query.go
@@ -25,7 +25,7 @@
 		m.Reply(Reply{Status: Rejected, RetryAfter: e.limits.ComeBack})
 		return
 	}
-	q := &query{Query: m, id: e.newID(), step: 1}
+	q := &query{Query: m, id: e.newID(), step: 1, timerIndex: noTimer}
 	e.recordQuery(q)
 	if !e.admitToSession(q) {
 		e.open(q)
@@ -37,6 +37,7 @@
 	m := q.Query
 	if !e.admit(q) {
 		q.closed = true
+		e.timers.remove(q.timerIndex)
 		e.recordEnd(q, "refused", 0)
 		return false
 	}
@@ -140,17 +141,21 @@
 	delete(e.queries, q.id)
 	e.openCount--
 	e.closeStep(q)
+	q.parts = nil
 	if !q.sent {
 		delete(e.byRequestID, q.ID)
+		e.timers.remove(q.timerIndex)
 	}
-	q.Text = nil // its timers keep the query reachable until they are due, so release the text
+	q.Text, q.Header = nil, nil // the id stays in use until the timer is due, and with it the query
 	e.notifySessionGate(q)
 }
 
-// closeStep closes the parts of a step. A part with attempts in flight is kept, so that the policy can cancel them, until they end.
+// closeStep closes the parts of a step and releases their values. A part with attempts in flight is kept, so that the policy can
+// cancel them, until they end.
 func (e *Exchange) closeStep(q *query) {
 	e.openCount -= len(q.parts)
 	for _, pt := range q.parts {
+		pt.value = nil
 		for _, a := range pt.attempts {
 			// An attempt that is not yet written must not be sent after the step, even if the settings forbid cancelling.
 			if !a.ended {
--- a/internal/exchange/session.go
+++ b/internal/exchange/session.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// stopWaiting removes a query from the waiting ones. Its timer stays.
+// stopWaiting removes a query from the waiting ones. Its timer stays, as it may be opened.
 func (e *Exchange) stopWaiting(q *query) {
 	q.waiting = false
 	delete(e.byRequestID, q.ID)
@@ -105,6 +105,7 @@
 func (e *Exchange) endWaiting(q *query, r Reply) {
 	e.stopWaiting(q)
 	q.closed = true
+	e.timers.remove(q.timerIndex)
 	e.recordEnd(q, r.recordStatus(), 0)
 	e.counters.replies[r.Status]++
 	q.Reply(r)
@@ -115,6 +116,7 @@
 func (e *Exchange) clientGoneWaiting(q *query) {
 	e.stopWaiting(q)
 	q.closed = true
+	e.timers.remove(q.timerIndex)
 	e.counters.abandoned++
 	e.recordEnd(q, "left", 0)
 	e.notifySessionGate(q)
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -76,11 +76,12 @@
 
 	ListIndex int64 // version of the replica list by which the replica was chosen
 
-	part    *part
-	replica uint64
-	number  int
-	sentAt  float64
-	ended   bool
+	part       *part
+	replica    uint64
+	number     int
+	sentAt     float64
+	ended      bool
+	timerIndex int // of its timer in the heap, noTimer if there is none
 }
 
 // Result is the end of an attempt as reported by the replica side. Report holds the replica's load report, if any.
