Bound the memory of feature pages before their queries are submitted

Cause: only finished bodies were counted, after their queries had run; before that any number of pages was put together at once. One page at a time is put together or compressed; features are kept as bytes where that is enough; a page wider than the memory is cut, with a next link.

--- a/internal/ogc/accept.go
+++ b/internal/ogc/accept.go
@@ -50,17 +50,17 @@
 	accepting   atomic.Bool               // Listen has been called, and Serve has not returned
 	draining    atomic.Bool               // Drain has been called: each answer closes its connection
 	lastReplyBy atomic.Pointer[time.Time] // deadline for the last answer, set by Drain
-	holding     atomic.Int64              // bytes of answers that clients have not taken yet
-	aheadBytes  atomic.Int64              // bytes that have been read ahead on all connections
+	memory      *pageMemory
+	aheadBytes  atomic.Int64 // bytes that have been read ahead on all connections
 }
 
 // New returns a front for a file that has the section and was checked against the deployment.
 func New(cfg *config.Config, f *operator.File, sink Sink, ready func() bool, entry *logrus.Entry) *Server {
 	s := &Server{
 		cfg: cfg, limits: cfg.Limits, sink: sink, ready: ready, log: logs.Limit(entry, cfg.Limits.LogEvery), key: randomKey(),
-		ids: newIDs(), conns: map[*clientConn]struct{}{},
+		ids: newIDs(), conns: map[*clientConn]struct{}{}, memory: newPageMemory(cfg.Limits.UnreadBytes),
 	}
-	s.now.Store(newSnapshot(f, cfg, s.key))
+	s.now.Store(s.newSnapshot(f))
 	s.http = &http.Server{
 		Handler: s.handler(), MaxHeaderBytes: headBytes, ReadHeaderTimeout: s.limits.FirstTime, ReadTimeout: s.limits.RequestTime,
 		WriteTimeout: s.limits.WriteTime, IdleTimeout: s.limits.ClientIdle, ErrorLog: log.New(io.Discard, "", 0),
@@ -69,10 +69,17 @@
 	return s
 }
 
+// newSnapshot compiles a file for this server.
+func (s *Server) newSnapshot(f *operator.File) *snapshot {
+	compiled := newSnapshot(f, s.cfg, s.key)
+	compiled.maxParts = min(compiled.op.PartsMost, s.memory.maxParts())
+	return compiled
+}
+
 // Apply puts another file into force, for requests from now on. Where it listens stays.
 func (s *Server) Apply(f *operator.File) {
 	if f.Fronts.OGC != nil {
-		s.now.Store(newSnapshot(f, s.cfg, s.key))
+		s.now.Store(s.newSnapshot(f))
 	}
 }
 
--- a/internal/ogc/documents.go
+++ b/internal/ogc/documents.go
@@ -2,13 +2,13 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"mime"
 	"net/http"
 	"strconv"
@@ -129,6 +129,9 @@
 	r    *http.Request
 	base string // of links
 	html bool
+
+	reserved   *reservation // nil if the call has submitted no query
+	assembling bool         // has the turn of the server's pageMemory
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, do func(*call) error) {
@@ -139,6 +142,7 @@
 	}
 	w.Header().Set("Access-Control-Allow-Origin", "*")
 	w.Header().Set("Vary", "Accept, Accept-Encoding")
+	defer c.release()
 	err := c.check()
 	if err == nil {
 		err = do(c)
@@ -336,7 +340,8 @@
 		return err
 	}
 	pg := c.now.plan(col, p)
-	a, err := c.s.ask(c.r, pg, tenant)
+	pg.rawOnly = !c.html && p.crs != mercator
+	a, err := c.ask(pg, tenant)
 	if err != nil {
 		return err
 	}
@@ -366,7 +371,7 @@
 	if !ok {
 		return gone
 	}
-	a, err := c.s.ask(c.r, pg, tenant)
+	a, err := c.ask(pg, tenant)
 	if err != nil {
 		return err
 	}
@@ -459,8 +464,7 @@
 	return nil
 }
 
-// write sends a whole body. A client must take each piece of it in a write's time, and all that clients have not
-// taken yet is bounded: what does not fit is refused.
+// write sends a whole body, unless the client has it already. The memory of what clients have not taken yet is bounded.
 func (c *call) write(code int, kind string, body []byte) {
 	out := http.NewResponseController(c.w)
 	out.SetWriteDeadline(time.Now().Add(c.s.limits.WriteTime)) // the server's began when the request was read
@@ -470,42 +474,83 @@
 		h.Set("Connection", "close")
 	}
 	if code == http.StatusOK {
-		sum := sha256.Sum256(body)
-		tag := hex.EncodeToString(sum[:12])
-		if acceptsGzip(c.r.Header.Get("Accept-Encoding")) && len(body) > 512 {
-			var b bytes.Buffer
-			z := gzip.NewWriter(&b)
-			z.Write(body) // to memory: it can't fail
-			z.Close()
-			body, tag = b.Bytes(), tag+"-gzip"
-			h.Set("Content-Encoding", "gzip")
-		}
-		tag = `"` + tag + `"`
-		h.Set("ETag", tag)
-		for old := range strings.SplitSeq(c.r.Header.Get("If-None-Match"), ",") {
-			if old = strings.TrimPrefix(strings.TrimSpace(old), "W/"); old == tag || old == "*" {
-				h.Del("Content-Encoding")
-				c.w.WriteHeader(http.StatusNotModified)
-				return
-			}
+		var tag string
+		if body, tag = c.encode(body); c.hasCopy(tag) {
+			h.Del("Content-Encoding")
+			c.w.WriteHeader(http.StatusNotModified)
+			return
 		}
 	}
-	size := int64(len(body))
-	if held := c.s.holding.Add(size); held > c.s.limits.UnreadBytes && held > size {
-		c.s.holding.Add(-size)
-		h.Del("Content-Encoding")
-		h.Del("ETag")
-		h.Set("Content-Length", "0")
-		h.Set("Retry-After", "1")
-		c.w.WriteHeader(http.StatusServiceUnavailable)
+	c.endAssembly()
+	if !c.reserveBody(len(body)) {
 		return
 	}
-	defer c.s.holding.Add(-size)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(code)
-	if c.r.Method == http.MethodHead {
-		return
+	if c.r.Method != http.MethodHead {
+		c.send(out, body)
+	}
+}
+
+// encode compresses a body if the client accepts that, and sets the headers that tell of it. It returns the entity tag as well.
+func (c *call) encode(body []byte) ([]byte, string) {
+	sum := sha256.Sum256(body)
+	tag := hex.EncodeToString(sum[:12])
+	accepts := acceptsGzip(c.r.Header.Get("Accept-Encoding")) && len(body) > 512
+	if accepts && c.beginAssembly(c.r.Context(), time.Now().Add(c.s.limits.WriteTime)) == nil {
+		var b bytes.Buffer
+		zip := c.s.memory.zip
+		zip.Reset(&b)
+		zip.Write(body) // to memory: it can't fail
+		zip.Close()
+		zip.Reset(io.Discard)
+		body, tag = b.Bytes(), tag+"-gzip"
+		c.w.Header().Set("Content-Encoding", "gzip")
+	}
+	tag = `"` + tag + `"`
+	c.w.Header().Set("ETag", tag)
+	return body, tag
+}
+
+// hasCopy reports whether the client has a copy with an entity tag already.
+func (c *call) hasCopy(tag string) bool {
+	for old := range strings.SplitSeq(c.r.Header.Get("If-None-Match"), ",") {
+		if old = strings.TrimPrefix(strings.TrimSpace(old), "W/"); old == tag || old == "*" {
+			return true
+		}
 	}
+	return false
+}
+
+// smallBody is the size of bodies that need no reservation: error documents above all.
+const smallBody = 4 << 10
+
+// reserveBody reserves the memory for a body until the call ends. If it does not fit, it writes an answer that says so and returns
+// false: where a query was submitted that is a failure, since the query may have run.
+func (c *call) reserveBody(size int) bool {
+	code := http.StatusInternalServerError
+	if c.reserved == nil && size <= smallBody {
+		return true
+	}
+	if c.reserved == nil {
+		c.reserved, code = &reservation{memory: c.s.memory}, http.StatusServiceUnavailable
+	}
+	if c.reserved.resize(int64(size)) {
+		return true
+	}
+	h := c.w.Header()
+	h.Del("Content-Encoding")
+	h.Del("ETag")
+	h.Set("Content-Length", "0")
+	if code == http.StatusServiceUnavailable {
+		h.Set("Retry-After", "1")
+	}
+	c.w.WriteHeader(code)
+	return false
+}
+
+// send writes a body. The client must take each piece of it in a write's time.
+func (c *call) send(out *http.ResponseController, body []byte) {
 	for len(body) > 0 {
 		n := min(writeChunk, len(body))
 		out.SetWriteDeadline(time.Now().Add(c.s.limits.WriteTime))
--- a/internal/ogc/items.go
+++ b/internal/ogc/items.go
@@ -28,6 +28,7 @@
 	shards  []int // asked, rising
 	next    int   // the shard that a further page begins with, -1 if these are the last
 	isWhole bool  // begins at the beginning and covers all that the query is about
+	rawOnly bool  // the answer shows features as the readers gave them
 }
 
 // answer is what a page came to.
@@ -58,8 +59,8 @@
 			return shard < cur.Shard || len(cur.Only) > 0 && !slices.Contains(cur.Only, shard)
 		})
 	}
-	if len(shards) > s.op.PartsMost {
-		pg.next, shards, pg.isWhole = shards[s.op.PartsMost], shards[:s.op.PartsMost], false
+	if len(shards) > s.maxParts {
+		pg.next, shards, pg.isWhole = shards[s.maxParts], shards[:s.maxParts], false
 	}
 	pg.shards = shards
 	for _, shard := range shards {
@@ -70,11 +71,30 @@
 
 func newIDs() string { return fmt.Sprintf("f%012x-", rand.Uint64()>>16) }
 
-// ask submits a page as one query and waits for its one answer, or for its client to leave.
-func (s *Server) ask(r *http.Request, pg *page, tenant int) (*answer, error) {
+// ask submits a page as one query and waits for its one answer, or for its client to leave. The call has its turn to put the page
+// together then.
+func (c *call) ask(pg *page, tenant int) (*answer, error) {
 	if len(pg.shards) == 0 {
 		return &answer{matched: 0}, nil // nothing that could be asked: empty is the whole answer
 	}
+	if err := c.reserveParts(len(pg.shards)); err != nil {
+		return nil, err
+	}
+	q := c.s.newQuery(c.r, pg, tenant)
+	reply, err := c.s.submit(c.r, q)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Status == exchange.Served {
+		if err := c.beginAssembly(c.r.Context(), q.Due); err != nil {
+			return nil, err
+		}
+	}
+	return c.s.answer(pg, reply)
+}
+
+// newQuery returns the query of a page.
+func (s *Server) newQuery(r *http.Request, pg *page, tenant int) *exchange.Query {
 	now := time.Now()
 	q := &exchange.Query{
 		ID: s.ids + strconv.FormatUint(s.lastID.Add(1), 10), Class: pg.c.class, Tenant: tenant,
@@ -86,11 +106,7 @@
 	for _, shard := range pg.shards {
 		q.Parts = append(q.Parts, exchange.Part{Shard: shard, Weight: 1 / float64(len(pg.shards))})
 	}
-	reply, err := s.submit(r, q)
-	if err != nil {
-		return nil, err
-	}
-	return s.answer(pg, reply)
+	return q
 }
 
 // submit passes a query to the exchange and waits for its reply. It returns an error if the client disconnects first.
@@ -145,9 +161,9 @@
 	default:
 		return nil, &failure{http.StatusGatewayTimeout, "the readers did not answer in time, or failed", 0}
 	}
-	values := map[int]*feature.Value{}
+	values := map[int]*shardValue{}
 	for _, found := range reply.Values {
-		v, err := feature.Read(found.Item, pg.req, found.Shard)
+		v, err := pg.read(found)
 		if err != nil {
 			s.log.Warn("a value of features can't be used", logrus.Fields{"shard": found.Shard, "error": err})
 			continue
@@ -163,9 +179,33 @@
 	return a, nil
 }
 
+// shardValue is a shard's value, reduced to what the page needs of it.
+type shardValue struct {
+	feature.Value
+	matches []bool // by feature: whether it is one that the page asks for
+}
+
+// read reads a shard's value. Where the page shows features as the readers gave them, nothing but these bytes is kept: what is
+// read of them takes several times as much memory.
+func (pg *page) read(found exchange.Value) (*shardValue, error) {
+	v, err := feature.Read(found.Item, pg.req, found.Shard)
+	if err != nil {
+		return nil, err
+	}
+	value := &shardValue{Value: *v}
+	for i := range v.Features {
+		f := &v.Features[i]
+		value.matches = append(value.matches, pg.req.Match(f, pg.p.filter, pg.c.kinds, pg.c.Time))
+		if pg.rawOnly {
+			f.Geometry, f.Properties = nil, nil
+		}
+	}
+	return value, nil
+}
+
 // merge takes the features in the order of shard and id, each id once, up to the limit. Shards behind the page's end
 // are asked again by the next, so one of them that is missing takes nothing from this one.
-func (a *answer) merge(pg *page, values map[int]*feature.Value) {
+func (a *answer) merge(pg *page, values map[int]*shardValue) {
 	seen := map[string]bool{}
 	var last cursor
 	cut := false // something that matches lies behind the page
@@ -189,7 +229,7 @@
 		}
 		for i := range v.Features {
 			f := &v.Features[i]
-			if seen[f.ID] || !pg.req.Match(f, pg.p.filter, pg.c.kinds, pg.c.Time) {
+			if seen[f.ID] || !v.matches[i] {
 				total = -1 // a feature of two shards, or one that the reader should have left out
 				last = cursor{Shard: shard, After: f.ID}
 				continue
--- a/internal/ogc/ogc.go
+++ b/internal/ogc/ogc.go
@@ -35,6 +35,7 @@
 	tenant      int    // of clients without a key; -1: none is needed
 	keyless     bool   // whether such clients are served
 	tenants     map[string]int
+	maxParts    int // of one query
 }
 
 type collection struct {
