Let unused feature connections make room, and bound heads

Callers: at memory_mb 32, 400 clients that stop half way, write slowly or send heads of very many short fields keep others from their answers for 2.9 to 4.1 s on the feature front, and the heads take 41.6 MB (one run each, real process, sockets). Cause: places were held for the HTTP library's 2 s while others waited in the listen queue; a short field takes many times its size in the library's map, and only the bytes of each connection's head were bounded.

--- a/internal/ogc/accept.go
+++ b/internal/ogc/accept.go
@@ -42,16 +42,17 @@
 	ids    string // beginning of our queries' ids
 	lastID atomic.Uint64
 
-	now         atomic.Pointer[snapshot]
-	listener    *limitListener
-	http        *http.Server
-	mu          sync.Mutex
-	conns       map[*clientConn]struct{}
-	accepting   atomic.Bool               // Listen has been called, and Serve has not returned
-	draining    atomic.Bool               // Drain has been called: each answer closes its connection
-	lastReplyBy atomic.Pointer[time.Time] // deadline for the last answer, set by Drain
-	memory      *pageMemory
-	aheadBytes  atomic.Int64 // bytes that have been read ahead on all connections
+	now          atomic.Pointer[snapshot]
+	listener     *limitListener
+	http         *http.Server
+	mu           sync.Mutex
+	conns        map[*clientConn]struct{}
+	accepting    atomic.Bool               // Listen has been called, and Serve has not returned
+	draining     atomic.Bool               // Drain has been called: each answer closes its connection
+	lastReplyBy  atomic.Pointer[time.Time] // deadline for the last answer, set by Drain
+	memory       *pageMemory
+	aheadBytes   atomic.Int64 // bytes that have been read ahead on all connections
+	partialBytes atomic.Int64 // bytes of incomplete requests on all connections
 }
 
 // New returns a front for a file that has the section and was checked against the deployment.
--- a/internal/ogc/conn.go
+++ b/internal/ogc/conn.go
@@ -23,6 +23,10 @@
 	requests       requestScanner
 	answered       int         // requests whose answers have been written
 	readDeadline   time.Time   // as last set by the HTTP server
+	evicted        bool        // requestEviction has been called
+	idleSince      time.Time   // when the last answer was written
+	partialSince   time.Time   // when the first bytes of the incomplete request were read
+	partialBytes   int64       // of the incomplete request
 	closeRequested bool        // the current read has been interrupted, to check whether the connection can close
 	serverReading  bool        // the HTTP server is in Read
 	onDisconnect   func(error) // called when the client of the pending query disconnects, nil if no query is pending
@@ -44,8 +48,12 @@
 		n, err := c.Conn.Read(p)
 		if n > 0 {
 			c.mu.Lock()
-			c.requests.scan(p[:n])
+			excess := c.recordInput(p[:n])
 			c.mu.Unlock()
+			if excess != nil {
+				c.rejectInput(excess)
+				return 0, os.ErrDeadlineExceeded // the HTTP server closes the connection without an answer of its own
+			}
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.resume() {
@@ -75,6 +83,9 @@
 		return false
 	}
 	c.closeRequested = false
+	if c.evicted && !c.requests.partial && duplexconn.Waits(c.Conn) {
+		c.evicted = false // a request has arrived
+	}
 	if c.mayClose() && (c.requests.partial || !duplexconn.Waits(c.Conn)) {
 		return false
 	}
@@ -109,6 +120,8 @@
 	switch {
 	case c.requests.complete > c.answered:
 		return false
+	case c.evicted:
+		return true
 	case c.requests.partial:
 		return !c.server.mayRespond()
 	case c.requests.complete == 0:
@@ -142,6 +155,7 @@
 		c.requests.complete = max(c.requests.complete, c.answered+1)
 	case http.StateIdle:
 		c.answered++
+		c.idleSince = time.Now()
 	}
 }
 
@@ -150,7 +164,7 @@
 	err := net.ErrClosed
 	c.closed.Do(func() {
 		err = c.Conn.Close()
-		c.discardAhead()
+		c.discardInput()
 		c.server.remove(c)
 	})
 	return err
@@ -162,6 +176,8 @@
 	complete int  // requests whose headers were read completely
 	partial  bool // part of a further request was read
 	inLine   bool // the current line is not empty
+	lines    int  // of that part
+	tooLong  bool // a head had more lines than maxFields
 }
 
 func (s *requestScanner) scan(p []byte) {
@@ -172,9 +188,11 @@
 			s.inLine = true
 		case s.inLine:
 			s.inLine = false
+			s.lines++
+			s.tooLong = s.tooLong || s.lines > maxFields
 		default:
 			s.complete++
-			s.partial = false
+			s.partial, s.lines = false, 0
 			continue
 		}
 		s.partial = true
--- a/internal/ogc/conn_test.go
+++ b/internal/ogc/conn_test.go
@@ -59,7 +59,7 @@
 	}{
 		{"", requestScanner{}},
 		{"G", requestScanner{partial: true, inLine: true}},
-		{"GET / HTTP/1.1\r\nHost: x\r\n", requestScanner{partial: true}},
+		{"GET / HTTP/1.1\r\nHost: x\r\n", requestScanner{partial: true, lines: 2}},
 		{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", requestScanner{complete: 1}},
 		{"GET / HTTP/1.1\nHost: x\n\nGET", requestScanner{complete: 1, partial: true, inLine: true}},
 		{"GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n", requestScanner{complete: 2}},
--- a/internal/ogc/listener.go
+++ b/internal/ogc/listener.go
@@ -19,7 +19,7 @@
 	acceptRetryDelay   = 10 * time.Millisecond
 )
 
-// limitListener accepts connections while places are free; further ones wait in the kernel's listen queue. In a drain it first
+// limitListener accepts connections while places are free, and one more; further ones wait in the kernel's listen queue. In a drain it first
 // accepts those that wait there, since closing it would reset them.
 type limitListener struct {
 	net.Listener
@@ -34,32 +34,39 @@
 	return &limitListener{Listener: ln, server: s, places: make(chan struct{}, places), closed: make(chan struct{})}
 }
 
-// Accept waits for a free place and for a connection. In a drain it returns net.ErrClosed once no connection waits in the listen
+// Accept waits for a connection and for a free place. In a drain it returns net.ErrClosed once no connection waits in the listen
 // queue, or after finalAcceptTimeout.
 func (l *limitListener) Accept() (net.Conn, error) {
-	if !l.acquire() {
-		return nil, net.ErrClosed
-	}
 	nc, err := l.accept()
 	if err != nil {
-		<-l.places
 		return nil, err
 	}
+	if !l.acquire() {
+		nc.Close()
+		return nil, net.ErrClosed
+	}
 	return l.server.add(nc), nil
 }
 
-// acquire takes a place, and reports whether the listener is still open. The time for which it waits in a drain is not lost to
-// the connections in the listen queue.
+// acquire takes a place, and reports whether the listener is still open. While none is free, the most expendable connections are
+// evicted. The time for which it waits in a drain is not lost to the connections in the listen queue.
 func (l *limitListener) acquire() bool {
 	select {
 	case l.places <- struct{}{}:
 		return true
 	default:
 	}
-	select {
-	case l.places <- struct{}{}:
-	case <-l.closed:
-		return false
+	ticker := time.NewTicker(evictInterval)
+	defer ticker.Stop()
+	for acquired := false; !acquired; {
+		l.server.evict()
+		select {
+		case l.places <- struct{}{}:
+			acquired = true
+		case <-l.closed:
+			return false
+		case <-ticker.C:
+		}
 	}
 	if l.acceptBy.Load() != nil {
 		l.drain()
--- a/internal/ogc/readahead.go
+++ b/internal/ogc/readahead.go
@@ -81,16 +81,20 @@
 		c.ahead.data = nil
 	}
 	c.server.aheadBytes.Add(-int64(n))
+	if c.requests.partial { // it was scanned as it was read
+		c.countPartial(n)
+	}
 	if n == 0 {
 		return 0, c.ahead.err
 	}
 	return n, nil
 }
 
-// discardAhead drops what has been read ahead.
-func (c *clientConn) discardAhead() {
+// discardInput drops what has been read and not been served.
+func (c *clientConn) discardInput() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.releasePartial()
 	c.server.aheadBytes.Add(-int64(len(c.ahead.data)))
 	c.ahead.data = nil
 	if c.ahead.err == nil {
@@ -145,11 +149,14 @@
 	if len(p) == 0 || c.ahead.err != nil {
 		return err
 	}
-	c.requests.scan(p)
+	wasPartial := c.requests.partial
+	if c.requests.scan(p); c.requests.partial && !wasPartial {
+		c.partialSince = time.Now()
+	}
 	c.ahead.data = append(c.ahead.data, p...)
 	total := c.server.aheadBytes.Add(int64(len(p)))
 	size := len(c.ahead.data)
-	if size > maxReadAhead || size > freeReadAhead && total > c.server.limits.UnreadBytes {
+	if c.requests.tooLong || size > maxReadAhead || size > freeReadAhead && total > c.server.limits.UnreadBytes {
 		return errTooMuchAhead
 	}
 	return err
