Pause feature connections that send many requests ahead

Cause: the HTTP library serves what its buffer has without a wait, and with one core the runtime looks for other connections' input only now and then meanwhile. Change: after 16 answers to requests that were sent ahead the connection pauses for 1 ms.

--- a/internal/ogc/conn.go
+++ b/internal/ogc/conn.go
@@ -142,12 +142,27 @@
 	return !further || !c.server.mayRespond()
 }
 
-// onState counts the answers of a connection. The HTTP server calls it.
+const (
+	// pipelinedAnswers is the number of answers to requests that were sent ahead which are written without a pause.
+	pipelinedAnswers = 16
+	// pipelinePause is long enough for the connections of other clients, and of replicas and discovery, to be read: the runtime
+	// looks for their input only now and then while a goroutine never waits.
+	pipelinePause = time.Millisecond
+)
+
+// onState counts the answers of a connection. The HTTP server calls it. A client that sends many requests ahead is slowed down.
 func (*Server) onState(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*clientConn)
 	if !ok {
 		return
 	}
+	if c.recordState(state) {
+		time.Sleep(pipelinePause)
+	}
+}
+
+// recordState counts the answers of a connection, and reports whether it is to pause.
+func (c *clientConn) recordState(state http.ConnState) (pause bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
@@ -156,7 +171,9 @@
 	case http.StateIdle:
 		c.answered++
 		c.idleSince = time.Now()
+		return c.answered%pipelinedAnswers == 0 && (c.requests.complete > c.answered || c.requests.partial)
 	}
+	return false
 }
 
 // Close closes the connection and frees its place.
