Give up queries of clients that send too much behind their last request

Cause: that input is read at a limited rate, its end stands behind it, and nothing bounded it. Change: after 512 KiB, which take 80 ms, the query is abandoned and the client answered 400, on both paths that wait for answers (last request, bad request). duplexconn.Rest takes its limits as a struct.

--- a/internal/duplexconn/duplex.go
+++ b/internal/duplexconn/duplex.go
@@ -128,20 +128,32 @@
 	}
 }
 
+// ErrUnsolicited means that the peer has sent too much without being asked.
+var ErrUnsolicited = errors.New("duplexconn: too much was sent without being asked")
+
+// RestLimits bound what Rest reads.
+type RestLimits struct {
+	Burst int           // bytes between two pauses
+	Pause time.Duration // in which nothing but the queue is looked at, so that a peer costs little of our time
+	Total int           // bytes in all; past them Rest returns ErrUnsolicited
+}
+
 // Rest writes what is queued until the source ends the connection. What the peer sends on without being asked is read
-// and forgotten, since its end stands behind that; at most so many bytes go by before a pause of one tick, in which
-// nothing but the queue is looked at, so that a peer that sends without end costs little of our time.
-func (c *Conn) Rest(most int, tick time.Duration) error {
+// and forgotten, since its end stands behind that.
+func (c *Conn) Rest(limits RestLimits) error {
 	var junk [4096]byte
-	for {
-		for left := most; left > 0; {
+	for total := 0; ; {
+		for left := limits.Burst; left > 0; {
 			n, err := c.Read(junk[:min(left, len(junk))])
 			if err != nil {
 				return err
 			}
 			left -= n
+			if total += n; total > limits.Total {
+				return ErrUnsolicited
+			}
 		}
-		if err := c.pause(time.Now().Add(tick)); err != nil {
+		if err := c.pause(time.Now().Add(limits.Pause)); err != nil {
 			return err
 		}
 	}
--- a/internal/duplexconn/duplex_test.go
+++ b/internal/duplexconn/duplex_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -153,7 +154,7 @@
 	}
 	peer.Close()
 	ended := make(chan error, 1)
-	go func() { ended <- New(mine, &queue{}, time.Second).Rest(10_000, time.Millisecond) }()
+	go func() { ended <- New(mine, &queue{}, time.Second).Rest(RestLimits{Burst: 10_000, Pause: time.Millisecond, Total: math.MaxInt}) }()
 	select {
 	case err := <-ended:
 		if !errors.Is(err, io.EOF) {
@@ -194,7 +195,7 @@
 		count, q := &counted{Conn: mine}, &queue{}
 		c := New(count, q, time.Second)
 		ended := make(chan error, 1)
-		go func() { ended <- c.Rest(most, time.Hour) }()
+		go func() { ended <- c.Rest(RestLimits{Burst: most, Pause: time.Hour, Total: math.MaxInt}) }()
 		for stop := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 			count.mu.Lock()
 			read := count.read
--- a/internal/front/endings_test.go
+++ b/internal/front/endings_test.go
@@ -238,3 +238,23 @@
 		t.Error("a query of a disconnected client was submitted")
 	}
 }
+
+// Guards against attempts for a client that sends much behind its last request and leaves: its end would be seen too late.
+func TestMuchInputBehindLastRequestAbandonsQuery(t *testing.T) {
+	for name, last := range map[string]string{
+		"last request":      queryRequest("a", "Connection: close\r\n", validBody),
+		"malformed request": queryRequest("a", "", validBody) + "nonsense\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			st := newTestServer(t, nil)
+			c := st.dial()
+			c.write(last)
+			a := st.nextQuery()
+			go c.nc.Write(make([]byte, 16<<20)) // the connection stays open
+			st.expectClientGone(a)
+			a.Reply(exchange.Reply{})
+			c.expectStatus(400)
+			st.expectNoQuery()
+		})
+	}
+}
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -47,10 +47,11 @@
 }
 
 var (
-	errAllAnswered    = errors.New("front: all requests are answered")
-	errIdle           = errors.New("front: closed as idle")
-	errRequestTimeout = &h1.Error{Status: 408, Reason: "the request took too long to arrive"}
-	errNoCapacity     = &h1.Error{Status: 503, Reason: "incomplete requests exceed their memory limit"}
+	errAllAnswered      = errors.New("front: all requests are answered")
+	errIdle             = errors.New("front: closed as idle")
+	errRequestTimeout   = &h1.Error{Status: 408, Reason: "the request took too long to arrive"}
+	errUnsolicitedInput = &h1.Error{Status: 400, Reason: "too much input behind the last request"}
+	errNoCapacity       = &h1.Error{Status: 503, Reason: "incomplete requests exceed their memory limit"}
 )
 
 // run reads and serves the connection's requests until it ends. It is the connection's goroutine.
@@ -114,7 +115,12 @@
 	c.closing = true
 	c.mu.Unlock()
 	if busy { // the pending query still gets its answer; everything after it is dropped with the connection
-		if err := c.awaitAnswers(); !errors.Is(err, errAllAnswered) {
+		err := c.awaitAnswers()
+		if errors.Is(err, errUnsolicitedInput) { // the query has been abandoned
+			c.respondAndClose(errUnsolicitedInput.Status)
+			return
+		}
+		if !errors.Is(err, errAllAnswered) {
 			return
 		}
 	} else if _, err := c.conn.Flush(); err != nil && !errors.Is(err, errAllAnswered) {
@@ -126,13 +132,25 @@
 
 // awaitAnswers waits until the pending answers are written on a connection from which no further request is accepted, and
 // then returns errAllAnswered. Meanwhile it reads and discards input, at a limited rate: the end of the client's stream
-// comes behind everything that the client has sent, and once that end is seen no further query may be submitted for it.
-func (c *clientConn) awaitAnswers() error { return c.conn.Rest(c.server.limits.LingerBytes, awaitTick) }
+// comes behind everything that the client has sent, and once that end is seen no further query may be submitted for it. A
+// client that sends so much that its end would be seen too late counts as disconnected: its pending query is abandoned, and
+// errUnsolicitedInput is returned.
+func (c *clientConn) awaitAnswers() error {
+	err := c.conn.Rest(duplexconn.RestLimits{Burst: c.server.limits.LingerBytes, Pause: awaitTick, Total: maxAwaitTicks * c.server.limits.LingerBytes})
+	if errors.Is(err, duplexconn.ErrUnsolicited) {
+		c.notifyGone()
+		return errUnsolicitedInput
+	}
+	return err
+}
 
-// awaitTick is the pause after each LingerBytes that awaitAnswers discards. Nothing may begin for a client later than
-// 0.1 s after it has disconnected. With LingerBytes of 64 KiB, 700 KiB are read in that time, at a hundredth of a core or
-// less. With a pause twice as long, the end of the stream would be detected too late behind half as much data.
-const awaitTick = 10 * time.Millisecond
+const (
+	// awaitTick is the pause after each LingerBytes that awaitAnswers discards.
+	awaitTick = 10 * time.Millisecond
+	// maxAwaitTicks bounds what awaitAnswers discards: nothing may begin for a client later than 0.1 s after it has disconnected, and
+	// so much is read in that time.
+	maxAwaitTicks = 8
+)
 
 // reserveBytes adds n bytes, which may be negative, to the size of the incomplete requests and reports whether the total
 // of all connections is within its limit.
