--- a/internal/duplexconn/duplex_test.go
+++ b/internal/duplexconn/duplex_test.go
@@ -154,7 +154,9 @@
 	}
 	peer.Close()
 	ended := make(chan error, 1)
-	go func() { ended <- New(mine, &queue{}, time.Second).Rest(RestLimits{Burst: 10_000, Pause: time.Millisecond, Total: math.MaxInt}) }()
+	go func() {
+		ended <- New(mine, &queue{}, time.Second).Rest(RestLimits{Burst: 10_000, Pause: time.Millisecond, Total: math.MaxInt})
+	}()
 	select {
 	case err := <-ended:
 		if !errors.Is(err, io.EOF) {
