Keep the eviction of a feature connection when its next read begins

Cause: an eviction interrupts the read by its deadline, and the HTTP server sets the deadline of its next read right after an answer. Change: that deadline waits until the interrupted read has been decided on.

--- a/internal/ogc/conn.go
+++ b/internal/ogc/conn.go
@@ -97,7 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.ahead.ended != nil { // it is set once the reading ahead has ended
+	if c.ahead.ended != nil || c.closeRequested { // it is set once the reading ahead has ended, or when the read is resumed
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/ogc/conn_test.go
+++ b/internal/ogc/conn_test.go
@@ -11,23 +11,30 @@
 	"birchcart/internal/config"
 )
 
-// Guards against a drain that closes a resting connection while a request waits on it unread: its client takes it for received.
-func TestConnectionWithUnreadRequestIsNotClosed(t *testing.T) {
+// acceptedPair returns both ends of a connection, the client's first.
+func acceptedPair(t *testing.T) (peer, accepted net.Conn) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	peer, err := net.Dial("tcp", ln.Addr().String())
+	peer, err = net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer peer.Close()
-	nc, err := ln.Accept()
+	t.Cleanup(func() { peer.Close() })
+	accepted, err = ln.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer nc.Close()
+	t.Cleanup(func() { accepted.Close() })
+	return peer, accepted
+}
+
+// Guards against a drain that closes a resting connection while a request waits on it unread: its client takes it for received.
+func TestConnectionWithUnreadRequestIsNotClosed(t *testing.T) {
+	peer, nc := acceptedPair(t)
 	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 	s := &Server{limits: config.Limits{SlowRequest: time.Millisecond}}
 	c := &clientConn{Conn: nc, server: s, requests: requestScanner{complete: 1}, answered: 1} // its goroutine has not been scheduled yet
@@ -74,3 +81,15 @@
 		}
 	}
 }
+
+// Guards against an eviction that is lost, since the HTTP server sets the deadline of its next read right after it.
+func TestEvictionOutlivesDeadlineOfNextRead(t *testing.T) {
+	_, nc := acceptedPair(t)
+	c := &clientConn{Conn: nc, server: &Server{}, requests: requestScanner{complete: 1}, answered: 1, idleSince: time.Now()}
+	c.requestEviction()
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	began := time.Now()
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(began) > 10*time.Second {
+		t.Errorf("%v after %v, want the end of the connection at once", err, time.Since(began))
+	}
+}
--- a/internal/ogc/ogc.go
+++ b/internal/ogc/ogc.go
@@ -2,10 +2,11 @@
 // package cql reads. It turns a request into one exchange.Query like any other and its one answer into features.
 //
 // The front decides nothing: what is refused, sent again or left out stays with the decisions, and every query goes
-// through the same Submit and Leave as those of the users' protocol. It stands on net/http, within config.Limits.
+// through the same Submit and ClientGone as those of the users' protocol. It stands on net/http, within config.Limits.
 //
-// Files follow the stages: accept, listener and conn (server, limits, connections), params and cursor (what is asked), items
-// (the query and its answer), documents, openapi and html (what is shown), drain (the shutdown).
+// Files follow the stages: accept, listener, conn, readahead and evict (server, limits, connections), params and cursor (what is
+// asked), items (the query and its answer), pagememory (what pages may take), documents, openapi and html (what is shown), drain
+// (the shutdown).
 package ogc
 
 import (
