Reload each file on its own at SIGHUP, so that one that fails keeps no other out

Cause: reloader.reload read the files in turn and returned at the first that failed, before Discovery.Move; Node.Reload read the keys file in the middle of taking the operators' file. Any file kept all behind it out, in both programs. The log of the code before names the operators' file and then says that the configuration is left as it was; a sound operators' file lets the move through.

Change: a reloader for each file (filereloader.go), in a goroutine of its own, with its own attempts; Extension.ReloadKeys apart from Extension.Reload. A file counts as a whole or not at all, as before. The last log line of a file names it and the reason. TestBlockedLogReaderDoesNotBlockQueries waits for the operators' file's own new line: that of the configuration now comes at the SIGHUP before, too.

--- a/cmd/birchcart/log_test.go
+++ b/cmd/birchcart/log_test.go
@@ -97,7 +97,7 @@
 	until("operators' file can't be read again")
 	write(`{"version":1,"process":{"log":{"format":"json","level":"debug","queue":2000}}}`)
 	cmd.Process.Signal(syscall.SIGHUP)
-	until("the configuration was read again")
+	until("the operators' file was read again")
 	cmd.Process.Signal(syscall.SIGTERM)
 	until(`"msg":"ended"`)
 	if err := cmd.Wait(); err != nil {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -269,9 +269,6 @@
 	if err := lanepart.Validate(f, n.host.Config.Names); err != nil {
 		return err
 	}
-	if err := n.member.ReloadKeys(); err != nil {
-		return err
-	}
 	n.mu.Lock()
 	oldLanes := n.file.Fleet.Lanes
 	n.file, n.inputsChanged = f, true
@@ -281,6 +278,18 @@
 	return nil
 }
 
+// ReloadKeys puts the keys of the gossip in force that are in the keys file now, or returns why they can't be.
+func (n *Node) ReloadKeys() error {
+	if n.disabled {
+		return nil
+	}
+	if err := n.member.ReloadKeys(); err != nil {
+		return err
+	}
+	n.log.Info("the keys file was read again")
+	return nil
+}
+
 // wakeUp makes the loop take a step soon.
 func (n *Node) wakeUp() {
 	select {
--- a/internal/serve/extension.go
+++ b/internal/serve/extension.go
@@ -23,6 +23,8 @@
 	AwaitReady(ctx context.Context)
 	// Reload takes the operators' file that was read again. An error keeps the file before in force.
 	Reload(*operator.File) error
+	// ReloadKeys reads the keys file again. An error keeps the keys before in force. It may run beside Reload.
+	ReloadKeys() error
 	// Drain is called in the drain, beside it, and returns soon.
 	Drain()
 	// Stop is called once, after the drain, whether or not Start has returned an error.
--- a/internal/serve/reload.go
+++ b/internal/serve/reload.go
@@ -4,18 +4,18 @@
 	"context"
 	"os"
 	"reflect"
-	"time"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 
 	"birchcart/internal/config"
 	"birchcart/internal/exchange"
-	"birchcart/internal/logs"
 	"birchcart/internal/ogc"
 	"birchcart/internal/operator"
 )
 
-// reloader reads the configuration again at each SIGHUP, for as long as the process lives.
+// reloader reads the files again at each SIGHUP, for as long as the process lives. Each file is read, retried and put into force on its
+// own: one that fails, or whose read blocks, keeps only its own former contents in force and delays no other.
 type reloader struct {
 	config    *config.Config // as it was at the start
 	source    Source
@@ -25,62 +25,77 @@
 	exchange  *exchange.Exchange
 	extension Extension // nil if there is none
 	log       *logrus.Entry
-	failures  *logs.Limited // of the looks since the last hangup
 }
 
-// run takes the file at each SIGHUP. One that can't be read, or is not complete yet, changes nothing and is retried for a while; a
-// further SIGHUP begins anew.
+// run passes each hangup on to the reloaders of all files until ctx ends.
 func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
-	attempts := 0
-	var retry <-chan time.Time
+	var running sync.WaitGroup
+	defer running.Wait()
+	var pending []chan struct{}
+	for _, file := range r.files() {
+		c := make(chan struct{}, 1)
+		pending = append(pending, c)
+		running.Go(func() { file.run(ctx, c) })
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
-			attempts, r.failures = r.config.Limits.ReloadTries, logs.Limit(r.log, r.config.Limits.LogEvery)
-		case <-retry:
-		}
-		if retry = nil; r.reload() {
-			continue
 		}
-		if attempts--; attempts > 0 {
-			retry = time.After(r.config.Limits.ReloadWait)
-		} else {
-			r.log.Error("the configuration is left as it was")
+		for _, c := range pending {
+			select {
+			case c <- struct{}{}:
+			default: // the file is read again after this hangup in any case
+			}
 		}
 	}
 }
 
-// reload reads both files and swaps in what may change without a restart; false leaves all as it was.
-func (r *reloader) reload() bool {
-	cfg, err := config.Reload(config.Source{Path: r.source.Config, Name: r.source.Name, Listen: r.source.Listen})
-	if err != nil {
-		return r.failed("the configuration can't be read again", err)
+// files returns a reloader for each file that this process reads again.
+func (r *reloader) files() []*fileReloader {
+	files := []*fileReloader{r.file("the configuration", r.reloadConfig)}
+	if r.source.Operator != "" {
+		files = append(files, r.file("the operators' file", r.reloadOperator))
 	}
-	op, err := readOperator(r.source.Operator)
-	if err != nil {
-		return r.failed("the operators' file can't be read again", err)
+	if r.extension != nil {
+		files = append(files, r.file("the keys file", r.extension.ReloadKeys))
 	}
-	if op != nil {
-		if err := r.swapOperator(op); err != nil {
-			return r.failed("the operators' file can't be used", err)
-		}
+	return files
+}
+
+// file returns the reloader of one file.
+func (r *reloader) file(name string, reload func() error) *fileReloader {
+	return &fileReloader{name: name, reload: reload, limits: &r.config.Limits, log: r.log}
+}
+
+// reloadConfig reads the configuration and applies what may change without a restart, the address of discovery.
+func (r *reloader) reloadConfig() error {
+	cfg, err := config.Reload(config.Source{Path: r.source.Config, Name: r.source.Name, Listen: r.source.Listen})
+	if err != nil {
+		return err
 	}
-	r.applyOperator(op)
 	same := *cfg // but for what changes with each writing
 	same.Discovery, same.Known, same.Policy.Seed = r.config.Discovery, r.config.Known, r.config.Policy.Seed
 	r.log.WithFields(logrus.Fields{
 		"discovery": cfg.Discovery, "waits_for_restart": !reflect.DeepEqual(&same, r.config),
 	}).Info("the configuration was read again")
 	r.discovery.Move(cfg.Discovery)
-	return true
+	return nil
 }
 
-// failed logs why a reload changes nothing.
-func (r *reloader) failed(message string, err error) bool {
-	r.failures.Warn(message, logrus.Fields{"error": err})
-	return false
+// reloadOperator reads the operators' file and puts it into force.
+func (r *reloader) reloadOperator() error {
+	op, err := readOperator(r.source.Operator)
+	if err != nil {
+		return err
+	}
+	if err := r.swapOperator(op); err != nil {
+		return &unusableError{err}
+	}
+	r.applyOperator(op)
+	r.log.Info("the operators' file was read again")
+	return nil
 }
 
 // swapOperator checks the whole operators' file against the settings in force, and only then puts it into force.
