--- a/internal/fleet/member/keys.go
+++ b/internal/fleet/member/keys.go
@@ -15,9 +15,12 @@
 // MaxKeys is the maximum number of keys in the file: the one in use and those of a rotation in progress.
 const MaxKeys = 8
 
+// Keys are the keys of a keyring file, in its order.
+type Keys [][]byte
+
 // parseKeys reads base64 keys of 16, 24 or 32 bytes from a file, one per line. The first key encrypts, all keys decrypt. Empty lines and
 // lines that begin with # are ignored. Errors never contain the content of the file.
-func parseKeys(path string) ([][]byte, error) {
+func parseKeys(path string) (Keys, error) {
 	if path == "" {
 		return nil, errors.New("member: no keyring file is configured")
 	}
@@ -25,7 +28,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("member: reading the keyring: %w", err)
 	}
-	var keys [][]byte
+	var keys Keys
 	lines := bufio.NewScanner(bytes.NewReader(raw))
 	for n := 1; lines.Scan(); n++ {
 		line := strings.TrimSpace(lines.Text())
@@ -52,11 +55,8 @@
 	return memberlist.NewKeyring(keys, keys[0])
 }
 
-func reloadKeys(path string, ring *memberlist.Keyring) error {
-	keys, err := parseKeys(path)
-	if err != nil {
-		return err
-	}
+// setKeys makes the keys of a ring those of a file.
+func setKeys(ring *memberlist.Keyring, keys Keys) error {
 	for _, k := range keys {
 		if err := ring.AddKey(k); err != nil {
 			return fmt.Errorf("member: adding a key to the keyring: %w", err)
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -258,9 +258,12 @@
 // Packets returns the number of packets that this member sent so far, without streams.
 func (m *Members) Packets() int64 { return m.traffic.sent.Load() }
 
-// ReloadKeys reads the keyring file again. To rotate a key, add the new key as the second line on all members, then move it to the first
+// ReadKeys reads the keyring file again.
+func (m *Members) ReadKeys() (Keys, error) { return parseKeys(m.options.Keys) }
+
+// SetKeys replaces the keys in force. To rotate a key, add the new key as the second line on all members, then move it to the first
 // line, then remove the old one, with a reload after each step.
-func (m *Members) ReloadKeys() error { return reloadKeys(m.options.Keys, m.keys) }
+func (m *Members) SetKeys(keys Keys) error { return setKeys(m.keys, keys) }
 
 // Leave announces that this member leaves, so that it is not taken to be dead. It takes at most LeaveTimeout.
 func (m *Members) Leave() error {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -278,16 +278,22 @@
 	return nil
 }
 
-// ReloadKeys puts the keys of the gossip in force that are in the keys file now, or returns why they can't be.
-func (n *Node) ReloadKeys() error {
+// ReadKeys reads the keys of the gossip that are in the keys file now, and returns what puts them in force.
+func (n *Node) ReadKeys() (apply func() error, err error) {
 	if n.disabled {
-		return nil
+		return func() error { return nil }, nil
 	}
-	if err := n.member.ReloadKeys(); err != nil {
-		return err
+	keys, err := n.member.ReadKeys()
+	if err != nil {
+		return nil, err
 	}
-	n.log.Info("the keys file was read again")
-	return nil
+	return func() error {
+		if err := n.member.SetKeys(keys); err != nil {
+			return err
+		}
+		n.log.Info("the keys file was read again")
+		return nil
+	}, nil
 }
 
 // wakeUp makes the loop take a step soon.
--- a/internal/serve/extension.go
+++ b/internal/serve/extension.go
@@ -23,8 +23,9 @@
 	AwaitReady(ctx context.Context)
 	// Reload takes the operators' file that was read again. An error keeps the file before in force.
 	Reload(*operator.File) error
-	// ReloadKeys reads the keys file again. An error keeps the keys before in force. It may run beside Reload.
-	ReloadKeys() error
+	// ReadKeys reads the keys file again and returns what puts its keys into force. An error of either keeps the keys before in
+	// force. Both may run beside the other methods.
+	ReadKeys() (apply func() error, err error)
 	// Drain is called in the drain, beside it, and returns soon.
 	Drain()
 	// Stop is called once, after the drain, whether or not Start has returned an error.
--- a/internal/serve/reload.go
+++ b/internal/serve/reload.go
@@ -54,48 +54,54 @@
 
 // files returns a reloader for each file that this process reads again.
 func (r *reloader) files() []*fileReloader {
-	files := []*fileReloader{r.file("the configuration", r.reloadConfig)}
+	files := []*fileReloader{r.file("the configuration", r.readConfig)}
 	if r.source.Operator != "" {
-		files = append(files, r.file("the operators' file", r.reloadOperator))
+		files = append(files, r.file("the operators' file", r.readOperator))
 	}
 	if r.extension != nil {
-		files = append(files, r.file("the keys file", r.extension.ReloadKeys))
+		files = append(files, r.file("the keys file", r.extension.ReadKeys))
 	}
 	return files
 }
 
 // file returns the reloader of one file.
-func (r *reloader) file(name string, reload func() error) *fileReloader {
-	return &fileReloader{name: name, reload: reload, limits: &r.config.Limits, log: r.log}
+func (r *reloader) file(name string, read readFile) *fileReloader {
+	return &fileReloader{name: name, read: read, limits: &r.config.Limits, log: r.log}
 }
 
-// reloadConfig reads the configuration and applies what may change without a restart, the address of discovery.
-func (r *reloader) reloadConfig() error {
+// readConfig reads the configuration.
+func (r *reloader) readConfig() (apply func() error, err error) {
 	cfg, err := config.Reload(config.Source{Path: r.source.Config, Name: r.source.Name, Listen: r.source.Listen})
 	if err != nil {
-		return err
+		return nil, err
 	}
+	return func() error { r.applyConfig(cfg); return nil }, nil
+}
+
+// applyConfig applies what may change without a restart, the address of discovery.
+func (r *reloader) applyConfig(cfg *config.Config) {
 	same := *cfg // but for what changes with each writing
 	same.Discovery, same.Known, same.Policy.Seed = r.config.Discovery, r.config.Known, r.config.Policy.Seed
 	r.log.WithFields(logrus.Fields{
 		"discovery": cfg.Discovery, "waits_for_restart": !reflect.DeepEqual(&same, r.config),
 	}).Info("the configuration was read again")
 	r.discovery.Move(cfg.Discovery)
-	return nil
 }
 
-// reloadOperator reads the operators' file and puts it into force.
-func (r *reloader) reloadOperator() error {
+// readOperator reads the operators' file.
+func (r *reloader) readOperator() (apply func() error, err error) {
 	op, err := readOperator(r.source.Operator)
 	if err != nil {
-		return err
-	}
-	if err := r.swapOperator(op); err != nil {
-		return &unusableError{err}
+		return nil, err
 	}
-	r.applyOperator(op)
-	r.log.Info("the operators' file was read again")
-	return nil
+	return func() error {
+		if err := r.swapOperator(op); err != nil {
+			return &unusableError{err}
+		}
+		r.applyOperator(op)
+		r.log.Info("the operators' file was read again")
+		return nil
+	}, nil
 }
 
 // swapOperator checks the whole operators' file against the settings in force, and only then puts it into force.
