Bound the size of the configuration and the operators' file

Cause: both are read whole, whatever their size. A path that leads to a very long file at SIGHUP takes the memory of a process that has 32 to 192 MB, which ends it.

Change: internal/boundedfile reads up to a size and names the file otherwise; 4 MiB for these two, at a start as well (3,200 replicas are about 0.5 MB).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,13 +6,16 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 
+	"birchcart/internal/boundedfile"
 	"birchcart/internal/settings"
 	"birchcart/policy"
 )
 
+// MaxFileBytes is the maximum size of a configuration or an operators' file: several times the largest list of replicas.
+const MaxFileBytes = 4 << 20
+
 // Config is everything that a co-ordinator is told.
 type Config struct {
 	Name, Listen, Discovery string
@@ -48,7 +51,7 @@
 	if src.Path == "" {
 		return nil, errors.New("no configuration: EDGE_CONFIG or --config names none")
 	}
-	raw, err := os.ReadFile(src.Path)
+	raw, err := boundedfile.Read(src.Path, MaxFileBytes)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -7,6 +7,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"birchcart/internal/boundedfile"
+	"birchcart/internal/config"
 	"birchcart/internal/logs"
 	"birchcart/internal/operator"
 )
@@ -72,7 +74,7 @@
 	if path == "" {
 		return nil, nil
 	}
-	raw, err := os.ReadFile(path)
+	raw, err := boundedfile.Read(path, config.MaxFileBytes)
 	if err != nil {
 		return nil, fmt.Errorf("operators' file: %w", err)
 	}
--- a/internal/serve/reload_files_test.go
+++ b/internal/serve/reload_files_test.go
@@ -195,6 +195,9 @@
 	"refused": func(_ *testing.T, path string, _ []byte) error {
 		return os.WriteFile(path, []byte(`{"version":77}`), 0o600)
 	},
+	"without an end": func(_ *testing.T, path string, _ []byte) error {
+		return errors.Join(os.Remove(path), os.Symlink("/dev/zero", path))
+	},
 	"a folder": func(_ *testing.T, path string, _ []byte) error {
 		return errors.Join(os.Remove(path), os.Mkdir(path, 0o700))
 	},
