Read a keys file whole, or refuse it

Cause: lines were read by a scanner whose error was not looked at. Keys in front of a line over 64 KiB counted as the whole file, and the keys behind it were taken out of force; "a bad file keeps the old" did not hold.

Change: the file is split into lines without a limit of their own, and has 64 KiB at most (internal/boundedfile).

Test: TestKeysFileIsReadWhole; at the code before: 1 key of a file that had 2.

--- a/internal/fleet/member/keys.go
+++ b/internal/fleet/member/keys.go
@@ -1,20 +1,22 @@
 package member
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/base64"
 	"errors"
 	"fmt"
-	"os"
 	"strings"
 
 	"github.com/hashicorp/memberlist"
+
+	"birchcart/internal/boundedfile"
 )
 
 // MaxKeys is the maximum number of keys in the file: the one in use and those of a rotation in progress.
 const MaxKeys = 8
 
+const maxKeysBytes = 64 << 10 // of the file, with its comments
+
 // Keys are the keys of a keyring file, in its order.
 type Keys [][]byte
 
@@ -24,20 +26,19 @@
 	if path == "" {
 		return nil, errors.New("member: no keyring file is configured")
 	}
-	raw, err := os.ReadFile(path)
+	raw, err := boundedfile.Read(path, maxKeysBytes)
 	if err != nil {
 		return nil, fmt.Errorf("member: reading the keyring: %w", err)
 	}
 	var keys Keys
-	lines := bufio.NewScanner(bytes.NewReader(raw))
-	for n := 1; lines.Scan(); n++ {
-		line := strings.TrimSpace(lines.Text())
+	for i, line := range strings.Split(string(raw), "\n") {
+		line = strings.TrimSpace(line)
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
 		key, err := base64.StdEncoding.DecodeString(line)
 		if err != nil || memberlist.ValidateKey(key) != nil {
-			return nil, fmt.Errorf("member: the keyring %s, line %d: not a base64 key of 16, 24 or 32 bytes", path, n)
+			return nil, fmt.Errorf("member: the keyring %s, line %d: not a base64 key of 16, 24 or 32 bytes", path, i+1)
 		}
 		keys = append(keys, key)
 	}
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -324,6 +324,25 @@
 	return m.SetKeys(keys)
 }
 
+// A keyring file counts as a whole or not at all: keys behind a very long comment are read too, and a file that is too long is refused.
+func TestKeysFileIsReadWhole(t *testing.T) {
+	t.Parallel()
+	path := keyFile(t, 1)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for comment, want := range map[int]int{100: 2, maxKeysBytes - 200: 2, maxKeysBytes: 0} {
+		text := string(raw) + "\n#" + strings.Repeat("x", comment) + "\n" + string(raw)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if keys, err := parseKeys(path); len(keys) != want || (err == nil) != (want > 0) {
+			t.Errorf("a comment of %d bytes: %d keys, want %d; %v", comment, len(keys), want, err)
+		}
+	}
+}
+
 func TestKeys(t *testing.T) {
 	t.Parallel()
 	path := keyFile(t, 1)
