Wait 100 ms, not 50 ms, for an agent that answers late before it counts as silent

Cause: with no list verified in the last 0.1 s parts wait for the agent's answer, but for 50 ms at most. An agent without a processor for a moment answers later, and parts go by the list of before the stop.

Change: 100 ms for the first finding that the agent is silent, then each 50 ms, under the 0.1 s after which the list counts as pending again; a tick may be 50 ms late, as before. Parts wait longer at the beginning of an outage only.

TestLateTickDoesNotCountAsSilence also holds the waits after a tick.

--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -74,10 +74,9 @@
 			})
 			due = time.Now().Add(c.limits.RedialMost)
 		case <-silence.timer.C:
-			if now := time.Now(); silence.onTime(now) {
+			if now := time.Now(); silence.onTick(now) {
 				f.verify(now)
 			}
-			silence.restart()
 		case result := <-answers:
 			cancel := inFlight[result.attempt]
 			if delete(inFlight, result.attempt); result.err == nil {
--- a/internal/discovery/verify.go
+++ b/internal/discovery/verify.go
@@ -7,9 +7,15 @@
 	// 0.15 s before the write of a part, it is the least grace of a draining replica, 0.25 s.
 	maxUnverifiedTime = 100 * time.Millisecond
 	// unconfirmedTime is how long an agent may take to answer before it counts as silent, and the list in use as the best there is.
-	// The agent is on this machine and sends the full list within milliseconds, or is down. Half the time is too short on a busy
-	// machine; twice the time would double the delay that each end of a watch costs.
-	unconfirmedTime = 50 * time.Millisecond
+	// The agent is on this machine and sends the full list within milliseconds, or is down; on a busy machine it may get no processor
+	// for a while. Parts wait for so long, less the age of the list, at the beginning of an outage only.
+	unconfirmedTime = 100 * time.Millisecond
+	// stillSilentTime is the time between two such findings while the agent stays silent: under maxUnverifiedTime, so that parts do
+	// not wait again.
+	stillSilentTime = 50 * time.Millisecond
+	// maxTickDelay is how late the timer may be. A tick that is later does not count: the process was stopped meanwhile, and the
+	// agent's answer may be ready to be read.
+	maxTickDelay = 50 * time.Millisecond
 )
 
 // verify records that the list was as discovery had it at a time: when a request that was answered was made, or when the agent
@@ -33,11 +39,10 @@
 	return at != nil && now.Sub(*at) <= maxUnverifiedTime
 }
 
-// silenceTimer tells a request when the agent has been silent for unconfirmedTime. A tick that is late does not count: the process
-// was stopped meanwhile, and the agent's answer may be ready to be read.
+// silenceTimer tells a request when the agent has been silent for unconfirmedTime, and then each stillSilentTime.
 type silenceTimer struct {
-	timer   *time.Timer
-	startAt time.Time
+	timer *time.Timer
+	dueAt time.Time // zero before start
 }
 
 func newSilenceTimer() *silenceTimer {
@@ -48,15 +53,22 @@
 
 // start begins to wait, unless it has begun before.
 func (t *silenceTimer) start() {
-	if t.startAt.IsZero() {
-		t.restart()
+	if t.dueAt.IsZero() {
+		t.wait(unconfirmedTime)
 	}
 }
 
-func (t *silenceTimer) restart() {
-	t.startAt = time.Now()
-	t.timer.Reset(unconfirmedTime)
+func (t *silenceTimer) wait(d time.Duration) {
+	t.dueAt = time.Now().Add(d)
+	t.timer.Reset(d)
 }
 
-// onTime reports whether the tick that was just received is on time.
-func (t *silenceTimer) onTime(now time.Time) bool { return now.Sub(t.startAt) <= 2*unconfirmedTime }
+// onTick reports whether the agent counts as silent at a tick that was just received, and begins to wait for the next one.
+func (t *silenceTimer) onTick(now time.Time) (silent bool) {
+	if now.Sub(t.dueAt) > maxTickDelay {
+		t.wait(unconfirmedTime)
+		return false
+	}
+	t.wait(stillSilentTime)
+	return true
+}
--- a/internal/discovery/verify_test.go
+++ b/internal/discovery/verify_test.go
@@ -42,10 +42,16 @@
 func TestLateTickDoesNotCountAsSilence(t *testing.T) {
 	s := newSilenceTimer()
 	s.start()
-	if late := s.startAt.Add(400 * time.Millisecond); s.onTime(late) {
+	if late := s.dueAt.Add(300 * time.Millisecond); s.onTick(late) {
 		t.Error("a tick 0.4 s after the start counts")
 	}
-	if inTime := s.startAt.Add(unconfirmedTime + time.Millisecond); !s.onTime(inTime) {
+	if remaining := time.Until(s.dueAt); remaining < unconfirmedTime/2 {
+		t.Errorf("after a late tick the agent has only %v to answer", remaining)
+	}
+	if inTime := s.dueAt.Add(time.Millisecond); !s.onTick(inTime) {
 		t.Error("a tick at its time does not count")
 	}
+	if remaining := time.Until(s.dueAt); remaining+maxTickDelay > maxUnverifiedTime {
+		t.Errorf("while the agent stays silent the next tick is due after %v, when the list counts as pending again", remaining)
+	}
 }
