Await the agent's list at a start for up to 5 s before the configuration's list is used

Cause: coordinator.applyKnownList put the list of the configuration into force at once and counted it as ready.

Change: with an agent that list is used only after ReadyBy (5 s) of its silence; until then the process is not ready and refuses. Clients are accepted once the agent's list is there, or after 0.1 s. Where lists are asked for, nothing changes.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -77,6 +77,15 @@
 	return c.conns.pending() || !c.current.Load().isCurrent(time.Now())
 }
 
+// UseUnlessListed passes a list of before the start on to the sink if discovery has not sent one yet.
+func (c *Client) UseUnlessListed(list exchange.ReplicaList) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.hasList.Load() {
+		c.sink.UpdateReplicas(list)
+	}
+}
+
 // HasList reports whether discovery has sent a list.
 func (c *Client) HasList() bool { return c.hasList.Load() }
 
--- a/internal/serve/coordinator.go
+++ b/internal/serve/coordinator.go
@@ -22,7 +22,11 @@
 	"birchcart/policy"
 )
 
-const recordFlushTimeout = 500 * time.Millisecond // at the end, for the disk; well before SIGKILL may come
+const (
+	recordFlushTimeout = 500 * time.Millisecond // at the end, for the disk; well before SIGKILL may come
+	firstListTime      = 100 * time.Millisecond // for the agent's first list, before clients are accepted
+	firstListLook      = time.Millisecond
+)
 
 // coordinator holds the parts of one co-ordinator: build makes them, start lets them run, drain ends the serving, close
 // releases what build and start have opened.
@@ -36,7 +40,8 @@
 	log       *logrus.Entry
 
 	began     time.Time
-	listKnown bool // the list of before the start names a replica that is up
+	known     exchange.ReplicaList // the list of before the start, empty if there is none
+	listKnown bool                 // known names a replica that is up, and is in use from the start
 	exchange  *exchange.Exchange
 	frames    *replica.Pool
 	forward   *featureserver.Pool // nil if no query is forwarded to feature servers
@@ -77,8 +82,7 @@
 	tuneRuntime(c.config.Limits)
 	c.exchange = exchange.New(c.config, c.log)
 	replicas := c.buildReplicas()
-	index := c.applyKnownList()
-	c.discovery = discovery.New(c.config, index, c.exchange, c.log)
+	c.discovery = discovery.New(c.config, c.readKnownList(), c.exchange, c.log)
 	c.exchange.Connect(replicas, c.discovery)
 	c.frames.HoldForList(c.listPending)
 	if c.forward != nil {
@@ -122,8 +126,9 @@
 	return c.discovery.ListPending() || c.exchange.ListPending()
 }
 
-// applyKnownList passes the list of before the start on to the exchange, and returns its index: NoIndex if there is none.
-func (c *coordinator) applyKnownList() int64 {
+// readKnownList reads the list of before the start, and returns its index: NoIndex if there is none. It is passed on to the exchange
+// at once where discovery is shared. An agent counts as heard from the first moment, and may have newer changes: its list is awaited.
+func (c *coordinator) readKnownList() int64 {
 	if len(c.config.Known) == 0 {
 		return discovery.NoIndex
 	}
@@ -132,15 +137,34 @@
 		c.log.WithError(err).Warn("the known list is passed over")
 		return discovery.NoIndex
 	}
-	list.Full, list.Stale, list.Source = true, true, "configuration"
-	c.listKnown = slices.ContainsFunc(list.Entries, func(e exchange.Endpoint) bool { return e.State == policy.Up })
-	c.exchange.UpdateReplicas(list)
 	if len(list.Entries) == 0 { // an empty one is no ground for asking for changes alone
 		return discovery.NoIndex
 	}
+	list.Full, list.Stale, list.Source = true, true, "configuration"
+	if c.known = list; c.config.Policy.MustSubscribe {
+		c.listKnown = slices.ContainsFunc(list.Entries, func(e exchange.Endpoint) bool { return e.State == policy.Up })
+		c.exchange.UpdateReplicas(list)
+	}
 	return at
 }
 
+// awaitList waits until the agent has sent its list, for firstListTime at the most, so that clients who come first are not refused. If
+// the agent stays silent until ReadyBy, the list of before the start is used.
+func (c *coordinator) awaitList(ctx context.Context) {
+	if c.config.Policy.MustSubscribe || len(c.known.Entries) == 0 {
+		return
+	}
+	fallback := time.AfterFunc(time.Until(c.began.Add(c.config.Limits.ReadyBy)), func() { c.discovery.UseUnlessListed(c.known) })
+	c.onClose(func() { fallback.Stop() })
+	for end := time.Now().Add(firstListTime); !c.discovery.HasList() && time.Now().Before(end); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(firstListLook):
+		}
+	}
+}
+
 // buildFronts makes the server side.
 func (c *coordinator) buildFronts() {
 	c.front = front.New(c.config, c.exchange, c.ready, c.log)
@@ -233,6 +257,7 @@
 			return ctx, nil, err
 		}
 	}
+	c.awaitList(ctx)
 	return ctx, c.serveFronts(), nil
 }
 
@@ -259,7 +284,7 @@
 	}
 	c.log.WithFields(logrus.Fields{
 		"listen": c.config.Listen, "discovery": c.config.Discovery, "classes": len(c.config.Policy.Classes),
-		"replicas_known": c.listKnown, "memory": c.config.Limits.Memory, "descriptors": c.config.Limits.Sockets,
+		"replicas_known": c.listKnown || c.discovery.HasList(), "memory": c.config.Limits.Memory, "descriptors": c.config.Limits.Sockets,
 	}).Info("serving")
 	return served
 }
