Pace the accepting of clients that are turned away and come again at once

Callers saw: beside 400 clients that stop half way through a body and come again, the slowest answer on either front after 0.1 to 2.6 s, by chance (KNOWN-RED.txt: TestCrowdOfUnendedRequestsStaysWithinMemory/users/bodies_stopped_half_way, their 2 s).

Cause: they are turned away for want of memory at 1,000 to 1,500 a second, in a closed loop that takes the whole core; some 160 goroutines are runnable on average (execution trace), and each step of other queries waits behind them. Half of the time is the collector's, at 18 of the runtime's 19 MB. Ruled out by trials: the listen queue's overflow, how many connections start at once, the buffers.

--- a/Makefile
+++ b/Makefile
@@ -23,14 +23,14 @@
 	go test $(PASSOVER) -race -short -count=1 -timeout 20m $(QUIET)
 	go test $(PASSOVER) -race -short -count=1 -timeout 20m -p 1 $(HEAVY)
 
-# Tests that fail for a fault that is known and not mended yet, a line each (test or subtest: cause, issue), seven at most. Only these are
+# Tests that fail for a fault that is known and not mended yet, a line each (test or subtest: cause, issue), six at most. Only these are
 # passed over, by name, and each landing prints them.
 RED = $(shell sed -nE 's,^(Test[A-Za-z0-9_/]+):.*,\1,p' KNOWN-RED.txt 2>/dev/null)
 PASSOVER = $(if $(RED),-skip '$(shell echo $(RED) | sed -e 's,[^ ]*,^&$$,g' -e 's,/,$$/^,g' -e 's, ,|,g')')
 red:
 	@[ ! -s KNOWN-RED.txt ] || { echo "known to fail, and passed over (KNOWN-RED.txt):"; cat KNOWN-RED.txt; }
 	@[ $$(cat KNOWN-RED.txt 2>/dev/null | grep -c .) -eq $(words $(RED)) ] || { echo "KNOWN-RED.txt: each line is 'TestName: cause, issue'"; exit 1; }
-	@[ $(words $(RED)) -le 7 ] || { echo "KNOWN-RED.txt: more than seven tests"; exit 1; }
+	@[ $(words $(RED)) -le 6 ] || { echo "KNOWN-RED.txt: more than six tests"; exit 1; }
 	@for t in $(RED); do grep -rqE "^func $${t%%/*}\(" --include='*_test.go' . || { echo "KNOWN-RED.txt names no test: $$t"; exit 1; }; done
 
 # The fleet's bench loads a library of its own into the program, which needs the C library's loader.
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -50,6 +50,7 @@
 	closing      atomic.Bool               // DrainTime is over: each answer closes its connection
 	lastReplyBy  atomic.Pointer[time.Time] // deadline for the last answer, set by Drain
 	partialBytes atomic.Int64              // total size of all incomplete requests
+	pacer        *acceptPacer
 	loggedAt     time.Time                 // when "all connections are in use" was last logged
 	onEvict      func()                    // test hook, called on each attempt to free a connection slot
 }
@@ -59,7 +60,7 @@
 	s := &Server{
 		limits: cfg.Limits, names: cfg.Names, shards: cfg.Policy.Shards, sink: sink, ready: ready,
 		log: logs.Limit(log, cfg.Limits.LogEvery), conns: map[*clientConn]struct{}{}, acceptEnded: make(chan struct{}),
-		onEvict: func() {},
+		onEvict: func() {}, pacer: newAcceptPacer(cfg.Limits.Cores),
 	}
 	for _, c := range cfg.Policy.Classes {
 		s.idempotencyKeyed = append(s.idempotencyKeyed, c.Effect == policy.Keyed)
@@ -118,6 +119,9 @@
 		if full { // the loop above ended because the drain is closing connections
 			return s.listener.Close()
 		}
+		if !s.closing.Load() {
+			s.pacer.wait()
+		}
 		nc, err := s.listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
--- a/internal/front/read.go
+++ b/internal/front/read.go
@@ -198,6 +198,7 @@
 		// Guards against many concurrent bodies that exhaust a small memory. A request that fits into the scanner's
 		// initial buffer is always permitted.
 		if !r.c.reserveBytes(int64(n)) && r.c.partialBytes > initialScanBuffer {
+			r.c.server.pacer.onTurnAway()
 			return n, errNoCapacity
 		}
 	}
