Give the test of paced clients connections enough for its sound ones

Cause: the test server has 20 connections; 20 clients that were turned away and linger, and 20 sound ones, may fill them, and then a sound query is refused ("no query was submitted" after 60 s, seen with the pause taken out, a trial). Now 60 connections.

--- a/internal/front/pacing_test.go
+++ b/internal/front/pacing_test.go
@@ -13,7 +13,7 @@
 // accepting them is paced. Clients who send whole requests are not paced.
 func TestClientsThatAreTurnedAwayArePaced(t *testing.T) {
 	const clients, cores = 20, 0.1
-	st := newTestServer(t, func(l *config.Limits) { l.UnreadBytes, l.Cores = 8<<10, cores })
+	st := newTestServer(t, func(l *config.Limits) { l.UnreadBytes, l.Cores, l.Clients = 8<<10, cores, 3*clients })
 	began := time.Now()
 	for range clients {
 		c := st.dial()
