--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -51,8 +51,8 @@
 	lastReplyBy  atomic.Pointer[time.Time] // deadline for the last answer, set by Drain
 	partialBytes atomic.Int64              // total size of all incomplete requests
 	pacer        *acceptPacer
-	loggedAt     time.Time                 // when "all connections are in use" was last logged
-	onEvict      func()                    // test hook, called on each attempt to free a connection slot
+	loggedAt     time.Time // when "all connections are in use" was last logged
+	onEvict      func()    // test hook, called on each attempt to free a connection slot
 }
 
 // New returns a server. ready reports whether a replica list has been received.
